Lay out the workspace: layers, shared types, messages and the store stand-in

The four layers depend only downwards: transport, protocol, coordination, state. The coordination layer holds the vocabulary that its state machines share (store calls, attempts, worker commands, jobs); the machines follow.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/bench/benches/capacity.rs
@@ -0,0 +1,3 @@
+//! To be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/figure.rs
@@ -0,0 +1,78 @@
+//! The lines in which a bench states its results.
+
+use std::fmt;
+
+/// How a value is compared with its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Bound {
+    /// The value must not be above the target.
+    AtMost,
+    /// The value must not be below the target.
+    AtLeast,
+}
+
+/// One measured value with its stated target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figure {
+    /// Dotted name, unique within the bench.
+    pub name: String,
+    /// The measured value.
+    pub value: f64,
+    /// The unit, such as `ms` or `ratio`.
+    pub unit: &'static str,
+    /// How the value is compared.
+    pub bound: Bound,
+    /// The stated target in the same unit.
+    pub target: f64,
+}
+
+impl Figure {
+    /// States that `value` must be at most `target`.
+    pub fn at_most(name: impl Into<String>, value: f64, unit: &'static str, target: f64) -> Self {
+        Self::new(name, value, unit, Bound::AtMost, target)
+    }
+
+    /// States that `value` must be at least `target`.
+    pub fn at_least(name: impl Into<String>, value: f64, unit: &'static str, target: f64) -> Self {
+        Self::new(name, value, unit, Bound::AtLeast, target)
+    }
+
+    fn new(
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        bound: Bound,
+        target: f64,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            value,
+            unit,
+            bound,
+            target,
+        }
+    }
+
+    /// Tells whether the value is within its target.
+    pub fn met(&self) -> bool {
+        match self.bound {
+            Bound::AtMost => self.value <= self.target,
+            Bound::AtLeast => self.value >= self.target,
+        }
+    }
+}
+
+impl fmt::Display for Figure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let op = match self.bound {
+            Bound::AtMost => "<=",
+            Bound::AtLeast => ">=",
+        };
+        let verdict = if self.met() { "met" } else { "missed" };
+        write!(
+            f,
+            "figure {} {:.4} {} target {op} {} {verdict}",
+            self.name, self.value, self.unit, self.target
+        )
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Pieces that the benches share.
+
+pub mod figure;
--- /dev/null
+++ b/crates/coordination/src/executor.rs
@@ -0,0 +1,1 @@
+//! Runs attempts on one worker within its room and leases.
--- /dev/null
+++ b/crates/coordination/src/journal.rs
@@ -0,0 +1,1 @@
+//! Makes the records of one slice durable and recovers them.
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,28 @@
+//! Scheduling decisions as pure state machines.
+//!
+//! Every machine takes events and a point in time and returns actions. None
+//! does I/O, reads a clock or draws ambient randomness, so a session replays
+//! byte for byte and a bench can drive the same code as the processes do. See
+//! `docs/design.md`, section 6.
+
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
+)]
+
+pub mod admission;
+pub mod attempt;
+pub mod config;
+pub mod executor;
+pub mod interference;
+pub mod job;
+pub mod journal;
+pub mod membership;
+pub mod owner;
+pub mod ownership;
+pub mod placement;
+pub mod probation;
+pub mod retry;
+pub mod routing;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/coordination/src/membership.rs
@@ -0,0 +1,1 @@
+//! Tracks the agents and entries that are alive.
--- /dev/null
+++ b/crates/coordination/src/owner.rs
@@ -0,0 +1,1 @@
+//! Schedules the jobs and orders of one slice.
--- /dev/null
+++ b/crates/coordination/src/placement.rs
@@ -0,0 +1,1 @@
+//! Chooses the worker that takes a task, within quotas.
--- /dev/null
+++ b/crates/coordination/src/probation.rs
@@ -0,0 +1,1 @@
+//! Finds faulty workers and jobs that can never run.
--- /dev/null
+++ b/crates/coordination/src/retry.rs
@@ -0,0 +1,1 @@
+//! Decides when another try of a request is allowed.
--- /dev/null
+++ b/crates/coordination/src/routing.rs
@@ -0,0 +1,1 @@
+//! Chooses the endpoint that takes a request.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,6 @@
+//! Small stand-ins for the platform and the endpoints.
+//!
+//! They hold only what the tests, the benches and the local example use, and
+//! they are never shipped. `docs/design.md`, section 15, lists their interfaces.
+
+pub mod store;
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,5 @@
+//! The platform's key-value store.
+
+mod memory;
+
+pub use memory::{Count, Memory};
--- /dev/null
+++ b/crates/state/src/config.rs
@@ -0,0 +1,71 @@
+//! The configuration that operators publish, and its audit trail.
+//!
+//! See `docs/design.md`, section 11, for how a publish becomes visible at once.
+
+use {
+    crate::{id, service::Declaration, time::Wall},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// A reference to the immutable value that holds one service's declaration.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// The service that the segment declares.
+    pub service: id::Service,
+    /// The store key that holds it.
+    pub key: Arc<str>,
+}
+
+/// One accepted change of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The revision that the change was made against.
+    pub from: id::Revision,
+    /// The revision that it made.
+    pub to: id::Revision,
+    /// Who made it.
+    pub author: Arc<str>,
+    /// When, by the author's clock.
+    pub at: Wall,
+    /// What changed, one line a service or drain.
+    pub summary: Vec<Arc<str>>,
+}
+
+/// The value at `config/manifest`; replacing it publishes a revision.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// The revision, rising by one with each publish.
+    pub revision: id::Revision,
+    /// The segments in force.
+    pub segments: Vec<Segment>,
+    /// Endpoints that operators are draining.
+    pub drains: Vec<id::Endpoint>,
+    /// The newest changes, oldest first.
+    pub audit: Vec<Change>,
+    /// Keys of immutable values that hold older changes, oldest first.
+    pub audit_segments: Vec<Arc<str>>,
+}
+
+/// A whole configuration with its segments resolved.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision.
+    pub revision: id::Revision,
+    /// Every declared service.
+    pub services: Vec<Declaration>,
+    /// Endpoints that operators are draining.
+    pub drains: Vec<id::Endpoint>,
+}
+
+impl Snapshot {
+    /// Finds the declaration of `service`.
+    pub fn service(&self, service: &id::Service) -> Option<&Declaration> {
+        self.services.iter().find(|found| found.name == *service)
+    }
+
+    /// Tells whether operators are draining `endpoint`.
+    pub fn drains(&self, endpoint: &id::Endpoint) -> bool {
+        self.drains.contains(endpoint)
+    }
+}
