--- a/crates/coordination/src/journal.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Makes the records of one slice durable and recovers them.
--- /dev/null
+++ b/crates/coordination/src/journal/budget.rs
@@ -0,0 +1,69 @@
+//! An entry's part of the store's write budget.
+
+use filbertbend_state::time::Instant;
+
+const MICROS_PER_MS: u64 = 1000;
+const MICROS_PER_S: u64 = 1_000_000;
+
+/// A token bucket that hands out its tokens in the order of the requests.
+///
+/// All journals of an entry share it. A journal reserves one token and waits
+/// for it, so a busy slice cannot starve the others. Tokens are counted in
+/// microseconds, because at 300 writes a second one takes 3.3 ms.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    interval_micros: u64,
+    burst_micros: u64,
+    next_micros: u64,
+}
+
+impl Budget {
+    /// Makes a full bucket of `burst` tokens that refills at `writes_per_s`.
+    ///
+    /// A rate of zero counts as one write a second, so that work still ends.
+    pub fn new(writes_per_s: u32, burst: u32) -> Self {
+        let interval_micros = MICROS_PER_S / u64::from(writes_per_s.max(1));
+        Self {
+            interval_micros,
+            burst_micros: interval_micros * u64::from(burst.max(1) - 1),
+            next_micros: 0,
+        }
+    }
+
+    /// Changes the rate, for example when the number of entries has changed.
+    pub fn set_rate(&mut self, writes_per_s: u32) {
+        let burst = self.burst_micros / self.interval_micros;
+        self.interval_micros = MICROS_PER_S / u64::from(writes_per_s.max(1));
+        self.burst_micros = self.interval_micros * burst;
+    }
+
+    /// Reserves a token and returns when it may be used.
+    pub fn reserve(&mut self, now: Instant) -> Instant {
+        let now_micros = now.0.saturating_mul(MICROS_PER_MS);
+        let earliest = now_micros.saturating_sub(self.burst_micros);
+        let at_micros = self.next_micros.max(earliest);
+        self.next_micros = at_micros.saturating_add(self.interval_micros);
+        Instant(at_micros.div_ceil(MICROS_PER_MS))
+    }
+}
+
+/// One reserved token of a lane of work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Slot(Option<Instant>);
+
+impl Slot {
+    /// Uses the reserved token if it is due; reserves one if there is none.
+    pub(super) fn take(&mut self, now: Instant, budget: &mut Budget) -> bool {
+        let at = *self.0.get_or_insert_with(|| budget.reserve(now));
+        let due = at <= now;
+        if due {
+            self.0 = None;
+        }
+        due
+    }
+
+    /// Returns when the reserved token is due.
+    pub(super) fn at(&self) -> Option<Instant> {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/journal/compaction.rs
@@ -0,0 +1,433 @@
+//! Replaces old journal entries by segments that hold the state.
+//!
+//! The order of the writes makes every interruption harmless: segments under
+//! new keys first, then the manifest that names them, and deletions only after
+//! the manifest is confirmed. The first compaction of an ownership also deletes
+//! what interrupted predecessors left behind.
+
+use {
+    super::{
+        budget::Slot,
+        error::{Error, Fault},
+        image::{Bucket, Image},
+        key,
+        port::{Context, Port, Progress, Write},
+        recovery::{Recovered, Tail, PAGE_ENTRIES},
+        value::{self, Manifest, Segment},
+        Limits,
+    },
+    crate::store::{Answer, Call, Expect, Pair, Ticket, Version},
+    filbertbend_state::{id, time::Instant},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// Appends wait for a compaction once the entries exceed its trigger by this
+/// factor, so that a recovery stays bounded.
+const HOLD_FACTOR: usize = 8;
+/// Parts of segments in one page of the clean-up.
+const PAGE_PARTS: u32 = 4;
+
+/// What a compaction is about to make true.
+struct Draft {
+    manifest: Manifest,
+    /// Segments that the manifest replaces.
+    replaced: Vec<Arc<str>>,
+    /// `Epoch` entries that are too old to be kept.
+    expired: Vec<u64>,
+}
+
+enum Stage {
+    Idle,
+    Segments(VecDeque<Write>, Box<Draft>),
+    Manifest(Write, Box<Draft>),
+    Delete(Option<Ticket>),
+    SweepEntries(Option<Ticket>),
+    SweepSegments(Option<Ticket>),
+}
+
+/// How a compaction fares after an answer.
+pub(super) enum Outcome {
+    /// The answer is for another lane.
+    Ignored,
+    /// The answer was taken.
+    Pending,
+    /// A newer owner has written the manifest.
+    Lost(id::Epoch),
+    /// A stored value stops the journal.
+    Failed(Error),
+}
+
+/// The lane of compactions of one ownership.
+pub(super) struct Compactor {
+    slice: id::Slice,
+    owner: id::Entry,
+    epoch: id::Epoch,
+    limits: Limits,
+    manifest: Option<(Manifest, Version)>,
+    dirty: [bool; 16],
+    tail: VecDeque<Tail>,
+    tail_bytes: usize,
+    stage: Stage,
+    slot: Slot,
+    doomed: VecDeque<Arc<str>>,
+    /// Where the clean-up goes on, if it is not complete.
+    sweep: Option<Arc<str>>,
+    swept_entries: bool,
+    swept_segments: bool,
+}
+
+impl Compactor {
+    pub(super) fn new<I>(
+        slice: id::Slice,
+        owner: id::Entry,
+        limits: Limits,
+        found: &mut Recovered<I>,
+    ) -> Self {
+        let tail = std::mem::take(&mut found.tail);
+        Self {
+            slice,
+            owner,
+            epoch: found.epoch,
+            limits,
+            manifest: found.manifest.take(),
+            dirty: found.dirty,
+            tail_bytes: tail.iter().map(|tail| tail.bytes).sum(),
+            tail,
+            stage: Stage::Idle,
+            slot: Slot::default(),
+            doomed: VecDeque::new(),
+            sweep: None,
+            swept_entries: false,
+            swept_segments: false,
+        }
+    }
+
+    /// Counts an entry that has become durable.
+    pub(super) fn note(&mut self, seq: u64, bytes: usize) {
+        self.tail_bytes += bytes;
+        self.tail.push_back(Tail {
+            seq,
+            bytes,
+            fence: false,
+        });
+    }
+
+    pub(super) fn mark(&mut self, bucket: Bucket) {
+        self.dirty[bucket.index()] = true;
+    }
+
+    /// Tells whether appends must wait for a compaction.
+    pub(super) fn hold(&self) -> bool {
+        self.tail.len() >= HOLD_FACTOR * self.limits.compact_entries
+            || self.tail_bytes >= HOLD_FACTOR * self.limits.compact_bytes
+    }
+
+    /// Starts a compaction if one is due.
+    pub(super) fn begin<I: Image>(&mut self, image: &I, port: &mut Port) {
+        let due = self.tail.len() >= self.limits.compact_entries
+            || self.tail_bytes >= self.limits.compact_bytes;
+        if !due || !matches!(self.stage, Stage::Idle) {
+            return;
+        }
+        let Some(base) = self.tail.back().map(|tail| tail.seq) else {
+            return;
+        };
+        let old = self.manifest.as_ref().map(|(manifest, _)| manifest);
+        let mut segments = old.map_or([None; 16], |manifest| manifest.segments);
+        let mut writes = VecDeque::new();
+        let mut replaced = Vec::new();
+        for bucket in Bucket::all().filter(|bucket| self.dirty[bucket.index()]) {
+            let slot = &mut segments[bucket.index()];
+            replaced.extend(slot.iter().flat_map(|s| part_keys(self.slice, bucket, *s)));
+            let bytes = image.encode(bucket);
+            *slot = (!bytes.is_empty()).then(|| Segment {
+                seq: base,
+                parts: bytes.chunks(self.limits.part_bytes).len() as u16,
+            });
+            for (part, chunk) in (0..).zip(bytes.chunks(self.limits.part_bytes)) {
+                let key = key::segment(self.slice, bucket, base, part);
+                let value = value::encode_part(self.slice, bucket, base, part, chunk);
+                writes.push_back(Write::new(key, value, Expect::Absent));
+            }
+        }
+        let (fences, expired) = self.fences();
+        let manifest = Manifest {
+            slice: self.slice,
+            epoch: self.epoch,
+            owner: self.owner.clone(),
+            nonce: port.nonce(),
+            base,
+            segments,
+            fences,
+        };
+        self.dirty = [false; 16];
+        let draft = Draft {
+            manifest,
+            replaced,
+            expired,
+        };
+        self.stage = Stage::Segments(writes, Box::new(draft));
+        self.after_segment();
+    }
+
+    /// Returns the `Epoch` entries to keep and those that are too old.
+    fn fences(&self) -> (Vec<u64>, Vec<u64>) {
+        let old = self.manifest.iter().flat_map(|(m, _)| &m.fences).copied();
+        let new = self.tail.iter().filter(|tail| tail.fence).map(|t| t.seq);
+        let mut all: Vec<u64> = old.chain(new).collect();
+        let kept = all.split_off(all.len().saturating_sub(self.limits.fences));
+        (kept, all)
+    }
+
+    /// Goes on to the manifest when all segments are written.
+    fn after_segment(&mut self) {
+        self.stage = match std::mem::replace(&mut self.stage, Stage::Idle) {
+            Stage::Segments(writes, draft) if writes.is_empty() => {
+                let expect = self
+                    .manifest
+                    .as_ref()
+                    .map_or(Expect::Absent, |(_, version)| Expect::At(*version));
+                let value = value::encode_manifest(&draft.manifest);
+                let write = Write::new(key::manifest(self.slice), value, expect);
+                Stage::Manifest(write, draft)
+            }
+            stage => stage,
+        };
+    }
+
+    /// Issues the call that is due.
+    pub(super) fn poll(&mut self, cx: &mut Context<'_>, port: &mut Port) {
+        let slice = self.slice;
+        let after = self.sweep.clone();
+        let list = |prefix, limit| Call::List {
+            prefix,
+            after,
+            limit,
+        };
+        match &mut self.stage {
+            Stage::Idle => {}
+            Stage::Segments(writes, _) => {
+                if let Some(write) = writes.front_mut() {
+                    write.poll(cx, port, &mut self.slot);
+                }
+            }
+            Stage::Manifest(write, _) => write.poll(cx, port, &mut self.slot),
+            _ if !port.ready(cx.now) => {}
+            Stage::Delete(sent @ None) => {
+                if let Some(key) = self.doomed.front().cloned() {
+                    if self.slot.take(cx.now, cx.budget) {
+                        *sent = Some(port.call(cx, Call::Delete { key, version: None }));
+                    }
+                }
+            }
+            Stage::SweepEntries(sent @ None) => {
+                *sent = Some(port.call(cx, list(key::journal(slice), PAGE_ENTRIES)));
+            }
+            Stage::SweepSegments(sent @ None) => {
+                *sent = Some(port.call(cx, list(key::segments(slice), PAGE_PARTS)));
+            }
+            Stage::Delete(_) | Stage::SweepEntries(_) | Stage::SweepSegments(_) => {}
+        }
+    }
+
+    pub(super) fn wake(&self, port: &Port) -> Option<Instant> {
+        match &self.stage {
+            Stage::Segments(writes, _) => writes.front()?.wake(port, &self.slot),
+            Stage::Manifest(write, _) => write.wake(port, &self.slot),
+            Stage::Delete(None) => Some(self.slot.at().unwrap_or_default().max(port.not_before())),
+            Stage::SweepEntries(None) | Stage::SweepSegments(None) => Some(port.not_before()),
+            _ => None,
+        }
+    }
+
+    pub(super) fn answer(&mut self, ticket: Ticket, answer: &Answer) -> Outcome {
+        match &mut self.stage {
+            Stage::Segments(writes, _) => {
+                let progress = writes.front_mut().and_then(|w| w.answer(ticket, answer));
+                self.segment_progress(progress)
+            }
+            Stage::Manifest(write, _) => {
+                let progress = write.answer(ticket, answer);
+                self.manifest_progress(progress)
+            }
+            Stage::Delete(sent) | Stage::SweepEntries(sent) | Stage::SweepSegments(sent) => {
+                if sent.take_if(|sent| *sent == ticket).is_none() {
+                    return Outcome::Ignored;
+                }
+                match (&self.stage, answer) {
+                    (Stage::Delete(_), Answer::Written(_) | Answer::Conflict(_)) => self.deleted(),
+                    (Stage::Delete(_), _) => {}
+                    (_, Answer::Page(pairs)) => self.swept(pairs),
+                    // Anything else, lost answers included, repeats the call.
+                    _ => {}
+                }
+                Outcome::Pending
+            }
+            Stage::Idle => Outcome::Ignored,
+        }
+    }
+
+    fn segment_progress(&mut self, progress: Option<Progress>) -> Outcome {
+        match progress {
+            None => return Outcome::Ignored,
+            Some(Progress::Done(_)) => {
+                if let Stage::Segments(writes, _) = &mut self.stage {
+                    writes.pop_front();
+                }
+                self.after_segment();
+            }
+            Some(Progress::Foreign(Some(pair))) => {
+                // Segment keys contain a sequence number of this epoch, so no
+                // other owner can have written this one.
+                return self.damaged(pair.key, Fault::Epoch);
+            }
+            Some(_) => {}
+        }
+        Outcome::Pending
+    }
+
+    fn manifest_progress(&mut self, progress: Option<Progress>) -> Outcome {
+        match progress {
+            None => return Outcome::Ignored,
+            Some(Progress::Done(version)) => self.confirmed(version),
+            Some(Progress::Foreign(pair)) => return self.foreign_manifest(pair),
+            Some(Progress::Pending | Progress::Untouched) => {}
+        }
+        Outcome::Pending
+    }
+
+    /// Decides about a manifest that another owner has written meanwhile.
+    fn foreign_manifest(&mut self, pair: Option<Pair>) -> Outcome {
+        let Some(pair) = pair else {
+            return Outcome::Failed(Error::Missing {
+                slice: self.slice,
+                key: key::manifest(self.slice),
+            });
+        };
+        let found = match value::decode_manifest(self.slice, &pair.value) {
+            Ok(found) => found,
+            Err(fault) => return self.damaged(pair.key, fault),
+        };
+        if found.epoch > self.epoch {
+            return Outcome::Lost(found.epoch);
+        }
+        let Stage::Manifest(write, draft) = &mut self.stage else {
+            return Outcome::Pending;
+        };
+        if found.epoch == self.epoch || found.base >= self.epoch.0 {
+            return self.damaged(pair.key, Fault::Epoch);
+        }
+        // The compaction of a former owner took effect late. Its base lies
+        // before this epoch and the buckets that it replaced are replaced here
+        // too, so this manifest goes on top of it.
+        for bucket in Bucket::all() {
+            let segment = found.segments[bucket.index()];
+            if segment != draft.manifest.segments[bucket.index()] {
+                let keys = segment.map(|s| part_keys(self.slice, bucket, s));
+                draft.replaced.extend(keys.into_iter().flatten());
+            }
+        }
+        write.retarget(pair.version);
+        Outcome::Pending
+    }
+
+    fn damaged(&self, key: Arc<str>, fault: Fault) -> Outcome {
+        Outcome::Failed(Error::Damaged {
+            slice: self.slice,
+            key,
+            fault,
+        })
+    }
+
+    /// The manifest is in force; what it makes unnecessary may be deleted.
+    fn confirmed(&mut self, version: Version) {
+        let Stage::Manifest(_, draft) = std::mem::replace(&mut self.stage, Stage::Delete(None))
+        else {
+            return;
+        };
+        let slice = self.slice;
+        self.doomed.extend(draft.replaced);
+        let expired = draft.expired.into_iter();
+        self.doomed
+            .extend(expired.map(|seq| key::entry(slice, seq)));
+        let below = self
+            .tail
+            .partition_point(|tail| tail.seq <= draft.manifest.base);
+        for tail in self.tail.drain(..below) {
+            self.tail_bytes -= tail.bytes;
+            if !tail.fence {
+                self.doomed.push_back(key::entry(slice, tail.seq));
+            }
+        }
+        self.manifest = Some((draft.manifest, version));
+        self.next_stage();
+    }
+
+    fn deleted(&mut self) {
+        self.doomed.pop_front();
+        self.next_stage();
+    }
+
+    /// Goes on after a deletion or a page of the clean-up.
+    fn next_stage(&mut self) {
+        self.stage = if !self.doomed.is_empty() {
+            Stage::Delete(None)
+        } else if !self.swept_entries {
+            Stage::SweepEntries(None)
+        } else if !self.swept_segments {
+            Stage::SweepSegments(None)
+        } else {
+            Stage::Idle
+        };
+    }
+
+    /// Takes a page of the clean-up and dooms what nothing refers to.
+    ///
+    /// Only keys up to the base are considered: a newer owner's segments have
+    /// higher numbers and may not be named by a manifest yet.
+    fn swept(&mut self, pairs: &[Pair]) {
+        let Some((manifest, _)) = &self.manifest else {
+            return;
+        };
+        let entries = matches!(self.stage, Stage::SweepEntries(_));
+        let limit = if entries { PAGE_ENTRIES } else { PAGE_PARTS };
+        let kept: BTreeSet<Arc<str>> = kept_keys(self.slice, manifest).collect();
+        let mut complete = pairs.len() < limit as usize;
+        for pair in pairs {
+            let seq = if entries {
+                key::entry_seq(self.slice, &pair.key)
+            } else {
+                key::segment_seq(self.slice, &pair.key)
+            };
+            let below = seq.is_some_and(|seq| seq <= manifest.base);
+            if below && !kept.contains(&pair.key) {
+                self.doomed.push_back(pair.key.clone());
+            }
+            complete |= entries && !below;
+        }
+        self.sweep = pairs.last().map(|pair| pair.key.clone());
+        if complete {
+            self.sweep = None;
+            self.swept_segments = !entries;
+            self.swept_entries = true;
+        }
+        self.next_stage();
+    }
+}
+
+fn part_keys(slice: id::Slice, bucket: Bucket, segment: Segment) -> impl Iterator<Item = Arc<str>> {
+    (0..segment.parts).map(move |part| key::segment(slice, bucket, segment.seq, part))
+}
+
+/// Returns every key that `manifest` refers to.
+fn kept_keys(slice: id::Slice, manifest: &Manifest) -> impl Iterator<Item = Arc<str>> + '_ {
+    let fences = manifest
+        .fences
+        .iter()
+        .map(move |seq| key::entry(slice, *seq));
+    let segments = Bucket::all().filter_map(|b| Some((b, manifest.segments[b.index()]?)));
+    fences.chain(segments.flat_map(move |(bucket, segment)| part_keys(slice, bucket, segment)))
+}
--- /dev/null
+++ b/crates/coordination/src/journal/recovery.rs
@@ -0,0 +1,455 @@
+//! Reads a slice back and begins a new ownership of it.
+//!
+//! A former owner may still write while this runs. Three checks keep the
+//! result exact: entries must follow one another without a gap, a missing
+//! value counts as damage only if the manifest has not changed meanwhile, and
+//! after the `Epoch` entry is in place the manifest is read once more. An
+//! `Epoch` entry below the base found there has replaced an entry that a
+//! compaction had deleted, so it fences nobody and the recovery starts again.
+
+use {
+    super::{
+        budget::Slot,
+        error::{Error, Fault},
+        image::{Bucket, Image},
+        key,
+        port::{Context, Port, Progress, Write},
+        value::{self, Header, Kind, Manifest},
+        Predecessor,
+    },
+    crate::store::{Answer, Call, Expect, Pair, Ticket, Version},
+    filbertbend_state::{id, time::Instant},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// Entries read in one call, which bounds the size of the answer.
+pub(super) const PAGE_ENTRIES: u32 = 32;
+/// Parts of segments that are read at the same time.
+const READ_WINDOW: usize = 8;
+
+/// An entry after the base of the manifest.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Tail {
+    pub(super) seq: u64,
+    pub(super) bytes: usize,
+    pub(super) fence: bool,
+}
+
+/// What a recovery found.
+pub(super) struct Recovered<I> {
+    pub(super) image: I,
+    pub(super) epoch: id::Epoch,
+    pub(super) predecessor: Predecessor,
+    pub(super) manifest: Option<(Manifest, Version)>,
+    pub(super) tail: VecDeque<Tail>,
+    /// Buckets that the entries after the base changed.
+    pub(super) dirty: [bool; 16],
+}
+
+/// How far a recovery has come.
+pub(super) enum Outcome<I> {
+    /// Calls are under way.
+    Pending,
+    /// The state is complete and the epoch has begun.
+    Ready(Box<Recovered<I>>),
+    /// Another owner has begun an epoch.
+    Lost(id::Epoch),
+    /// A stored value stops the recovery.
+    Failed(Error),
+}
+
+enum Stage {
+    Manifest(Option<Ticket>),
+    Segments(Segments),
+    Entries(Option<Ticket>),
+    Epoch(Box<Write>),
+    Verify(Option<Ticket>, Version),
+    /// Something is missing; it is damage unless the manifest has changed.
+    Recheck(Option<Ticket>, Error),
+}
+
+#[derive(Default)]
+struct Segments {
+    wanted: VecDeque<(Bucket, u64, u16)>,
+    reading: BTreeMap<Ticket, (Bucket, u64, u16)>,
+    found: BTreeMap<(Bucket, u16), Vec<u8>>,
+}
+
+/// A recovery under way.
+pub(super) struct Recovery<I> {
+    slice: id::Slice,
+    owner: id::Entry,
+    stage: Stage,
+    slot: Slot,
+    image: I,
+    manifest: Option<(Manifest, Version)>,
+    tail: VecDeque<Tail>,
+    dirty: [bool; 16],
+    /// The last sequence number that the image contains.
+    last: u64,
+    /// The epoch that wrote it.
+    epoch: id::Epoch,
+    predecessor: Predecessor,
+}
+
+type Step<T> = Result<T, Error>;
+
+impl<I: Image> Recovery<I> {
+    pub(super) fn new(slice: id::Slice, owner: id::Entry) -> Self {
+        Self {
+            slice,
+            owner,
+            stage: Stage::Manifest(None),
+            slot: Slot::default(),
+            image: I::default(),
+            manifest: None,
+            tail: VecDeque::new(),
+            dirty: [false; 16],
+            last: 0,
+            epoch: id::Epoch(0),
+            predecessor: Predecessor::None,
+        }
+    }
+
+    fn restart(&mut self) {
+        *self = Self::new(self.slice, self.owner.clone());
+    }
+
+    /// Issues the calls that are due.
+    pub(super) fn poll(&mut self, cx: &mut Context<'_>, port: &mut Port) {
+        let (slice, last) = (self.slice, self.last);
+        if !port.ready(cx.now) {
+            return;
+        }
+        match &mut self.stage {
+            Stage::Epoch(write) => write.poll(cx, port, &mut self.slot),
+            Stage::Segments(segments) => segments.poll(cx, port, slice),
+            Stage::Manifest(ticket) | Stage::Verify(ticket, _) | Stage::Recheck(ticket, _) => {
+                ticket.get_or_insert_with(|| port.get(cx, key::manifest(slice)));
+            }
+            Stage::Entries(ticket) => {
+                let call = Call::List {
+                    prefix: key::journal(slice),
+                    after: Some(key::entry(slice, last)),
+                    limit: PAGE_ENTRIES,
+                };
+                ticket.get_or_insert_with(|| port.call(cx, call));
+            }
+        }
+    }
+
+    pub(super) fn wake(&self, port: &Port) -> Option<Instant> {
+        let idle = match &self.stage {
+            Stage::Epoch(write) => return write.wake(port, &self.slot),
+            Stage::Segments(segments) => segments.idle(),
+            Stage::Manifest(ticket)
+            | Stage::Entries(ticket)
+            | Stage::Verify(ticket, _)
+            | Stage::Recheck(ticket, _) => ticket.is_none(),
+        };
+        idle.then_some(port.not_before())
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        cx: &mut Context<'_>,
+        port: &mut Port,
+        ticket: Ticket,
+        answer: Answer,
+    ) -> Outcome<I> {
+        let outcome = match &mut self.stage {
+            Stage::Epoch(write) => match write.answer(ticket, &answer) {
+                Some(progress) => self.epoch_progress(port, progress),
+                None => Ok(Outcome::Pending),
+            },
+            Stage::Segments(_) => self.segment_answer(ticket, answer),
+            Stage::Manifest(sent)
+            | Stage::Entries(sent)
+            | Stage::Verify(sent, _)
+            | Stage::Recheck(sent, _) => {
+                if sent.take_if(|sent| *sent == ticket).is_none() {
+                    return Outcome::Pending;
+                }
+                match (&self.stage, answer) {
+                    (Stage::Entries(_), Answer::Page(pairs)) => self.page_answer(port, &pairs),
+                    (Stage::Entries(_), _) => Ok(Outcome::Pending),
+                    (_, Answer::Value(pair)) => self.manifest_answer(cx, port, pair),
+                    // Anything else, lost answers included, repeats the read.
+                    _ => Ok(Outcome::Pending),
+                }
+            }
+        };
+        outcome.unwrap_or_else(Outcome::Failed)
+    }
+
+    fn manifest_answer(
+        &mut self,
+        cx: &mut Context<'_>,
+        port: &mut Port,
+        pair: Option<Pair>,
+    ) -> Step<Outcome<I>> {
+        match &self.stage {
+            Stage::Manifest(_) => self.begin(pair)?,
+            Stage::Verify(_, version) => {
+                let version = *version;
+                return self.verify(cx, port, pair, version);
+            }
+            Stage::Recheck(_, error) => {
+                if self.known() == pair.map(|pair| pair.version) {
+                    return Err(error.clone());
+                }
+                self.restart();
+            }
+            _ => {}
+        }
+        Ok(Outcome::Pending)
+    }
+
+    fn known(&self) -> Option<Version> {
+        self.manifest.as_ref().map(|(_, version)| *version)
+    }
+
+    fn decode_manifest(&self, pair: &Pair) -> Step<Manifest> {
+        value::decode_manifest(self.slice, &pair.value)
+            .map_err(|fault| self.damaged(pair.key.clone(), fault))
+    }
+
+    fn damaged(&self, key: Arc<str>, fault: Fault) -> Error {
+        Error::Damaged {
+            slice: self.slice,
+            key,
+            fault,
+        }
+    }
+
+    fn missing(&self, key: Arc<str>) -> Error {
+        Error::Missing {
+            slice: self.slice,
+            key,
+        }
+    }
+
+    /// Takes the manifest and goes on to its segments.
+    fn begin(&mut self, pair: Option<Pair>) -> Step<()> {
+        self.stage = Stage::Entries(None);
+        let Some(pair) = pair else { return Ok(()) };
+        let manifest = self.decode_manifest(&pair)?;
+        let mut segments = Segments::default();
+        for bucket in Bucket::all() {
+            if let Some(segment) = manifest.segments[bucket.index()] {
+                let parts = (0..segment.parts).map(|part| (bucket, segment.seq, part));
+                segments.wanted.extend(parts);
+            }
+        }
+        if !segments.wanted.is_empty() {
+            self.stage = Stage::Segments(segments);
+        }
+        self.last = manifest.base;
+        self.epoch = manifest.epoch;
+        self.predecessor = Predecessor::Vanished;
+        self.manifest = Some((manifest, pair.version));
+        Ok(())
+    }
+
+    fn segment_answer(&mut self, ticket: Ticket, answer: Answer) -> Step<Outcome<I>> {
+        let slice = self.slice;
+        let Stage::Segments(segments) = &mut self.stage else {
+            return Ok(Outcome::Pending);
+        };
+        let Some(wanted) = segments.reading.remove(&ticket) else {
+            return Ok(Outcome::Pending);
+        };
+        let (bucket, seq, part) = wanted;
+        match answer {
+            Answer::Value(Some(pair)) => {
+                let bytes = value::decode_part(slice, bucket, seq, part, &pair.value);
+                let bytes = bytes.map(<[u8]>::to_vec);
+                let bytes = bytes.map_err(|fault| Error::Damaged {
+                    slice,
+                    key: pair.key,
+                    fault,
+                })?;
+                segments.found.insert((bucket, part), bytes);
+                if segments.complete() {
+                    self.decode_segments()?;
+                }
+            }
+            Answer::Value(None) => {
+                let error = self.missing(key::segment(slice, bucket, seq, part));
+                self.stage = Stage::Recheck(None, error);
+            }
+            _ => segments.wanted.push_front(wanted),
+        }
+        Ok(Outcome::Pending)
+    }
+
+    fn decode_segments(&mut self) -> Step<()> {
+        let Stage::Segments(segments) = &mut self.stage else {
+            return Ok(());
+        };
+        let mut buckets: BTreeMap<Bucket, Vec<u8>> = BTreeMap::new();
+        for ((bucket, _), bytes) in std::mem::take(&mut segments.found) {
+            buckets.entry(bucket).or_default().extend(bytes);
+        }
+        for (bucket, bytes) in buckets {
+            let decoded = self.image.decode(bucket, &bytes);
+            decoded.map_err(|malformed| {
+                let manifest = self.manifest.as_ref().map(|(manifest, _)| manifest);
+                let segment = manifest.and_then(|manifest| manifest.segments[bucket.index()]);
+                let seq = segment.map_or(0, |segment| segment.seq);
+                self.damaged(key::segment(self.slice, bucket, seq, 0), malformed.into())
+            })?;
+        }
+        self.stage = Stage::Entries(None);
+        Ok(())
+    }
+
+    fn page_answer(&mut self, port: &mut Port, pairs: &[Pair]) -> Step<Outcome<I>> {
+        for pair in pairs {
+            let seq = key::entry_seq(self.slice, &pair.key)
+                .ok_or_else(|| self.damaged(pair.key.clone(), Fault::Place))?;
+            if seq != self.last + 1 {
+                let error = self.missing(key::entry(self.slice, self.last + 1));
+                self.stage = Stage::Recheck(None, error);
+                return Ok(Outcome::Pending);
+            }
+            self.take_entry(pair)?;
+        }
+        if pairs.len() < PAGE_ENTRIES as usize {
+            self.write_epoch(port);
+        }
+        Ok(Outcome::Pending)
+    }
+
+    /// Applies the entry that follows the last one.
+    fn take_entry(&mut self, pair: &Pair) -> Step<Kind> {
+        let seq = self.last + 1;
+        let (header, records) = value::decode_entry::<I::Record>(self.slice, seq, &pair.value)
+            .map_err(|fault| self.damaged(pair.key.clone(), fault))?;
+        let fence = header.kind == Kind::Epoch;
+        if !fence && header.epoch != self.epoch {
+            return Err(self.damaged(pair.key.clone(), Fault::Epoch));
+        }
+        for record in &records {
+            self.dirty[I::bucket(record).index()] = true;
+            self.image.apply(record);
+        }
+        self.epoch = header.epoch;
+        self.last = seq;
+        self.predecessor = match header.kind {
+            Kind::Release(leases_end_in) => Predecessor::Released { leases_end_in },
+            _ => Predecessor::Vanished,
+        };
+        self.tail.push_back(Tail {
+            seq,
+            bytes: pair.value.len(),
+            fence,
+        });
+        Ok(header.kind)
+    }
+
+    fn write_epoch(&mut self, port: &mut Port) {
+        let seq = self.last + 1;
+        let header = Header {
+            slice: self.slice,
+            seq,
+            epoch: id::Epoch(seq),
+            owner: self.owner.clone(),
+            nonce: port.nonce(),
+            kind: Kind::Epoch,
+        };
+        let value = value::encode_entry(&header, &[]);
+        let write = Write::new(key::entry(self.slice, seq), value, Expect::Absent);
+        self.stage = Stage::Epoch(Box::new(write));
+    }
+
+    fn epoch_progress(&mut self, port: &mut Port, progress: Progress) -> Step<Outcome<I>> {
+        match progress {
+            Progress::Pending | Progress::Untouched => {}
+            Progress::Done(version) => self.stage = Stage::Verify(None, version),
+            Progress::Foreign(None) => self.restart(),
+            Progress::Foreign(Some(pair)) => {
+                // A former owner was faster with one more entry.
+                if self.take_entry(&pair)? == Kind::Epoch {
+                    return Ok(Outcome::Lost(self.epoch));
+                }
+                self.write_epoch(port);
+            }
+        }
+        Ok(Outcome::Pending)
+    }
+
+    /// Decides whether the `Epoch` entry at `version` fences former owners.
+    fn verify(
+        &mut self,
+        cx: &mut Context<'_>,
+        port: &mut Port,
+        pair: Option<Pair>,
+        version: Version,
+    ) -> Step<Outcome<I>> {
+        let seq = self.last + 1;
+        if self.known() != pair.as_ref().map(|pair| pair.version) {
+            let Some(pair) = pair else {
+                return Err(self.missing(key::manifest(self.slice)));
+            };
+            let manifest = self.decode_manifest(&pair)?;
+            if manifest.epoch.0 > seq {
+                return Ok(Outcome::Lost(manifest.epoch));
+            }
+            if manifest.base >= seq {
+                let call = Call::Delete {
+                    key: key::entry(self.slice, seq),
+                    version: Some(version),
+                };
+                port.call(cx, call);
+                self.restart();
+                return Ok(Outcome::Pending);
+            }
+            // A former owner's compaction was confirmed meanwhile. It contains
+            // only entries that were read here, so the image stays right.
+            self.tail.retain(|tail| tail.seq > manifest.base);
+            self.manifest = Some((manifest, pair.version));
+        }
+        Ok(Outcome::Ready(Box::new(self.finish(seq))))
+    }
+
+    fn finish(&mut self, seq: u64) -> Recovered<I> {
+        self.tail.push_back(Tail {
+            seq,
+            bytes: value::OVERHEAD_BYTES,
+            fence: true,
+        });
+        Recovered {
+            image: std::mem::take(&mut self.image),
+            epoch: id::Epoch(seq),
+            predecessor: self.predecessor,
+            manifest: self.manifest.take(),
+            tail: std::mem::take(&mut self.tail),
+            dirty: self.dirty,
+        }
+    }
+}
+
+impl Segments {
+    fn poll(&mut self, cx: &mut Context<'_>, port: &mut Port, slice: id::Slice) {
+        while self.reading.len() < READ_WINDOW {
+            let Some(wanted) = self.wanted.pop_front() else {
+                return;
+            };
+            let (bucket, seq, part) = wanted;
+            let ticket = port.get(cx, key::segment(slice, bucket, seq, part));
+            self.reading.insert(ticket, wanted);
+        }
+    }
+
+    fn idle(&self) -> bool {
+        !self.wanted.is_empty() && self.reading.len() < READ_WINDOW
+    }
+
+    fn complete(&self) -> bool {
+        self.wanted.is_empty() && self.reading.is_empty()
+    }
+}
--- a/crates/coordination/src/ownership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Registers an entry and divides the slices among the live entries.
--- /dev/null
+++ b/crates/coordination/src/ownership/call.rs
@@ -0,0 +1,118 @@
+//! The store calls of a registry and their pace after failures.
+
+use {
+    super::Action,
+    crate::store::{Answer, Call, Ticket},
+    filbertbend_state::{id, time::Instant, unit::Millis},
+    rand::Rng,
+    rand_chacha::ChaCha8Rng,
+    std::collections::BTreeMap,
+};
+
+const RETRY_MIN_MS: u64 = 100;
+const RETRY_SPREAD_MS: u64 = 200;
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Purpose {
+    Grant,
+    Renew,
+    Register,
+    Unregister,
+    Revoke,
+    Watch,
+    List,
+    Check(id::Slice),
+    Claim(id::Slice),
+    Delete(id::Slice),
+}
+
+impl Purpose {
+    /// Tells whether the answer means nothing once the lease has lapsed.
+    fn needs_tenure(self) -> bool {
+        !matches!(self, Self::Grant | Self::Watch | Self::List)
+    }
+}
+
+pub(super) struct Calls {
+    rng: ChaCha8Rng,
+    next: u64,
+    sent: BTreeMap<Ticket, (Purpose, Instant)>,
+    not_before: Instant,
+    stalled: Option<Instant>,
+}
+
+impl Calls {
+    pub(super) fn new(mut rng: ChaCha8Rng) -> Self {
+        // A random start keeps late answers to an earlier process from
+        // matching calls of this one.
+        let next = rng.next_u64() >> 1;
+        Self {
+            rng,
+            next,
+            sent: BTreeMap::new(),
+            not_before: Instant(0),
+            stalled: None,
+        }
+    }
+
+    pub(super) fn nonce(&mut self) -> id::Nonce {
+        id::Nonce(self.rng.next_u64())
+    }
+
+    pub(super) fn stalled(&self) -> Option<Instant> {
+        self.stalled
+    }
+
+    pub(super) fn ready(&self, now: Instant) -> bool {
+        self.not_before <= now
+    }
+
+    /// Tells whether a call for `purpose` is under way.
+    pub(super) fn waits_for(&self, purpose: Purpose) -> bool {
+        self.sent.values().any(|(sent, _)| *sent == purpose)
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: Instant,
+        purpose: Purpose,
+        call: Call,
+        actions: &mut Vec<Action>,
+    ) {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        self.sent.insert(ticket, (purpose, now));
+        actions.push(Action::Call { ticket, call });
+    }
+
+    /// Finds what an answer is for and when its call was sent.
+    pub(super) fn take(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        answer: &Answer,
+        actions: &mut Vec<Action>,
+    ) -> Option<(Purpose, Instant)> {
+        let (purpose, sent) = self.sent.remove(&ticket)?;
+        if matches!(answer, Answer::Unavailable | Answer::Lost) {
+            let pause = RETRY_MIN_MS + self.rng.next_u64() % RETRY_SPREAD_MS;
+            self.not_before = self.not_before.max(now + Millis(pause));
+            if self.stalled.is_none() {
+                self.stalled = Some(sent);
+                actions.push(Action::Stalled { since: sent });
+            }
+        } else {
+            self.not_before = Instant(0);
+            if self.stalled.take().is_some() {
+                actions.push(Action::Resumed);
+            }
+        }
+        Some((purpose, sent))
+    }
+
+    /// Drops the calls whose answers concern a lease that has lapsed.
+    pub(super) fn forget_tenure(&mut self) {
+        self.sent.retain(|_, (purpose, _)| !purpose.needs_tenure());
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/drive.rs
@@ -0,0 +1,199 @@
+//! What the registry starts by itself as time passes.
+
+use {
+    super::{
+        call::Purpose,
+        roster,
+        slice::{self, Key, Use},
+        Action, Handover, Mode, Registry, LEASE_TTL, MEMBER_PAGE, RENEW_INTERVAL, STABLE_SPAN,
+        WATCH_WAIT,
+    },
+    crate::store::{Call, Expect},
+    filbertbend_state::{id, time::Instant},
+};
+
+impl Registry {
+    /// Issues what is due.
+    pub(super) fn drive(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !matches!(self.mode, Mode::Joined | Mode::Leaving) {
+            return;
+        }
+        self.hand_over(now, actions);
+        if self.calls.ready(now) {
+            self.keep_lease(now, actions);
+            self.keep_registration(now, actions);
+            self.watch(now, actions);
+            self.keep_keys(now, actions);
+        }
+        self.finish(now, actions);
+    }
+
+    /// Asks the process to release slices that it should not keep.
+    fn hand_over(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.mode == Mode::Leaving {
+            for slice in self.slices_where(|used, _| used == Use::Owner) {
+                self.ask_release(slice, actions);
+            }
+            return;
+        }
+        let over = |handover: &Handover| handover.until.is_some_and(|until| until <= now);
+        self.handover.take_if(|handover| over(handover));
+        let settled = self.roster.stable_for(now, STABLE_SPAN) && self.roster.contains(&self.entry);
+        if self.handover.is_some() || !settled {
+            return;
+        }
+        let held = self.slices_where(|used, key| used == Use::Owner && matches!(key, Key::Held(_)));
+        let moved = held
+            .into_iter()
+            .find(|slice| self.roster.preferred(*slice) != Some(&self.entry));
+        if let Some(slice) = moved {
+            self.handover = Some(Handover { slice, until: None });
+            self.ask_release(slice, actions);
+        }
+    }
+
+    fn ask_release(&mut self, slice: id::Slice, actions: &mut Vec<Action>) {
+        if let Some(holding) = self.holding_mut(slice) {
+            holding.used = Use::Releasing;
+            actions.push(Action::Release(slice));
+        }
+    }
+
+    fn slices_where(&self, pick: impl Fn(Use, Key) -> bool) -> Vec<id::Slice> {
+        (0..)
+            .map(id::Slice)
+            .zip(&self.slices)
+            .filter(|(_, holding)| pick(holding.used, holding.key))
+            .map(|(slice, _)| slice)
+            .collect()
+    }
+
+    fn keep_lease(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match &mut self.tenure {
+            Some(tenure) if now >= tenure.asked_at + RENEW_INTERVAL => {
+                // A renewal without an answer does not delay the next one: its
+                // connection may have gone silent.
+                tenure.asked_at = now;
+                let lease = tenure.lease;
+                let call = Call::Renew { lease };
+                self.calls.send(now, Purpose::Renew, call, actions);
+            }
+            None if self.mode == Mode::Joined && !self.calls.waits_for(Purpose::Grant) => {
+                let ttl_ms = LEASE_TTL.0;
+                let call = Call::Grant { ttl_ms };
+                self.calls.send(now, Purpose::Grant, call, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn keep_registration(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Some(tenure) = self.tenure else { return };
+        let key = self.member_key();
+        if self.mode == Mode::Leaving {
+            let registered = tenure.registered_at.is_some();
+            if registered && !self.calls.waits_for(Purpose::Unregister) {
+                let call = Call::Delete { key, version: None };
+                self.calls.send(now, Purpose::Unregister, call, actions);
+            }
+            return;
+        }
+        let due = tenure.registered_at.is_none() && now >= tenure.next_register;
+        if !due || self.calls.waits_for(Purpose::Register) {
+            return;
+        }
+        let call = if tenure.vacant {
+            Call::Put {
+                key,
+                value: self.registration(&tenure, self.value.clone()),
+                expect: Expect::Absent,
+                lease: Some(tenure.lease),
+            }
+        } else {
+            Call::Get { key }
+        };
+        self.calls.send(now, Purpose::Register, call, actions);
+    }
+
+    /// Keeps one watch waiting and reads the members after each change.
+    fn watch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(listing) = &self.listing {
+            if !self.calls.waits_for(Purpose::List) {
+                let call = Call::List {
+                    prefix: roster::PREFIX.into(),
+                    after: listing.after.clone(),
+                    limit: MEMBER_PAGE,
+                };
+                self.calls.send(now, Purpose::List, call, actions);
+            }
+        } else if !self.calls.waits_for(Purpose::Watch) {
+            let call = Call::Watch {
+                prefix: roster::PREFIX.into(),
+                since: self.seen,
+                wait_ms: WATCH_WAIT.0,
+            };
+            self.calls.send(now, Purpose::Watch, call, actions);
+        }
+    }
+
+    /// Reads the owner keys that should be ours and deletes those handed over.
+    fn keep_keys(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.tenure.is_none() {
+            return;
+        }
+        for slice in self.slices_where(|_, key| matches!(key, Key::Free { .. })) {
+            if self.check_due(now, slice) {
+                let key = slice::owner_key(slice);
+                let call = Call::Get { key };
+                self.calls.send(now, Purpose::Check(slice), call, actions);
+                if let Some(holding) = self.holding_mut(slice) {
+                    holding.key = Key::Busy;
+                }
+            }
+        }
+        for slice in self.slices_where(|_, key| matches!(key, Key::Doomed(_))) {
+            let purpose = Purpose::Delete(slice);
+            let version = match self.holding(slice).map(|holding| holding.key) {
+                Some(Key::Doomed(version)) => Some(version),
+                _ => continue,
+            };
+            if !self.calls.waits_for(purpose) {
+                let key = slice::owner_key(slice);
+                let call = Call::Delete { key, version };
+                self.calls.send(now, purpose, call, actions);
+            }
+        }
+    }
+
+    fn check_due(&self, now: Instant, slice: id::Slice) -> bool {
+        let Some(holding) = self.holding(slice) else {
+            return false;
+        };
+        let due = matches!(holding.key, Key::Free { check_at } if check_at <= now);
+        let awaited = self.handover.is_some_and(|h| h.slice == slice);
+        due && (awaited || now < holding.suspect_until || self.wants(now, slice))
+    }
+
+    /// Ends the registration once everything is handed over.
+    fn finish(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let busy = |used, key| used != Use::None || matches!(key, Key::Busy | Key::Doomed(_));
+        if self.mode != Mode::Leaving || !self.slices_where(busy).is_empty() {
+            return;
+        }
+        match self.tenure {
+            None => {
+                self.mode = Mode::Left;
+                actions.push(Action::Left);
+            }
+            Some(tenure) => {
+                let registered = tenure.registered_at.is_some();
+                let sent = self.calls.waits_for(Purpose::Revoke);
+                if !registered && !sent && self.calls.ready(now) {
+                    let lease = tenure.lease;
+                    let call = Call::Revoke { lease };
+                    self.calls.send(now, Purpose::Revoke, call, actions);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/mod.rs
@@ -0,0 +1,594 @@
+//! Registers an entry and divides the slices among the live entries.
+//!
+//! An entry holds one store lease. `member/<entry>` and every
+//! `slice/<n>/owner` that it claims are bound to it, so a process that dies
+//! leaves nothing behind. A slice belongs to the live entry with the highest
+//! rendezvous weight; a change of members moves only the slices concerned.
+//!
+//! An ownership survives the lapse of the lease: after a store outage or a
+//! freeze the entry claims its slices again, and the journal's fence tells
+//! whether another entry has owned one in between. See `docs/design.md`,
+//! section 7.
+
+mod call;
+mod drive;
+mod roster;
+mod slice;
+
+pub use roster::Member;
+
+use {
+    crate::store::{Answer, Call, Lease, Ticket, Version},
+    call::{Calls, Purpose},
+    filbertbend_state::{id, time::Instant, unit::Millis},
+    rand_chacha::ChaCha8Rng,
+    roster::{Registration, Roster},
+    slice::{Holding, Key, Use},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Time to live of an entry's store lease, counted from before a renewal was
+/// sent.
+pub const LEASE_TTL: Millis = Millis(4000);
+/// How long after its last confirmation an ownership may still extend leases.
+pub const OWNERSHIP_HORIZON: Millis = Millis::from_secs(600);
+/// How long the same entries must be live before slices change hands.
+pub const STABLE_SPAN: Millis = Millis(3000);
+
+/// How often [`Event::Tick`] is due.
+pub const TICK_INTERVAL: Millis = Millis(100);
+
+const RENEW_INTERVAL: Millis = Millis(1000);
+/// How often the key of a slice that should be ours is read.
+const CHECK_INTERVAL: Millis = Millis(500);
+/// After its registration an entry claims only what it owned before, so that
+/// after an outage the others have time to register again.
+const JOIN_SPAN: Millis = Millis(1000);
+/// Longest wait for the new owner between two hand-overs.
+const HANDOVER_SPAN: Millis = Millis(2000);
+/// How long a write whose answer was lost may take to show.
+const SUSPECT_SPAN: Millis = Millis(10_000);
+const WATCH_WAIT: Millis = Millis(5000);
+const MEMBER_PAGE: u32 = 64;
+/// Members read at most; more are not listed, which bounds the memory.
+const MEMBER_LIMIT: usize = 1024;
+
+/// What the registry is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Register and take part.
+    Start,
+    /// The store answered a call of the registry.
+    Answer {
+        /// The call.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The slice's journal ended because of a newer epoch.
+    Fenced(id::Slice),
+    /// The slice's journal has confirmed its epoch.
+    Confirmed {
+        /// The slice.
+        slice: id::Slice,
+        /// The time before the store was asked.
+        at: Instant,
+    },
+    /// The process has stopped using the slice, as [`Action::Release`] asked.
+    Released(id::Slice),
+    /// Hand over everything and end the registration.
+    Leave,
+    /// Another [`TICK_INTERVAL`] has passed.
+    Tick,
+}
+
+/// What the registry asks for or reports.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send a call to the store.
+    Call {
+        /// Returned with the answer.
+        ticket: Ticket,
+        /// The call.
+        call: Call,
+    },
+    /// The entry has claimed the slice: begin to recover it.
+    Owned(id::Slice),
+    /// The slice was claimed again after the lease had lapsed: have the
+    /// journal confirm its epoch and answer [`Event::Confirmed`].
+    Reclaimed(id::Slice),
+    /// Another entry has claimed the slice: stop using it at once.
+    Lost(id::Slice),
+    /// Write a `Release` entry, stop using the slice, then tell
+    /// [`Event::Released`].
+    Release(id::Slice),
+    /// The live entries have changed.
+    Roster(Vec<Member>),
+    /// The value at a key cannot be read and is passed over.
+    Damaged {
+        /// The key.
+        key: Arc<str>,
+    },
+    /// `member/<entry>` is held by another process with the same name; this
+    /// one registers when that key has gone.
+    NameTaken,
+    /// The store does not answer.
+    Stalled {
+        /// When the first failed call was sent.
+        since: Instant,
+    },
+    /// The store answers again.
+    Resumed,
+    /// Everything is handed over and the registration has ended.
+    Left,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    Idle,
+    Joined,
+    /// Hands over its slices.
+    Leaving,
+    Left,
+}
+
+/// The store lease and what is bound to it.
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    lease: Lease,
+    nonce: id::Nonce,
+    /// Until when the lease certainly lasts, counted from before it was asked.
+    until: Instant,
+    /// When the last renewal was sent; zero to send the next at once.
+    asked_at: Instant,
+    /// When `member/<entry>` was written, if it was.
+    registered_at: Option<Instant>,
+    /// Whether `member/<entry>` was found to be absent.
+    vacant: bool,
+    next_register: Instant,
+}
+
+/// A hand-over whose new owner is awaited.
+#[derive(Clone, Copy, Debug)]
+struct Handover {
+    slice: id::Slice,
+    until: Option<Instant>,
+}
+
+/// A listing of the members under way.
+#[derive(Default)]
+struct Listing {
+    after: Option<Arc<str>>,
+    found: BTreeMap<id::Entry, Vec<u8>>,
+}
+
+/// The registration of one entry and its slices.
+pub struct Registry {
+    entry: id::Entry,
+    value: Vec<u8>,
+    mode: Mode,
+    calls: Calls,
+    tenure: Option<Tenure>,
+    roster: Roster,
+    listing: Option<Listing>,
+    seen: Version,
+    slices: Vec<Holding>,
+    handover: Option<Handover>,
+}
+
+impl Registry {
+    /// Makes the registry of `entry`, which publishes `value` about itself.
+    ///
+    /// `slices` is the number of slices in the settings. `rng` must differ
+    /// between processes.
+    pub fn new(entry: id::Entry, value: Vec<u8>, slices: u16, rng: ChaCha8Rng) -> Self {
+        Self {
+            entry,
+            value,
+            mode: Mode::Idle,
+            calls: Calls::new(rng),
+            tenure: None,
+            roster: Roster::default(),
+            listing: None,
+            seen: Version(0),
+            slices: vec![Holding::new(); usize::from(slices)],
+            handover: None,
+        }
+    }
+
+    /// Returns the live entries as last read.
+    pub fn members(&self) -> Vec<Member> {
+        self.roster.members()
+    }
+
+    /// Returns the entry that `slice` belongs to by the roster. During a
+    /// hand-over its owner may still be another one.
+    pub fn preferred(&self, slice: id::Slice) -> Option<&id::Entry> {
+        self.roster.preferred(slice)
+    }
+
+    /// Tells whether the process uses `slice`.
+    pub fn owns(&self, slice: id::Slice) -> bool {
+        self.holding(slice).is_some_and(|h| h.used != Use::None)
+    }
+
+    /// Returns the time before the call was sent that last confirmed the
+    /// ownership of `slice`.
+    pub fn confirmed_at(&self, slice: id::Slice) -> Option<Instant> {
+        let holding = self.holding(slice)?;
+        (holding.used != Use::None).then_some(holding.confirmed_at)
+    }
+
+    /// Returns until when a lease of an attempt in `slice` may extend.
+    pub fn grant_limit(&self, slice: id::Slice) -> Option<Instant> {
+        Some(self.confirmed_at(slice)? + OWNERSHIP_HORIZON)
+    }
+
+    /// Tells whether the first grant of an attempt in `slice` is allowed: the
+    /// slice is held and the store lease certainly has not lapsed.
+    pub fn may_grant_first(&self, now: Instant, slice: id::Slice) -> bool {
+        let leased = self.tenure.is_some_and(|tenure| now < tenure.until);
+        let held = self
+            .holding(slice)
+            .is_some_and(|h| h.used == Use::Owner && h.is_confirmed());
+        leased && held
+    }
+
+    /// Returns since when the store has not answered.
+    pub fn stalled(&self) -> Option<Instant> {
+        self.calls.stalled()
+    }
+
+    fn holding(&self, slice: id::Slice) -> Option<&Holding> {
+        self.slices.get(usize::from(slice.0))
+    }
+
+    fn holding_mut(&mut self, slice: id::Slice) -> Option<&mut Holding> {
+        self.slices.get_mut(usize::from(slice.0))
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => {
+                if self.mode == Mode::Idle {
+                    self.mode = Mode::Joined;
+                }
+            }
+            Event::Answer { ticket, answer } => {
+                if let Some((purpose, sent)) = self.calls.take(now, ticket, &answer, actions) {
+                    self.answer(now, sent, purpose, answer, actions);
+                }
+            }
+            Event::Fenced(slice) => self.fenced(now, slice),
+            Event::Confirmed { slice, at } => self.confirmed(slice, at),
+            Event::Released(slice) => self.released(slice),
+            Event::Leave => {
+                if self.mode != Mode::Left {
+                    self.mode = Mode::Leaving;
+                }
+            }
+            Event::Tick => {}
+        }
+        self.drive(now, actions);
+    }
+
+    /// The journal met a newer epoch; the owner key decides who owns the slice.
+    fn fenced(&mut self, now: Instant, slice: id::Slice) {
+        self.end_handover(slice);
+        if let Some(holding) = self.holding_mut(slice) {
+            holding.drop_use();
+            if let Key::Held(_) = holding.key {
+                holding.key = Key::Free {
+                    check_at: Instant(0),
+                };
+                holding.suspect_until = now + SUSPECT_SPAN;
+            }
+        }
+    }
+
+    fn end_handover(&mut self, slice: id::Slice) {
+        self.handover.take_if(|handover| handover.slice == slice);
+    }
+
+    fn confirmed(&mut self, slice: id::Slice, at: Instant) {
+        if let Some(holding) = self.holding_mut(slice) {
+            if holding.used != Use::None && matches!(holding.key, Key::Held(_)) {
+                holding.proven = true;
+                holding.confirmed_at = holding.confirmed_at.max(at);
+            }
+        }
+    }
+
+    fn released(&mut self, slice: id::Slice) {
+        if let Some(holding) = self.holding_mut(slice) {
+            holding.drop_use();
+            if let Key::Held(version) = holding.key {
+                holding.key = Key::Doomed(version);
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        purpose: Purpose,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        match purpose {
+            Purpose::Grant => self.granted(sent, &answer),
+            Purpose::Renew => self.renewed(sent, &answer),
+            Purpose::Register => self.registered(now, &answer, actions),
+            Purpose::Unregister | Purpose::Revoke => self.ended(purpose, &answer, actions),
+            Purpose::Watch => {
+                if let Answer::Changed(version) = answer {
+                    self.seen = version;
+                    self.listing = Some(Listing::default());
+                }
+            }
+            Purpose::List => self.listed(now, answer, actions),
+            Purpose::Check(slice) => self.checked(now, sent, slice, answer, actions),
+            Purpose::Claim(slice) => self.claimed(now, sent, slice, &answer, actions),
+            Purpose::Delete(slice) => self.deleted(now, slice, &answer),
+        }
+    }
+
+    fn granted(&mut self, sent: Instant, answer: &Answer) {
+        if let Answer::Leased(lease) = answer {
+            self.tenure = Some(Tenure {
+                lease: *lease,
+                nonce: self.calls.nonce(),
+                until: sent + LEASE_TTL,
+                asked_at: sent,
+                registered_at: None,
+                vacant: false,
+                next_register: Instant(0),
+            });
+        }
+    }
+
+    fn renewed(&mut self, sent: Instant, answer: &Answer) {
+        match (answer, &mut self.tenure) {
+            (Answer::Leased(_), Some(tenure)) => {
+                tenure.until = tenure.until.max(sent + LEASE_TTL);
+                let confirmed = self.slices.iter_mut().filter(|h| h.is_confirmed());
+                confirmed.for_each(|holding| {
+                    holding.confirmed_at = holding.confirmed_at.max(sent);
+                });
+            }
+            (Answer::LeaseGone, _) => self.lapse(),
+            (_, Some(tenure)) => tenure.asked_at = Instant(0),
+            (_, None) => {}
+        }
+    }
+
+    /// The lease is gone, and with it every key that was bound to it.
+    fn lapse(&mut self) {
+        self.tenure = None;
+        self.handover = None;
+        self.calls.forget_tenure();
+        self.slices.iter_mut().for_each(Holding::lapse);
+    }
+
+    fn registration(&self, tenure: &Tenure, value: Vec<u8>) -> Vec<u8> {
+        let registration = Registration {
+            entry: self.entry.clone(),
+            nonce: tenure.nonce,
+            value,
+        };
+        registration.encode()
+    }
+
+    fn member_key(&self) -> Arc<str> {
+        format!("{}{}", roster::PREFIX, self.entry).into()
+    }
+
+    /// Takes the answer to a write or a read of `member/<entry>`.
+    fn registered(&mut self, now: Instant, answer: &Answer, actions: &mut Vec<Action>) {
+        let Some(tenure) = self.tenure else { return };
+        let own = self.registration(&tenure, self.value.clone());
+        let Some(tenure) = &mut self.tenure else {
+            return;
+        };
+        match answer {
+            Answer::Written(_) => tenure.registered_at = Some(now),
+            Answer::Value(None) => tenure.vacant = true,
+            Answer::Value(Some(pair)) if pair.value == own => tenure.registered_at = Some(now),
+            Answer::Value(Some(_)) => {
+                tenure.next_register = now + CHECK_INTERVAL;
+                actions.push(Action::NameTaken);
+            }
+            Answer::LeaseGone => self.lapse(),
+            _ => tenure.vacant = false,
+        }
+    }
+
+    fn ended(&mut self, purpose: Purpose, answer: &Answer, actions: &mut Vec<Action>) {
+        let settled = matches!(
+            answer,
+            Answer::Written(_) | Answer::Conflict(_) | Answer::LeaseGone
+        );
+        if !settled {
+            return;
+        }
+        if purpose == Purpose::Revoke {
+            self.mode = Mode::Left;
+            self.tenure = None;
+            actions.push(Action::Left);
+        } else if let Some(tenure) = &mut self.tenure {
+            tenure.registered_at = None;
+        }
+    }
+
+    fn listed(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        let Answer::Page(pairs) = answer else { return };
+        let Some(Listing { after, found }) = &mut self.listing else {
+            return;
+        };
+        *after = pairs.last().map(|pair| pair.key.clone());
+        let complete = pairs.len() < MEMBER_PAGE as usize;
+        for pair in pairs {
+            match Registration::decode(&pair.value) {
+                Some(member)
+                    if pair.key.strip_prefix(roster::PREFIX) == Some(member.entry.as_str()) =>
+                {
+                    found.insert(member.entry, member.value);
+                }
+                _ => actions.push(Action::Damaged { key: pair.key }),
+            }
+        }
+        if complete || found.len() >= MEMBER_LIMIT {
+            let found = std::mem::take(found);
+            self.listing = None;
+            if self.roster.replace(now, found) {
+                actions.push(Action::Roster(self.roster.members()));
+            }
+        }
+    }
+
+    /// Takes what a read of an owner key found.
+    fn checked(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        slice: id::Slice,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tenure) = self.tenure else { return };
+        let own = self.registration(&tenure, Vec::new());
+        match answer {
+            Answer::Value(None) => self.claim(now, slice, actions),
+            Answer::Value(Some(pair)) if pair.value == own => {
+                self.hold(now, sent, slice, pair.version, actions);
+            }
+            Answer::Value(Some(pair)) => {
+                if Registration::decode(&pair.value).is_none() {
+                    actions.push(Action::Damaged { key: pair.key });
+                }
+                self.yield_to_holder(now, slice, actions);
+            }
+            _ => self.check_later(now, slice, Millis::ZERO),
+        }
+    }
+
+    fn claim(&mut self, now: Instant, slice: id::Slice, actions: &mut Vec<Action>) {
+        self.check_later(now, slice, CHECK_INTERVAL);
+        let awaited = self.handover.is_some_and(|h| h.slice == slice);
+        let Some(tenure) = self.tenure else { return };
+        if awaited || !self.wants(now, slice) {
+            return;
+        }
+        let call = Call::Put {
+            key: slice::owner_key(slice),
+            value: self.registration(&tenure, Vec::new()),
+            expect: crate::store::Expect::Absent,
+            lease: Some(tenure.lease),
+        };
+        self.calls.send(now, Purpose::Claim(slice), call, actions);
+        if let Some(holding) = self.holding_mut(slice) {
+            holding.key = Key::Busy;
+        }
+    }
+
+    fn claimed(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        slice: id::Slice,
+        answer: &Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        match answer {
+            Answer::Written(version) => self.hold(now, sent, slice, *version, actions),
+            Answer::LeaseGone => self.lapse(),
+            // A conflict or a lost answer is settled by reading the key.
+            _ => {
+                self.check_later(now, slice, Millis::ZERO);
+                if let Some(holding) = self.holding_mut(slice) {
+                    holding.suspect_until = now + SUSPECT_SPAN;
+                }
+            }
+        }
+    }
+
+    fn check_later(&mut self, now: Instant, slice: id::Slice, span: Millis) {
+        if let Some(holding) = self.holding_mut(slice) {
+            holding.key = Key::Free {
+                check_at: now + span,
+            };
+        }
+    }
+
+    /// The owner key is bound to the current lease.
+    fn hold(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        slice: id::Slice,
+        version: Version,
+        actions: &mut Vec<Action>,
+    ) {
+        let wanted = self.wants(now, slice);
+        let Some(holding) = self.holding_mut(slice) else {
+            return;
+        };
+        holding.key = Key::Held(version);
+        match holding.used {
+            Use::None if !wanted => holding.key = Key::Doomed(version),
+            Use::None => {
+                holding.used = Use::Owner;
+                holding.proven = true;
+                holding.confirmed_at = sent;
+                actions.push(Action::Owned(slice));
+            }
+            Use::Owner | Use::Releasing => actions.push(Action::Reclaimed(slice)),
+        }
+    }
+
+    /// Another entry holds the owner key.
+    fn yield_to_holder(&mut self, now: Instant, slice: id::Slice, actions: &mut Vec<Action>) {
+        self.check_later(now, slice, CHECK_INTERVAL);
+        self.end_handover(slice);
+        if let Some(holding) = self.holding_mut(slice) {
+            if holding.used != Use::None {
+                holding.drop_use();
+                actions.push(Action::Lost(slice));
+            }
+        }
+    }
+
+    fn deleted(&mut self, now: Instant, slice: id::Slice, answer: &Answer) {
+        let settled = matches!(answer, Answer::Written(_) | Answer::Conflict(_));
+        if !settled {
+            return;
+        }
+        self.check_later(now, slice, CHECK_INTERVAL);
+        if let Some(handover) = &mut self.handover {
+            if handover.slice == slice {
+                handover.until = Some(now + HANDOVER_SPAN);
+            }
+        }
+    }
+
+    /// Tells whether the entry should hold the key of `slice`.
+    fn wants(&self, now: Instant, slice: id::Slice) -> bool {
+        let Some(holding) = self.holding(slice) else {
+            return false;
+        };
+        match holding.used {
+            Use::Owner => true,
+            Use::Releasing => false,
+            Use::None => {
+                let settled = self
+                    .tenure
+                    .and_then(|tenure| tenure.registered_at)
+                    .is_some_and(|at| now >= at + JOIN_SPAN);
+                let preferred = self.roster.preferred(slice) == Some(&self.entry);
+                settled && preferred && self.mode == Mode::Joined
+            }
+        }
+    }
+}
