Follow the configuration and read the settings of entry and agent

The processes need the configuration in force and their settings before they can be wired up.

config::Follower holds one waiting watch on the manifest, fetches only the segments that it does not hold, lists them in pages when more than 32 are missing, and keeps the highest revision. Values start with a format byte, so that an older version rejects a newer value instead of misreading it.

The new package filbertbend-yaml reads YAML with positions for the settings and the scheduling files. A Serde deserializer stops at the first fault, so serde-saphyr is replaced by the events of saphyr-parser, from which the nodes are built without recursion. A module in the transport layer was ruled out: nothing else there concerns files. id::Region is new in the state layer.

Rules taken out for a trial, and what the tests printed: - adopting any revision: follower_never_goes_back, [5, 4, 7] instead of [5, 7] - fetching segments that are held: follower_fetches_only_changed_segments, one more 'get config/segment/1-b' - no time limit on calls: follower_gives_up_a_call, 1 call instead of 2

Conclusion: Settings::load of both processes and Follower can be used.

--- a/crates/coordination/src/config.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Publishes a configuration against a revision and follows the newest one.
--- /dev/null
+++ b/crates/coordination/src/config/mod.rs
@@ -0,0 +1,17 @@
+//! Publishes a configuration against a revision and follows the newest one.
+//!
+//! The manifest at [`key::MANIFEST`] names one immutable segment for each
+//! service. A publish writes new segments first and then replaces the manifest
+//! by one compare-and-swap, so a revision with its audit entry and its drains
+//! becomes visible at once or not at all. See `docs/design.md`, section 11.
+
+pub mod codec;
+mod follower;
+pub mod key;
+
+pub use follower::Follower;
+
+/// The events and actions of [`Follower`].
+pub mod follow {
+    pub use super::follower::{Action, Event, WATCH_WAIT_MS};
+}
--- /dev/null
+++ b/crates/coordination/tests/support/config.rs
@@ -0,0 +1,179 @@
+//! A store with faults, and drivers for the machines of the configuration.
+
+use {
+    filbertbend_coordination::{
+        config::{
+            codec,
+            follow::{Action, Event},
+            key, Follower,
+        },
+        store::{Answer, Call, Expect, Ticket},
+    },
+    filbertbend_standin::store::Memory,
+    filbertbend_state::{
+        config::{Manifest, Segment, Snapshot},
+        id,
+        room::Room,
+        service::{Class, Declaration, Kind, Retry},
+        time::Instant,
+        unit::{Accelerators, Bytes, Cores, Millis, Share},
+    },
+    std::sync::Arc,
+};
+
+/// A declaration of `service` whose deadline tells its versions apart.
+pub(crate) fn declaration(service: &str, deadline_ms: u64) -> Declaration {
+    Declaration {
+        name: id::Service::new(service).unwrap(),
+        team: id::Team::new("drawing").unwrap(),
+        kind: Kind::Check,
+        class: Class::Interactive,
+        idempotent: true,
+        deadline: Millis(deadline_ms),
+        size: Room {
+            cores: Cores(500),
+            memory: Bytes(1 << 28),
+            accelerators: Accelerators(0),
+        },
+        run_time: Millis(20),
+        share: Share::new(100),
+        quota: Room::NONE,
+        retry: Retry {
+            tries: 2,
+            hedge: false,
+        },
+        data_centres: Vec::new(),
+    }
+}
+
+/// A store that can be down or lose answers.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) memory: Memory,
+    pub(crate) down: bool,
+    pub(crate) calls: Vec<Call>,
+}
+
+impl Store {
+    pub(crate) fn call(&mut self, now: Instant, call: Call) -> Answer {
+        self.calls.push(call.clone());
+        match self.down {
+            true => Answer::Unavailable,
+            false => self.memory.call(now, call),
+        }
+    }
+
+    /// Writes a value without counting the call.
+    pub(crate) fn put(&mut self, key: &str, value: Vec<u8>) {
+        let now = Instant(0);
+        let get = Call::Get { key: key.into() };
+        let expect = match self.memory.call(now, get) {
+            Answer::Value(Some(pair)) => Expect::At(pair.version),
+            _ => Expect::Absent,
+        };
+        let call = Call::Put {
+            key: key.into(),
+            value,
+            expect,
+            lease: None,
+        };
+        assert!(matches!(self.memory.call(now, call), Answer::Written(_)));
+    }
+
+    /// Puts a revision in force that names segments by key.
+    pub(crate) fn set(&mut self, revision: u64, segments: &[(&str, Declaration)]) {
+        for (key, declaration) in segments {
+            self.put(key, codec::encode(declaration).unwrap());
+        }
+        let manifest = Manifest {
+            revision: id::Revision(revision),
+            segments: segments
+                .iter()
+                .map(|(key, declaration)| Segment {
+                    service: declaration.name.clone(),
+                    key: (*key).into(),
+                })
+                .collect(),
+            ..Manifest::default()
+        };
+        self.put(key::MANIFEST, codec::encode(&manifest).unwrap());
+    }
+
+    /// Returns the calls since the last time, in short.
+    pub(crate) fn drain_calls(&mut self) -> Vec<String> {
+        let short = |call: Call| match call {
+            Call::Get { key } => format!("get {key}"),
+            Call::Put { key, .. } => format!("put {key}"),
+            Call::Delete { key, .. } => format!("delete {key}"),
+            Call::List { prefix, .. } => format!("list {prefix}"),
+            Call::Watch { .. } => "watch".to_owned(),
+            other => format!("{other:?}"),
+        };
+        self.calls.drain(..).map(short).collect()
+    }
+}
+
+/// Drives a follower until it only waits.
+pub(crate) struct Reader {
+    pub(crate) follower: Follower,
+    pub(crate) now: Instant,
+    pub(crate) adopted: Vec<Arc<Snapshot>>,
+    pub(crate) faults: usize,
+    watch: Option<(Ticket, Call)>,
+}
+
+impl Reader {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            follower: Follower::new(seed),
+            now: Instant(1000),
+            adopted: Vec::new(),
+            faults: 0,
+            watch: None,
+        }
+    }
+
+    /// Lets `ms` pass; a watch that found nothing is asked again each 100 ms.
+    pub(crate) fn run(&mut self, store: &mut Store, ms: u64) {
+        let end = self.now + Millis(ms);
+        while self.now < end {
+            if let Some((ticket, call)) = self.watch.take() {
+                // The store answers a waiting watch; it is no further call.
+                let made = store.calls.len();
+                self.ask(store, ticket, call);
+                if store.calls.len() > made {
+                    store.calls.remove(made);
+                }
+            }
+            self.event(store, Event::Tick);
+            self.now = self.now + Millis(100);
+        }
+    }
+
+    pub(crate) fn event(&mut self, store: &mut Store, event: Event) {
+        let mut actions = Vec::new();
+        self.follower.step(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Store(ticket, call) => self.ask(store, ticket, call),
+                Action::Adopt(snapshot) => self.adopted.push(snapshot),
+                Action::Faulty(..) => self.faults += 1,
+            }
+        }
+    }
+
+    fn ask(&mut self, store: &mut Store, ticket: Ticket, call: Call) {
+        let watching = matches!(call, Call::Watch { .. });
+        match store.call(self.now, call.clone()) {
+            Answer::Unchanged if watching => self.watch = Some((ticket, call)),
+            answer => self.event(store, Event::Answer(ticket, answer)),
+        }
+    }
+
+    pub(crate) fn revisions(&self) -> Vec<u64> {
+        self.adopted
+            .iter()
+            .map(|snapshot| snapshot.revision.0)
+            .collect()
+    }
+}
--- a/crates/filbertbend/src/lib.rs
+++ b/crates/filbertbend/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! The entry process of filbertbend and the operator's commands.
+
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
+)]
+
+pub mod settings;
--- /dev/null
+++ b/crates/filbertbend/src/settings/read.rs
@@ -0,0 +1,175 @@
+//! Reads the settings file.
+
+use {
+    super::{Addresses, Limits, Settings, Store},
+    filbertbend_state::{
+        id,
+        unit::{Bytes, Connections, Millis},
+    },
+    filbertbend_yaml::{document, positive, process, Code, Report, Section, Span, Spot},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::Path,
+    },
+};
+
+const SLICES: u16 = 16;
+const CALLERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 8080);
+const OPERATORS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8081);
+const WRITES_PER_SECOND: u32 = 30;
+const STORE_TIMEOUT: Millis = Millis(1000);
+const HEADER_LIMIT: Bytes = Bytes(32 << 10);
+const BODY_LIMIT: Bytes = Bytes(64 << 20);
+const JOB_BODY_LIMIT: Bytes = Bytes(256 << 10);
+const CONNECTION_LIMIT: Connections = Connections(10_000);
+
+/// Largest body of a job or order. It shares a journal value of 1 MiB with
+/// other records, so it stays well below that.
+const JOB_BODY_CEILING: Bytes = Bytes(512 << 10);
+
+/// Most slices; each costs its owner a journal and a manifest in the store.
+const SLICES_CEILING: u16 = 4096;
+
+pub(super) fn read(root: &document::Node, base: &Path, report: &mut Report) -> Option<Settings> {
+    let mut section = Section::open(root, "the settings file", report)?;
+    let name = section.required::<id::Entry>("name", report);
+    let data_centre = section.required::<id::DataCentre>("data_centre", report);
+    let region = section.required::<id::Region>("region", report);
+    let slices = read_slices(&mut section, report);
+    let addresses = read_addresses(&mut section, report);
+    let store = read_store(&mut section, report);
+    let seeds = section.list::<SocketAddr>("seeds", report);
+    let (tls, log) = process::read(&mut section, base, report);
+    let limits = read_limits(&mut section, report);
+    section.close(report);
+    Some(Settings {
+        name: name?.value,
+        data_centre: data_centre?.value,
+        region: region?.value,
+        slices,
+        addresses: addresses?,
+        store: store?,
+        seeds: seeds.into_iter().map(|spot| spot.value).collect(),
+        tls: tls?,
+        limits: limits?,
+        log,
+    })
+}
+
+fn read_slices(section: &mut Section<'_>, report: &mut Report) -> u16 {
+    let Some(spot) = section.optional::<u16>("slices", report) else {
+        return SLICES;
+    };
+    if !(1..=SLICES_CEILING).contains(&spot.value) {
+        report.add(
+            Code::Value,
+            spot.span,
+            format!("`slices` must be from 1 to {SLICES_CEILING}"),
+            format!("use {SLICES}, and the same number in every entry of the region"),
+        );
+    }
+    spot.value
+}
+
+fn read_addresses(section: &mut Section<'_>, report: &mut Report) -> Option<Addresses> {
+    let mut part = section.section("addresses", "the section `addresses`", report)?;
+    let callers = part.optional::<SocketAddr>("callers", report);
+    let operators = part.optional::<SocketAddr>("operators", report);
+    let processes = part.required::<SocketAddr>("processes", report);
+    let advertised = part.optional::<SocketAddr>("advertised", report);
+    part.close(report);
+    check_distinct(callers.as_ref(), operators.as_ref(), report);
+    let reached = advertised.as_ref().or(processes.as_ref());
+    if let Some(spot) = reached {
+        check_reachable(spot, report);
+    }
+    let processes = processes?.value;
+    Some(Addresses {
+        callers: callers.map_or(CALLERS, |spot| spot.value),
+        operators: operators.map_or(OPERATORS, |spot| spot.value),
+        processes,
+        advertised: advertised.map_or(processes, |spot| spot.value),
+    })
+}
+
+/// Reports the second of two TCP listeners at one address. Port 0 lets the
+/// operating system choose, so it can occur twice.
+fn check_distinct(
+    callers: Option<&Spot<SocketAddr>>,
+    operators: Option<&Spot<SocketAddr>>,
+    report: &mut Report,
+) {
+    let callers_at = callers.map_or(CALLERS, |spot| spot.value);
+    let operators_at = operators.map_or(OPERATORS, |spot| spot.value);
+    let clash = callers_at == operators_at && callers_at.port() != 0;
+    if let (true, Some(spot)) = (clash, operators.or(callers)) {
+        report.add(
+            Code::Conflict,
+            spot.span,
+            format!("callers and operators cannot both use {callers_at}"),
+            "give operators a port of their own",
+        );
+    }
+}
+
+/// Reports an address that other processes cannot dial.
+fn check_reachable(spot: &Spot<SocketAddr>, report: &mut Report) {
+    if spot.value.ip().is_unspecified() {
+        report.add(
+            Code::Conflict,
+            spot.span,
+            format!("other processes cannot dial {}", spot.value),
+            "add `advertised:` with the address of this instance",
+        );
+    }
+}
+
+fn read_store(section: &mut Section<'_>, report: &mut Report) -> Option<Store> {
+    let mut part = section.section("store", "the section `store`", report)?;
+    let addresses = part.required_list::<SocketAddr>("addresses", report);
+    let writes = part.optional::<u32>("writes_per_second", report);
+    let timeout = part.optional::<Millis>("timeout", report);
+    part.close(report);
+    let writes = positive(writes, "writes_per_second", report);
+    let timeout = positive(timeout, "timeout", report);
+    Some(Store {
+        addresses: addresses.into_iter().map(|spot| spot.value).collect(),
+        writes_per_second: writes.unwrap_or(WRITES_PER_SECOND),
+        timeout: timeout.unwrap_or(STORE_TIMEOUT),
+    })
+}
+
+fn read_limits(section: &mut Section<'_>, report: &mut Report) -> Option<Limits> {
+    let mut part = section.section("limits", "the section `limits`", report)?;
+    let header = part.optional::<Bytes>("header", report);
+    let body = part.optional::<Bytes>("body", report);
+    let job_body = part.optional::<Bytes>("job_body", report);
+    let connections = part.optional::<Connections>("connections", report);
+    part.close(report);
+    if let Some(spot) = &job_body {
+        check_job_body(spot.value, spot.span, report);
+    }
+    let header = positive(header, "header", report);
+    let body = positive(body, "body", report);
+    let job_body = positive(job_body, "job_body", report);
+    let connections = positive(connections, "connections", report);
+    Some(Limits {
+        header: header.unwrap_or(HEADER_LIMIT),
+        body: body.unwrap_or(BODY_LIMIT),
+        job_body: job_body.unwrap_or(JOB_BODY_LIMIT),
+        connections: connections.unwrap_or(CONNECTION_LIMIT),
+    })
+}
+
+fn check_job_body(limit: Bytes, span: Span, report: &mut Report) {
+    if limit > JOB_BODY_CEILING {
+        report.add(
+            Code::Value,
+            span,
+            format!(
+                "`job_body` exceeds {JOB_BODY_CEILING}, which the store's values leave room for"
+            ),
+            format!("use at most {JOB_BODY_CEILING}, and pass larger inputs by reference"),
+        );
+    }
+}
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -125,6 +125,8 @@
     Worker;
     /// A data centre.
     DataCentre;
+    /// A region, whose data centres share entries, slices and workers.
+    Region;
     /// A rack within a data centre.
     Rack;
     /// A team with quotas and shares.
--- /dev/null
+++ b/crates/yaml/src/fault.rs
@@ -0,0 +1,222 @@
+//! Faults of a file, and the report that collects them.
+
+use {
+    crate::source::{Source, Span},
+    miette::{Diagnostic, LabeledSpan, Severity, SourceCode},
+    serde::Serialize,
+    std::{collections::BTreeSet, fmt, sync::Arc},
+    strum::{Display, IntoStaticStr},
+};
+
+/// Longest excerpt of a file's text in a message, in characters.
+const EXCERPT_LIMIT_CHARS: usize = 64;
+
+/// What kind of fault it is, for scripts that read the JSON output.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Code {
+    /// The file cannot be read.
+    Unreadable,
+    /// The file is not YAML.
+    Syntax,
+    /// The file uses a part of YAML that is not accepted.
+    Unsupported,
+    /// The file nests too deeply or holds too many values.
+    Limit,
+    /// A value has the wrong shape, such as a list instead of text.
+    Shape,
+    /// A key is not known.
+    UnknownKey,
+    /// A required key is missing.
+    MissingKey,
+    /// A key occurs twice in one mapping.
+    DuplicateKey,
+    /// A value cannot be read as what its key holds.
+    Value,
+    /// A name is declared twice.
+    Duplicate,
+    /// Two values contradict each other.
+    Conflict,
+    /// Guaranteed shares add up to more than the whole.
+    ShareExceeded,
+    /// There is nothing to read.
+    Empty,
+}
+
+/// One fault, where it is, and how to repair it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// What kind of fault it is.
+    pub code: Code,
+    /// What is wrong, in one sentence without a full stop.
+    pub message: Arc<str>,
+    /// What to do about it.
+    pub fix: Arc<str>,
+    /// The file.
+    pub file: Arc<Source>,
+    /// Where it is, or `None` if the whole file is meant.
+    pub span: Option<Span>,
+}
+
+impl Fault {
+    /// Makes a fault of a file that could not be read at all.
+    pub fn unreadable(name: impl Into<Arc<str>>, message: impl fmt::Display) -> Self {
+        Self {
+            code: Code::Unreadable,
+            message: message.to_string().into(),
+            fix: "check the path, its permissions and its size".into(),
+            file: Arc::new(Source::new(name, "")),
+            span: None,
+        }
+    }
+
+    /// Returns the line and the column, both from 1.
+    pub fn position(&self) -> Option<(usize, usize)> {
+        self.span.map(|span| self.file.position(span.start))
+    }
+
+    /// Returns the fault in the form of the JSON output.
+    pub fn record(&self) -> Record {
+        let (line, column) = self.position().unzip();
+        Record {
+            file: self.file.name().clone(),
+            line,
+            column,
+            code: self.code,
+            message: self.message.clone(),
+            fix: self.fix.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.span {
+            Some(_) => f.write_str(&self.message),
+            None => write!(f, "{}: {}", self.file.name(), self.message),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Diagnostic for Fault {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+
+    fn severity(&self) -> Option<Severity> {
+        Some(Severity::Error)
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(&self.fix))
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        self.span.map(|_| &*self.file as &dyn SourceCode)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let span = self.span?;
+        let label = LabeledSpan::new_with_span(Some("here".to_owned()), span);
+        Some(Box::new(std::iter::once(label)))
+    }
+}
+
+/// A fault as the JSON output states it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// The file.
+    pub file: Arc<str>,
+    /// The line, from 1.
+    pub line: Option<usize>,
+    /// The column in characters, from 1.
+    pub column: Option<usize>,
+    /// What kind of fault it is.
+    pub code: Code,
+    /// What is wrong.
+    pub message: Arc<str>,
+    /// What to do about it.
+    pub fix: Arc<str>,
+}
+
+/// The faults found in one file so far.
+#[derive(Debug)]
+pub struct Report {
+    file: Arc<Source>,
+    faults: Vec<Fault>,
+    keys: BTreeSet<String>,
+}
+
+impl Report {
+    /// Makes an empty report on `file`.
+    pub fn new(file: Arc<Source>) -> Self {
+        Self {
+            file,
+            faults: Vec::new(),
+            keys: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the file that the report is about.
+    pub fn file(&self) -> &Arc<Source> {
+        &self.file
+    }
+
+    /// Adds a fault at `span`.
+    pub fn add(
+        &mut self,
+        code: Code,
+        span: Span,
+        message: impl Into<Arc<str>>,
+        fix: impl Into<Arc<str>>,
+    ) {
+        self.faults.push(Fault {
+            code,
+            message: message.into(),
+            fix: fix.into(),
+            file: self.file.clone(),
+            span: Some(span),
+        });
+    }
+
+    /// Notes that the key at `path` is known.
+    pub(crate) fn know(&mut self, path: String) {
+        self.keys.insert(path);
+    }
+
+    /// Returns the paths of all keys that were asked for so far, such as
+    /// `tls.certificate`; the documentation is compared with them.
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        self.keys.iter().map(String::as_str)
+    }
+
+    /// Tells whether no fault was found.
+    pub fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    /// Returns the faults in the order of their positions.
+    pub fn into_faults(mut self) -> Vec<Fault> {
+        self.faults.sort_by_key(|fault| fault.span);
+        self.faults
+    }
+}
+
+/// Shortens a file's text before it is quoted in a message.
+pub fn excerpt(text: impl AsRef<str>) -> String {
+    let text = text.as_ref();
+    let mut excerpt: String = text
+        .chars()
+        .take(EXCERPT_LIMIT_CHARS)
+        .flat_map(char::escape_debug)
+        .collect();
+    if text.chars().nth(EXCERPT_LIMIT_CHARS).is_some() {
+        excerpt.push('…');
+    }
+    excerpt
+}
--- /dev/null
+++ b/crates/yaml/src/section.rs
@@ -0,0 +1,266 @@
+//! Reads typed values from a mapping.
+
+use crate::{
+    document::{Entry, Node, Value},
+    fault::{excerpt, Code, Report},
+    scalar::{nearest, Scalar},
+    source::Span,
+};
+
+/// A value and where it is written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Spot<T> {
+    /// The value.
+    pub value: T,
+    /// Where it is.
+    pub span: Span,
+}
+
+/// A mapping that is read key by key.
+///
+/// Each key that is asked for counts as known; [`Section::close`] reports the
+/// others. A value that is absent or faulty reads as `None`, so that the
+/// caller goes on and finds the other faults as well.
+#[derive(Debug)]
+pub struct Section<'a> {
+    what: &'static str,
+    path: String,
+    span: Span,
+    entries: &'a [Entry],
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// Opens `node` as a mapping; `what` names it with its article, such as
+    /// `a service`.
+    pub fn open(node: &'a Node, what: &'static str, report: &mut Report) -> Option<Self> {
+        let Value::Map(entries) = &node.value else {
+            report.add(
+                Code::Shape,
+                node.span,
+                format!("{what} must be a mapping"),
+                "write one KEY: VALUE a line",
+            );
+            return None;
+        };
+        Some(Self {
+            what,
+            path: String::new(),
+            span: node.span,
+            entries,
+            known: Vec::new(),
+        })
+    }
+
+    /// Returns where the mapping starts.
+    pub fn span(&self) -> Span {
+        self.span
+    }
+
+    /// Tells whether `key` is present, without counting it as known.
+    pub fn contains(&self, key: &str) -> bool {
+        self.entries.iter().any(|entry| &*entry.key == key)
+    }
+
+    /// Reads the value of `key`; its absence is a fault.
+    pub fn required<T: Scalar>(
+        &mut self,
+        key: &'static str,
+        report: &mut Report,
+    ) -> Option<Spot<T>> {
+        match self.find(key, report) {
+            Some(entry) => read(key, &entry.value, report),
+            None => {
+                self.missing(key, T::WHAT, report);
+                None
+            }
+        }
+    }
+
+    /// Reads the value of `key` if it is present.
+    pub fn optional<T: Scalar>(
+        &mut self,
+        key: &'static str,
+        report: &mut Report,
+    ) -> Option<Spot<T>> {
+        let entry = self.find(key, report)?;
+        read(key, &entry.value, report)
+    }
+
+    /// Reads the list at `key`; an absent one is empty.
+    pub fn list<T: Scalar>(&mut self, key: &'static str, report: &mut Report) -> Vec<Spot<T>> {
+        let Some(entry) = self.find(key, report) else {
+            return Vec::new();
+        };
+        let Value::List(nodes) = &entry.value.value else {
+            report.add(
+                Code::Shape,
+                shown(&entry.value, entry.span),
+                format!("`{key}` must be a list"),
+                "write one value a line after `- `, or [A, B]",
+            );
+            return Vec::new();
+        };
+        nodes
+            .iter()
+            .filter_map(|node| read(key, node, report))
+            .collect()
+    }
+
+    /// Reads the list at `key`, which must hold at least one value.
+    pub fn required_list<T: Scalar>(
+        &mut self,
+        key: &'static str,
+        report: &mut Report,
+    ) -> Vec<Spot<T>> {
+        let spots = self.list(key, report);
+        match self.find(key, report) {
+            None => self.missing(
+                key,
+                &format!("a list of at least one value, each {}", T::WHAT),
+                report,
+            ),
+            Some(Entry { value, span, .. }) if value.value == Value::List(Vec::new()) => report
+                .add(
+                    Code::Value,
+                    *span,
+                    format!("`{key}` needs at least one value"),
+                    format!("list {}", T::WHAT),
+                ),
+            Some(_) => {}
+        }
+        spots
+    }
+
+    /// Opens the mapping at `key`; an absent one reads as empty, so that its
+    /// missing keys are reported one by one. `what` names it with its article.
+    pub fn section(
+        &mut self,
+        key: &'static str,
+        what: &'static str,
+        report: &mut Report,
+    ) -> Option<Section<'a>> {
+        let path = self.path_of(key);
+        let section = match self.find(key, report) {
+            Some(entry) => Section::open(&entry.value, what, report)?,
+            None => Section {
+                what,
+                path: String::new(),
+                span: self.span,
+                entries: &[],
+                known: Vec::new(),
+            },
+        };
+        Some(Section { path, ..section })
+    }
+
+    /// Reports every key that was not asked for.
+    pub fn close(self, report: &mut Report) {
+        for entry in self.entries {
+            if self.known.contains(&&*entry.key) {
+                continue;
+            }
+            let fix = match nearest(&entry.key, self.known.iter().copied()) {
+                Some(name) => format!("did you mean `{name}`?"),
+                None => format!("use one of {}", self.known.join(", ")),
+            };
+            report.add(
+                Code::UnknownKey,
+                entry.span,
+                format!("{} has no key `{}`", self.what, excerpt(&entry.key)),
+                fix,
+            );
+        }
+    }
+
+    /// Reports that `key`, which holds `what`, is missing.
+    fn missing(&self, key: &str, what: &str, report: &mut Report) {
+        let under = match self.path.as_str() {
+            "" => String::new(),
+            path => format!(" under `{path}:`"),
+        };
+        report.add(
+            Code::MissingKey,
+            Span {
+                start: self.span.start,
+                end: self.span.start,
+            },
+            format!("{} needs the key `{key}`", self.what),
+            format!("add `{key}:`{under} with {what}"),
+        );
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        match self.path.as_str() {
+            "" => key.to_owned(),
+            path => format!("{path}.{key}"),
+        }
+    }
+
+    fn find(&mut self, key: &'static str, report: &mut Report) -> Option<&'a Entry> {
+        if !self.known.contains(&key) {
+            self.known.push(key);
+            report.know(self.path_of(key));
+        }
+        self.entries.iter().find(|entry| &*entry.key == key)
+    }
+}
+
+/// Unwraps a value and reports it if it is zero, which is the default of every
+/// quantity.
+pub fn positive<T: Default + PartialEq>(
+    spot: Option<Spot<T>>,
+    key: &str,
+    report: &mut Report,
+) -> Option<T> {
+    let spot = spot?;
+    if spot.value == T::default() {
+        report.add(
+            Code::Value,
+            spot.span,
+            format!("`{key}` must be more than zero"),
+            "raise it, or remove the key if it has a default",
+        );
+    }
+    Some(spot.value)
+}
+
+/// Returns the span to show for a value, or the key's if the value is empty.
+fn shown(node: &Node, key: Span) -> Span {
+    match node.value {
+        Value::Null => key,
+        _ => node.span,
+    }
+}
+
+fn read<T: Scalar>(key: &str, node: &Node, report: &mut Report) -> Option<Spot<T>> {
+    let Value::Scalar(text) = &node.value else {
+        let found = match node.value {
+            Value::Null => "nothing",
+            Value::List(_) => "a list",
+            _ => "a mapping",
+        };
+        report.add(
+            Code::Shape,
+            node.span,
+            format!("`{key}` must be {}, not {found}", T::WHAT),
+            format!("write it after `{key}:` in the same line"),
+        );
+        return None;
+    };
+    match text.parse() {
+        Ok(value) => Some(Spot {
+            value,
+            span: node.span,
+        }),
+        Err(_) => {
+            report.add(
+                Code::Value,
+                node.span,
+                format!("`{}` is not {} for `{key}`", excerpt(text), T::WHAT),
+                T::fix(text),
+            );
+            None
+        }
+    }
+}
