--- /dev/null
+++ b/crates/standin/src/endpoint.rs
@@ -0,0 +1,184 @@
+//! An endpoint: answers checks after a service time and records orders.
+
+use {
+    axum::{
+        body::{Body, Bytes},
+        extract::{Path, Request, State},
+        http::{HeaderMap, StatusCode},
+        response::{IntoResponse, Response},
+        routing::{any, get, post},
+        Json, Router,
+    },
+    http_body_util::BodyExt,
+    serde_json::json,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicU32, AtomicU64, Ordering},
+            Arc, Mutex, PoisonError,
+        },
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+};
+
+/// An order that the endpoint ran.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The customer.
+    pub customer: Arc<str>,
+    /// The idempotency key.
+    pub key: Arc<str>,
+}
+
+#[derive(Default)]
+struct Shared {
+    name: String,
+    service_time_ms: AtomicU64,
+    running: AtomicU32,
+    most_running: AtomicU32,
+    served: AtomicU64,
+    orders: Mutex<Vec<Order>>,
+}
+
+/// Counts a request as running until it is dropped.
+struct Slot(Arc<Shared>);
+
+impl Slot {
+    fn take(shared: &Arc<Shared>) -> Self {
+        let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
+        shared.most_running.fetch_max(running, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+        self.0.served.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// An endpoint that serves on loopback.
+#[derive(Clone)]
+pub struct Server {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Starts an endpoint on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start(name: impl Into<String>, service_time: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            ..Shared::default()
+        });
+        let server = Self { shared, address };
+        server.set_service_time(service_time);
+        let router = Router::new()
+            .route("/health", get(|| async { StatusCode::OK }))
+            .route("/orders/{service}", post(order))
+            .route("/echo", any(echo))
+            .fallback(check)
+            .with_state(server.shared.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(server)
+    }
+
+    /// Returns the address that it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how long a request takes.
+    pub fn set_service_time(&self, time: Duration) {
+        let time_ms = time.as_millis() as u64;
+        self.shared.service_time_ms.store(time_ms, Ordering::SeqCst);
+    }
+
+    /// Returns the most requests that ran at once.
+    pub fn most_running(&self) -> u32 {
+        self.shared.most_running.load(Ordering::SeqCst)
+    }
+
+    /// Returns the requests served so far.
+    pub fn served(&self) -> u64 {
+        self.shared.served.load(Ordering::SeqCst)
+    }
+
+    /// Returns the orders in the sequence in which they ran.
+    pub fn orders(&self) -> Vec<Order> {
+        self.shared
+            .orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+async fn work(shared: &Shared) {
+    let time = Duration::from_millis(shared.service_time_ms.load(Ordering::SeqCst));
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
+/// Answers with what was asked, so that a caller can tell its own answer.
+async fn check(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let _slot = Slot::take(&shared);
+    let path = request.uri().to_string();
+    let Ok(body) = request.into_body().collect().await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    work(&shared).await;
+    let answer = json!({
+        "endpoint": shared.name,
+        "path": path,
+        "bytes": body.to_bytes().len(),
+    });
+    Json(answer).into_response()
+}
+
+/// Sends the request's body back as it arrives.
+async fn echo(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let _slot = Slot::take(&shared);
+    work(&shared).await;
+    Response::new(Body::new(request.into_body()))
+}
+
+async fn order(
+    State(shared): State<Arc<Shared>>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let _slot = Slot::take(&shared);
+    let field = |name: &str| -> Arc<str> {
+        headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .into()
+    };
+    let order = Order {
+        customer: field("x-customer"),
+        key: field("idempotency-key"),
+    };
+    work(&shared).await;
+    let mut orders = shared.orders.lock().unwrap_or_else(PoisonError::into_inner);
+    orders.push(order.clone());
+    let answer = json!({
+        "endpoint": shared.name,
+        "service": service,
+        "key": order.key,
+        "bytes": body.len(),
+    });
+    Json(answer).into_response()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,4 +3,6 @@
 //! They hold only what the tests, the benches and the local example use, and
 //! they are never shipped. `docs/design.md`, section 15, lists their interfaces.
 
+pub mod endpoint;
+pub mod keys;
 pub mod store;
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Answers a `Watch` again without counting it as another call.
+    pub(super) fn peek(&mut self, now: Instant, call: &Call) -> Answer {
+        self.expire(now);
+        match call {
+            Call::Watch { prefix, since, .. } => self.changes(prefix, *since),
+            _ => Answer::Unchanged,
+        }
+    }
+
     fn get(&self, key: &Arc<str>) -> Option<Pair> {
         self.entries.get(key).map(|entry| Pair {
             key: key.clone(),
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's key-value store.
 
 mod memory;
+mod server;
 
-pub use memory::{Count, Memory};
+pub use {
+    memory::{Count, Memory},
+    server::{Faults, Server},
+};
--- /dev/null
+++ b/crates/transport/src/clock.rs
@@ -0,0 +1,21 @@
+//! The clocks of the instance, read at the edge and passed to the decisions.
+
+use {
+    filbertbend_state::time::{Instant, Wall},
+    rustix::time::{clock_gettime, ClockId},
+    std::time::SystemTime,
+};
+
+/// Reads the instance's monotonic clock, which all processes on it share.
+pub fn monotonic() -> Instant {
+    let now = clock_gettime(ClockId::Monotonic);
+    Instant(now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000)
+}
+
+/// Reads the wall clock.
+pub fn wall() -> Wall {
+    let now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Wall(now.as_millis() as u64)
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Connections: QUIC links between filbertbend's processes, the client of the
+//! platform's store, and the conversion between HTTP bodies and frames.
+//!
+//! This layer moves messages and decides nothing. See `docs/design.md`,
+//! sections 6 and 9.
+
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
+)]
+
+pub mod clock;
+pub mod http;
+pub mod link;
+pub mod store;
+pub mod tls;
--- /dev/null
+++ b/crates/transport/src/link.rs
@@ -0,0 +1,282 @@
+//! QUIC connections between our processes, and frames on their streams.
+
+use {
+    crate::tls::{Identity, SERVER_NAME},
+    bytes::Bytes,
+    filbertbend_protocol::wire::{self, Header, HEADER_BYTES},
+    serde::{de::DeserializeOwned, Serialize},
+    std::{io, net::SocketAddr, time::Duration},
+};
+
+/// How long a new connection may take before it counts as failed.
+pub const DIAL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The stream error that tells the peer to give a request up.
+const ABORT_CODE: u32 = 1;
+
+/// A failed connection or stream.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The socket could not be opened.
+    #[error("cannot open a socket at {address}: {source}")]
+    Socket {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The peer could not be dialled.
+    #[error("cannot dial {address}: {reason}")]
+    Dial {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The connection was lost or closed.
+    #[error("connection lost: {0}")]
+    Connection(#[from] quinn::ConnectionError),
+    /// The stream was reset, or its connection lost, while writing.
+    #[error("stream broken: {0}")]
+    Write(#[from] quinn::WriteError),
+    /// The stream was reset, or its connection lost, while reading.
+    #[error("stream broken: {0}")]
+    Read(#[from] quinn::ReadError),
+    /// The stream ended within a frame.
+    #[error("stream ended within a frame")]
+    Truncated,
+    /// A frame could not be encoded or decoded.
+    #[error(transparent)]
+    Frame(#[from] wire::Error),
+}
+
+/// A socket that accepts links and dials them.
+#[derive(Clone, Debug)]
+pub struct Socket {
+    endpoint: quinn::Endpoint,
+}
+
+impl Socket {
+    /// Opens a socket that accepts links at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Socket`] if the address cannot be bound.
+    pub fn listen(address: SocketAddr, identity: &Identity) -> Result<Self, Error> {
+        let mut endpoint = quinn::Endpoint::server(identity.server.clone(), address)
+            .map_err(|source| Error::Socket { address, source })?;
+        endpoint.set_default_client_config(identity.client.clone());
+        Ok(Self { endpoint })
+    }
+
+    /// Opens a socket on a new port that only dials. Each call takes a new
+    /// port, because a path that went silent may stay so for the old one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Socket`] if no port can be bound.
+    pub fn dialler(identity: &Identity) -> Result<Self, Error> {
+        let address = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut endpoint =
+            quinn::Endpoint::client(address).map_err(|source| Error::Socket { address, source })?;
+        endpoint.set_default_client_config(identity.client.clone());
+        Ok(Self { endpoint })
+    }
+
+    /// Uses new keys for links that are opened from now on.
+    pub fn reload(&mut self, identity: &Identity) {
+        self.endpoint
+            .set_server_config(Some(identity.server.clone()));
+        self.endpoint
+            .set_default_client_config(identity.client.clone());
+    }
+
+    /// Returns the address that the socket is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket is closed.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Dials `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Dial`] if no link could be opened in time.
+    pub async fn dial(&self, address: SocketAddr) -> Result<Link, Error> {
+        let failed = |reason: String| Error::Dial { address, reason };
+        let connecting = self
+            .endpoint
+            .connect(address, SERVER_NAME)
+            .map_err(|error| failed(error.to_string()))?;
+        match tokio::time::timeout(DIAL_TIMEOUT, connecting).await {
+            Ok(Ok(connection)) => Ok(Link { connection }),
+            Ok(Err(error)) => Err(failed(error.to_string())),
+            Err(_) => Err(failed("timed out".to_owned())),
+        }
+    }
+
+    /// Waits for the next link that completes its handshake; `None` once the
+    /// socket is closed. Peers that fail to authenticate are passed over.
+    pub async fn accept(&self) -> Option<Handshake> {
+        self.endpoint.accept().await.map(Handshake)
+    }
+
+    /// Closes the socket and all its links, telling the peers.
+    pub async fn close(&self) {
+        self.endpoint.close(0_u8.into(), b"closing");
+        self.endpoint.wait_idle().await;
+    }
+}
+
+/// A link whose handshake is in progress.
+pub struct Handshake(quinn::Incoming);
+
+impl Handshake {
+    /// Completes the handshake, which includes the check of the peer's key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connection`] if the peer did not authenticate.
+    pub async fn complete(self) -> Result<Link, Error> {
+        let connection = self.0.await?;
+        Ok(Link { connection })
+    }
+}
+
+/// An authenticated connection to a peer.
+#[derive(Clone, Debug)]
+pub struct Link {
+    connection: quinn::Connection,
+}
+
+impl Link {
+    /// Opens a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connection`] if the connection is lost.
+    pub async fn open(&self) -> Result<(Sender, Receiver), Error> {
+        let (send, receive) = self.connection.open_bi().await?;
+        Ok((Sender { stream: send }, Receiver { stream: receive }))
+    }
+
+    /// Waits for a stream that the peer opens.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connection`] if the connection is lost.
+    pub async fn accept(&self) -> Result<(Sender, Receiver), Error> {
+        let (send, receive) = self.connection.accept_bi().await?;
+        Ok((Sender { stream: send }, Receiver { stream: receive }))
+    }
+
+    /// Returns the peer's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.connection.remote_address()
+    }
+
+    /// Returns a number that tells this link from others of the same process.
+    pub fn id(&self) -> usize {
+        self.connection.stable_id()
+    }
+
+    /// Returns the bytes sent and received so far, including packet headers
+    /// but not those of UDP and IP.
+    pub fn traffic(&self) -> (u64, u64) {
+        let stats = self.connection.stats();
+        (stats.udp_tx.bytes, stats.udp_rx.bytes)
+    }
+
+    /// Waits until the link is closed or lost.
+    pub async fn closed(&self) {
+        self.connection.closed().await;
+    }
+
+    /// Closes the link.
+    pub fn close(&self) {
+        self.connection.close(0_u8.into(), b"closing");
+    }
+}
+
+/// The sending half of a stream.
+#[derive(Debug)]
+pub struct Sender {
+    stream: quinn::SendStream,
+}
+
+impl Sender {
+    /// Sends one message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message is too large or the stream broken.
+    pub async fn send(&mut self, message: &impl Serialize) -> Result<(), Error> {
+        self.send_frame(wire::encode(message)?).await
+    }
+
+    /// Sends one message that is already a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream is broken.
+    pub async fn send_frame(&mut self, frame: Bytes) -> Result<(), Error> {
+        Ok(self.stream.write_chunk(frame).await?)
+    }
+
+    /// Ends the stream after everything that was sent.
+    pub fn finish(&mut self) {
+        // Fails only if the stream was finished or reset before.
+        let _ = self.stream.finish();
+    }
+
+    /// Gives the stream up, so that the peer does not take it as complete.
+    pub fn abort(&mut self) {
+        let _ = self.stream.reset(ABORT_CODE.into());
+    }
+
+    /// Waits until the peer no longer wants the stream.
+    pub async fn stopped(&self) {
+        let _ = self.stream.stopped().await;
+    }
+}
+
+/// The receiving half of a stream.
+#[derive(Debug)]
+pub struct Receiver {
+    stream: quinn::RecvStream,
+}
+
+impl Receiver {
+    /// Receives one message, or `None` if the stream ended between frames.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream is broken, ends within a frame, or holds
+    /// something other than the message.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
+        let mut header = [0; HEADER_BYTES];
+        match self.stream.read_exact(&mut header).await {
+            Ok(()) => {}
+            Err(quinn::ReadExactError::FinishedEarly(0)) => return Ok(None),
+            Err(error) => return Err(truncated(error)),
+        }
+        let header = Header::decode(header)?;
+        let mut body = vec![0; header.length];
+        self.stream.read_exact(&mut body).await.map_err(truncated)?;
+        Ok(Some(wire::decode(&body)?))
+    }
+
+    /// Tells the peer that nothing more is wanted.
+    pub fn stop(&mut self) {
+        let _ = self.stream.stop(ABORT_CODE.into());
+    }
+}
+
+fn truncated(error: quinn::ReadExactError) -> Error {
+    match error {
+        quinn::ReadExactError::FinishedEarly(_) => Error::Truncated,
+        quinn::ReadExactError::ReadError(error) => Error::Read(error),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/store.rs
@@ -0,0 +1,94 @@
+//! The client of the platform's key-value store.
+
+use {
+    bytes::Bytes,
+    filbertbend_coordination::store::{Answer, Call},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{header::CONTENT_TYPE, Request, StatusCode},
+    hyper_util::{
+        client::legacy::{connect::HttpConnector, Client as Pool},
+        rt::TokioExecutor,
+    },
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// How long a call may take before its answer counts as lost. Watches get
+/// their own wait on top.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer that is read, in bytes: a page of values as JSON.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// Something that carries out store calls.
+pub trait Client: Send + Sync {
+    /// Carries out one call. Failures are answers too: [`Answer::Unavailable`]
+    /// if the store certainly did not take the call, else [`Answer::Lost`].
+    fn call(&self, call: Call) -> impl Future<Output = Answer> + Send;
+}
+
+impl<T: Client> Client for Arc<T> {
+    fn call(&self, call: Call) -> impl Future<Output = Answer> + Send {
+        (**self).call(call)
+    }
+}
+
+/// A client of the store's HTTP interface.
+#[derive(Clone, Debug)]
+pub struct Http {
+    address: SocketAddr,
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+impl Http {
+    /// Makes a client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(Duration::from_millis(500)));
+        connector.set_nodelay(true);
+        Self {
+            address,
+            pool: Pool::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    async fn exchange(&self, call: &Call) -> Answer {
+        let Ok(body) = serde_json::to_vec(call) else {
+            return Answer::Unavailable;
+        };
+        let request = Request::post(format!("http://{}/v1/call", self.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let Ok(request) = request else {
+            return Answer::Unavailable;
+        };
+        let response = match self.pool.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Answer::Unavailable,
+            Err(_) => return Answer::Lost,
+        };
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return Answer::Unavailable;
+        }
+        if response.status() != StatusCode::OK {
+            return Answer::Lost;
+        }
+        let Ok(body) = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+        else {
+            return Answer::Lost;
+        };
+        serde_json::from_slice(&body.to_bytes()).unwrap_or(Answer::Lost)
+    }
+}
+
+impl Client for Http {
+    async fn call(&self, call: Call) -> Answer {
+        let wait = match &call {
+            Call::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            _ => Duration::ZERO,
+        };
+        tokio::time::timeout(CALL_TIMEOUT + wait, self.exchange(&call))
+            .await
+            .unwrap_or(Answer::Lost)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/tls.rs
@@ -0,0 +1,151 @@
+//! Keys and certificates for mutual authentication between our processes.
+//!
+//! All processes hold a certificate of one private authority for the name
+//! [`SERVER_NAME`]; addresses are learned at run time, so certificates cannot
+//! name them. A process without such a certificate cannot open a connection.
+
+use {
+    quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    rustls::{
+        pki_types::{pem::PemObject, CertificateDer, PrivateKeyDer},
+        server::WebPkiClientVerifier,
+        RootCertStore,
+    },
+    std::{
+        path::{Path, PathBuf},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// The name that every certificate carries.
+pub const SERVER_NAME: &str = "filbertbend";
+/// The application protocol of the links.
+const ALPN: &[u8] = b"filbertbend/1";
+/// Streams that a peer may have open at once on one connection.
+const STREAM_LIMIT: u32 = 4096;
+/// A connection without any packet for this long is closed. It is longer than
+/// the membership timeouts, which decide earlier whether the peer is usable.
+const IDLE_TIMEOUT_MS: u32 = 15_000;
+/// Data that a sender may have unacknowledged on one stream, in bytes. It
+/// covers a 100 Mbit/s flow over an 80 ms round trip.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+/// A key or certificate that could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file could not be read as PEM.
+    #[error("cannot read {path}: {source}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: rustls::pki_types::pem::Error,
+    },
+    /// The key, certificate and authority do not fit together.
+    #[error("key, certificate and authority do not fit together: {0}")]
+    Mismatch(Box<dyn std::error::Error + Send + Sync>),
+}
+
+/// Where the key, certificate and authority are.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Files {
+    /// The certificate of this process, followed by any intermediate ones.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key: PathBuf,
+    /// The certificates of the authority.
+    pub authority: PathBuf,
+}
+
+/// The QUIC configuration made from one reading of the files.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// For connections that are accepted.
+    pub server: quinn::ServerConfig,
+    /// For connections that are dialled.
+    pub client: quinn::ClientConfig,
+}
+
+impl Identity {
+    /// Reads the files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] naming the file or the mismatch.
+    pub fn load(files: &Files) -> Result<Self, Error> {
+        let chain = certificates(&files.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(&files.key).map_err(|source| Error::File {
+            path: files.key.clone(),
+            source,
+        })?;
+        let mut roots = RootCertStore::empty();
+        for root in certificates(&files.authority)? {
+            roots.add(root).map_err(mismatch)?;
+        }
+        Self::new(chain, key, roots)
+    }
+
+    fn new(
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+        roots: RootCertStore,
+    ) -> Result<Self, Error> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let roots = Arc::new(roots);
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+            .build()
+            .map_err(mismatch)?;
+        let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(mismatch)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key.clone_key())
+            .map_err(mismatch)?;
+        server.alpn_protocols = vec![ALPN.to_vec()];
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(mismatch)?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key)
+            .map_err(mismatch)?;
+        client.alpn_protocols = vec![ALPN.to_vec()];
+        let transport = Arc::new(transport());
+        let mut server = quinn::ServerConfig::with_crypto(Arc::new(
+            QuicServerConfig::try_from(server).map_err(mismatch)?,
+        ));
+        server.transport_config(transport.clone());
+        let mut client = quinn::ClientConfig::new(Arc::new(
+            QuicClientConfig::try_from(client).map_err(mismatch)?,
+        ));
+        client.transport_config(transport);
+        Ok(Self { server, client })
+    }
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let error = |source| Error::File {
+        path: path.to_owned(),
+        source,
+    };
+    CertificateDer::pem_file_iter(path)
+        .map_err(error)?
+        .collect::<Result<_, _>>()
+        .map_err(error)
+}
+
+fn mismatch(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> Error {
+    Error::Mismatch(error.into())
+}
+
+fn transport() -> quinn::TransportConfig {
+    let mut config = quinn::TransportConfig::default();
+    config
+        .max_concurrent_bidi_streams(STREAM_LIMIT.into())
+        .max_concurrent_uni_streams(0_u8.into())
+        .max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
+        .keep_alive_interval(Some(Duration::from_secs(4)))
+        .stream_receive_window(STREAM_WINDOW_BYTES.into())
+        .initial_rtt(Duration::from_millis(20));
+    config
+}
