--- a/crates/coordination/tests/journal_interleaving.rs
+++ b/crates/coordination/tests/journal_interleaving.rs
@@ -5,7 +5,7 @@
     filbertbend_coordination::journal::Limits,
     filbertbend_standin::{
         slices::{Plan, Tally, World},
-        store::Faults,
+        store::network::Faults,
     },
 };
 
--- a/crates/standin/src/slices/world.rs
+++ b/crates/standin/src/slices/world.rs
@@ -6,7 +6,7 @@
         ledger::Ledger,
         process::{Output, Part, Process},
     },
-    crate::store::{Faults, Network},
+    crate::store::network::{Faults, Network},
     filbertbend_coordination::{
         journal::{Action, Event, Limits, Ticket},
         ownership,
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,9 +1,10 @@
 //! The platform's key-value store.
 
 mod memory;
-mod network;
+pub mod network;
+mod server;
 
 pub use {
     memory::{Count, Memory},
-    network::{Faults, Network},
+    server::{Faults, Server},
 };
