--- /dev/null
+++ b/crates/coordination/src/owner/image.rs
@@ -0,0 +1,328 @@
+//! The durable state of one slice, built from its records.
+
+use {
+    super::record::{of_customer, of_job, Over, Record, Stored, BUCKETS},
+    crate::{
+        attempt::Attempt,
+        job::{Phase, Spec, Trial},
+    },
+    filbertbend_state::{id, outcome::Reason, room::Room, time::Wall},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Most trials that are remembered for one job.
+const TRIALS_LIMIT: usize = 64;
+
+/// Most workers that are remembered for the failures of one task.
+const FAILED_ON_LIMIT: usize = 16;
+
+/// Where the current attempt of a task was placed.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Current {
+    /// The worker.
+    pub worker: id::Worker,
+    /// The life of the worker's agent when the attempt was placed.
+    pub incarnation: id::Incarnation,
+    /// The room that it takes.
+    pub size: Room,
+}
+
+/// The durable state of one task.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Task {
+    /// The number of the newest attempt, 0 before the first.
+    pub attempt: id::Attempt,
+    /// Where that attempt is, until it is certainly over.
+    pub current: Option<Current>,
+    /// The newest checkpoint.
+    pub checkpoint: Option<id::Checkpoint>,
+    /// What the task returned.
+    pub output: Option<Stored>,
+    /// The workers on which it failed, each once.
+    pub failed_on: Vec<id::Worker>,
+    /// How often it failed.
+    pub failures: u32,
+}
+
+/// How a job ended.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    /// Its final phase.
+    pub phase: Phase,
+    /// Why, if it was refused or parked.
+    pub reason: Option<Reason>,
+    /// When, by the wall clock of the owner.
+    pub at: Wall,
+}
+
+/// The durable state of one job or order.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was submitted, with an empty body.
+    pub spec: Arc<Spec>,
+    /// The input, dropped when the job ends.
+    pub body: Arc<[u8]>,
+    /// A hash of the input.
+    pub digest: u64,
+    /// When it was accepted.
+    pub accepted_at: Wall,
+    /// Its tasks, by index.
+    pub tasks: Vec<Task>,
+    /// How it ended.
+    pub end: Option<End>,
+    /// The newest trials, oldest first.
+    pub trials: Vec<Trial>,
+}
+
+impl Job {
+    /// Tells whether every task has an output.
+    pub fn is_complete(&self) -> bool {
+        self.tasks.iter().all(|task| task.output.is_some())
+    }
+}
+
+/// One bucket, encoded and decoded as a whole.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+struct Bucket {
+    jobs: BTreeMap<id::Job, Job>,
+    customers: BTreeMap<id::Customer, u64>,
+}
+
+/// The durable state of one slice.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Image {
+    buckets: [Bucket; BUCKETS],
+}
+
+impl Default for Image {
+    fn default() -> Self {
+        Self {
+            buckets: std::array::from_fn(|_| Bucket::default()),
+        }
+    }
+}
+
+impl Image {
+    /// Returns the bucket that `record` changes, below [`BUCKETS`].
+    pub fn bucket(record: &Record) -> usize {
+        record.bucket()
+    }
+
+    /// Encodes one bucket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error; a bucket that does not exist is encoded as
+    /// an empty one.
+    pub fn encode(&self, bucket: usize) -> Result<Vec<u8>, postcard::Error> {
+        match self.buckets.get(bucket) {
+            Some(found) => postcard::to_stdvec(found),
+            None => postcard::to_stdvec(&Bucket::default()),
+        }
+    }
+
+    /// Replaces one bucket by its encoded form.
+    ///
+    /// # Errors
+    ///
+    /// Returns the decoder's error and leaves the image unchanged.
+    pub fn decode(&mut self, bucket: usize, bytes: &[u8]) -> Result<(), postcard::Error> {
+        let decoded = postcard::from_bytes(bytes)?;
+        if let Some(found) = self.buckets.get_mut(bucket) {
+            *found = decoded;
+        }
+        Ok(())
+    }
+
+    /// Returns the job, if it is remembered.
+    pub fn job(&self, job: id::Job) -> Option<&Job> {
+        self.buckets[of_job(job)].jobs.get(&job)
+    }
+
+    /// Returns the task, if its job is remembered.
+    pub fn task(&self, task: id::Task) -> Option<&Task> {
+        self.job(task.job)?.tasks.get(task.index as usize)
+    }
+
+    /// Returns the placement of `attempt` if it is the task's current one.
+    pub fn current(&self, attempt: Attempt) -> Option<&Current> {
+        self.task(attempt.task)
+            .filter(|task| task.attempt == attempt.number)?
+            .current
+            .as_ref()
+    }
+
+    /// Returns the sequence number of the customer's next order, from 1.
+    pub fn next_sequence(&self, customer: &id::Customer) -> u64 {
+        self.buckets[of_customer(customer)]
+            .customers
+            .get(customer)
+            .copied()
+            .unwrap_or(1)
+    }
+
+    /// Iterates over all remembered jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (id::Job, &Job)> {
+        self.buckets
+            .iter()
+            .flat_map(|bucket| bucket.jobs.iter())
+            .map(|(id, job)| (*id, job))
+    }
+
+    /// Applies one durable record. Records of attempts that are not current
+    /// change nothing, so a late one cannot affect a newer attempt.
+    pub fn apply(&mut self, record: &Record) {
+        let bucket = &mut self.buckets[record.bucket()];
+        match record {
+            Record::Submitted {
+                spec,
+                body,
+                digest,
+                at,
+            } => {
+                bucket
+                    .jobs
+                    .entry(spec.id)
+                    .or_insert_with(|| submitted(spec, body, *digest, *at));
+            }
+            Record::Placed {
+                attempt,
+                worker,
+                incarnation,
+                size,
+            } => {
+                if let Some(job) = bucket.jobs.get_mut(&attempt.task.job) {
+                    let current = Current {
+                        worker: worker.clone(),
+                        incarnation: *incarnation,
+                        size: *size,
+                    };
+                    place(job, *attempt, current);
+                }
+            }
+            Record::Checkpointed { attempt, number } => {
+                if let Some(job) = bucket.jobs.get_mut(&attempt.task.job) {
+                    checkpoint(job, *attempt, Some(*number));
+                }
+            }
+            Record::Ended {
+                attempt,
+                over,
+                checkpoint: number,
+            } => {
+                if let Some(job) = bucket.jobs.get_mut(&attempt.task.job) {
+                    checkpoint(job, *attempt, *number);
+                    end(job, *attempt, over);
+                }
+            }
+            Record::Completed { attempt, output } => {
+                if let Some(job) = bucket.jobs.get_mut(&attempt.task.job) {
+                    complete(job, *attempt, output);
+                }
+            }
+            Record::Advanced { customer, next } => {
+                let found = bucket.customers.entry(customer.clone()).or_insert(1);
+                *found = (*found).max(*next);
+            }
+            Record::Closed {
+                job,
+                phase,
+                reason,
+                at,
+            } => {
+                if let Some(job) = bucket.jobs.get_mut(job) {
+                    job.body = Arc::from([]);
+                    job.end.get_or_insert(End {
+                        phase: *phase,
+                        reason: *reason,
+                        at: *at,
+                    });
+                }
+            }
+            Record::Forgotten { job } => {
+                bucket.jobs.remove(job);
+            }
+        }
+    }
+}
+
+fn submitted(spec: &Arc<Spec>, body: &Arc<[u8]>, digest: u64, at: Wall) -> Job {
+    Job {
+        spec: Arc::clone(spec),
+        body: Arc::clone(body),
+        digest,
+        accepted_at: at,
+        tasks: vec![Task::default(); spec.tasks as usize],
+        end: None,
+        trials: Vec::new(),
+    }
+}
+
+fn place(job: &mut Job, attempt: Attempt, current: Current) {
+    let Some(task) = job.tasks.get_mut(attempt.task.index as usize) else {
+        return;
+    };
+    if attempt.number <= task.attempt {
+        return;
+    }
+    if job.trials.len() == TRIALS_LIMIT {
+        job.trials.remove(0);
+    }
+    job.trials.push(Trial {
+        index: attempt.task.index,
+        number: attempt.number,
+        worker: current.worker.clone(),
+        state: "placed".into(),
+    });
+    task.attempt = attempt.number;
+    task.current = Some(current);
+}
+
+/// Returns the task if `attempt` is its current attempt.
+fn current_task(job: &mut Job, attempt: Attempt) -> Option<&mut Task> {
+    job.tasks
+        .get_mut(attempt.task.index as usize)
+        .filter(|task| task.attempt == attempt.number && task.current.is_some())
+}
+
+fn checkpoint(job: &mut Job, attempt: Attempt, number: Option<id::Checkpoint>) {
+    if let Some(task) = current_task(job, attempt) {
+        task.checkpoint = task.checkpoint.max(number);
+    }
+}
+
+fn end(job: &mut Job, attempt: Attempt, over: &Over) {
+    let Some(task) = current_task(job, attempt) else {
+        return;
+    };
+    if let Some(current) = task.current.take() {
+        let failed = matches!(over, Over::Failed(_));
+        task.failures += u32::from(failed);
+        let known = task.failed_on.contains(&current.worker);
+        if failed && !known && task.failed_on.len() < FAILED_ON_LIMIT {
+            task.failed_on.push(current.worker);
+        }
+    }
+    describe(job, attempt, over.describe());
+}
+
+fn complete(job: &mut Job, attempt: Attempt, output: &Stored) {
+    let Some(task) = current_task(job, attempt) else {
+        return;
+    };
+    task.current = None;
+    task.output = Some(output.clone());
+    describe(job, attempt, "completed".into());
+}
+
+fn describe(job: &mut Job, attempt: Attempt, state: Arc<str>) {
+    let found = job
+        .trials
+        .iter_mut()
+        .rev()
+        .find(|trial| trial.index == attempt.task.index && trial.number == attempt.number);
+    if let Some(trial) = found {
+        trial.state = state;
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/owner/order.rs
@@ -0,0 +1,282 @@
+//! Orders: idempotency keys, the customer's sequence and the final outcome.
+
+use {
+    super::{
+        state::{Key, Timer, Waiter},
+        write::{refused, STORE_RETRY_AFTER},
+        Cx, Job, Over, Owner, Record, Reply, ORDERS_LIMIT,
+    },
+    crate::{
+        attempt::Attempt,
+        job::{Answer, Order, Phase, Spec},
+        placement,
+    },
+    filbertbend_state::{
+        id,
+        outcome::{Outcome, Ran, Reason},
+        unit::Millis,
+    },
+};
+
+pub(super) fn key_of(spec: &Spec, order: &Order) -> Key {
+    (
+        spec.service.clone(),
+        order.customer.clone(),
+        order.key.clone(),
+    )
+}
+
+/// Tells whether an order that ended so certainly did not run and was not
+/// given up by its caller, so that the same key may be used to try again.
+fn may_retry(phase: Phase) -> bool {
+    matches!(phase, Phase::Refused | Phase::Expired)
+}
+
+/// Tells whether an order that ended so takes its place in the sequence.
+pub(super) fn consumes_sequence(phase: Phase) -> bool {
+    matches!(phase, Phase::Done | Phase::Unknown)
+}
+
+/// How long calls wait past their deadline for a record that settles them.
+const CLOSE_GRACE: Millis = Millis(500);
+
+impl Owner {
+    /// Answers an order whose key was used before; see `answer_repeated`.
+    pub(super) fn answer_repeated_order(
+        &mut self,
+        cx: &mut Cx<'_>,
+        waiter: Waiter,
+        key: &Key,
+        digest: u64,
+    ) -> bool {
+        let Some(&job) = self.keys.get(key) else {
+            return false;
+        };
+        let known = match (self.submitting.get(&job), self.image.job(job)) {
+            (Some(submitting), _) => submitting.digest,
+            (None, Some(found)) => found.digest,
+            (None, None) => return false,
+        };
+        if known != digest {
+            cx.answer(waiter.reply, refused(Reason::KeyReused, Millis::ZERO));
+            return true;
+        }
+        if let Some(submitting) = self.submitting.get_mut(&job) {
+            submitting.waiters.push(waiter);
+            return true;
+        }
+        if let Some(open) = self.open.get_mut(&job) {
+            open.waiters.push(waiter);
+            if let Some(deadline) = waiter.deadline {
+                self.timers.insert((deadline, Timer::Deadline(job)));
+            }
+            return true;
+        }
+        let end = self.image.job(job).and_then(|job| job.end.as_ref());
+        if end.is_none_or(|end| may_retry(end.phase)) {
+            return false;
+        }
+        self.answer_end(cx, waiter.reply, job);
+        true
+    }
+
+    /// Returns why a new order is refused before anything is written.
+    pub(super) fn order_refusal(&self, spec: &Spec, order: &Order) -> Option<Answer> {
+        let invalid = Answer::Outcome(Outcome::Invalid);
+        if spec.tasks != 1 || order.sequence < self.image.next_sequence(&order.customer) {
+            return Some(invalid);
+        }
+        let known = self.submitting.contains_key(&spec.id) || self.image.job(spec.id).is_some();
+        let waiting = self.customers.get(&order.customer);
+        if known || waiting.is_some_and(|waiting| waiting.contains_key(&order.sequence)) {
+            return Some(invalid);
+        }
+        waiting
+            .is_some_and(|waiting| waiting.len() >= ORDERS_LIMIT)
+            .then(|| refused(Reason::QueueFull, STORE_RETRY_AFTER))
+    }
+
+    pub(super) fn order_outcome(&mut self, cx: &mut Cx<'_>, reply: Reply, key: &Key) {
+        let Some(&job) = self.keys.get(key) else {
+            cx.answer(reply, Answer::NotFound);
+            return;
+        };
+        let ended = self.image.job(job).is_some_and(|job| job.end.is_some());
+        if ended {
+            self.answer_end(cx, reply, job);
+            return;
+        }
+        let answer = self
+            .status(cx, job)
+            .map_or(Answer::NotFound, Answer::Pending);
+        cx.answer(reply, answer);
+    }
+
+    /// Tells whether `job` is an order that may have been started.
+    pub(super) fn order_may_run(&self, job: id::Job) -> bool {
+        let is_order = self
+            .image
+            .job(job)
+            .is_some_and(|job| job.spec.order.is_some());
+        let task = id::Task { job, index: 0 };
+        is_order && self.live.get(&task).is_some_and(|live| live.may_run)
+    }
+
+    /// Removes an order from its customer's sequence.
+    pub(super) fn order_closed(&mut self, order: &Order, job: id::Job) {
+        if let Some(waiting) = self.customers.get_mut(&order.customer) {
+            if waiting.get(&order.sequence) == Some(&job) {
+                waiting.remove(&order.sequence);
+            }
+            if waiting.is_empty() {
+                self.customers.remove(&order.customer);
+            }
+        }
+        self.ready.insert(order.customer.clone());
+    }
+
+    /// Returns the records that end an order. One that ran or may have run
+    /// lets the customer's next order proceed; the place of one that certainly
+    /// did not run stays open for another.
+    pub(super) fn order_end_records(
+        &self,
+        job: id::Job,
+        phase: Phase,
+        reason: Option<Reason>,
+    ) -> Vec<Record> {
+        let order = self
+            .image
+            .job(job)
+            .and_then(|found| found.spec.order.as_ref());
+        let mut records = Vec::new();
+        if let Some(order) = order.filter(|_| consumes_sequence(phase)) {
+            records.push(Record::Advanced {
+                customer: order.customer.clone(),
+                next: order.sequence + 1,
+            });
+        }
+        records.push(Record::Closed {
+            job,
+            phase,
+            reason,
+            at: self.wall,
+        });
+        records
+    }
+
+    /// Ends an order whose attempt may have run and will never be known.
+    pub(super) fn order_unknown(&mut self, cx: &mut Cx<'_>, attempt: Attempt, over: Over) {
+        let mut records = vec![Record::Ended {
+            attempt,
+            over,
+            checkpoint: None,
+        }];
+        records.extend(self.order_end_records(attempt.task.job, Phase::Unknown, None));
+        self.mark_closing(attempt.task.job);
+        self.append_end(cx, attempt, records);
+    }
+
+    /// Refuses an order at its deadline, unless it may have been started.
+    pub(super) fn order_deadline(&mut self, cx: &mut Cx<'_>, job: id::Job, order: &Order) {
+        if self.order_may_run(job) {
+            return;
+        }
+        let gap = order.sequence > self.image.next_sequence(&order.customer);
+        if gap {
+            self.end_job(cx, job, Phase::Refused, Some(Reason::SequenceGap));
+        } else {
+            self.end_job(cx, job, Phase::Expired, None);
+        }
+    }
+
+    /// Answers the calls whose own deadline has passed while the order may
+    /// still run. Calls for an order that is being closed get a little longer,
+    /// because the record that settles their answer is being written.
+    pub(super) fn answer_late_waiters(&mut self, cx: &mut Cx<'_>, job: id::Job) {
+        let Some(open) = self.open.get_mut(&job) else {
+            return;
+        };
+        let closing = open.closing || open.ending.is_some();
+        let grace = if closing { CLOSE_GRACE } else { Millis::ZERO };
+        let now = cx.now;
+        open.waiters.retain(|waiter| {
+            let late = waiter
+                .deadline
+                .is_some_and(|deadline| deadline + grace <= now);
+            if late {
+                let outcome = Outcome::Expired { ran: Ran::Unknown };
+                cx.answer(waiter.reply, Answer::Outcome(outcome));
+            }
+            !late
+        });
+        if closing && !open.waiters.is_empty() {
+            self.timers.insert((now + grace, Timer::Deadline(job)));
+        }
+    }
+
+    /// Places the next order of every customer that may have one ready.
+    pub(super) fn dispatch_orders(&mut self, cx: &mut Cx<'_>) {
+        if self.lost {
+            return;
+        }
+        for customer in std::mem::take(&mut self.ready) {
+            let next = self.image.next_sequence(&customer);
+            let waiting = self.customers.get(&customer);
+            let Some(&job) = waiting.and_then(|waiting| waiting.get(&next)) else {
+                continue;
+            };
+            if !self.place_order(cx, job) {
+                self.ready.insert(customer);
+            }
+        }
+    }
+
+    /// Places an order that is next in its sequence. Returns false if it has
+    /// to be tried again later.
+    fn place_order(&mut self, cx: &mut Cx<'_>, job: id::Job) -> bool {
+        let task = id::Task { job, index: 0 };
+        let Some(open) = self.open.get(&job) else {
+            return true;
+        };
+        if open.closing || open.ending.is_some() || self.live.contains_key(&task) {
+            return true;
+        }
+        let Some(found) = self.image.job(job) else {
+            return true;
+        };
+        let spec = std::sync::Arc::clone(&found.spec);
+        let route = placement::Route {
+            service: &spec.service,
+            data_centres: &spec.data_centres,
+        };
+        let Some((worker, incarnation)) = cx.planner.endpoint(&route) else {
+            return false;
+        };
+        cx.planner.order_placed(&worker);
+        self.place(cx, task, worker, incarnation, spec.size);
+        true
+    }
+
+    pub(super) fn order_reason(
+        &self,
+        cx: &mut Cx<'_>,
+        id: id::Job,
+        job: &Job,
+        order: &Order,
+    ) -> Option<Reason> {
+        if order.sequence > self.image.next_sequence(&order.customer) {
+            return Some(Reason::SequenceGap);
+        }
+        if self.live.contains_key(&id::Task { job: id, index: 0 }) {
+            return None;
+        }
+        let route = placement::Route {
+            service: &job.spec.service,
+            data_centres: &job.spec.data_centres,
+        };
+        cx.planner
+            .endpoint(&route)
+            .is_none()
+            .then_some(Reason::NoEndpoint)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/owner/recover.rs
@@ -0,0 +1,192 @@
+//! Rebuilds an owner from the durable state of its slice.
+
+use {
+    super::{
+        lease_end,
+        order::key_of,
+        state::{Live, Timer},
+        Authority, Cx, Image, Owner, Ticket, LEASE, RETENTION,
+    },
+    crate::{
+        attempt::Attempt,
+        placement::{Planner, Running},
+    },
+    filbertbend_state::{
+        id,
+        time::{Instant, Wall},
+        unit::Millis,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// What a new owner starts from.
+#[derive(Debug)]
+pub struct Recovery {
+    /// The slice.
+    pub slice: id::Slice,
+    /// Its durable state, after the new owner's epoch record is durable.
+    pub image: Image,
+    /// The wall clock.
+    pub wall: Wall,
+    /// Until when the new owner may grant.
+    pub authority: Authority,
+    /// When the new owner claimed the slice, from after the store answered.
+    pub claimed_at: Instant,
+    /// How long after the claim a former owner's leases may last: the
+    /// ownership horizon, or what its record of a graceful hand-over says.
+    pub hold: Millis,
+}
+
+impl Owner {
+    /// Makes the owner of a slice that nobody has owned before.
+    pub fn new(slice: id::Slice, wall: Wall, authority: Authority) -> Self {
+        Self {
+            slice,
+            image: Image::default(),
+            authority,
+            hold_until: Instant::default(),
+            lost: false,
+            store_available: true,
+            wall,
+            ticket: Ticket::default(),
+            writes: BTreeMap::new(),
+            submitting: BTreeMap::new(),
+            open: BTreeMap::new(),
+            live: BTreeMap::new(),
+            by_worker: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            chunks: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            fetches: BTreeMap::new(),
+            timers: BTreeSet::new(),
+        }
+    }
+
+    /// Makes the owner of a slice from the state that former owners left.
+    ///
+    /// Every attempt that they placed counts as possibly running until its
+    /// agent says otherwise or the leases that they may have granted are over.
+    /// Tell the owner of every known agent next, with
+    /// [`Event::Agent`](super::Event::Agent).
+    pub fn recover(
+        now: Instant,
+        recovery: Recovery,
+        planner: &mut Planner,
+        actions: &mut Vec<super::Action>,
+    ) -> Self {
+        let mut owner = Self::new(recovery.slice, recovery.wall, recovery.authority);
+        owner.hold_until = lease_end(recovery.claimed_at, recovery.hold);
+        owner.image = recovery.image;
+        let cx = &mut Cx {
+            now,
+            planner,
+            actions,
+        };
+        let jobs: Vec<id::Job> = owner.image.jobs().map(|(job, _)| job).collect();
+        for job in jobs {
+            owner.recover_job(cx, job);
+        }
+        owner.settle(cx);
+        owner.dispatch_orders(cx);
+        owner
+    }
+
+    fn recover_job(&mut self, cx: &mut Cx<'_>, id: id::Job) {
+        let Some(job) = self.image.job(id) else {
+            return;
+        };
+        let spec = std::sync::Arc::clone(&job.spec);
+        let end = job.end.clone();
+        if let Some(order) = &spec.order {
+            self.recover_key(id, key_of(&spec, order));
+        }
+        if let Some(end) = end {
+            let at = self.instant(cx.now, end.at + RETENTION);
+            self.timers.insert((at, Timer::Forget(id)));
+            return;
+        }
+        let open = self.open_job(cx.now, id, &spec);
+        self.open.insert(id, open);
+        if let Some(order) = &spec.order {
+            self.customers
+                .entry(order.customer.clone())
+                .or_default()
+                .insert(order.sequence, id);
+            self.ready.insert(order.customer.clone());
+        }
+        for index in 0..spec.tasks {
+            let task = id::Task { job: id, index };
+            if !self.recover_task(cx, task) {
+                self.enqueue(cx, task);
+            }
+        }
+    }
+
+    /// Lets a key name the newest order that was sent with it.
+    fn recover_key(&mut self, id: id::Job, key: super::state::Key) {
+        let accepted = |job: id::Job| {
+            self.image
+                .job(job)
+                .map(|job| (job.end.is_none(), job.accepted_at))
+        };
+        let newer = self
+            .keys
+            .get(&key)
+            .is_none_or(|known| accepted(*known) <= accepted(id));
+        if newer {
+            self.keys.insert(key, id);
+        }
+    }
+
+    /// Takes over the current attempt of a task. Returns false if it has none.
+    fn recover_task(&mut self, cx: &mut Cx<'_>, task: id::Task) -> bool {
+        let (Some(found), Some(job)) = (self.image.task(task), self.image.job(task.job)) else {
+            return false;
+        };
+        let Some(current) = &found.current else {
+            return false;
+        };
+        if job.spec.order.is_none() {
+            cx.planner.running(
+                cx.now,
+                Running {
+                    slice: self.slice,
+                    task,
+                    worker: current.worker.clone(),
+                    team: job.spec.team.clone(),
+                    service: job.spec.service.clone(),
+                    class: job.spec.class,
+                    size: current.size,
+                    run_time: job.spec.run_time,
+                },
+            );
+        }
+        let attempt = Attempt {
+            task,
+            number: found.attempt,
+        };
+        let live = Live {
+            attempt,
+            worker: current.worker.clone(),
+            incarnation: current.incarnation,
+            placing: false,
+            may_run: true,
+            lease_end: self.hold_until.max(lease_end(cx.now, LEASE)),
+            writing: false,
+            start_resend_at: cx.now,
+            start_give_up_at: cx.now,
+            evicting: None,
+            cancel_resend_at: None,
+            withdraw_resend_at: None,
+            checkpoint: None,
+            storing: None,
+            timer: None,
+        };
+        self.insert_live(live);
+        self.arm_task(cx.now, task);
+        true
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/owner/report.rs
@@ -0,0 +1,335 @@
+//! Acts on the reports of agents about the attempts that they hold.
+
+use {
+    super::{
+        lease_end,
+        state::{Agent, Live, Timer},
+        Action, Counter, Cx, Over, Owner, Record, COMMAND_RESEND_INTERVAL, LEASE, RETENTION,
+    },
+    crate::attempt::{self, Attempt, Command, End, Report},
+    filbertbend_state::{
+        id,
+        time::{Instant, Wall},
+        unit::Millis,
+    },
+};
+
+impl Live {
+    /// Tells whether what the agent says now is proof about what it did with
+    /// the attempt before: it is if the agent has not restarted since.
+    fn same_life(&self, agent: Option<&Agent>) -> bool {
+        agent.is_some_and(|agent| agent.incarnation == self.incarnation)
+    }
+
+    /// Takes note that the attempt is not on its restarted agent. A start that
+    /// the former agent sent to the worker may still be on its way, but its
+    /// lease began before now.
+    fn bound_lease(&mut self, now: Instant) {
+        self.lease_end = self.lease_end.min(lease_end(now, LEASE));
+    }
+}
+
+impl Owner {
+    pub(super) fn report(
+        &mut self,
+        cx: &mut Cx<'_>,
+        worker: &id::Worker,
+        attempt: Attempt,
+        report: Report,
+    ) {
+        let agent = self.agents.get(worker).copied();
+        let current = self
+            .live
+            .get(&attempt.task)
+            .is_some_and(|live| live.attempt == attempt && live.worker == *worker);
+        if !current {
+            self.stale_report(cx, worker, attempt, &report);
+            return;
+        }
+        let Some(live) = self.live.get_mut(&attempt.task) else {
+            return;
+        };
+        if live.placing || live.writing {
+            return;
+        }
+        let proof = !live.may_run || live.same_life(agent.as_ref());
+        match report {
+            Report::Claim { nonce } => self.claim(cx, attempt, nonce),
+            Report::Renew { nonce } => self.renew(cx, attempt, nonce),
+            Report::Checkpointed { number } => self.checkpointed(cx, attempt, number),
+            Report::Started => live.withdraw_resend_at = None,
+            Report::Refused { reason } if proof => {
+                cx.planner.vacated(attempt.task);
+                cx.planner.refused(worker, reason);
+                self.end_attempt(cx, attempt, Over::Refused(reason), None);
+            }
+            Report::Withdrawn if proof => {
+                cx.planner.vacated(attempt.task);
+                self.end_attempt(cx, attempt, Over::Withdrawn, None);
+            }
+            Report::Refused { .. } | Report::Withdrawn => {
+                live.withdraw_resend_at = None;
+                live.bound_lease(cx.now);
+                self.arm_task(cx.now, attempt.task);
+            }
+            Report::Stopped { checkpoint } => {
+                cx.planner.vacated(attempt.task);
+                self.stopped(cx, attempt, checkpoint);
+            }
+            Report::Ended(end) => {
+                cx.planner.vacated(attempt.task);
+                self.ended(cx, attempt, end);
+            }
+        }
+    }
+
+    /// Answers a claim. The first grant needs the entry's own store lease;
+    /// without it the claim stays unanswered and the agent claims again.
+    fn claim(&mut self, cx: &mut Cx<'_>, attempt: Attempt, nonce: id::Nonce) {
+        let ends = self.is_ending(attempt.task.job);
+        let Some(live) = self.live.get_mut(&attempt.task) else {
+            return;
+        };
+        let restarted = self
+            .agents
+            .get(&live.worker)
+            .is_some_and(|agent| agent.incarnation != live.incarnation);
+        let (worker, may_run) = (live.worker.clone(), live.may_run);
+        if ends || restarted {
+            cx.count(Counter::Denied);
+            self.send(cx, worker, attempt, Command::Deny { nonce });
+            if !may_run {
+                self.abandon(cx, attempt);
+            }
+            return;
+        }
+        if cx.now >= self.authority.first_grants_until {
+            return;
+        }
+        if !may_run {
+            cx.count(Counter::Started);
+        }
+        self.grant(cx, attempt, nonce);
+    }
+
+    fn renew(&mut self, cx: &mut Cx<'_>, attempt: Attempt, nonce: id::Nonce) {
+        let ends = self.is_ending(attempt.task.job);
+        let Some(live) = self.live.get_mut(&attempt.task) else {
+            return;
+        };
+        let worker = live.worker.clone();
+        if !live.may_run {
+            cx.count(Counter::Denied);
+            self.send(cx, worker, attempt, Command::Deny { nonce });
+            return;
+        }
+        if ends {
+            self.send(cx, worker, attempt, Command::Cancel);
+            return;
+        }
+        if cx.now >= live.lease_end {
+            return;
+        }
+        live.withdraw_resend_at = None;
+        self.grant(cx, attempt, nonce);
+    }
+
+    fn is_ending(&self, job: id::Job) -> bool {
+        self.open
+            .get(&job)
+            .is_none_or(|open| open.ending.is_some() || open.closing)
+    }
+
+    /// Grants a lease that ends before the ownership horizon.
+    fn grant(&mut self, cx: &mut Cx<'_>, attempt: Attempt, nonce: id::Nonce) {
+        let horizon = self.authority.renewals_until.since(cx.now);
+        let lease = LEASE.min(horizon);
+        let Some(live) = self.live.get_mut(&attempt.task) else {
+            return;
+        };
+        if lease == Millis::ZERO {
+            return;
+        }
+        live.may_run = true;
+        live.lease_end = live.lease_end.max(lease_end(cx.now, lease));
+        let worker = live.worker.clone();
+        cx.planner.claimed(cx.now, attempt.task);
+        self.send(cx, worker, attempt, Command::Grant { nonce, lease });
+        self.arm_task(cx.now, attempt.task);
+    }
+
+    /// Records a checkpoint of the current attempt.
+    fn checkpointed(&mut self, cx: &mut Cx<'_>, attempt: Attempt, number: id::Checkpoint) {
+        let newest = self
+            .image
+            .task(attempt.task)
+            .and_then(|task| task.checkpoint);
+        let Some(live) = self.live.get_mut(&attempt.task) else {
+            return;
+        };
+        if newest.max(live.checkpoint) >= Some(number) {
+            return;
+        }
+        live.checkpoint = Some(number);
+        self.append(cx, vec![Record::Checkpointed { attempt, number }]);
+    }
+
+    fn stopped(&mut self, cx: &mut Cx<'_>, attempt: Attempt, checkpoint: Option<id::Checkpoint>) {
+        if self.order_may_run(attempt.task.job) {
+            self.order_unknown(cx, attempt, Over::Unknown);
+        } else {
+            self.end_attempt(cx, attempt, Over::Stopped, checkpoint);
+        }
+    }
+
+    fn ended(&mut self, cx: &mut Cx<'_>, attempt: Attempt, end: End) {
+        let order = self
+            .image
+            .job(attempt.task.job)
+            .is_some_and(|job| job.spec.order.is_some());
+        match end {
+            End::Completed(output) => self.complete(cx, attempt, output),
+            End::Failed(_) | End::Unknown if order => {
+                self.order_unknown(cx, attempt, Over::Unknown);
+            }
+            End::Failed(reason) => self.end_attempt(cx, attempt, Over::Failed(reason), None),
+            End::Unknown => {
+                let over = Over::Failed("its answer was lost".into());
+                self.end_attempt(cx, attempt, over, None);
+            }
+        }
+    }
+
+    /// Answers a report on an attempt that is not current. Attempts that this
+    /// owner does not know of may belong to a newer owner and stay unanswered.
+    fn stale_report(
+        &mut self,
+        cx: &mut Cx<'_>,
+        worker: &id::Worker,
+        attempt: Attempt,
+        report: &Report,
+    ) {
+        if !self.is_known(attempt) {
+            return;
+        }
+        let command = match report {
+            Report::Claim { nonce } | Report::Renew { nonce } => {
+                cx.count(Counter::Denied);
+                Command::Deny { nonce: *nonce }
+            }
+            Report::Refused { .. } | Report::Stopped { .. } | Report::Ended(_) => Command::Ack,
+            Report::Started => Command::Cancel,
+            Report::Withdrawn | Report::Checkpointed { .. } => return,
+        };
+        self.send(cx, worker.clone(), attempt, command);
+    }
+
+    /// Tells whether `attempt` is one that this owner or a former one placed.
+    fn is_known(&self, attempt: Attempt) -> bool {
+        match self.image.task(attempt.task) {
+            Some(task) => attempt.number <= task.attempt,
+            None => {
+                let created = Wall(attempt.task.job.0.timestamp_ms());
+                self.image.job(attempt.task.job).is_none() && created + RETENTION < self.wall
+            }
+        }
+    }
+
+    /// Takes note of an agent and asks it for its attempts of this slice, so
+    /// that it rejects the commands of former owners from then on.
+    pub(super) fn agent_appeared(
+        &mut self,
+        cx: &mut Cx<'_>,
+        worker: id::Worker,
+        incarnation: id::Incarnation,
+    ) {
+        let known = self.agents.get(&worker);
+        if known.is_some_and(|agent| agent.incarnation == incarnation && agent.adopted) {
+            return;
+        }
+        let agent = Agent {
+            incarnation,
+            adopted: false,
+        };
+        self.agents.insert(worker.clone(), agent);
+        self.adopt(cx, worker);
+    }
+
+    /// Asks an agent for its attempts, again until it answers.
+    pub(super) fn adopt(&mut self, cx: &mut Cx<'_>, worker: id::Worker) {
+        if self.agents.get(&worker).is_none_or(|agent| agent.adopted) {
+            return;
+        }
+        let again = cx.now + COMMAND_RESEND_INTERVAL;
+        self.timers.insert((again, Timer::Adopt(worker.clone())));
+        cx.actions.push(Action::Adopt { worker });
+    }
+
+    pub(super) fn agent_down(&mut self, worker: &id::Worker) {
+        self.agents.remove(worker);
+    }
+
+    /// Compares the attempts that an agent holds with those placed on it.
+    pub(super) fn inventory(
+        &mut self,
+        cx: &mut Cx<'_>,
+        worker: &id::Worker,
+        attempts: &[(Attempt, attempt::Phase)],
+    ) {
+        if let Some(agent) = self.agents.get_mut(worker) {
+            agent.adopted = true;
+        }
+        for (attempt, phase) in attempts {
+            self.inventory_item(cx, worker, *attempt, *phase);
+        }
+        let placed = self.by_worker.get(worker).cloned().unwrap_or_default();
+        for task in placed {
+            let listed = attempts.iter().any(|(attempt, _)| attempt.task == task);
+            let Some(live) = self.live.get(&task) else {
+                continue;
+            };
+            if !listed && live.may_run && !live.placing && !live.writing {
+                self.withdraw(cx, task);
+            }
+        }
+    }
+
+    fn inventory_item(
+        &mut self,
+        cx: &mut Cx<'_>,
+        worker: &id::Worker,
+        attempt: Attempt,
+        phase: attempt::Phase,
+    ) {
+        let live = self.live.get_mut(&attempt.task);
+        let live = live.filter(|live| live.attempt == attempt && live.worker == *worker);
+        match (live, phase) {
+            (Some(live), _) => {
+                live.withdraw_resend_at = None;
+                cx.count(Counter::Adopted);
+            }
+            (None, attempt::Phase::Running | attempt::Phase::Reserved) => {
+                if self.is_known(attempt) {
+                    self.send(cx, worker.clone(), attempt, Command::Cancel);
+                }
+            }
+            (None, attempt::Phase::Ended) => {
+                if self.is_known(attempt) {
+                    self.send(cx, worker.clone(), attempt, Command::Ack);
+                }
+            }
+        }
+    }
+
+    /// Asks for proof that an attempt which the agent did not list never
+    /// starts.
+    pub(super) fn withdraw(&mut self, cx: &mut Cx<'_>, task: id::Task) {
+        let Some(live) = self.live.get_mut(&task) else {
+            return;
+        };
+        live.withdraw_resend_at = Some(cx.now + COMMAND_RESEND_INTERVAL);
+        let (worker, attempt) = (live.worker.clone(), live.attempt);
+        self.send(cx, worker, attempt, Command::Withdraw);
+        self.arm_task(cx.now, task);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/placement/grid.rs
@@ -0,0 +1,240 @@
+//! An index of the workers of one data centre by their free room.
+//!
+//! Free room is divided into levels. A worker is in the cell of its levels, and
+//! a bit mask for each row of cells tells which are occupied, so the time of a
+//! query depends on the number of levels and not on the number of workers.
+
+use filbertbend_state::{
+    room::Room,
+    unit::{Accelerators, Bytes, Cores},
+};
+
+/// Levels of processor time and of memory.
+const LEVELS: usize = 32;
+
+/// Levels of accelerators; the highest one also holds all larger counts.
+const ACCELERATOR_LEVELS: usize = 17;
+
+/// Cells that are examined for the best fit.
+const BEST_CELLS: usize = 8;
+
+/// Workers that are examined in one cell.
+const WORKERS_PER_CELL: usize = 16;
+
+/// Workers that are examined in all before a query gives up.
+const WORKERS_LIMIT: usize = 512;
+
+/// The place of a worker in the index.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Cell {
+    accelerators: u8,
+    cores: u8,
+    memory: u8,
+}
+
+/// The index of one data centre.
+#[derive(Debug)]
+pub(super) struct Grid {
+    /// The largest amounts, which the levels divide.
+    scale: Room,
+    /// For each accelerator level and core level, the occupied memory levels.
+    masks: [[u32; LEVELS]; ACCELERATOR_LEVELS],
+    /// For each accelerator level and core level, the workers by memory level.
+    rows: Vec<Option<Box<[Vec<u32>; LEVELS]>>>,
+}
+
+impl Grid {
+    pub(super) fn new(scale: Room) -> Self {
+        Self {
+            scale,
+            masks: [[0; LEVELS]; ACCELERATOR_LEVELS],
+            rows: (0..LEVELS * ACCELERATOR_LEVELS).map(|_| None).collect(),
+        }
+    }
+
+    /// Returns the largest amounts that the index tells apart.
+    pub(super) fn scale(&self) -> Room {
+        self.scale
+    }
+
+    pub(super) fn cell(&self, free: &Room) -> Cell {
+        let level = |free: u64, scale: u64| {
+            let top = LEVELS as u64 - 1;
+            (free * top).checked_div(scale).unwrap_or(0).min(top) as u8
+        };
+        Cell {
+            accelerators: (free.accelerators.0 as usize).min(ACCELERATOR_LEVELS - 1) as u8,
+            cores: level(free.cores.0, self.scale.cores.0),
+            memory: level(free.memory.0, self.scale.memory.0),
+        }
+    }
+
+    pub(super) fn insert(&mut self, cell: Cell, worker: u32) {
+        let (a, c, m) = cell.indices();
+        let row = self.rows[a * LEVELS + c].get_or_insert_with(Box::default);
+        row[m].push(worker);
+        self.masks[a][c] |= 1 << m;
+    }
+
+    pub(super) fn remove(&mut self, cell: Cell, worker: u32) {
+        let (a, c, m) = cell.indices();
+        let Some(row) = &mut self.rows[a * LEVELS + c] else {
+            return;
+        };
+        if let Some(position) = row[m].iter().position(|found| *found == worker) {
+            row[m].swap_remove(position);
+        }
+        if row[m].is_empty() {
+            self.masks[a][c] &= !(1 << m);
+        }
+    }
+
+    /// Returns the smallest free room of a worker in `cell`.
+    fn corner(&self, cell: Cell) -> Room {
+        let top = LEVELS as u64 - 1;
+        Room {
+            cores: Cores(u64::from(cell.cores) * self.scale.cores.0 / top),
+            memory: Bytes(u64::from(cell.memory) * self.scale.memory.0 / top),
+            accelerators: Accelerators(cell.accelerators.into()),
+        }
+    }
+
+    /// Returns the worker with the lowest score, among those in the cells that
+    /// fit `need` most closely. `score` returns `None` for a worker that does
+    /// not qualify.
+    pub(super) fn best(
+        &self,
+        need: &Room,
+        score: impl Fn(u32) -> Option<f64>,
+    ) -> Option<(f64, u32)> {
+        let low = self.cell(need);
+        let mut budget = WORKERS_LIMIT;
+        let mut best: Option<(f64, u32)> = None;
+        for (_, cell) in self.closest(low, need).into_iter().flatten() {
+            let (a, c, m) = cell.indices();
+            let Some(row) = &self.rows[a * LEVELS + c] else {
+                continue;
+            };
+            budget = budget.saturating_sub(row[m].len().min(WORKERS_PER_CELL));
+            let workers = row[m].iter().rev().take(WORKERS_PER_CELL);
+            better(&mut best, workers, &score);
+        }
+        best.or_else(|| self.any(low, budget, score))
+    }
+
+    /// Returns the occupied cells that fit `need` most closely, best first.
+    fn closest(&self, low: Cell, need: &Room) -> [Option<(f64, Cell)>; BEST_CELLS] {
+        let mut best = [None; BEST_CELLS];
+        let (low_a, low_c, low_m) = low.indices();
+        for a in low_a..ACCELERATOR_LEVELS {
+            for c in low_c..LEVELS {
+                let mut mask = self.masks[a][c] >> low_m << low_m;
+                // The lowest levels fit best; the next one is taken as well
+                // because workers at the lowest level may be just too small.
+                for _ in 0..2 {
+                    if mask == 0 {
+                        break;
+                    }
+                    let cell = Cell {
+                        accelerators: a as u8,
+                        cores: c as u8,
+                        memory: mask.trailing_zeros() as u8,
+                    };
+                    mask &= mask - 1;
+                    insert(
+                        &mut best,
+                        (waste(&self.corner(cell), need, &self.scale), cell),
+                    );
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns the best of the workers that a search through all cells meets
+    /// before its budget ends, the certain fits first.
+    fn any(
+        &self,
+        low: Cell,
+        mut budget: usize,
+        score: impl Fn(u32) -> Option<f64>,
+    ) -> Option<(f64, u32)> {
+        let (low_a, low_c, low_m) = low.indices();
+        for a in low_a..ACCELERATOR_LEVELS {
+            for c in (low_c..LEVELS).rev() {
+                let mut mask = self.masks[a][c] >> low_m << low_m;
+                while mask != 0 {
+                    let m = (u32::BITS - 1 - mask.leading_zeros()) as usize;
+                    mask &= !(1 << m);
+                    let Some(row) = &self.rows[a * LEVELS + c] else {
+                        continue;
+                    };
+                    let mut best = None;
+                    better(&mut best, row[m].iter().take(budget), &score);
+                    budget = budget.saturating_sub(row[m].len());
+                    if best.is_some() || budget == 0 {
+                        return best;
+                    }
+                }
+            }
+        }
+        None
+    }
+}
+
+impl Cell {
+    fn indices(self) -> (usize, usize, usize) {
+        (
+            self.accelerators.into(),
+            self.cores.into(),
+            self.memory.into(),
+        )
+    }
+}
+
+/// Keeps the worker with the lowest score.
+fn better<'a>(
+    best: &mut Option<(f64, u32)>,
+    workers: impl Iterator<Item = &'a u32>,
+    score: &impl Fn(u32) -> Option<f64>,
+) {
+    for worker in workers {
+        let Some(found) = score(*worker) else {
+            continue;
+        };
+        if best.is_none_or(|(known, _)| found < known) {
+            *best = Some((found, *worker));
+        }
+    }
+}
+
+/// Inserts into a short sorted list and drops the worst.
+fn insert(best: &mut [Option<(f64, Cell)>; BEST_CELLS], item: (f64, Cell)) {
+    let worse = |found: &Option<(f64, Cell)>| found.is_none_or(|found| found.0 > item.0);
+    let Some(position) = best.iter().position(worse) else {
+        return;
+    };
+    best[position..].rotate_right(1);
+    best[position] = Some(item);
+}
+
+/// The weight of accelerators against processor time and memory: they are the
+/// scarcest, so tasks that need none are kept away from them.
+const ACCELERATOR_WEIGHT: f64 = 4.0;
+
+/// Returns how much of a worker's room would be left over, weighted towards
+/// the resource of which the most is left. Lower is the better fit.
+pub(super) fn waste(free: &Room, need: &Room, scale: &Room) -> f64 {
+    let left = |free: u64, need: u64, scale: u64| {
+        let left = free.saturating_sub(need) as f64 / scale.max(1) as f64;
+        left * left
+    };
+    left(free.cores.0, need.cores.0, scale.cores.0)
+        + left(free.memory.0, need.memory.0, scale.memory.0)
+        + ACCELERATOR_WEIGHT
+            * left(
+                free.accelerators.0.into(),
+                need.accelerators.0.into(),
+                scale.accelerators.0.into(),
+            )
+}
--- /dev/null
+++ b/crates/coordination/tests/owner.rs
@@ -0,0 +1,723 @@
+//! Jobs: nothing runs twice, is lost, or is answered before it is durable.
+
+mod support;
+
+use {
+    filbertbend_coordination::{
+        attempt::{self, Command, End, Refusal, Report, Work},
+        job::{Answer, Call, Phase},
+        owner::{lease_end, Event, Record, EVICT_TIMEOUT, LEASE, RETENTION, START_TIMEOUT},
+        placement::Decision,
+    },
+    filbertbend_state::{
+        id,
+        outcome::{Outcome, Ran, Reason},
+        unit::Millis,
+    },
+    support::{
+        attempt, completed, is_deny, is_grant, job, job_id, output, owner, room, task, worker,
+        Writes, HORIZON,
+    },
+};
+
+/// Guards against an answer or a start that a new owner would not know of.
+#[test]
+fn nothing_is_answered_or_sent_before_its_record_is_durable() {
+    let mut fixture = owner(2);
+    fixture.writes = Writes::Held;
+
+    let reply = fixture.call(Call::Submit(job(1)));
+    assert_eq!(fixture.answer(reply), None);
+    assert!(fixture.starts().is_empty());
+    let submitted = fixture.held.pop_front().unwrap();
+    fixture.step(Event::Durable(submitted.0));
+    assert_eq!(fixture.answer(reply), Some(Answer::Accepted(job_id(1))));
+    assert!(fixture.starts().is_empty(), "the placement is not durable");
+    fixture.write();
+
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against a submission that is refused as not run and runs anyway.
+#[test]
+fn a_submission_that_was_not_written_never_starts() {
+    let mut fixture = owner(2);
+    fixture.writes = Writes::Held;
+
+    let reply = fixture.call(Call::Submit(job(1)));
+    fixture.drop_writes();
+    fixture.writes = Writes::AtOnce;
+    fixture.pass(Millis::from_secs(5));
+
+    let refused = Outcome::Refused {
+        reason: Reason::StoreUnavailable,
+        retry_after_ms: Millis(1000),
+    };
+    assert_eq!(fixture.answer(reply), Some(Answer::Outcome(refused)));
+    assert!(fixture.starts().is_empty());
+    assert!(fixture.journal.is_empty());
+}
+
+/// Guards against jobs accepted during an outage that nothing makes durable.
+#[test]
+fn a_submission_during_a_store_outage_is_refused_as_not_run() {
+    let mut fixture = owner(2);
+
+    fixture.step(Event::Store { available: false });
+    let answer = fixture.ask(Call::Submit(job(1)));
+
+    let refused = matches!(
+        answer,
+        Some(Answer::Outcome(Outcome::Refused {
+            reason: Reason::StoreUnavailable,
+            ..
+        }))
+    );
+    assert!(refused, "{answer:?}");
+    assert_eq!(fixture.appends, 0);
+}
+
+/// Guards against a task in two places: a claim whose `Start` was delayed
+/// until after the next placement.
+#[test]
+fn a_start_that_arrives_after_the_next_placement_is_denied() {
+    let mut fixture = owner(2);
+    fixture.call(Call::Submit(job(1)));
+    let first = fixture.started_on(attempt(1, 1)).unwrap();
+
+    // The agent does not answer, so the attempt is abandoned.
+    fixture.planner.set_liveness(
+        &worker(first),
+        filbertbend_coordination::placement::Liveness::Suspect,
+    );
+    fixture.pass(START_TIMEOUT + Millis(200));
+    let second = fixture.started_on(attempt(1, 2)).unwrap();
+    assert_ne!(first, second);
+    let granted = fixture.claim(second, attempt(1, 2));
+    let late = fixture.claim(first, attempt(1, 1));
+
+    assert!(is_grant(granted.as_ref()));
+    assert!(is_deny(late.as_ref()), "{late:?}");
+}
+
+/// Guards against a task in two places: a placement while the lease that was
+/// granted before may still be running.
+#[test]
+fn a_lost_agent_after_a_grant_is_replaced_only_after_its_lease() {
+    let mut fixture = owner(2);
+    let first = fixture.run(job(1));
+    let granted_at = fixture.now;
+
+    fixture.step(Event::Down {
+        worker: worker(first),
+    });
+    fixture.planner.set_liveness(
+        &worker(first),
+        filbertbend_coordination::placement::Liveness::Down,
+    );
+    let over = lease_end(granted_at, LEASE);
+    fixture.pass(over.since(fixture.now) - Millis(100));
+    assert_eq!(fixture.started_on(attempt(1, 2)), None);
+    fixture.pass(Millis(200));
+
+    assert_eq!(fixture.started_on(attempt(1, 2)), Some(1 - first));
+    let late = fixture.renew(first, attempt(1, 1));
+    assert!(is_deny(late.as_ref()), "{late:?}");
+}
+
+/// Guards against the drift of clocks: the owner must count longer than the
+/// slowest clock of an agent.
+#[test]
+fn a_lease_is_counted_with_two_percent_and_200_ms_of_drift() {
+    let now = filbertbend_state::time::Instant(5_000);
+
+    let end = lease_end(now, Millis::from_secs(15));
+
+    assert_eq!(end.since(now), Millis(15_500));
+}
+
+/// Guards against a task in two places when owner and agent are both replaced:
+/// the new owner does not know which renewals the former one granted.
+#[test]
+fn with_owner_and_agent_replaced_a_task_waits_for_the_horizon() {
+    let mut former = owner(2);
+    let first = former.run(job(1));
+
+    let mut fixture = former.replaced(HORIZON);
+    fixture.agent_appears(1 - first, 1);
+    fixture.inventory(1 - first, Vec::new());
+    fixture.pass(HORIZON);
+    assert_eq!(fixture.started_on(attempt(1, 2)), None);
+    fixture.pass(Millis(HORIZON.0 / 50 + 400));
+
+    assert_eq!(fixture.started_on(attempt(1, 2)), Some(1 - first));
+}
+
+/// Guards against a start by a former owner, cut off from the store, on an
+/// agent that has restarted and forgotten the newer epoch.
+#[test]
+fn a_first_grant_needs_the_owners_own_store_lease() {
+    let mut fixture = owner(2);
+    let first_grants_until = fixture.now + Millis::from_secs(4);
+    let renewals_until = fixture.now + HORIZON;
+    let running = fixture.run(job(1));
+    fixture.call(Call::Submit(job(2)));
+    let placed = fixture.started_on(attempt(2, 1)).unwrap();
+
+    fixture.step(Event::Authority(
+        filbertbend_coordination::owner::Authority {
+            first_grants_until,
+            renewals_until,
+        },
+    ));
+    fixture.now = first_grants_until;
+
+    assert_eq!(fixture.claim(placed, attempt(2, 1)), None);
+    let renewed = fixture.renew(running, attempt(1, 1));
+    assert!(is_grant(renewed.as_ref()), "{renewed:?}");
+}
+
+/// Guards against leases that outlast the wait of the next owner.
+#[test]
+fn no_grant_extends_past_the_ownership_horizon() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    let horizon = fixture.now + Millis::from_secs(5);
+
+    fixture.step(Event::Authority(
+        filbertbend_coordination::owner::Authority {
+            first_grants_until: horizon,
+            renewals_until: horizon,
+        },
+    ));
+    let renewed = fixture.renew(0, attempt(1, 1));
+    fixture.now = horizon;
+    let past = fixture.renew(0, attempt(1, 1));
+
+    let Some(Command::Grant { lease, .. }) = renewed else {
+        panic!("{renewed:?}");
+    };
+    assert_eq!(lease, Millis::from_secs(5));
+    assert_eq!(past, None);
+}
+
+/// Guards against running tasks being stopped or run twice by a hand-over.
+#[test]
+fn a_new_owner_adopts_the_attempts_that_a_reachable_agent_lists() {
+    let mut former = owner(2);
+    let first = former.run(job(1));
+
+    let mut fixture = former.replaced(HORIZON);
+    fixture.agent_appears(first, 1);
+    assert_eq!(fixture.adopts, [worker(first)]);
+    fixture.inventory(first, vec![(attempt(1, 1), attempt::Phase::Running)]);
+    let renewed = fixture.renew(first, attempt(1, 1));
+    fixture.report(first, attempt(1, 1), completed("drawn"));
+
+    assert!(is_grant(renewed.as_ref()), "{renewed:?}");
+    assert_eq!(
+        fixture.ask(Call::Result(job_id(1))),
+        Some(Answer::Outputs(vec![output("drawn")]))
+    );
+    assert!(fixture.starts().is_empty());
+}
+
+/// Guards against urgent work that waits for the horizon although its agent
+/// proves that the start never arrived.
+#[test]
+fn an_attempt_that_the_agent_does_not_list_is_withdrawn_and_placed_at_once() {
+    let mut former = owner(2);
+    former.call(Call::Submit(job(1)));
+    let first = former.started_on(attempt(1, 1)).unwrap();
+
+    let mut fixture = former.replaced(HORIZON);
+    fixture.agent_appears(first, 1);
+    fixture.inventory(first, Vec::new());
+    assert_eq!(fixture.commands(attempt(1, 1)), [Command::Withdraw]);
+    assert_eq!(fixture.started_on(attempt(1, 2)), None);
+    fixture.report(first, attempt(1, 1), Report::Withdrawn);
+
+    assert!(fixture.started_on(attempt(1, 2)).is_some());
+}
+
+/// Guards against a start that a killed agent had sent to its worker: what the
+/// restarted agent says is no proof about its former life.
+#[test]
+fn a_withdrawal_by_a_restarted_agent_counts_after_a_lease() {
+    let mut former = owner(2);
+    let first = former.run(job(1));
+
+    let mut fixture = former.replaced(HORIZON);
+    fixture.agent_appears(first, 2);
+    fixture.inventory(first, Vec::new());
+    fixture.report(first, attempt(1, 1), Report::Withdrawn);
+    fixture.pass(LEASE);
+    assert_eq!(fixture.started_on(attempt(1, 2)), None);
+    fixture.pass(Millis(700));
+
+    assert!(fixture.started_on(attempt(1, 2)).is_some());
+}
+
+/// Guards against a `Start` that reaches the agent's next life: the former
+/// life may have been granted the same attempt.
+#[test]
+fn a_claim_by_a_restarted_agent_is_denied() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+
+    fixture.agent_appears(0, 2);
+    let claimed = fixture.claim(0, attempt(1, 1));
+
+    assert!(is_deny(claimed.as_ref()), "{claimed:?}");
+    assert_eq!(fixture.started_on(attempt(1, 2)), None);
+}
+
+/// Guards against a former owner that forgets a newer owner's results.
+#[test]
+fn reports_on_attempts_that_are_not_known_stay_unanswered() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    fixture.sent.clear();
+
+    fixture.report(0, attempt(1, 2), completed("by a newer owner"));
+    fixture.report(0, attempt(9, 1), completed("by a newer owner"));
+
+    assert_eq!(fixture.sent, []);
+}
+
+/// Guards against a job that resumes twice after an eviction, or not at all.
+#[test]
+fn an_evicted_job_resumes_exactly_once_from_its_newest_checkpoint() {
+    let mut fixture = owner(2);
+    let first = fixture.run(job(1));
+    let evict = Event::Decision(Decision::Evict {
+        slice: id::Slice(0),
+        task: task(1),
+    });
+
+    fixture.report(
+        first,
+        attempt(1, 1),
+        Report::Checkpointed {
+            number: id::Checkpoint(3),
+        },
+    );
+    fixture.step(evict);
+    assert!(fixture.commands(attempt(1, 1)).contains(&Command::Evict));
+    let stopped = Report::Stopped {
+        checkpoint: Some(id::Checkpoint(4)),
+    };
+    fixture.report(first, attempt(1, 1), stopped.clone());
+    fixture.report(first, attempt(1, 1), stopped);
+
+    assert_eq!(fixture.starts().len(), 2);
+    let resumed = fixture.commands(attempt(1, 2));
+    let [Command::Start {
+        work: Work::Batch { resume, .. },
+        ..
+    }] = resumed.as_slice()
+    else {
+        panic!("{resumed:?}");
+    };
+    assert_eq!(*resume, Some(id::Checkpoint(4)));
+}
+
+/// Guards against a checkpoint that belongs to an attempt which has already
+/// been replaced: the job would resume from work that is being done again.
+#[test]
+fn a_checkpoint_after_the_eviction_was_given_up_counts_only_if_current() {
+    let mut fixture = owner(2);
+    let first = fixture.run(job(1));
+    fixture.step(Event::Decision(Decision::Evict {
+        slice: id::Slice(0),
+        task: task(1),
+    }));
+    let checkpoint = |number| Report::Checkpointed {
+        number: id::Checkpoint(number),
+    };
+
+    // The eviction is given up while renewals go on; the attempt is current.
+    while fixture.now.0 < 1_000_000 + EVICT_TIMEOUT.0 + 5_000 {
+        fixture.pass(Millis::from_secs(5));
+        fixture.renew(first, attempt(1, 1));
+    }
+    fixture.report(first, attempt(1, 1), checkpoint(1));
+    assert_eq!(
+        fixture.owner.image().task(task(1)).unwrap().checkpoint,
+        Some(id::Checkpoint(1))
+    );
+    // The agent falls silent, the task is placed again, the checkpoint is late.
+    fixture.pass(Millis::from_secs(17));
+    assert!(fixture.started_on(attempt(1, 2)).is_some());
+    fixture.report(first, attempt(1, 1), checkpoint(2));
+
+    let kept = fixture.owner.image().task(task(1)).unwrap().checkpoint;
+    assert_eq!(kept, Some(id::Checkpoint(1)));
+}
+
+/// Guards against a checkpoint record that is written after the record that
+/// ended its attempt.
+#[test]
+fn the_image_ignores_records_of_attempts_that_are_not_current() {
+    let mut fixture = owner(2);
+    let first = fixture.run(job(1));
+    fixture.report(first, attempt(1, 1), Report::Stopped { checkpoint: None });
+    let before = fixture.owner.image().clone();
+
+    let mut image = before.clone();
+    image.apply(&Record::Checkpointed {
+        attempt: attempt(1, 1),
+        number: id::Checkpoint(9),
+    });
+    image.apply(&Record::Completed {
+        attempt: attempt(1, 1),
+        output: filbertbend_coordination::owner::Stored::Inline(output("late").into()),
+    });
+
+    assert!(image == before);
+}
+
+/// Guards against the result of an attempt that was replaced.
+#[test]
+fn only_the_current_attempts_result_counts() {
+    let mut fixture = owner(2);
+    let first = fixture.run(job(1));
+    fixture.report(first, attempt(1, 1), Report::Stopped { checkpoint: None });
+    let second = fixture.started_on(attempt(1, 2)).unwrap();
+    fixture.claim(second, attempt(1, 2));
+
+    fixture.report(first, attempt(1, 1), completed("stale"));
+    fixture.report(second, attempt(1, 2), completed("fresh"));
+
+    let result = fixture.ask(Call::Result(job_id(1)));
+    assert_eq!(result, Some(Answer::Outputs(vec![output("fresh")])));
+}
+
+/// Guards against a result that is lost because it was acknowledged early.
+#[test]
+fn a_result_is_acknowledged_only_once_it_is_durable() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    fixture.writes = Writes::Held;
+
+    fixture.report(0, attempt(1, 1), completed("drawn"));
+    let early = fixture.commands(attempt(1, 1)).contains(&Command::Ack);
+    fixture.write();
+
+    assert!(!early);
+    assert!(fixture.commands(attempt(1, 1)).contains(&Command::Ack));
+}
+
+/// Guards against a wave of cancellations that leaves jobs to be started, or
+/// that costs one write each.
+#[test]
+fn of_10000_cancelled_queued_jobs_none_starts_after_its_confirmation() {
+    let mut fixture = owner(1);
+    for number in 0..4 {
+        fixture.run(job(number));
+    }
+    for number in 4..10_004 {
+        fixture.call(Call::Submit(job(number)));
+    }
+    assert_eq!(fixture.planner.waiting(), 10_000);
+    fixture.writes = Writes::Held;
+
+    let cancels: Vec<_> = (4..10_004)
+        .map(|number| fixture.call(Call::Cancel(job_id(number))))
+        .collect();
+    // Room comes free while the cancellations are being written.
+    fixture.report(0, attempt(0, 1), completed("done"));
+    assert!(cancels.iter().all(|reply| fixture.answer(*reply).is_none()));
+    assert!(fixture.held.iter().all(|(_, records)| records.len() <= 2));
+    fixture.write();
+    fixture.writes = Writes::AtOnce;
+    fixture.pass(Millis::from_secs(2));
+
+    let confirmed = Some(Answer::Outcome(Outcome::Cancelled));
+    let answers = cancels.iter().map(|reply| fixture.answer(*reply));
+    assert!(answers.into_iter().all(|answer| answer == confirmed));
+    assert_eq!(fixture.starts().len(), 4);
+}
+
+/// Guards against a start that is already on its way to the journal when the
+/// job is cancelled.
+#[test]
+fn a_cancellation_overtakes_a_placement_that_is_being_written() {
+    let mut fixture = owner(1);
+    fixture.writes = Writes::Held;
+    fixture.call(Call::Submit(job(1)));
+    let submitted = fixture.held.pop_front().unwrap();
+    fixture.step(Event::Durable(submitted.0));
+    assert_eq!(fixture.held.len(), 1, "the placement is being written");
+
+    let cancel = fixture.call(Call::Cancel(job_id(1)));
+    fixture.write();
+
+    let confirmed = Some(Answer::Outcome(Outcome::Cancelled));
+    assert_eq!(fixture.answer(cancel), confirmed);
+    assert!(fixture.starts().is_empty());
+}
+
+/// Guards against a confirmed cancellation of a task that still runs.
+#[test]
+fn a_running_job_is_confirmed_as_cancelled_only_when_it_has_stopped() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+
+    let cancel = fixture.call(Call::Cancel(job_id(1)));
+    assert!(fixture.commands(attempt(1, 1)).contains(&Command::Cancel));
+    assert_eq!(fixture.answer(cancel), None);
+    fixture.report(0, attempt(1, 1), Report::Stopped { checkpoint: None });
+
+    let confirmed = Some(Answer::Outcome(Outcome::Cancelled));
+    assert_eq!(fixture.answer(cancel), confirmed);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against grants to a task whose job was cancelled before its claim.
+#[test]
+fn a_claim_after_the_cancellation_is_denied() {
+    let mut fixture = owner(1);
+    fixture.call(Call::Submit(job(1)));
+
+    fixture.call(Call::Cancel(job_id(1)));
+    let claimed = fixture.claim(0, attempt(1, 1));
+
+    assert!(is_deny(claimed.as_ref()), "{claimed:?}");
+}
+
+/// Guards against a refused attempt that is not tried again, or tried as the
+/// same attempt, which its tombstone would refuse.
+#[test]
+fn a_refused_attempt_is_followed_by_a_new_one() {
+    let mut fixture = owner(2);
+    fixture.call(Call::Submit(job(1)));
+    let first = fixture.started_on(attempt(1, 1)).unwrap();
+
+    let reason = Refusal::NoRoom;
+    fixture.report(first, attempt(1, 1), Report::Refused { reason });
+
+    assert_eq!(fixture.started_on(attempt(1, 2)), Some(1 - first));
+}
+
+/// Guards against a job that is started after its caller has given up.
+#[test]
+fn a_job_that_has_not_started_by_its_deadline_never_starts() {
+    let mut fixture = owner(0);
+    let mut spec = job(1);
+    spec.expires_at = Some(fixture.wall() + Millis::from_secs(3));
+    fixture.call(Call::Submit(spec));
+
+    fixture.pass(Millis::from_secs(4));
+    fixture.agent_appears(0, 1);
+    fixture.pass(Millis::from_secs(1));
+
+    let expired = Outcome::Expired { ran: Ran::No };
+    assert_eq!(
+        fixture.ask(Call::Result(job_id(1))),
+        Some(Answer::Outcome(expired))
+    );
+    assert!(fixture.starts().is_empty());
+}
+
+/// Guards against a truncated result that looks complete, and against results
+/// too large for the journal.
+#[test]
+fn a_large_result_is_stored_in_chunks_and_never_returned_truncated() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    let mut large = output("");
+    large.body = (0..1_200_000_u32).map(|byte| byte as u8).collect();
+
+    let ended = Report::Ended(End::Completed(large.clone()));
+    fixture.report(0, attempt(1, 1), ended);
+    let whole = fixture.ask(Call::Result(job_id(1)));
+    fixture.chunks[1].1.truncate(1000);
+    let truncated = fixture.ask(Call::Result(job_id(1)));
+    fixture.chunks.remove(1);
+    let missing = fixture.ask(Call::Result(job_id(1)));
+
+    assert!(whole == Some(Answer::Outputs(vec![large])));
+    for answer in [truncated, missing] {
+        let refused = matches!(answer, Some(Answer::Outcome(Outcome::Refused { .. })));
+        assert!(refused, "a truncated result was returned");
+    }
+}
+
+/// Guards against a result that is recorded before its chunks are written.
+#[test]
+fn a_result_whose_chunks_failed_is_taken_from_the_agents_next_report() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    let mut large = output("");
+    large.body = vec![7; 600_000];
+    let ended = Report::Ended(End::Completed(large.clone()));
+
+    fixture.store_chunks = false;
+    fixture.report(0, attempt(1, 1), ended.clone());
+    assert!(!fixture.commands(attempt(1, 1)).contains(&Command::Ack));
+    fixture.store_chunks = true;
+    fixture.report(0, attempt(1, 1), ended);
+
+    assert!(fixture.commands(attempt(1, 1)).contains(&Command::Ack));
+    let result = fixture.ask(Call::Result(job_id(1)));
+    assert!(result == Some(Answer::Outputs(vec![large])));
+}
+
+/// Guards against results that are kept for ever, or deleted too early.
+#[test]
+fn results_are_kept_for_24_hours_and_their_chunks_deleted_after() {
+    let mut fixture = owner(1);
+    fixture.run(job(1));
+    let mut large = output("");
+    large.body = vec![7; 600_000];
+    fixture.report(0, attempt(1, 1), Report::Ended(End::Completed(large)));
+
+    fixture.now = fixture.now + RETENTION - Millis(200);
+    fixture.pass(Millis(100));
+    let kept = fixture.ask(Call::Status(job_id(1)));
+    fixture.pass(Millis(200));
+    let forgotten = fixture.ask(Call::Status(job_id(1)));
+
+    assert!(matches!(kept, Some(Answer::Status(_))), "{kept:?}");
+    assert_eq!(forgotten, Some(Answer::NotFound));
+    assert_eq!(fixture.deleted.len(), 2);
+}
+
+/// Guards against calls that never get an answer when the slice is lost, and
+/// against a refusal of what may have been written.
+#[test]
+fn calls_in_progress_are_answered_truthfully_when_the_slice_is_lost() {
+    let mut fixture = owner(0);
+    fixture.writes = Writes::Held;
+    let sent = fixture.call(Call::Submit(job(1)));
+    let queued = fixture.call(Call::Submit(job(2)));
+    let (unknown, _) = fixture.held[0];
+    let (not_written, _) = fixture.held[1];
+
+    fixture.step(Event::Lost {
+        not_written: vec![not_written],
+        unknown: vec![unknown],
+    });
+    let after = fixture.ask(Call::Submit(job(3)));
+
+    let unknown = Some(Answer::Outcome(Outcome::Unknown));
+    let refused = Some(Answer::Outcome(Outcome::Refused {
+        reason: Reason::NoOwner,
+        retry_after_ms: Millis(1000),
+    }));
+    assert_eq!(fixture.answer(sent), unknown);
+    assert_eq!(fixture.answer(queued), refused);
+    assert_eq!(after, refused);
+}
+
+/// Guards against grants by an owner that was superseded.
+#[test]
+fn an_owner_that_lost_its_slice_grants_nothing() {
+    let mut fixture = owner(1);
+    fixture.call(Call::Submit(job(1)));
+
+    fixture.step(Event::Lost {
+        not_written: Vec::new(),
+        unknown: Vec::new(),
+    });
+    let claimed = fixture.claim(0, attempt(1, 1));
+
+    assert_eq!(claimed, None);
+}
+
+/// Guards against a job that waits for ever.
+#[test]
+fn a_job_larger_than_every_worker_is_refused() {
+    let mut fixture = owner(2);
+    fixture.pass(Millis::from_secs(6));
+    let mut spec = job(1);
+    spec.size = room(65, 1, 0);
+
+    let answer = fixture.ask(Call::Submit(spec));
+
+    let refused = Outcome::Refused {
+        reason: Reason::TooLarge,
+        retry_after_ms: Millis::ZERO,
+    };
+    assert_eq!(answer, Some(Answer::Outcome(refused)));
+}
+
+/// Guards against a job that fails everywhere and is tried for ever.
+#[test]
+fn a_job_that_fails_everywhere_is_parked_with_its_trials() {
+    let mut fixture = owner(5);
+    fixture.call(Call::Submit(job(1)));
+
+    for number in 1..=3 {
+        let place = fixture.started_on(attempt(1, number)).unwrap();
+        fixture.claim(place, attempt(1, number));
+        let failed = End::Failed("exit status 1".into());
+        fixture.report(place, attempt(1, number), Report::Ended(failed));
+        fixture.pass(Millis(1200));
+    }
+
+    let Some(Answer::Status(status)) = fixture.ask(Call::Status(job_id(1))) else {
+        panic!("no status");
+    };
+    assert_eq!(status.phase, Phase::Failed);
+    assert_eq!(status.reason, Some(Reason::Parked));
+    assert_eq!(status.trials.len(), 3);
+    let mut workers: Vec<_> = status.trials.iter().map(|trial| &trial.worker).collect();
+    workers.dedup();
+    assert_eq!(workers.len(), 3, "the trials were on different workers");
+    assert_eq!(&*status.trials[0].state, "failed: exit status 1");
+    assert_eq!(fixture.starts().len(), 3);
+}
+
+/// Guards against a repeated submission that runs a job twice.
+#[test]
+fn a_repeated_submission_returns_the_same_job() {
+    let mut fixture = owner(1);
+
+    let first = fixture.ask(Call::Submit(job(1)));
+    let second = fixture.ask(Call::Submit(job(1)));
+    let mut other = job(1);
+    other.body = b"other input".to_vec();
+    let third = fixture.ask(Call::Submit(other));
+
+    assert_eq!(first, Some(Answer::Accepted(job_id(1))));
+    assert_eq!(second, first);
+    assert_eq!(third, Some(Answer::Outcome(Outcome::Invalid)));
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against state that a compaction loses.
+#[test]
+fn an_image_is_the_same_after_encoding_and_decoding_its_buckets() {
+    let mut fixture = owner(2);
+    for number in 0..40 {
+        fixture.call(Call::Submit(job(number)));
+    }
+    fixture.claim(fixture.started_on(attempt(1, 1)).unwrap(), attempt(1, 1));
+    let image = fixture.owner.image();
+
+    let mut decoded = filbertbend_coordination::owner::Image::default();
+    for bucket in 0..filbertbend_coordination::owner::BUCKETS {
+        decoded
+            .decode(bucket, &image.encode(bucket).unwrap())
+            .unwrap();
+    }
+
+    assert!(decoded == *image);
+}
+
+/// Guards against a hand-over that makes the next owner wait for the horizon.
+#[test]
+fn a_graceful_hand_over_shortens_the_wait_to_the_last_lease() {
+    let mut former = owner(2);
+    let first = former.run(job(1));
+    let hold = former.owner.lease_remaining(former.now);
+    assert_eq!(hold, Millis(15_500));
+
+    let mut fixture = former.replaced(hold);
+    fixture.agent_appears(1 - first, 1);
+    fixture.pass(Millis(17_000));
+
+    assert_eq!(fixture.started_on(attempt(1, 2)), Some(1 - first));
+}
