Add the worker stand-in: leases, checkpoints, late usage, faults, a trace

Cause: the agent's executor and its process need a worker that keeps the platform's promises (leases by the monotonic clock, usage 10 s late) and breaks the ones that a test chooses to break.

Change: worker::Model is pure and driven by the caller's clock; events happen at their own time even if nobody asks. The number of a checkpoint is the work done in milliseconds, so any worker can resume from it without shared storage. The trace holds what ran when, and worker::overlaps finds runs of one task that overlap across workers. server offers section 15 over axum with a long poll for events.

Ruled out: a shared checkpoint storage between workers (would need one process for all workers of a test); a ticker in the server (leases would end up to one tick late).

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,3 +4,4 @@
 //! they are never shipped. `docs/design.md`, section 15, lists their interfaces.
 
 pub mod store;
+pub mod worker;
