Add the agent's executor: room, leases, tombstones, orders, leaving

Cause: owners and entries decide from views that may be a second old, so the agent makes the last check, and it must keep a task from running twice when messages are lost, late or repeated, or when a process freezes or restarts.

A restarted agent answers no Withdraw for an unknown attempt and no Adopt until one lease has passed, because a start command of the former process may still reach the worker. The life cycle is a statig machine.

Ruled out: repeating a start command to the worker (not known to be idempotent on the platform; an unconfirmed start lapses with its lease); handling expiry before the event (a freeze would discard a renewal that had already arrived in time).

An agent cannot prove that an order of its former process life did not run; the owner has to compare incarnations.

--- a/crates/coordination/src/executor.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Runs attempts on one worker within its room and leases.
--- /dev/null
+++ b/crates/coordination/src/executor/machine.rs
@@ -0,0 +1,242 @@
+//! The state machine itself and the events that concern the whole agent.
+
+use {
+    super::{
+        endpoint::{Endpoint, Holder, Verdict},
+        life::{self, Life},
+        owners::Owners,
+        record::{Phase, Record},
+        tombstone::Ledger,
+        Action, Check, Event, Load, Settings, Task,
+    },
+    crate::attempt::Attempt,
+    filbertbend_state::{id, outcome::Reason, room::Room, time::Instant, unit::Millis},
+    rand::RngExt,
+    rand_chacha::ChaCha8Rng,
+    statig::blocking::{IntoStateMachineExt, StateMachine},
+    std::collections::BTreeMap,
+};
+
+/// The agent's last check and the life of every attempt beside it.
+pub struct Executor {
+    pub(super) settings: Settings,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) life: StateMachine<Life>,
+    pub(super) owners: Owners,
+    pub(super) tombstones: Ledger,
+    pub(super) records: BTreeMap<Attempt, Record>,
+    pub(super) endpoint: Endpoint,
+    /// Whether the worker's list has been read and nothing failed since.
+    pub(super) reachable: bool,
+    /// When the first event arrived.
+    pub(super) born: Option<Instant>,
+    /// Adoptions that cannot be answered yet.
+    pub(super) adoptions: BTreeMap<id::Slice, id::Epoch>,
+    left_at: Option<Instant>,
+}
+
+impl Executor {
+    /// Makes an executor that knows nothing yet.
+    ///
+    /// `rng` must differ between process lives, because it makes the nonces
+    /// that tie grants to one life.
+    pub fn new(settings: Settings, rng: ChaCha8Rng) -> Self {
+        let mut life = Life.state_machine();
+        life.init();
+        Self {
+            tombstones: Ledger::new(settings.tombstones, settings.tombstone_age),
+            endpoint: Endpoint::new(settings.slots, settings.connections),
+            settings,
+            rng,
+            life,
+            owners: Owners::default(),
+            records: BTreeMap::new(),
+            reachable: false,
+            born: None,
+            adoptions: BTreeMap::new(),
+            left_at: None,
+        }
+    }
+
+    /// Takes one event at `now` and appends what is to be done to `actions`.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.born.get_or_insert(now);
+        match event {
+            Event::CheckAsked { check, remaining } => self.ask(now, check, remaining, actions),
+            Event::CheckEnded(check) => self.release(now, Holder::Check(check), actions),
+            event => {
+                // The event first: after a freeze, a grant or an end that has
+                // waited meanwhile settles what would otherwise have expired.
+                self.handle(now, event, actions);
+                self.expire(now, actions);
+                self.answer_adoptions(now, actions);
+            }
+        }
+        self.finish_leaving(now, actions);
+    }
+
+    fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Command {
+                from,
+                slice,
+                epoch,
+                attempt,
+                command,
+            } => {
+                if !self.is_starting() && self.owners.hear(slice, epoch, from) {
+                    self.command(now, slice, attempt, command, actions);
+                }
+            }
+            Event::Adopt { from, slice, epoch } => {
+                if self.owners.hear(slice, epoch, from) {
+                    self.adoptions.insert(slice, epoch);
+                    self.report_slice(now, slice, actions);
+                }
+            }
+            Event::Tasks(list) => self.reconcile(now, list, actions),
+            Event::WorkerLost => self.reachable = false,
+            Event::Worker(event) => self.worker(now, event, actions),
+            Event::Order { attempt, delivery } => self.delivered(now, attempt, delivery, actions),
+            Event::Evict(attempt) => self.evict(now, attempt, actions),
+            Event::Leave => self.leave(now, actions),
+            Event::Tick | Event::CheckAsked { .. } | Event::CheckEnded(_) => {}
+        }
+    }
+
+    /// Returns the load, for heartbeats.
+    pub fn load(&self) -> Load {
+        Load {
+            free: self.free(),
+            slots: self.endpoint.slots_used(),
+            connections: self.endpoint.connections_used(),
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// Lists the batch tasks that run and are not being stopped.
+    pub fn tasks(&self) -> Vec<Task> {
+        self.records
+            .iter()
+            .filter_map(|(attempt, record)| match &record.phase {
+                Phase::Running(live) if live.confirmed && live.stopping.is_none() => Some(Task {
+                    attempt: *attempt,
+                    service: live.service.clone(),
+                    size: record.size,
+                    since: live.since,
+                    checkpointed: record.checkpoint.map(|(_, at)| at),
+                }),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Returns how many tombstones are kept.
+    pub fn tombstones(&self) -> usize {
+        self.tombstones.len()
+    }
+
+    /// Tells whether the process may exit.
+    pub fn is_stopped(&self) -> bool {
+        matches!(self.life.state(), life::State::Stopped {})
+    }
+
+    pub(super) fn is_starting(&self) -> bool {
+        matches!(self.life.state(), life::State::Starting {})
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        matches!(self.life.state(), life::State::Draining {}) || self.is_stopped()
+    }
+
+    /// Tells whether no command of a former process life can still reach the
+    /// worker: each carried a lease that has ended by now.
+    pub(super) fn is_settled(&self, now: Instant) -> bool {
+        self.born
+            .is_some_and(|born| now >= born + self.settings.lease)
+    }
+
+    pub(super) fn free(&self) -> Room {
+        let held = self
+            .records
+            .values()
+            .fold(Room::NONE, |sum, record| sum + record.held());
+        self.settings.room - held
+    }
+
+    pub(super) fn nonce(&mut self) -> id::Nonce {
+        id::Nonce(self.rng.random())
+    }
+
+    fn ask(&mut self, now: Instant, check: Check, remaining: Millis, actions: &mut Vec<Action>) {
+        if self.is_leaving() {
+            let reason = Reason::Leaving;
+            actions.push(Action::Refuse { check, reason });
+            return;
+        }
+        let wait = remaining.min(self.settings.wait_limit);
+        match self.endpoint.ask(now, Holder::Check(check), now + wait) {
+            Verdict::Admitted => actions.push(Action::Admit(check)),
+            Verdict::Waits => {}
+            Verdict::Full => {
+                let reason = Reason::NoRoom;
+                actions.push(Action::Refuse { check, reason });
+            }
+        }
+    }
+
+    /// Frees a slot and gives it to the next request that waits.
+    pub(super) fn release(&mut self, now: Instant, holder: Holder, actions: &mut Vec<Action>) {
+        self.endpoint.end(holder);
+        self.expire_waiting(now, actions);
+        while let Some(holder) = self.endpoint.admit_next() {
+            match holder {
+                Holder::Check(check) => actions.push(Action::Admit(check)),
+                Holder::Order(attempt) => self.order_admitted(now, attempt, actions),
+            }
+        }
+    }
+
+    /// Refuses the requests that have waited for too long.
+    pub(super) fn expire_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for holder in self.endpoint.expire(now) {
+            match holder {
+                Holder::Check(check) => {
+                    let reason = Reason::NoRoom;
+                    actions.push(Action::Refuse { check, reason });
+                }
+                Holder::Order(attempt) => self.order_waited(now, attempt, actions),
+            }
+        }
+    }
+
+    fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.is_leaving() {
+            return;
+        }
+        self.left_at = Some(now);
+        self.life.handle(&life::Event::Leave);
+        let attempts: Vec<Attempt> = self.records.keys().copied().collect();
+        for attempt in attempts {
+            self.vacate(now, attempt, actions);
+        }
+    }
+
+    /// Stops once nothing is in progress and every end is acknowledged, or the
+    /// time for acknowledgements has passed.
+    fn finish_leaving(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Some(left_at) = self.left_at else { return };
+        if self.is_stopped() || !self.endpoint.is_idle() {
+            return;
+        }
+        let in_progress = self
+            .records
+            .values()
+            .any(|record| !matches!(record.phase, Phase::Ended { .. }));
+        let waited = now >= left_at + self.settings.leave_limit;
+        if !in_progress && (self.records.is_empty() || waited) {
+            self.life.handle(&life::Event::Idle);
+            actions.push(Action::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/executor/order.rs
@@ -0,0 +1,119 @@
+//! Orders, which run at the endpoint at most once.
+
+use {
+    super::{
+        endpoint::{Holder, Verdict},
+        record::{Live, Phase, Questions, Record},
+        Action, Delivery, Executor,
+    },
+    crate::attempt::{Attempt, End, Refusal, Report, Work},
+    filbertbend_state::{id, room::Room, time::Instant},
+};
+
+impl Executor {
+    /// Takes a slot for an order, or a place in the queue.
+    pub(super) fn reserve_order(
+        &mut self,
+        now: Instant,
+        slice: id::Slice,
+        attempt: Attempt,
+        work: Work,
+        actions: &mut Vec<Action>,
+    ) {
+        let until = now + self.settings.wait_limit;
+        let verdict = self.endpoint.ask(now, Holder::Order(attempt), until);
+        if verdict == Verdict::Full {
+            self.refuse(now, slice, attempt, Refusal::NoRoom, actions);
+            return;
+        }
+        let record = Record {
+            slice,
+            size: Room::NONE,
+            phase: Phase::Waiting { work },
+            checkpoint: None,
+        };
+        self.records.insert(attempt, record);
+        if verdict == Verdict::Admitted {
+            self.order_admitted(now, attempt, actions);
+        }
+    }
+
+    /// Claims an order that has got its slot.
+    pub(super) fn order_admitted(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        if let Phase::Waiting { work } = &record.phase {
+            record.phase = Phase::Reserved {
+                work: work.clone(),
+                questions: Questions::default(),
+                since: now,
+                next_claim: now,
+            };
+            self.claim(now, attempt, actions);
+        }
+    }
+
+    /// Refuses an order that has got no slot in time.
+    pub(super) fn order_waited(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(slice) = self.records.get(&attempt).map(|record| record.slice) {
+            self.refuse(now, slice, attempt, Refusal::NoRoom, actions);
+        }
+    }
+
+    /// Hands a granted order to the endpoint.
+    pub(super) fn send_order(
+        &mut self,
+        attempt: Attempt,
+        work: Work,
+        live: Live,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        let send_by = live.lease_end;
+        record.phase = Phase::Sent(live);
+        actions.push(Action::SendOrder {
+            attempt,
+            work,
+            send_by,
+        });
+    }
+
+    /// Acts on an order that came back.
+    pub(super) fn delivered(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        delivery: Delivery,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.records.get(&attempt) else {
+            return;
+        };
+        if !matches!(record.phase, Phase::Sent(_)) {
+            return;
+        }
+        let slice = record.slice;
+        match delivery {
+            Delivery::Answered(output) => {
+                let report = Report::Ended(End::Completed(output));
+                self.end(now, attempt, report, actions);
+            }
+            Delivery::Lost => self.end(now, attempt, Report::Ended(End::Unknown), actions),
+            Delivery::NotSent => self.refuse(now, slice, attempt, Refusal::Worker, actions),
+        }
+        self.release(now, Holder::Order(attempt), actions);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/executor/task.rs
@@ -0,0 +1,235 @@
+//! Batch tasks on the worker, and what the worker says of them.
+
+use {
+    super::{
+        endpoint::Holder,
+        life,
+        record::{Live, Phase, Record, Stopping},
+        Action, Executor,
+    },
+    crate::{
+        attempt::{Attempt, End, Refusal, Report},
+        worker,
+    },
+    filbertbend_state::{id, time::Instant},
+};
+
+impl Executor {
+    /// Takes a checkpoint of a running task, then stops it.
+    pub(super) fn evict(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        let until = now + self.settings.checkpoint_limit;
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        let Phase::Running(live) = &mut record.phase else {
+            return;
+        };
+        if live.stopping.is_some() {
+            return;
+        }
+        if !live.confirmed {
+            self.stop(now, attempt, actions);
+            return;
+        }
+        live.stopping = Some(Stopping::Checkpointing { until });
+        actions.push(Action::Worker(worker::Command::Checkpoint { attempt }));
+    }
+
+    /// Stops a running task; repeated until the worker confirms it.
+    pub(super) fn stop(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        let next = now + self.settings.repeat;
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        if let Phase::Running(live) = &mut record.phase {
+            live.stopping = Some(Stopping::Sent { next });
+            live.questions.clear();
+            actions.push(Action::Worker(worker::Command::Stop { attempt }));
+        }
+    }
+
+    /// Ends what a leaving agent holds: what has not started is refused, a
+    /// running task is evicted, an order at the endpoint finishes.
+    pub(super) fn vacate(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        let Some(record) = self.records.get(&attempt) else {
+            return;
+        };
+        let slice = record.slice;
+        match record.phase {
+            Phase::Waiting { .. } | Phase::Reserved { .. } => {
+                self.refuse(now, slice, attempt, Refusal::Leaving, actions);
+                self.release(now, Holder::Order(attempt), actions);
+            }
+            Phase::Running(_) => self.evict(now, attempt, actions),
+            Phase::Sent(_) | Phase::Ended { .. } => {}
+        }
+    }
+
+    /// Acts on an event of the worker.
+    pub(super) fn worker(&mut self, now: Instant, event: worker::Event, actions: &mut Vec<Action>) {
+        match event {
+            worker::Event::Started(attempt) => self.started(now, attempt, actions),
+            worker::Event::Refused(attempt) => self.refused(now, attempt, actions),
+            worker::Event::Checkpointed(attempt, number) => {
+                self.checkpointed(now, attempt, number, actions);
+            }
+            worker::Event::Completed(attempt, output) => {
+                self.ended(now, attempt, End::Completed(output), actions);
+            }
+            worker::Event::Failed(attempt, reason) => {
+                self.ended(now, attempt, End::Failed(reason), actions);
+            }
+            worker::Event::Stopped(attempt) => self.stopped(now, attempt, actions),
+            worker::Event::Usage(_) => {}
+        }
+    }
+
+    fn started(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        match self.records.get_mut(&attempt).map(|found| &mut found.phase) {
+            Some(Phase::Running(live)) => {
+                if !live.confirmed {
+                    live.since = now;
+                }
+                live.confirmed = true;
+            }
+            Some(Phase::Ended { .. }) => {}
+            // A start command of a former process life has arrived late.
+            _ => actions.push(Action::ReadTasks),
+        }
+    }
+
+    fn refused(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        let Some(record) = self.records.get(&attempt) else {
+            return;
+        };
+        let slice = record.slice;
+        if matches!(&record.phase, Phase::Running(live) if !live.confirmed) {
+            self.refuse(now, slice, attempt, Refusal::Worker, actions);
+        }
+    }
+
+    fn checkpointed(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        number: id::Checkpoint,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        let slice = record.slice;
+        if record.checkpoint.is_none_or(|(known, _)| known < number) {
+            record.checkpoint = Some((number, now));
+        }
+        let newest = record.stopped();
+        let mut stop = false;
+        match &mut record.phase {
+            Phase::Running(live) => {
+                stop = matches!(live.stopping, Some(Stopping::Checkpointing { .. }));
+            }
+            // A checkpoint that outlasted its time limit still counts.
+            Phase::Ended { report, .. } if matches!(report, Report::Stopped { .. }) => {
+                *report = newest;
+            }
+            _ => {}
+        }
+        self.report(slice, attempt, Report::Checkpointed { number }, actions);
+        if stop {
+            self.stop(now, attempt, actions);
+        }
+    }
+
+    fn ended(&mut self, now: Instant, attempt: Attempt, end: End, actions: &mut Vec<Action>) {
+        match self.records.get(&attempt).map(|record| &record.phase) {
+            Some(Phase::Running(_)) => self.end(now, attempt, Report::Ended(end), actions),
+            None => self.end_unknown(now, attempt, Report::Ended(end), actions),
+            Some(_) => {}
+        }
+    }
+
+    fn stopped(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
+        let Some(record) = self.records.get(&attempt) else {
+            return;
+        };
+        if matches!(record.phase, Phase::Running(_)) {
+            let report = record.stopped();
+            self.end(now, attempt, report, actions);
+        }
+    }
+
+    /// Compares the worker's list with what is known.
+    pub(super) fn reconcile(
+        &mut self,
+        now: Instant,
+        list: Vec<worker::Running>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reachable = true;
+        self.life.handle(&life::Event::TasksRead);
+        self.mark_missing(&list, actions);
+        for running in list {
+            self.found(now, running, actions);
+        }
+    }
+
+    /// Stops the renewal of tasks that the list lacks. A list that was read
+    /// while the task started is settled by reading it again.
+    fn mark_missing(&mut self, list: &[worker::Running], actions: &mut Vec<Action>) {
+        for (attempt, record) in &mut self.records {
+            let Phase::Running(live) = &mut record.phase else {
+                continue;
+            };
+            let listed = list.iter().any(|running| running.attempt == *attempt);
+            if live.confirmed && !live.missing && !listed {
+                actions.push(Action::ReadTasks);
+            }
+            live.missing = live.confirmed && !listed;
+        }
+    }
+
+    fn found(&mut self, now: Instant, running: worker::Running, actions: &mut Vec<Action>) {
+        let attempt = running.attempt;
+        match self.records.get_mut(&attempt).map(|found| &mut found.phase) {
+            Some(Phase::Running(live)) => {
+                live.confirmed = true;
+                live.over_at = live.over_at.max(running.lease_end);
+                if running.lease_end < live.lease_end {
+                    let lease_end = live.lease_end;
+                    actions.push(Action::Worker(worker::Command::Extend {
+                        attempt,
+                        lease_end,
+                    }));
+                }
+            }
+            Some(Phase::Reserved { .. }) => self.adopt(now, running, actions),
+            None if self.tombstones.get(&attempt).is_none() => self.adopt(now, running, actions),
+            // It has been reported as over, so it must not run.
+            _ => actions.push(Action::Worker(worker::Command::Stop { attempt })),
+        }
+    }
+
+    /// Takes over a task that a former process life started.
+    fn adopt(&mut self, now: Instant, running: worker::Running, actions: &mut Vec<Action>) {
+        let attempt = running.attempt;
+        let born = self.born.unwrap_or(now);
+        let mut live = Live::new(running.service, now, running.lease_end, now);
+        live.confirmed = true;
+        // An extension of the former life may still reach the worker.
+        live.over_at = running.lease_end.max(born + self.settings.lease);
+        let slice = self
+            .records
+            .get(&attempt)
+            .map_or_else(|| self.slice_of(&attempt), |record| record.slice);
+        let record = Record {
+            slice,
+            size: running.size,
+            phase: Phase::Running(live),
+            checkpoint: None,
+        };
+        self.records.insert(attempt, record);
+        if self.is_leaving() {
+            self.evict(now, attempt, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/executor/main.rs
@@ -0,0 +1,6 @@
+//! Failures that the agent's executor must withstand.
+
+mod agent;
+mod leases;
+mod leaving;
+mod requests;
