--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod keys;
 pub mod slices;
 pub mod store;
+pub mod worker;
