Publish a configuration by one compare-and-swap

Operators publish against a revision while others do, over a store whose answers can be lost.

config::Publisher reads the manifest and the segments in force, writes only changed services as new immutable segments, and replaces the manifest with one compare-and-swap that carries the audit entry and the drains. A lost answer is settled by reading back: each audit entry carries a nonce, new in state::config::Change, which an equal change of another author does not have. Nothing but the own segments is deleted after a lost race, and nothing at all while the outcome is unknown. Orphans are deleted only if their key carries a revision that is in force already: no later manifest can name those.

Ruled out: recognizing the own manifest by its bytes, because a later publish replaces it and two equal publishes have the same bytes; one read for each segment, because listing takes 8 calls for 2000 services.

Conclusion: the publisher is complete; drains use the same path.

--- /dev/null
+++ b/crates/coordination/src/config/publisher/mod.rs
@@ -0,0 +1,574 @@
+//! Publishes a change of the configuration.
+
+mod calls;
+mod draft;
+
+use {
+    self::{
+        calls::Calls,
+        draft::{Base, Draft, Write},
+    },
+    super::{codec, key, Difference},
+    crate::store::{Answer, Call, Expect, Pair, Ticket},
+    filbertbend_state::{
+        config::{Change, Manifest},
+        id,
+        service::Declaration,
+        time::{Instant, Wall},
+        unit::Millis,
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// How long the store may make no progress before the publish gives up.
+pub(super) const PATIENCE: Millis = Millis(10_000);
+
+/// The pause before a call is made again.
+const RETRY_PAUSE: Millis = Millis(200);
+
+/// Writes and deletes in flight. Two at 5 ms each use a part of the several
+/// hundred writes per second that the store takes for all processes.
+const WRITES_IN_FLIGHT: usize = 2;
+
+/// Pairs asked for in one page of a listing.
+const PAGE_LIMIT: u32 = 256;
+
+/// What an operator wants to change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Intent {
+    /// Puts these declarations in force.
+    Services {
+        /// The declarations, each name once.
+        services: Vec<Declaration>,
+        /// Whether services that are not among them stay in force.
+        keep_others: bool,
+    },
+    /// Gives an endpoint no new work.
+    Drain(id::Endpoint),
+    /// Gives an endpoint work again.
+    Undrain(id::Endpoint),
+}
+
+/// One publish.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// What to change.
+    pub intent: Intent,
+    /// Who changes it.
+    pub author: Arc<str>,
+    /// When, by the author's clock.
+    pub at: Wall,
+    /// The revision that the author reviewed, if the publish must be made
+    /// against exactly that one.
+    pub expected: Option<id::Revision>,
+}
+
+/// What a publish would do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// The revision that it is made against.
+    pub base: id::Revision,
+    /// What changes.
+    pub difference: Difference,
+}
+
+/// How a publish ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It is in force.
+    Published(Change),
+    /// The configuration already is as wanted, at this revision.
+    Unchanged(id::Revision),
+    /// The operator declined the plan; nothing changed.
+    Declined,
+    /// Another publish came first; nothing of this one is in force.
+    LostRace {
+        /// The revision that this publish was made against.
+        base: id::Revision,
+        /// The change that came first, if it could be read.
+        winner: Option<Change>,
+    },
+    /// The store did not take it; nothing of it is in force.
+    Unavailable,
+    /// It may be in force, now or later, as this change.
+    Unknown(Change),
+    /// A value in the store cannot be read, or one to be written is too large;
+    /// nothing of the publish is in force.
+    Rejected {
+        /// The key of the value.
+        key: Arc<str>,
+        /// What is wrong with it.
+        error: codec::Error,
+    },
+}
+
+/// What happens to a [`Publisher`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// Time passed. The first one starts the publish.
+    Tick,
+    /// The store answered a call.
+    Answer(Ticket, Answer),
+    /// The operator agrees to the plan.
+    Proceed,
+    /// The operator declines the plan.
+    Decline,
+}
+
+/// What a [`Publisher`] wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Makes a store call and reports its answer under the ticket.
+    Store(Ticket, Call),
+    /// Shows the plan; the publish waits for [`Event::Proceed`].
+    Plan(Plan),
+    /// The publish ended and takes no further event.
+    Done(Outcome),
+}
+
+/// What the publisher does at the moment.
+enum Phase {
+    /// Has not started.
+    Idle,
+    /// Waits for the manifest.
+    Reading,
+    /// Waits for the segments in force.
+    Listing(Base),
+    /// Waits for the operator.
+    Planned(Draft),
+    /// Writes the values that the new manifest names.
+    Writing(Draft, Vec<Write>, BTreeMap<Ticket, Write>),
+    /// Waits for the answer of the compare-and-swap.
+    Swapping(Draft),
+    /// Reads the manifest back.
+    Settling(Draft),
+    /// Deletes values that no manifest names.
+    Tidying(Outcome, Vec<Arc<str>>),
+    /// Has ended.
+    Ended,
+}
+
+/// Publishes one change against the revision that it read.
+///
+/// New values are written first, then one compare-and-swap of the manifest
+/// puts the change with its audit entry in force. The audit entry's nonce
+/// tells whether a manifest that is read back contains the change.
+pub struct Publisher {
+    request: Request,
+    rng: ChaCha8Rng,
+    calls: Calls,
+    phase: Phase,
+    retry_at: Option<Instant>,
+    deadline: Instant,
+    /// Whether a compare-and-swap may have taken effect without an answer.
+    doubt: bool,
+    /// Whether a compare-and-swap certainly met another manifest.
+    conflict: bool,
+}
+
+impl Publisher {
+    /// Makes a publish. `seed` must differ from that of every other publish,
+    /// because it makes the keys of new values unique.
+    pub fn new(request: Request, seed: u64) -> Self {
+        Self {
+            request,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            calls: Calls::default(),
+            phase: Phase::Idle,
+            retry_at: None,
+            deadline: Instant::default(),
+            doubt: false,
+            conflict: false,
+        }
+    }
+
+    /// Returns when the publisher needs the next [`Event::Tick`], or `None` if
+    /// it waits for the operator or has ended.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let calls = self.calls.next_limit();
+        match (self.retry_at, calls) {
+            (Some(retry), Some(limit)) => Some(retry.min(limit)),
+            (retry, limit) => retry.or(limit),
+        }
+    }
+
+    /// Takes one event and adds the actions that follow from it.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Answer(ticket, answer) => {
+                if self.calls.answered(ticket) {
+                    self.answer(now, ticket, answer, actions);
+                }
+            }
+            Event::Proceed => self.proceed(now, actions),
+            Event::Decline => {
+                if matches!(self.phase, Phase::Planned(_)) {
+                    self.done(Outcome::Declined, actions);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Idle) {
+            self.deadline = now + PATIENCE;
+            return self.read(now, actions);
+        }
+        for ticket in self.calls.overdue(now) {
+            self.answer(now, ticket, Answer::Lost, actions);
+        }
+        if self.retry_at.is_some_and(|at| at <= now) {
+            self.retry_at = None;
+            self.resume(now, actions);
+        }
+    }
+
+    /// Makes the call again that failed.
+    fn resume(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match &self.phase {
+            Phase::Reading | Phase::Listing(_) => self.read(now, actions),
+            Phase::Writing(..) => self.write(now, actions),
+            Phase::Swapping(_) => self.swap(now, actions),
+            Phase::Settling(_) => self.settle(now, actions),
+            Phase::Idle | Phase::Planned(_) | Phase::Tidying(..) | Phase::Ended => {}
+        }
+    }
+
+    fn answer(&mut self, now: Instant, ticket: Ticket, answer: Answer, actions: &mut Vec<Action>) {
+        match &self.phase {
+            Phase::Reading => self.manifest_read(now, answer, actions),
+            Phase::Listing(_) => self.page_read(now, answer, actions),
+            Phase::Writing(..) => self.value_written(now, ticket, answer, actions),
+            Phase::Swapping(_) => self.swapped(now, answer, actions),
+            Phase::Settling(_) => self.settled(now, answer, actions),
+            Phase::Tidying(..) => self.value_deleted(now, answer, actions),
+            Phase::Idle | Phase::Planned(_) | Phase::Ended => {}
+        }
+    }
+
+    fn read(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.phase = Phase::Reading;
+        self.get_manifest(now, actions);
+    }
+
+    fn get_manifest(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let key = key::MANIFEST.into();
+        self.calls.make(now, Call::Get { key }, actions);
+    }
+
+    fn manifest_read(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        let base = match answer {
+            Answer::Value(None) => Base::default(),
+            Answer::Value(Some(pair)) => match codec::decode::<Manifest>(&pair.value) {
+                Ok(manifest) => Base::new(pair.version, manifest),
+                Err(error) => return self.reject(pair.key, error, actions),
+            },
+            _ => return self.retry(now, Outcome::Unavailable, actions),
+        };
+        self.deadline = now + PATIENCE;
+        match (self.request.expected, &self.request.intent) {
+            (Some(expected), _) if expected != base.manifest.revision => {
+                let winner = winner(&base.manifest, expected);
+                let base = expected;
+                self.done(Outcome::LostRace { base, winner }, actions);
+            }
+            (_, Intent::Services { .. }) => {
+                self.phase = Phase::Listing(base);
+                self.list(now, None, actions);
+            }
+            _ => self.plan(base, actions),
+        }
+    }
+
+    fn list(&mut self, now: Instant, after: Option<Arc<str>>, actions: &mut Vec<Action>) {
+        let call = Call::List {
+            prefix: key::SEGMENT_PREFIX.into(),
+            after,
+            limit: PAGE_LIMIT,
+        };
+        self.calls.make(now, call, actions);
+    }
+
+    fn page_read(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        let Answer::Page(pairs) = answer else {
+            return self.retry(now, Outcome::Unavailable, actions);
+        };
+        self.deadline = now + PATIENCE;
+        let last = pairs.last().map(|pair| pair.key.clone());
+        let more = pairs.len() >= PAGE_LIMIT as usize;
+        for pair in pairs {
+            let key = pair.key.clone();
+            if let Err(error) = self.segment_found(pair) {
+                return self.reject(key, error, actions);
+            }
+        }
+        if more {
+            return self.list(now, last, actions);
+        }
+        let Phase::Listing(base) = &mut self.phase else {
+            return;
+        };
+        let complete = base.services.len() == base.named.len();
+        let base = std::mem::take(base);
+        match complete {
+            true => self.plan(base, actions),
+            // A newer publish deleted a segment after the manifest was read.
+            false => self.retry(now, Outcome::Unavailable, actions),
+        }
+    }
+
+    fn segment_found(&mut self, pair: Pair) -> Result<(), codec::Error> {
+        let Phase::Listing(base) = &mut self.phase else {
+            return Ok(());
+        };
+        if base.named.contains(&pair.key) {
+            let declaration = codec::decode(&pair.value)?;
+            base.services.insert(pair.key, declaration);
+        } else if is_orphan(&pair.key, base.manifest.revision) {
+            base.orphans.push(pair.key);
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self, base: Base, actions: &mut Vec<Action>) {
+        let revision = base.manifest.revision;
+        let rng = &mut self.rng;
+        match Draft::new(&self.request, base, || id::Nonce(rng.random())) {
+            Ok(draft) if draft.difference.is_empty() => {
+                self.done(Outcome::Unchanged(revision), actions);
+            }
+            Ok(draft) => {
+                actions.push(Action::Plan(Plan {
+                    base: revision,
+                    difference: draft.difference.clone(),
+                }));
+                self.phase = Phase::Planned(draft);
+            }
+            Err(error) => self.reject(key::MANIFEST.into(), error, actions),
+        }
+    }
+
+    fn proceed(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match std::mem::replace(&mut self.phase, Phase::Ended) {
+            Phase::Planned(draft) => {
+                self.deadline = now + PATIENCE;
+                let waiting = draft.writes.clone();
+                self.phase = Phase::Writing(draft, waiting, BTreeMap::new());
+                self.write(now, actions);
+            }
+            other => self.phase = other,
+        }
+    }
+
+    fn write(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Phase::Writing(draft, waiting, flying) = &mut self.phase else {
+            return;
+        };
+        while flying.len() < WRITES_IN_FLIGHT {
+            let Some(write) = waiting.pop() else { break };
+            let call = Call::Put {
+                key: write.key.clone(),
+                value: write.value.clone(),
+                expect: Expect::Absent,
+                lease: None,
+            };
+            flying.insert(self.calls.make(now, call, actions), write);
+        }
+        if flying.is_empty() {
+            self.phase = Phase::Swapping(draft.clone());
+            self.swap(now, actions);
+        }
+    }
+
+    fn value_written(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let Phase::Writing(draft, waiting, flying) = &mut self.phase else {
+            return;
+        };
+        let Some(mut write) = flying.remove(&ticket) else {
+            return;
+        };
+        match answer {
+            Answer::Written(_) => self.deadline = now + PATIENCE,
+            // The key is unique, so only an earlier try can have written it.
+            Answer::Conflict(_) if write.doubt => self.deadline = now + PATIENCE,
+            Answer::Conflict(_) => {
+                let nonce = id::Nonce(self.rng.random());
+                let renamed = key::renamed(&write.key, nonce);
+                draft.rename(&write.key, &renamed);
+                write.key = renamed;
+                waiting.push(write);
+            }
+            answer => {
+                write.doubt |= answer == Answer::Lost;
+                waiting.push(write);
+                return self.retry(now, Outcome::Unavailable, actions);
+            }
+        }
+        if self.retry_at.is_none() {
+            self.write(now, actions);
+        }
+    }
+
+    fn swap(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Phase::Swapping(draft) = &self.phase else {
+            return;
+        };
+        let value = match codec::encode(&draft.manifest) {
+            Ok(value) => value,
+            Err(error) => return self.reject(key::MANIFEST.into(), error, actions),
+        };
+        let call = Call::Put {
+            key: key::MANIFEST.into(),
+            value,
+            expect: draft.base_version.map_or(Expect::Absent, Expect::At),
+            lease: None,
+        };
+        self.calls.make(now, call, actions);
+    }
+
+    fn swapped(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        let Phase::Swapping(draft) = &self.phase else {
+            return;
+        };
+        let draft = draft.clone();
+        match answer {
+            Answer::Written(_) => return self.published(now, draft, actions),
+            Answer::Conflict(_) => self.conflict = true,
+            Answer::Lost => self.doubt = true,
+            _ => return self.retry(now, self.unsettled(&draft), actions),
+        }
+        self.phase = Phase::Settling(draft);
+        self.settle(now, actions);
+    }
+
+    fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.get_manifest(now, actions);
+    }
+
+    fn settled(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        let Phase::Settling(draft) = &self.phase else {
+            return;
+        };
+        let draft = draft.clone();
+        let Answer::Value(pair) = answer else {
+            return self.retry(now, self.unsettled(&draft), actions);
+        };
+        let version = pair.as_ref().map(|pair| pair.version);
+        let found = pair.and_then(|pair| codec::decode::<Manifest>(&pair.value).ok());
+        if found.as_ref().is_some_and(|found| names(found, &draft)) {
+            return self.published(now, draft, actions);
+        }
+        if version == draft.base_version && !self.conflict {
+            // The swap has not taken effect, but may still be on its way, so
+            // it is made again; only one of the two can succeed.
+            self.phase = Phase::Swapping(draft.clone());
+            return self.retry(now, self.unsettled(&draft), actions);
+        }
+        let base = draft.base_revision;
+        let winner = found.as_ref().and_then(|found| winner(found, base));
+        if self.doubt && winner.is_none() {
+            return self.done(Outcome::Unknown(draft.change), actions);
+        }
+        let written = draft.writes.into_iter().map(|write| write.key).collect();
+        self.phase = Phase::Tidying(Outcome::LostRace { base, winner }, written);
+        self.tidy(now, actions);
+    }
+
+    /// Returns how the publish ends if the store stays silent from here on.
+    fn unsettled(&self, draft: &Draft) -> Outcome {
+        match (self.doubt, self.conflict) {
+            (true, _) => Outcome::Unknown(draft.change.clone()),
+            (false, true) => Outcome::LostRace {
+                base: draft.base_revision,
+                winner: None,
+            },
+            (false, false) => Outcome::Unavailable,
+        }
+    }
+
+    fn published(&mut self, now: Instant, draft: Draft, actions: &mut Vec<Action>) {
+        let outcome = Outcome::Published(draft.change);
+        self.phase = Phase::Tidying(outcome, draft.replaced);
+        self.tidy(now, actions);
+    }
+
+    fn value_deleted(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        if let (Phase::Tidying(_, keys), Answer::Unavailable | Answer::Lost) =
+            (&mut self.phase, answer)
+        {
+            keys.clear();
+        }
+        self.tidy(now, actions);
+    }
+
+    /// Deletes what no manifest names. It stops at the first failed delete: a
+    /// later publish finds the rest in its listing.
+    fn tidy(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Phase::Tidying(outcome, keys) = &mut self.phase else {
+            return;
+        };
+        while self.calls.in_flight() < WRITES_IN_FLIGHT {
+            let Some(key) = keys.pop() else { break };
+            let call = Call::Delete { key, version: None };
+            self.calls.make(now, call, actions);
+        }
+        if self.calls.in_flight() == 0 {
+            let outcome = outcome.clone();
+            self.done(outcome, actions);
+        }
+    }
+
+    /// Tries the current phase again after a pause, or ends with `outcome` if
+    /// the store made no progress for [`PATIENCE`].
+    fn retry(&mut self, now: Instant, outcome: Outcome, actions: &mut Vec<Action>) {
+        if now >= self.deadline {
+            return self.done(outcome, actions);
+        }
+        self.retry_at = Some(now + RETRY_PAUSE);
+    }
+
+    fn reject(&mut self, key: Arc<str>, error: codec::Error, actions: &mut Vec<Action>) {
+        self.done(Outcome::Rejected { key, error }, actions);
+    }
+
+    fn done(&mut self, outcome: Outcome, actions: &mut Vec<Action>) {
+        self.phase = Phase::Ended;
+        self.retry_at = None;
+        self.calls.forget();
+        actions.push(Action::Done(outcome));
+    }
+}
+
+/// Tells whether no manifest from `revision` on can name the unnamed `key`.
+///
+/// A publish names its own new keys, which carry the revision that it makes,
+/// and keys of the revision before. A publish in progress makes a revision
+/// above the one in force, so its keys are never orphans here.
+fn is_orphan(key: &Arc<str>, revision: id::Revision) -> bool {
+    key::revision(key).is_some_and(|made| made <= revision)
+}
+
+fn names(manifest: &Manifest, draft: &Draft) -> bool {
+    manifest
+        .audit
+        .iter()
+        .any(|change| change.nonce == draft.change.nonce && change.to == draft.change.to)
+}
+
+/// Finds the change that was made against `base`.
+fn winner(manifest: &Manifest, base: id::Revision) -> Option<Change> {
+    manifest
+        .audit
+        .iter()
+        .find(|change| change.from == base)
+        .cloned()
+}
--- a/crates/coordination/tests/config.rs
+++ b/crates/coordination/tests/config.rs
@@ -1,210 +1,429 @@
-//! Tests of publishing and following the configuration.
+//! Tests of publishing the configuration.
 
 mod support {
-    pub(crate) mod config;
+    pub(crate) mod declaration;
+    pub(crate) mod operators;
 }
 
 use {
     filbertbend_coordination::{
-        config::{follow::Event, key, Follower},
-        store::Call,
+        config::{codec, key, Intent, Outcome},
+        store::{Call, Expect},
+    },
+    filbertbend_state::{config::Manifest, id, service::Declaration},
+    support::{
+        declaration::declaration,
+        operators::{play, request, services, Fault, Operator, World},
     },
-    filbertbend_state::{config::Snapshot, id, time::Instant, unit::Millis},
-    std::sync::Arc,
-    support::config::{declaration, Reader, Store},
 };
 
-fn snapshot(revision: u64) -> Arc<Snapshot> {
-    Arc::new(Snapshot {
-        revision: id::Revision(revision),
-        ..Snapshot::default()
-    })
+fn endpoint(name: &str) -> id::Endpoint {
+    id::Endpoint::new(name).unwrap()
 }
 
 #[test]
-fn follower_fetches_only_changed_segments_and_holds_one_watch() {
-    // Guards against store calls that grow with the size of the configuration.
-    let mut store = Store::default();
-    let mut reader = Reader::new(1);
+fn publish_writes_changed_segments_and_deletes_replaced_ones() {
+    // Guards against rewriting unchanged segments and against values that pile
+    // up in the store.
+    let mut world = World::default();
     let layout = declaration("layout", 100);
-    store.set(
+    world.publish(
+        services("ana", &[declaration("check", 1), layout.clone()]),
         1,
-        &[
-            ("config/segment/1-a", declaration("spacing-check", 100)),
-            ("config/segment/1-b", layout.clone()),
-        ],
     );
-    reader.run(&mut store, 1000);
-    let first = store.drain_calls();
+    let before = world.manifest();
 
-    store.set(
+    let change = world.publish(
+        services("ana", &[declaration("check", 2), layout.clone()]),
         2,
-        &[
-            ("config/segment/2-a", declaration("spacing-check", 200)),
-            ("config/segment/1-b", layout.clone()),
-        ],
     );
-    reader.run(&mut store, 60_000);
 
+    let after = world.manifest();
+    assert_eq!(change.from, id::Revision(1));
+    assert_eq!(change.to, id::Revision(2));
     assert_eq!(
-        first,
-        [
-            "get config/manifest",
-            "get config/segment/1-a",
-            "get config/segment/1-b",
-            "watch"
-        ]
-    );
-    let calls = store.drain_calls();
-    assert_eq!(
-        calls[..3],
-        ["get config/manifest", "get config/segment/2-a", "watch"]
+        &*change.summary[0],
+        "change service check: deadline 1ms -> 2ms"
     );
-    assert!(
-        calls.len() <= 6,
-        "a minute without changes takes two watches: {calls:?}"
-    );
-    assert_eq!(reader.revisions(), [1, 2]);
-    let spacing = id::Service::new("spacing-check").unwrap();
-    let found = reader.adopted[1].service(&spacing).unwrap();
-    assert_eq!(found.deadline, Millis(200));
-    assert_eq!(reader.adopted[1].services[1], layout);
+    assert_eq!(after.segments[1], before.segments[1], "layout is unchanged");
+    assert_ne!(after.segments[0], before.segments[0]);
+    assert_eq!(world.in_force(), [declaration("check", 2), layout]);
+    assert_eq!(world.segments(), 2);
+    assert_eq!(after.audit.len(), 2);
 }
 
 #[test]
-fn follower_never_goes_back() {
-    // Guards against a configuration that reverts when a peer or the store
-    // offers an older one.
-    let mut store = Store::default();
-    let mut reader = Reader::new(2);
-    store.set(5, &[("config/segment/5-a", declaration("layout", 100))]);
-    reader.run(&mut store, 1000);
+fn publish_of_the_same_services_changes_nothing() {
+    // Guards against revisions and audit entries without a change.
+    let mut world = World::default();
+    let request = services("ana", &[declaration("check", 1)]);
+    world.publish(request.clone(), 1);
 
-    reader.event(&mut store, Event::Peer(snapshot(4)));
-    store.set(3, &[("config/segment/3-a", declaration("layout", 50))]);
-    reader.run(&mut store, 1000);
-    reader.event(&mut store, Event::Peer(snapshot(7)));
-    store.set(6, &[("config/segment/6-a", declaration("layout", 60))]);
-    reader.run(&mut store, 1000);
+    let outcome = Operator::new(request, 2).run(&mut world, Fault::None);
 
-    assert_eq!(reader.revisions(), [5, 7]);
-    assert_eq!(reader.follower.revision(), id::Revision(7));
+    assert_eq!(outcome, Outcome::Unchanged(id::Revision(1)));
+    assert_eq!(world.manifest().audit.len(), 1);
 }
 
 #[test]
-fn follower_keeps_its_configuration_through_an_outage_and_catches_up() {
-    // Guards against an outage that empties the configuration, and against
-    // pauses so long that the goal of 3 s is missed after it.
-    let mut store = Store::default();
-    let mut reader = Reader::new(3);
-    store.set(1, &[("config/segment/1-a", declaration("layout", 100))]);
-    reader.run(&mut store, 1000);
+fn loser_of_a_race_is_told_who_won_and_leaves_nothing() {
+    // Guards against a second publish that overwrites the first one.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+    let mut slow = Operator::new(services("ana", &[declaration("check", 2)]), 2);
+    slow.run_to_swap(&mut world);
 
-    store.down = true;
-    reader.run(&mut store, 600_000);
-    let calls = store.drain_calls().len();
-    let kept = reader.follower.revision();
-    store.down = false;
-    store.set(2, &[("config/segment/2-a", declaration("layout", 200))]);
-    reader.run(&mut store, 3000);
+    let won = world.publish(services("luis", &[declaration("check", 3)]), 3);
+    let outcome = slow.run(&mut world, Fault::None);
 
-    assert_eq!(kept, id::Revision(1));
-    assert!(calls < 1000, "{calls} calls in ten minutes of outage");
-    assert_eq!(reader.revisions(), [1, 2]);
+    let winner = Some(won);
+    let base = id::Revision(1);
+    assert_eq!(outcome, Outcome::LostRace { base, winner });
+    assert_eq!(world.in_force(), [declaration("check", 3)]);
+    assert_eq!(world.segments(), 1, "the loser's segment is deleted");
 }
 
 #[test]
-fn follower_takes_the_configuration_from_a_peer_while_the_store_is_down() {
-    // Guards against an entry that starts in an outage without configuration.
-    let mut store = Store {
-        down: true,
-        ..Store::default()
-    };
-    let mut reader = Reader::new(4);
-    reader.run(&mut store, 1000);
+fn loser_to_a_drain_deletes_only_its_own_segments() {
+    // Guards against a loser that deletes the segments it wanted to replace,
+    // which the winner still names.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+    let mut slow = Operator::new(services("ana", &[declaration("check", 2)]), 2);
+    slow.run_to_swap(&mut world);
 
-    reader.event(&mut store, Event::Peer(snapshot(9)));
+    world.publish(request("luis", Intent::Drain(endpoint("runner-1"))), 3);
+    let outcome = slow.run(&mut world, Fault::None);
 
-    assert_eq!(reader.revisions(), [9]);
+    assert!(matches!(outcome, Outcome::LostRace { .. }));
+    assert_eq!(world.in_force(), [declaration("check", 1)]);
+    assert_eq!(world.segments(), 1);
 }
 
 #[test]
-fn follower_reads_again_when_a_newer_publish_deleted_a_segment() {
-    // Guards against a follower that is stuck on a manifest whose segment is
-    // gone, or that adopts it without that segment.
-    let mut store = Store::default();
-    let mut reader = Reader::new(5);
-    store.set(1, &[("config/segment/1-a", declaration("layout", 100))]);
-    store.memory.call(
-        Instant(0),
-        Call::Delete {
-            key: "config/segment/1-a".into(),
-            version: None,
-        },
-    );
-    reader.run(&mut store, 2000);
-    let early = reader.revisions();
+fn publish_that_meets_a_replaced_segment_reads_the_manifest_again() {
+    // Guards against a plan without the services whose segments were deleted
+    // between the two reads.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+    let mut operator = Operator::new(services("ana", &[declaration("layout", 1)]), 2);
+    operator.advance(&mut world, Fault::None);
+    operator.advance(&mut world, Fault::None);
+    world.publish(services("luis", &[declaration("check", 2)]), 3);
 
-    store.set(2, &[("config/segment/2-a", declaration("layout", 200))]);
-    reader.run(&mut store, 3000);
+    let outcome = operator.run(&mut world, Fault::None);
 
-    assert!(early.is_empty());
-    assert_eq!(reader.revisions(), [2]);
+    assert!(matches!(outcome, Outcome::Published(change) if change.from == id::Revision(2)));
 }
 
 #[test]
-fn follower_keeps_its_configuration_when_a_value_is_damaged() {
-    // Guards against a damaged or newer value that replaces a good one.
-    let mut store = Store::default();
-    let mut reader = Reader::new(6);
-    store.set(1, &[("config/segment/1-a", declaration("layout", 100))]);
-    reader.run(&mut store, 1000);
+fn lost_answer_is_unknown_when_the_audit_tail_moved_on() {
+    // Guards against reporting a lost race, and deleting segments in force,
+    // because the own change is no longer in the manifest.
+    let mut world = World::default();
+    let mut operator = Operator::new(services("ana", &[declaration("check", 1)]), 1);
+    operator.run_to_swap(&mut world);
+    operator.advance(&mut world, Fault::LostAfter);
+    for number in 0..70 {
+        let intent = match number % 2 {
+            0 => Intent::Drain(endpoint("runner-1")),
+            _ => Intent::Undrain(endpoint("runner-1")),
+        };
+        world.publish(request("luis", intent), 100 + number);
+    }
 
-    store.put(key::MANIFEST, vec![9, 1, 2, 3]);
-    reader.run(&mut store, 1000);
-    store.set(2, &[("config/segment/2-a", declaration("layout", 200))]);
-    store.put("config/segment/2-a", vec![1, 255]);
-    reader.run(&mut store, 1000);
-    store.set(3, &[("config/segment/3-a", declaration("layout", 300))]);
-    reader.run(&mut store, 3000);
+    let outcome = operator.run(&mut world, Fault::None);
 
-    assert_eq!(reader.faults, 2);
-    assert_eq!(reader.revisions(), [1, 3]);
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+    assert_eq!(world.in_force(), [declaration("check", 1)]);
 }
 
 #[test]
-fn follower_lists_many_missing_segments_in_pages() {
-    // Guards against one call for each of thousands of segments at start.
-    let mut store = Store::default();
-    let mut reader = Reader::new(7);
-    let keys: Vec<String> = (0..1000)
-        .map(|index| format!("config/segment/{index:05}-a"))
-        .collect();
-    let segments: Vec<_> = keys
+fn lost_answer_of_the_swap_is_settled_by_reading_back() {
+    // Guards against telling an author that a publish in force has failed, or
+    // the other way round.
+    for fault in [Fault::LostAfter, Fault::LostBefore, Fault::Delayed] {
+        let mut world = World::default();
+        let mut operator = Operator::new(services("ana", &[declaration("check", 1)]), 1);
+        operator.run_to_swap(&mut world);
+
+        operator.advance(&mut world, fault);
+        let outcome = operator.run(&mut world, Fault::None);
+        world.deliver_all();
+
+        assert!(matches!(outcome, Outcome::Published(_)), "{fault:?}");
+        assert_eq!(world.manifest().revision, id::Revision(1));
+        assert_eq!(world.manifest().audit.len(), 1, "{fault:?}");
+        assert_eq!(world.in_force(), [declaration("check", 1)]);
+    }
+}
+
+#[test]
+fn lost_answer_is_settled_although_another_publish_followed() {
+    // Guards against comparing with the newest manifest only: the change is in
+    // force, but a later one has replaced the manifest.
+    let mut world = World::default();
+    let mut operator = Operator::new(services("ana", &[declaration("check", 1)]), 1);
+    operator.run_to_swap(&mut world);
+    operator.advance(&mut world, Fault::LostAfter);
+    world.publish(request("luis", Intent::Drain(endpoint("runner-1"))), 2);
+
+    let outcome = operator.run(&mut world, Fault::None);
+
+    assert!(matches!(outcome, Outcome::Published(change) if change.to == id::Revision(1)));
+}
+
+#[test]
+fn lost_answer_after_a_lost_race_is_not_taken_for_a_success() {
+    // Guards against mistaking another author's revision for one's own.
+    let mut world = World::default();
+    let same = services("ana", &[declaration("check", 1)]);
+    let mut operator = Operator::new(same.clone(), 1);
+    operator.run_to_swap(&mut world);
+    world.publish(same, 2);
+
+    operator.advance(&mut world, Fault::LostAfter);
+    let outcome = operator.run(&mut world, Fault::None);
+
+    assert!(matches!(
+        outcome,
+        Outcome::LostRace {
+            winner: Some(_),
+            ..
+        }
+    ));
+    assert_eq!(world.in_force(), [declaration("check", 1)]);
+}
+
+#[test]
+fn outage_before_the_swap_is_unavailable_and_after_it_unknown() {
+    // Guards against claiming either result when the store cannot tell.
+    let mut world = World::default();
+    let mut before = Operator::new(services("ana", &[declaration("check", 1)]), 1);
+    before.run_to_swap(&mut world);
+    let mut after = Operator::new(services("luis", &[declaration("check", 2)]), 2);
+    after.run_to_swap(&mut world);
+
+    let refused = before.run(&mut world, Fault::Down);
+    after.advance(&mut world, Fault::Delayed);
+    let unknown = after.run(&mut world, Fault::Down);
+    world.deliver_all();
+
+    assert_eq!(refused, Outcome::Unavailable);
+    assert!(matches!(unknown, Outcome::Unknown(_)));
+    assert_eq!(world.in_force(), [declaration("check", 2)]);
+}
+
+#[test]
+fn clean_up_spares_a_publish_in_progress_and_removes_old_orphans() {
+    // Guards against a clean-up that deletes segments which a newer manifest is
+    // about to name.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+    let mut stuck = Operator::new(services("eva", &[declaration("check", 2)]), 2);
+    stuck.run_to_swap(&mut world);
+    let mut slow = Operator::new(services("luis", &[declaration("check", 3)]), 3);
+    slow.run_to_swap(&mut world);
+    assert_eq!(world.segments(), 3);
+
+    let mut lister = Operator::new(services("ana", &[declaration("check", 4)]), 4);
+    lister.run_to_swap(&mut world);
+    slow.run(&mut world, Fault::None);
+    lister.run(&mut world, Fault::None);
+
+    assert_eq!(world.in_force(), [declaration("check", 3)]);
+    world.publish(services("ana", &[declaration("check", 5)]), 5);
+    assert_eq!(world.in_force(), [declaration("check", 5)]);
+    assert_eq!(world.segments(), 1, "eva's segment is an orphan by now");
+}
+
+#[test]
+fn drains_are_published_with_an_audit_entry() {
+    // Guards against a drain that drops services or is not recorded.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+
+    world.publish(request("ana", Intent::Drain(endpoint("runner-1"))), 2);
+    let drained = world.manifest();
+    world.publish(request("luis", Intent::Undrain(endpoint("runner-1"))), 3);
+    let again = Operator::new(request("luis", Intent::Undrain(endpoint("runner-1"))), 4)
+        .run(&mut world, Fault::None);
+
+    assert_eq!(drained.drains, [endpoint("runner-1")]);
+    assert_eq!(world.manifest().drains, []);
+    assert_eq!(world.in_force(), [declaration("check", 1)]);
+    assert_eq!(again, Outcome::Unchanged(id::Revision(3)));
+    let lines: Vec<String> = world
+        .manifest()
+        .audit
         .iter()
-        .enumerate()
-        .map(|(index, key)| (key.as_str(), declaration(&format!("service-{index}"), 100)))
+        .map(|change| format!("{} {}", change.author, change.summary.join("; ")))
         .collect();
-    store.set(1, &segments);
+    assert_eq!(
+        lines,
+        [
+            "ana add service check of team drawing",
+            "ana drain endpoint runner-1",
+            "luis undrain endpoint runner-1"
+        ]
+    );
+}
+
+#[test]
+fn keeping_others_removes_nothing_and_expecting_a_revision_refuses_another() {
+    // Guards against a publish of one team's folder that removes the others'.
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1);
+    let added = Intent::Services {
+        services: vec![declaration("layout", 1)],
+        keep_others: true,
+    };
 
-    reader.run(&mut store, 1000);
+    world.publish(request("luis", added), 2);
+    let mut reviewed = services("ana", &[]);
+    reviewed.expected = Some(id::Revision(1));
+    let outcome = Operator::new(reviewed, 3).run(&mut world, Fault::None);
 
-    assert_eq!(reader.adopted[0].services.len(), 1000);
-    assert!(store.calls.len() <= 8, "{:?}", store.drain_calls());
+    assert_eq!(
+        world.in_force(),
+        [declaration("check", 1), declaration("layout", 1)]
+    );
+    assert!(matches!(
+        outcome,
+        Outcome::LostRace { winner: Some(change), .. } if &*change.author == "luis"
+    ));
 }
 
 #[test]
-fn follower_gives_up_a_call_that_stays_unanswered() {
-    // Guards against a connection that goes silent and stops the follower.
-    let mut follower = Follower::new(8);
-    let mut actions = Vec::new();
-    follower.step(Instant(0), Event::Tick, &mut actions);
-    assert_eq!(actions.len(), 1);
+fn audit_tail_moves_to_immutable_values_and_loses_nothing() {
+    // Guards against a manifest that grows with each change, and against
+    // changes that disappear when they move.
+    let mut world = World::default();
+    for number in 0..3000 {
+        let intent = match number % 2 {
+            0 => Intent::Drain(endpoint("runner-1")),
+            _ => Intent::Undrain(endpoint("runner-1")),
+        };
+        world.publish(request("ana", intent), number);
+        assert!(world.manifest().audit.len() <= 64);
+    }
+
+    let manifest = world.manifest();
+    assert!(manifest.audit_segments.len() <= 64);
+    let mut changes = manifest.audit.clone();
+    let mut keys = manifest.audit_segments;
+    while let Some(key) = keys.pop() {
+        let pair = world.memory.pairs(&key).remove(0);
+        let archive: codec::Archive = codec::decode(&pair.value).unwrap();
+        keys.extend(archive.older);
+        changes.extend(archive.changes);
+    }
+    changes.sort_by_key(|change| change.to);
+    let numbers: Vec<u64> = changes.iter().map(|change| change.to.0).collect();
+    assert_eq!(numbers, (1..=3000).collect::<Vec<_>>());
+}
+
+#[test]
+fn unreadable_manifest_is_reported_and_left_alone() {
+    // Guards against replacing a value of a newer version with an older one.
+    let mut world = World::default();
+    let put = Call::Put {
+        key: key::MANIFEST.into(),
+        value: vec![200],
+        expect: Expect::Absent,
+        lease: None,
+    };
+    world.call(put, Fault::None);
 
-    for _ in 0..2 {
-        let at = follower.wake_at();
-        follower.step(at, Event::Tick, &mut actions);
+    let outcome =
+        Operator::new(services("ana", &[declaration("check", 1)]), 1).run(&mut world, Fault::None);
+
+    let error = codec::Error::Format(200);
+    assert!(matches!(outcome, Outcome::Rejected { error: found, .. } if found == error));
+    assert_eq!(world.memory.pairs(key::MANIFEST)[0].value, [200]);
+}
+
+#[test]
+fn values_stay_below_the_limit_of_the_store() {
+    // Guards against a manifest that the store refuses once it holds long
+    // summaries of thousands of services.
+    let mut world = World::default();
+    for round in 0..12 {
+        let all: Vec<Declaration> = (0..2000)
+            .map(|index| declaration(&format!("service-{index:04}"), 100 + round))
+            .collect();
+        world.publish(services("ana", &all), round);
+    }
+
+    let largest = world.memory.pairs("config/");
+    let largest = largest.iter().map(|pair| pair.value.len()).max();
+    assert!(largest < Some(512 << 10), "{largest:?}");
+    assert_eq!(world.segments(), 2000);
+}
+
+/// Checks one random session against the store that it leaves.
+fn check_session(seed: u64) -> Vec<Outcome> {
+    let mut world = World::default();
+    world.publish(services("ana", &[declaration("check", 1)]), 1_000_000);
+    let drain = Intent::Drain(endpoint("runner-1"));
+    let mut operators: Vec<Operator> = (0..3)
+        .map(|number| {
+            let deadline = 10 + number;
+            let shared = declaration("check", deadline);
+            let own = declaration(&format!("service-{number}"), deadline);
+            Operator::new(services("ana", &[shared, own]), seed * 10 + number)
+        })
+        .collect();
+    operators.push(Operator::new(request("luis", drain), seed * 10 + 9));
+
+    play(&mut world, &mut operators, seed);
+
+    let manifest: Manifest = world.manifest();
+    world.in_force();
+    let outcomes: Vec<Outcome> = operators
+        .into_iter()
+        .filter_map(|operator| operator.outcome)
+        .collect();
+    let recorded = |nonce| manifest.audit.iter().filter(|c| c.nonce == nonce).count();
+    let mut certain = 0;
+    let mut possible = 0;
+    for outcome in &outcomes {
+        match outcome {
+            Outcome::Published(change) => {
+                assert_eq!(recorded(change.nonce), 1, "seed {seed}: {outcome:?}");
+                certain += 1;
+            }
+            Outcome::Unknown(_) => possible += 1,
+            Outcome::LostRace { .. } | Outcome::Unavailable => {}
+            other => panic!("seed {seed}: {other:?}"),
+        }
+    }
+    let made = manifest.audit.len() - 1;
+    assert!(
+        (certain..=certain + possible).contains(&made),
+        "seed {seed}: {made} changes were made, {certain} told so, {possible} unknown"
+    );
+    assert_eq!(manifest.revision.0 as usize, manifest.audit.len());
+    outcomes
+}
+
+#[test]
+fn random_sessions_never_give_a_wrong_answer_or_lose_a_segment() {
+    // Guards against wrong outcomes and dangling segments under lost, delayed
+    // and refused calls in any order.
+    let mut counts = [0; 4];
+    for seed in 0..4000 {
+        for outcome in check_session(seed) {
+            let kind = match outcome {
+                Outcome::Published(_) => 0,
+                Outcome::LostRace { .. } => 1,
+                Outcome::Unavailable => 2,
+                _ => 3,
+            };
+            counts[kind] += 1;
+        }
     }
 
-    assert_eq!(actions.len(), 2, "the call is made again");
+    println!("published, lost, unavailable, unknown: {counts:?}");
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
 }
--- a/crates/coordination/tests/support/config.rs
+++ b/crates/coordination/tests/support/follower.rs
@@ -1,4 +1,4 @@
-//! A store with faults, and drivers for the machines of the configuration.
+//! A store that can be down, and a driver for the follower.
 
 use {
     filbertbend_coordination::{
@@ -13,39 +13,13 @@
     filbertbend_state::{
         config::{Manifest, Segment, Snapshot},
         id,
-        room::Room,
-        service::{Class, Declaration, Kind, Retry},
+        service::Declaration,
         time::Instant,
-        unit::{Accelerators, Bytes, Cores, Millis, Share},
+        unit::Millis,
     },
     std::sync::Arc,
 };
 
-/// A declaration of `service` whose deadline tells its versions apart.
-pub(crate) fn declaration(service: &str, deadline_ms: u64) -> Declaration {
-    Declaration {
-        name: id::Service::new(service).unwrap(),
-        team: id::Team::new("drawing").unwrap(),
-        kind: Kind::Check,
-        class: Class::Interactive,
-        idempotent: true,
-        deadline: Millis(deadline_ms),
-        size: Room {
-            cores: Cores(500),
-            memory: Bytes(1 << 28),
-            accelerators: Accelerators(0),
-        },
-        run_time: Millis(20),
-        share: Share::new(100),
-        quota: Room::NONE,
-        retry: Retry {
-            tries: 2,
-            hedge: false,
-        },
-        data_centres: Vec::new(),
-    }
-}
-
 /// A store that can be down or lose answers.
 #[derive(Default)]
 pub(crate) struct Store {
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -24,6 +24,9 @@
     pub from: id::Revision,
     /// The revision that it made.
     pub to: id::Revision,
+    /// Tells this publish from every other one, so that its author recognizes
+    /// it when the store's answer was lost.
+    pub nonce: id::Nonce,
     /// Who made it.
     pub author: Arc<str>,
     /// When, by the author's clock.
