Track the liveness of agents and entries

The entry needs to know which endpoints may get a request and on which connection; the agent needs to notice when a connection stops working although the entry lives. Neither existed.

A heartbeat now carries the number of the newest pulse that its sender received.

Ruled out: liveness by arrival time alone (a heartbeat held back by the network for 1 s keeps a leaving agent alive past 3 s); sending times from the agent (clocks of instances cannot be compared); statig for the life cycle (the state is a function of one deadline, so a reader between two ticks sees the truth, which a stored state would not give).

--- /dev/null
+++ b/crates/coordination/src/membership/beacon.rs
@@ -0,0 +1,369 @@
+//! Keeps a process in touch with every entry of its region.
+
+use {
+    super::{roster_hash, session::Session, Connection, Heartbeat, Load, Member, Pulse},
+    filbertbend_state::{config::Snapshot, id, time::Instant},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// What a beacon is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Addresses of entries that are dialled before any roster is known.
+    pub seeds: Vec<SocketAddr>,
+    /// The process's own address if it is an entry, which it does not dial.
+    pub own: Option<SocketAddr>,
+    /// The seed of the randomness in the backoff.
+    pub seed: u64,
+}
+
+/// Something that the beacon learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A dialled connection is open and its hello has been written.
+    Opened {
+        /// The connection.
+        connection: Connection,
+    },
+    /// A dial failed, or a connection ended.
+    Closed {
+        /// The connection.
+        connection: Connection,
+    },
+    /// An entry answered a heartbeat.
+    Pulse {
+        /// The connection.
+        connection: Connection,
+        /// The answer.
+        pulse: Pulse,
+    },
+    /// The load to report from now on.
+    Load(Load),
+    /// A configuration is in force here, from whatever source.
+    Configured(id::Revision),
+    /// The entries that the store lists; used by entries only.
+    Listed(Vec<Member>),
+    /// The process begins to leave.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// Something that the beacon asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Dials an address from a new socket, writes the hello and reports
+    /// [`Event::Opened`] or [`Event::Closed`] with this number.
+    Dial {
+        /// The number of the connection.
+        connection: Connection,
+        /// The address.
+        address: SocketAddr,
+    },
+    /// Sends a heartbeat.
+    Send {
+        /// The connection.
+        connection: Connection,
+        /// The heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// Closes a connection once the requests that use it have ended.
+    Retire {
+        /// The connection.
+        connection: Connection,
+    },
+    /// Puts a newer configuration into force.
+    Configure(Arc<Snapshot>),
+    /// The known entries have changed.
+    Roster(Vec<Member>),
+}
+
+/// Dials entries, sends heartbeats and follows the roster.
+#[derive(Clone, Debug)]
+pub struct Beacon {
+    settings: Settings,
+    rng: ChaCha8Rng,
+    sessions: BTreeMap<SocketAddr, Session>,
+    addresses: BTreeMap<Connection, SocketAddr>,
+    listed: Vec<Member>,
+    roster: Vec<Member>,
+    load: Load,
+    leaving: bool,
+    revision: id::Revision,
+    sequence: u64,
+    last_connection: u64,
+}
+
+impl Beacon {
+    /// Makes a beacon that dials its seeds at the first tick.
+    pub fn new(settings: Settings) -> Self {
+        let sessions = settings
+            .seeds
+            .iter()
+            .filter(|address| Some(**address) != settings.own)
+            .map(|address| (*address, Session::of_seed()))
+            .collect();
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            sessions,
+            settings,
+            addresses: BTreeMap::new(),
+            listed: Vec::new(),
+            roster: Vec::new(),
+            load: Load::default(),
+            leaving: false,
+            revision: id::Revision::default(),
+            sequence: 0,
+            last_connection: 0,
+        }
+    }
+
+    /// Takes one event in.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Opened { connection } => self.opened(now, connection, actions),
+            Event::Closed { connection } => self.closed(now, connection, actions),
+            Event::Pulse { connection, pulse } => self.pulse(now, connection, pulse, actions),
+            Event::Load(load) => self.load = load,
+            Event::Configured(revision) => self.revision = self.revision.max(revision),
+            Event::Listed(members) => {
+                self.listed = members;
+                self.update_roster(actions);
+            }
+            Event::Leave => self.leave(actions),
+            Event::Tick => {}
+        }
+        self.tick(now, actions);
+    }
+
+    /// Returns the next point in time at which a tick has something to do.
+    pub fn wake(&self) -> Option<Instant> {
+        self.sessions.values().map(Session::wake).min()
+    }
+
+    /// Returns the connection to send on to the entry at `address`.
+    pub fn connection(&self, address: &SocketAddr) -> Option<Connection> {
+        self.sessions.get(address)?.current()
+    }
+
+    /// Returns the connection to send on to `entry`.
+    pub fn entry_connection(&self, entry: &id::Entry) -> Option<Connection> {
+        let member = self.roster.iter().find(|member| member.entry == *entry)?;
+        self.connection(&member.address)
+    }
+
+    /// Returns the known entries in the order of their names.
+    pub fn roster(&self) -> &[Member] {
+        &self.roster
+    }
+
+    /// Returns the newest revision of the configuration that was taken in.
+    pub fn revision(&self) -> id::Revision {
+        self.revision
+    }
+
+    /// Tells whether some entry answers at the moment.
+    pub fn is_connected(&self, now: Instant) -> bool {
+        self.sessions
+            .values()
+            .any(|session| !session.is_silent(now))
+    }
+
+    fn opened(&mut self, now: Instant, connection: Connection, actions: &mut Vec<Action>) {
+        let taken = self
+            .addresses
+            .get(&connection)
+            .and_then(|address| self.sessions.get_mut(address))
+            .is_some_and(|session| session.opened(now, connection));
+        if !taken {
+            self.addresses.remove(&connection);
+            actions.push(Action::Retire { connection });
+        }
+    }
+
+    fn closed(&mut self, now: Instant, connection: Connection, actions: &mut Vec<Action>) {
+        let Some(address) = self.addresses.remove(&connection) else {
+            return;
+        };
+        if let Some(session) = self.sessions.get_mut(&address) {
+            session.closed(now, connection);
+        }
+        self.update_roster(actions);
+    }
+
+    fn pulse(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        pulse: Pulse,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(session) = self
+            .addresses
+            .get(&connection)
+            .and_then(|address| self.sessions.get_mut(address))
+        else {
+            return;
+        };
+        let newest = pulse.sequence > session.answered;
+        for old in session.heard(now, connection, pulse.sequence) {
+            self.addresses.remove(&old);
+            actions.push(Action::Retire { connection: old });
+        }
+        if let Some(roster) = pulse.roster.filter(|_| newest) {
+            session.roster_hash = roster_hash(&roster);
+            session.roster = roster;
+            self.update_roster(actions);
+        }
+        if let Some(config) = pulse.config {
+            if config.revision > self.revision {
+                self.revision = config.revision;
+                actions.push(Action::Configure(config));
+            }
+        }
+    }
+
+    /// Tells every entry on every connection at once: whichever connection
+    /// works delivers the notice. The current one is last, since the entry
+    /// sends on the connection of the newest heartbeat.
+    fn leave(&mut self, actions: &mut Vec<Action>) {
+        self.leaving = true;
+        let addresses: Vec<_> = self.sessions.keys().copied().collect();
+        for address in addresses {
+            let open = match self.sessions.get(&address) {
+                Some(session) => session.open().to_vec(),
+                None => continue,
+            };
+            for connection in open {
+                self.send(address, connection, actions);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.wake() <= now)
+            .map(|(address, _)| *address)
+            .collect();
+        for address in due {
+            self.tick_session(now, address, actions);
+        }
+    }
+
+    fn tick_session(&mut self, now: Instant, address: SocketAddr, actions: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get_mut(&address) else {
+            return;
+        };
+        if let Some(connection) = session.expire_dial(now) {
+            self.addresses.remove(&connection);
+            actions.push(Action::Retire { connection });
+        }
+        if session.wants_dial(now) {
+            self.last_connection += 1;
+            let connection = Connection(self.last_connection);
+            session.dialled(now, connection, &mut self.rng);
+            self.addresses.insert(connection, address);
+            actions.push(Action::Dial {
+                connection,
+                address,
+            });
+        }
+        if session.takes_heartbeat(now) {
+            if let Some(connection) = session.current() {
+                self.send(address, connection, actions);
+            }
+        }
+    }
+
+    /// Numbers rise over all sessions, so that a session that is dropped and
+    /// made again does not repeat numbers that the entry has seen.
+    fn send(&mut self, address: SocketAddr, connection: Connection, actions: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get(&address) else {
+            return;
+        };
+        self.sequence += 1;
+        let mut load = self.load;
+        load.leaving |= self.leaving;
+        let heartbeat = Heartbeat {
+            sequence: self.sequence,
+            answered: session.answered,
+            load,
+            revision: self.revision,
+            roster: session.roster_hash,
+        };
+        actions.push(Action::Send {
+            connection,
+            heartbeat,
+        });
+    }
+
+    /// Dials the entries of every roster received. Entries may hold different
+    /// rosters for a while; an entry is dropped when none names it any more
+    /// and no connection to it is open. The roster of an entry that is not
+    /// connected counts only while none is, or it would name itself for ever.
+    fn update_roster(&mut self, actions: &mut Vec<Action>) {
+        let connected = self
+            .sessions
+            .values()
+            .any(|session| !session.open().is_empty());
+        let mut members: BTreeMap<&id::Entry, &Member> = BTreeMap::new();
+        let rosters = self
+            .sessions
+            .values()
+            .filter(|session| !connected || !session.open().is_empty())
+            .flat_map(|session| &session.roster);
+        for member in rosters.chain(&self.listed) {
+            let known = members.entry(&member.entry).or_insert(member);
+            if member.incarnation > known.incarnation {
+                *known = member;
+            }
+        }
+        let roster: Vec<Member> = members.into_values().cloned().collect();
+        let own = self.settings.own;
+        let addresses: BTreeSet<SocketAddr> = roster
+            .iter()
+            .map(|member| member.address)
+            .filter(|address| Some(*address) != own)
+            .collect();
+        self.drop_sessions(&addresses, actions);
+        for address in addresses {
+            self.sessions.entry(address).or_default();
+        }
+        if roster != self.roster {
+            self.roster = roster;
+            actions.push(Action::Roster(self.roster.clone()));
+        }
+    }
+
+    fn drop_sessions(&mut self, wanted: &BTreeSet<SocketAddr>, actions: &mut Vec<Action>) {
+        let dropped: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(address, session)| {
+                !session.seed && session.open().is_empty() && !wanted.contains(address)
+            })
+            .map(|(address, _)| *address)
+            .collect();
+        for address in dropped {
+            self.sessions.remove(&address);
+            let dials: Vec<_> = self
+                .addresses
+                .iter()
+                .filter(|(_, found)| **found == address)
+                .map(|(connection, _)| *connection)
+                .collect();
+            for connection in dials {
+                self.addresses.remove(&connection);
+                actions.push(Action::Retire { connection });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/session.rs
@@ -0,0 +1,175 @@
+//! The connections from this process to one entry.
+
+use {
+    super::{Connection, Member, HEARTBEAT_INTERVAL_MS, SILENCE_LIMIT_MS},
+    filbertbend_state::{time::Instant, unit::Millis},
+    rand::RngExt,
+    rand_chacha::ChaCha8Rng,
+};
+
+/// Wait after the first failed dial; it doubles with each further one.
+const BACKOFF_FIRST_MS: Millis = Millis(250);
+/// Longest wait between two dials.
+const BACKOFF_LIMIT_MS: Millis = Millis(4000);
+/// Time after which a dial that has not ended counts as failed.
+const DIAL_TIMEOUT_MS: Millis = Millis(2000);
+
+#[derive(Clone, Copy, Debug)]
+struct Dial {
+    connection: Connection,
+    since: Instant,
+}
+
+/// What is known about one entry's address, and the connections to it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Session {
+    /// Whether the settings name the address; such a session is never dropped.
+    pub(super) seed: bool,
+    /// The newest pulse received.
+    pub(super) answered: u64,
+    /// The roster last received, and its hash.
+    pub(super) roster: Vec<Member>,
+    pub(super) roster_hash: u64,
+    dial: Option<Dial>,
+    open: Vec<Connection>,
+    proven: bool,
+    heard: Instant,
+    next_dial: Instant,
+    next_heartbeat: Instant,
+    failures: u32,
+}
+
+impl Session {
+    /// Makes the session of an address that the settings name.
+    pub(super) fn of_seed() -> Self {
+        Self {
+            seed: true,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the connection to send on, the newest one.
+    pub(super) fn current(&self) -> Option<Connection> {
+        self.open.last().copied()
+    }
+
+    /// Returns every open connection, the newest one last.
+    pub(super) fn open(&self) -> &[Connection] {
+        &self.open
+    }
+
+    /// Tells whether a heartbeat is due, and plans the next one if so.
+    pub(super) fn takes_heartbeat(&mut self, now: Instant) -> bool {
+        if self.open.is_empty() || now < self.next_heartbeat {
+            return false;
+        }
+        // Missed intervals are skipped: a process that was frozen sends one.
+        let next = self.next_heartbeat + HEARTBEAT_INTERVAL_MS;
+        self.next_heartbeat = if next > now {
+            next
+        } else {
+            now + HEARTBEAT_INTERVAL_MS
+        };
+        true
+    }
+
+    /// Tells whether the entry has not answered on the newest connection for
+    /// longer than the limit, or there is none.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        self.open.is_empty() || now.since(self.heard) >= SILENCE_LIMIT_MS
+    }
+
+    /// Tells whether a new connection should be dialled.
+    pub(super) fn wants_dial(&self, now: Instant) -> bool {
+        self.dial.is_none() && now >= self.next_dial && self.is_silent(now)
+    }
+
+    /// Notes that `connection` is being dialled.
+    pub(super) fn dialled(&mut self, now: Instant, connection: Connection, rng: &mut ChaCha8Rng) {
+        self.dial = Some(Dial {
+            connection,
+            since: now,
+        });
+        self.next_dial = now + self.backoff(rng);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Takes a connection into use; returns false if it is not the one dialled.
+    pub(super) fn opened(&mut self, now: Instant, connection: Connection) -> bool {
+        if self.dial.map(|dial| dial.connection) != Some(connection) {
+            return false;
+        }
+        self.dial = None;
+        self.open.push(connection);
+        self.proven = false;
+        self.heard = now;
+        self.next_heartbeat = now;
+        true
+    }
+
+    /// Ends a dial that takes too long; returns its connection.
+    pub(super) fn expire_dial(&mut self, now: Instant) -> Option<Connection> {
+        let dial = self
+            .dial
+            .filter(|dial| now.since(dial.since) >= DIAL_TIMEOUT_MS)?;
+        self.dial = None;
+        Some(dial.connection)
+    }
+
+    /// Drops a connection that ended, or a dial that failed.
+    pub(super) fn closed(&mut self, now: Instant, connection: Connection) {
+        if self.dial.map(|dial| dial.connection) == Some(connection) {
+            self.dial = None;
+        }
+        let was_current = self.current() == Some(connection);
+        self.open.retain(|open| *open != connection);
+        if was_current {
+            self.heard = now;
+            self.next_heartbeat = now;
+        }
+    }
+
+    /// Takes in the number of a pulse that came on `connection`; returns the
+    /// older connections, which are no longer needed once the newest works.
+    pub(super) fn heard(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        sequence: u64,
+    ) -> Vec<Connection> {
+        self.answered = self.answered.max(sequence);
+        if self.current() != Some(connection) {
+            return Vec::new();
+        }
+        self.heard = now;
+        self.failures = 0;
+        self.next_dial = now;
+        if self.proven {
+            return Vec::new();
+        }
+        self.proven = true;
+        self.open.drain(..self.open.len() - 1).collect()
+    }
+
+    /// Returns the next point in time at which a tick has something to do.
+    pub(super) fn wake(&self) -> Instant {
+        let dial = match self.dial {
+            Some(dial) => dial.since + DIAL_TIMEOUT_MS,
+            None if self.open.is_empty() => self.next_dial,
+            None => self.next_dial.max(self.heard + SILENCE_LIMIT_MS),
+        };
+        if self.open.is_empty() {
+            dial
+        } else {
+            dial.min(self.next_heartbeat)
+        }
+    }
+
+    /// Half of the wait is random, so that agents that lost an entry at the
+    /// same moment do not dial it at the same moment.
+    fn backoff(&self, rng: &mut ChaCha8Rng) -> Millis {
+        let factor = 1_u64 << self.failures.min(8);
+        let wait = (BACKOFF_FIRST_MS.0 * factor).min(BACKOFF_LIMIT_MS.0);
+        Millis(wait / 2 + rng.random_range(0..=wait / 2))
+    }
+}
