Read the scheduling files of operators and report every fault at once

Operators correct a file faster when one run shows all faults of all files.

crates/filbertbend/src/declaration reads files named filbertbend.yaml below a folder, one service for each YAML document, and checks them against each other: names declared twice, and shares that exceed 100% in a data centre. Each fault has a file, a line, a column and a fix. A syntax error hides none of the faults before it, and does not report as missing what may follow it. A file under a mistaken name, such as filbertbend.yml, is a fault, because its service would disappear from the configuration.

The store's time limit is no longer a setting: the client fixes it.

Ruled out: one list 'services:' in a file, which indents every service for the rare file that holds several.

--- a/crates/coordination/src/config/publisher/draft.rs
+++ b/crates/coordination/src/config/publisher/draft.rs
@@ -97,11 +97,8 @@
         manifest.revision = revision;
         let mut writes = Vec::new();
         let difference = match &request.intent {
-            Intent::Services {
-                services,
-                keep_others,
-            } => {
-                let next = Next::new(&base, services, *keep_others);
+            Intent::Services(services) => {
+                let next = Next::new(&base, services);
                 manifest.segments = next.segments(revision, &mut nonce, &mut writes)?;
                 Difference::of_services(base.services.values(), next.services())
             }
@@ -151,19 +148,16 @@
 }
 
 impl<'a> Next<'a> {
-    fn new(base: &'a Base, declared: &'a [Declaration], keep_others: bool) -> Self {
+    fn new(base: &'a Base, declared: &'a [Declaration]) -> Self {
         let in_force: BTreeMap<_, _> = base
             .services
             .iter()
-            .map(|(key, service)| (&service.name, (service, Some(key))))
+            .map(|(key, service)| (&service.name, (service, key)))
             .collect();
-        let mut services = match keep_others {
-            true => in_force.clone(),
-            false => BTreeMap::new(),
-        };
+        let mut services = BTreeMap::new();
         for service in declared {
             let unchanged = match in_force.get(&service.name) {
-                Some((found, key)) if *found == service => *key,
+                Some((found, key)) if *found == service => Some(*key),
                 _ => None,
             };
             services.insert(&service.name, (service, unchanged));
--- a/crates/coordination/src/config/publisher/mod.rs
+++ b/crates/coordination/src/config/publisher/mod.rs
@@ -38,13 +38,9 @@
 /// What an operator wants to change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Intent {
-    /// Puts these declarations in force.
-    Services {
-        /// The declarations, each name once.
-        services: Vec<Declaration>,
-        /// Whether services that are not among them stay in force.
-        keep_others: bool,
-    },
+    /// Puts these declarations in force, each name once, and removes all other
+    /// services.
+    Services(Vec<Declaration>),
     /// Gives an endpoint no new work.
     Drain(id::Endpoint),
     /// Gives an endpoint work again.
@@ -275,7 +271,7 @@
                 let base = expected;
                 self.done(Outcome::LostRace { base, winner }, actions);
             }
-            (_, Intent::Services { .. }) => {
+            (_, Intent::Services(_)) => {
                 self.phase = Phase::Listing(base);
                 self.list(now, None, actions);
             }
--- /dev/null
+++ b/crates/filbertbend/src/declaration/collect.rs
@@ -0,0 +1,130 @@
+//! Finds the scheduling files below a folder.
+
+use {
+    super::{read, FILE_NAME},
+    filbertbend_state::service::Declaration,
+    filbertbend_yaml::{Code, Fault, Source},
+    std::{
+        fs::{self, DirEntry},
+        io,
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+};
+
+/// Deepest folder that is searched.
+const DEPTH_LIMIT: usize = 32;
+
+/// What a search found.
+#[derive(Debug)]
+pub struct Collection {
+    /// The number of scheduling files.
+    pub files: usize,
+    /// Every service, or every fault.
+    pub services: Result<Vec<Declaration>, Vec<Fault>>,
+}
+
+/// Reads all scheduling files below `folder`.
+///
+/// Hidden folders and symbolic links to folders are passed over. Files are
+/// reported by their paths below `folder`.
+pub fn collect(folder: impl AsRef<Path>) -> Collection {
+    let folder = folder.as_ref();
+    let mut search = Search {
+        root: folder.to_owned(),
+        sources: Vec::new(),
+        faults: Vec::new(),
+    };
+    search.folder(folder, 0);
+    search.finish()
+}
+
+struct Search {
+    root: PathBuf,
+    sources: Vec<Source>,
+    faults: Vec<Fault>,
+}
+
+impl Search {
+    fn folder(&mut self, folder: &Path, depth: usize) {
+        let entries = match list(folder) {
+            Ok(entries) if depth <= DEPTH_LIMIT => entries,
+            Ok(_) => return self.fault(folder, "the folder is nested too deeply"),
+            Err(error) => return self.fault(folder, format!("the folder cannot be read: {error}")),
+        };
+        for entry in entries {
+            let path = entry.path();
+            let name = entry.file_name();
+            let name = name.to_string_lossy();
+            let is_folder = entry.file_type().is_ok_and(|kind| kind.is_dir());
+            if is_folder && !name.starts_with('.') {
+                self.folder(&path, depth + 1);
+            } else if !is_folder && name == FILE_NAME {
+                self.file(&path);
+            } else if !is_folder && is_mistaken(&name) {
+                self.mistaken(&path);
+            }
+        }
+    }
+
+    fn file(&mut self, path: &Path) {
+        match Source::read(self.name(path), path) {
+            Ok(source) => self.sources.push(source),
+            Err(error) => self.fault(path, error),
+        }
+    }
+
+    fn mistaken(&mut self, path: &Path) {
+        self.faults.push(Fault {
+            fix: format!("rename the file to {FILE_NAME}").into(),
+            ..Fault::unreadable(self.name(path), "the file is not read under this name")
+        });
+    }
+
+    /// Returns the path below the root, by which people know the file.
+    fn name(&self, path: &Path) -> Arc<str> {
+        let below = path.strip_prefix(&self.root).unwrap_or(path);
+        match below.as_os_str().is_empty() {
+            true => self.root.display().to_string().into(),
+            false => below.display().to_string().into(),
+        }
+    }
+
+    fn fault(&mut self, path: &Path, message: impl ToString) {
+        let name = self.name(path);
+        self.faults
+            .push(Fault::unreadable(name, message.to_string()));
+    }
+
+    fn finish(mut self) -> Collection {
+        let files = self.sources.len();
+        if files == 0 && self.faults.is_empty() {
+            let name = self.root.display().to_string();
+            self.faults.push(Fault {
+                code: Code::Empty,
+                fix: format!("name a folder that holds files named {FILE_NAME}").into(),
+                ..Fault::unreadable(name, "no scheduling file was found")
+            });
+        }
+        let services = match read(self.sources) {
+            Ok(services) if self.faults.is_empty() => Ok(services),
+            Ok(_) => Err(self.faults),
+            Err(faults) => Err(self.faults.into_iter().chain(faults).collect()),
+        };
+        Collection { files, services }
+    }
+}
+
+/// Tells whether people mean a scheduling file by `name`. Passing over it
+/// silently would remove its services from the configuration.
+fn is_mistaken(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    name == FILE_NAME || name == "filbertbend.yml"
+}
+
+/// Lists a folder in the order of names, so that reports do not vary.
+fn list(folder: &Path) -> io::Result<Vec<DirEntry>> {
+    let mut entries = fs::read_dir(folder)?.collect::<io::Result<Vec<_>>>()?;
+    entries.sort_by_key(DirEntry::file_name);
+    Ok(entries)
+}
--- /dev/null
+++ b/crates/filbertbend/src/declaration/mod.rs
@@ -0,0 +1,63 @@
+//! The scheduling files that operators keep next to their services' code.
+//!
+//! A file is named [`FILE_NAME`] and holds one service, or several as YAML
+//! documents separated by `---`. Reading goes on after a fault, so that one run
+//! reports every fault of every file. `docs/operators.md` describes the keys.
+
+mod check;
+mod collect;
+mod read;
+
+pub use collect::{collect, Collection};
+
+use {
+    filbertbend_state::{id, service::Declaration, unit::Share},
+    filbertbend_yaml::{document, Fault, Report, Source, Spot},
+    std::{path::Path, sync::Arc},
+};
+
+/// The name of a scheduling file.
+pub const FILE_NAME: &str = "filbertbend.yaml";
+
+/// A service as it was read, for checks against the others.
+#[derive(Clone, Debug)]
+struct Declared {
+    file: Arc<Source>,
+    name: Spot<id::Service>,
+    share: Option<Spot<Share>>,
+    data_centres: Vec<id::DataCentre>,
+    /// The declaration, unless it has a fault.
+    declaration: Option<Declaration>,
+}
+
+/// Reads scheduling files and checks them against each other.
+///
+/// # Errors
+///
+/// Returns the faults of all files, in the order of the files.
+pub fn read(files: impl IntoIterator<Item = Source>) -> Result<Vec<Declaration>, Vec<Fault>> {
+    let mut declared = Vec::new();
+    let mut faults = Vec::new();
+    for file in files {
+        let file = Arc::new(file);
+        let mut report = Report::new(file.clone());
+        let documents = document::parse(&mut report);
+        declared.extend(read::file(&documents, &mut report));
+        faults.extend(report.into_faults());
+    }
+    faults.extend(check::duplicates(&declared));
+    faults.extend(check::shares(&declared));
+    faults.sort_by(|a, b| (a.file.name(), a.span).cmp(&(b.file.name(), b.span)));
+    match faults.is_empty() {
+        true => Ok(declared
+            .into_iter()
+            .filter_map(|one| one.declaration)
+            .collect()),
+        false => Err(faults),
+    }
+}
+
+/// Returns the path of every key of a service, such as `size.cores`.
+pub fn keys() -> Vec<String> {
+    document::keys(|node, _: &Path, report| read::service(node, report))
+}
--- a/crates/filbertbend/src/settings/mod.rs
+++ b/crates/filbertbend/src/settings/mod.rs
@@ -7,7 +7,7 @@
 use {
     filbertbend_state::{
         id,
-        unit::{Bytes, Connections, Millis},
+        unit::{Bytes, Connections},
     },
     filbertbend_yaml::{document, Fault, Log, Tls},
     std::{net::SocketAddr, path::Path},
@@ -34,8 +34,6 @@
     /// The writes that the entry makes in a second at most; its share of the
     /// store's rate.
     pub writes_per_second: u32,
-    /// How long one call other than a watch may take.
-    pub timeout: Millis,
 }
 
 /// Bounds on what callers send.
--- a/crates/filbertbend/src/settings/read.rs
+++ b/crates/filbertbend/src/settings/read.rs
@@ -4,7 +4,7 @@
     super::{Addresses, Limits, Settings, Store},
     filbertbend_state::{
         id,
-        unit::{Bytes, Connections, Millis},
+        unit::{Bytes, Connections},
     },
     filbertbend_yaml::{document, positive, process, Code, Report, Section, Span, Spot},
     std::{
@@ -17,7 +17,6 @@
 const CALLERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 8080);
 const OPERATORS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8081);
 const WRITES_PER_SECOND: u32 = 30;
-const STORE_TIMEOUT: Millis = Millis(1000);
 const HEADER_LIMIT: Bytes = Bytes(32 << 10);
 const BODY_LIMIT: Bytes = Bytes(64 << 20);
 const JOB_BODY_LIMIT: Bytes = Bytes(256 << 10);
@@ -128,14 +127,11 @@
     let mut part = section.section("store", "the section `store`", report)?;
     let addresses = part.required_list::<SocketAddr>("addresses", report);
     let writes = part.optional::<u32>("writes_per_second", report);
-    let timeout = part.optional::<Millis>("timeout", report);
     part.close(report);
     let writes = positive(writes, "writes_per_second", report);
-    let timeout = positive(timeout, "timeout", report);
     Some(Store {
         addresses: addresses.into_iter().map(|spot| spot.value).collect(),
         writes_per_second: writes.unwrap_or(WRITES_PER_SECOND),
-        timeout: timeout.unwrap_or(STORE_TIMEOUT),
     })
 }
 
--- a/crates/yaml/src/document.rs
+++ b/crates/yaml/src/document.rs
@@ -51,8 +51,9 @@
 
 /// Parses all documents of the report's file.
 ///
-/// Documents that end before a syntax error are returned; the error itself and
-/// everything that is not accepted goes to `report`.
+/// Documents are returned up to a syntax error, the last one with what precedes
+/// the error, so that other faults are found in the same run. The error itself
+/// and everything that is not accepted goes to `report`.
 pub fn parse(report: &mut Report) -> Vec<Node> {
     let file = report.file().clone();
     let offsets = Offsets::new(file.text());
@@ -79,7 +80,7 @@
             break;
         }
     }
-    builder.documents
+    builder.finish(report)
 }
 
 /// Reads a file of one mapping with `read`, which gets the document and the
@@ -238,6 +239,15 @@
         Ok(())
     }
 
+    /// Returns the documents; one that did not end is closed where it stops.
+    fn finish(mut self, report: &mut Report) -> Vec<Node> {
+        if let Some(Open::List(span, _) | Open::Map(span, ..)) = self.open.first() {
+            report.cut_off(*span);
+        }
+        while !self.open.is_empty() && self.leave(report).is_ok() {}
+        self.documents
+    }
+
     fn leave(&mut self, report: &mut Report) -> Result<(), Stop> {
         let node = match self.open.pop() {
             Some(Open::List(span, nodes)) => Node {
--- a/crates/yaml/src/fault.rs
+++ b/crates/yaml/src/fault.rs
@@ -150,6 +150,7 @@
     file: Arc<Source>,
     faults: Vec<Fault>,
     keys: BTreeSet<String>,
+    cut_off: Option<Span>,
 }
 
 impl Report {
@@ -159,6 +160,7 @@
             file,
             faults: Vec::new(),
             keys: BTreeSet::new(),
+            cut_off: None,
         }
     }
 
@@ -184,6 +186,17 @@
         });
     }
 
+    /// Notes that a syntax error ended the document at `span` early, so that
+    /// nothing can be said about keys that it lacks.
+    pub(crate) fn cut_off(&mut self, span: Span) {
+        self.cut_off = Some(span);
+    }
+
+    /// Tells whether the document that holds `span` ended early.
+    pub(crate) fn is_cut_off(&self, span: Span) -> bool {
+        self.cut_off.is_some_and(|start| start.start <= span.start)
+    }
+
     /// Notes that the key at `path` is known.
     pub(crate) fn know(&mut self, path: String) {
         self.keys.insert(path);
--- a/crates/yaml/src/scalar.rs
+++ b/crates/yaml/src/scalar.rs
@@ -66,15 +66,13 @@
 }
 
 scalars! {
-    bool, "a truth value", "use true or false";
+    bool, "true or false", "use true or false";
     u8, "a number from 0 to 255", "use digits only";
     u16, "a number from 0 to 65535", "use digits only";
     u32, "a number from 0 to 4294967295", "use digits only";
     unit::Accelerators, "a count of accelerators", "use a whole number, such as 1";
     unit::Slots, "a count of slots", "use a whole number, such as 8";
     unit::Connections, "a count of connections", "use a whole number, such as 64";
-    unit::Cores, "an amount of processor time", "use a number of cores, such as 2, or thousandths, such as 500m";
-    unit::Share, "a share", "use a percentage from 0% to 100%, such as 20%";
     SocketAddr, "an address", "use IP:PORT, such as 127.0.0.1:7400 or [::1]:7400";
     PathBuf, "a path", "give the path of a file";
 }
@@ -130,6 +128,31 @@
     }
 }
 
+impl Scalar for unit::Cores {
+    const WHAT: &'static str = "an amount of processor time";
+
+    fn fix(text: &str) -> String {
+        match text.parse::<f64>() {
+            Ok(cores) if (0.001..1e6).contains(&cores) => {
+                format!("write it as {}", Self((cores * 1000.0).round() as u64))
+            }
+            _ => "use a number of cores, such as 2, or thousandths, such as 500m".to_owned(),
+        }
+    }
+}
+
+impl Scalar for unit::Share {
+    const WHAT: &'static str = "a percentage";
+
+    fn fix(text: &str) -> String {
+        let repaired = format!("{}%", text.trim());
+        match repaired.parse::<Self>() {
+            Ok(_) => format!("add the percent sign, as in {repaired}"),
+            Err(_) => "use a percentage from 0% to 100%, such as 20%".to_owned(),
+        }
+    }
+}
+
 /// Returns the fix for a quantity whose unit cannot be guessed.
 fn plain_unit_fix(text: &str, unit: &str, usual: &str) -> String {
     let bare = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
--- a/crates/yaml/src/section.rs
+++ b/crates/yaml/src/section.rs
@@ -175,6 +175,9 @@
 
     /// Reports that `key`, which holds `what`, is missing.
     fn missing(&self, key: &str, what: &str, report: &mut Report) {
+        if report.is_cut_off(self.span) {
+            return;
+        }
         let under = match self.path.as_str() {
             "" => String::new(),
             path => format!(" under `{path}:`"),
@@ -257,7 +260,7 @@
             report.add(
                 Code::Value,
                 node.span,
-                format!("`{}` is not {} for `{key}`", excerpt(text), T::WHAT),
+                format!("`{key}` must be {}, not `{}`", T::WHAT, excerpt(text)),
                 T::fix(text),
             );
             None
