--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,4 +5,6 @@
 
 pub mod endpoint;
 pub mod keys;
+pub mod slices;
 pub mod store;
+pub mod worker;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value store.
 
 mod memory;
+pub mod network;
 mod server;
 
 pub use {
