Add the operators' commands

Operators check, publish, audit, drain and inspect from one command line.

crates/filbertbend/src/cli parses with bpaf into plain data and runs every command over transport::store::Client, so that the tests use the store in memory. cli::main(serve) takes the entry process as a function. Each failure has a message, a fix and one exit code: 1 failed, 2 usage or faulty file, 3 lost the race, 4 unknown outcome, 5 store unavailable.

--- /dev/null
+++ b/crates/filbertbend/src/cli/audit.rs
@@ -0,0 +1,141 @@
+//! `audit`: shows who changed what and when.
+
+use {
+    super::{
+        failure::{count, Failure},
+        Screen,
+    },
+    chrono::{DateTime, SecondsFormat},
+    filbertbend_coordination::{
+        config::{codec, key},
+        store::{Answer, Call, Pair},
+    },
+    filbertbend_state::{
+        config::{Change, Manifest},
+        id,
+        time::Wall,
+    },
+    filbertbend_transport::store::Client,
+    serde::Serialize,
+    std::{io::Write, sync::Arc, time::Duration},
+};
+
+/// Tries of one read before the store counts as unavailable.
+const TRIES: u32 = 5;
+
+/// The pause between tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// One change as it is shown.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Entry {
+    pub(super) from: id::Revision,
+    pub(super) to: id::Revision,
+    pub(super) author: Arc<str>,
+    pub(super) at: String,
+    pub(super) nonce: String,
+    pub(super) summary: Vec<Arc<str>>,
+}
+
+impl From<Change> for Entry {
+    fn from(change: Change) -> Self {
+        Self {
+            from: change.from,
+            to: change.to,
+            author: change.author,
+            at: written(change.at),
+            nonce: change.nonce.to_string(),
+            summary: change.summary,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Audited {
+    outcome: &'static str,
+    revision: id::Revision,
+    changes: Vec<Entry>,
+}
+
+pub(super) async fn run<C: Client, O: Write, E: Write>(
+    limit: usize,
+    store: &C,
+    screen: &mut Screen<O, E>,
+) -> Result<(), Failure> {
+    let manifest: Manifest = match read(store, key::MANIFEST.into()).await? {
+        Some(pair) => decode(pair)?,
+        None => Manifest::default(),
+    };
+    let revision = manifest.revision;
+    let changes = newest(store, manifest, limit).await?;
+    if changes.is_empty() {
+        screen.text("Nothing was published yet.");
+    }
+    for entry in &changes {
+        screen.text(format!(
+            "revision {} (from {})  {}  {}  {}",
+            entry.to,
+            entry.from,
+            entry.at,
+            entry.author,
+            count(entry.summary.len(), "change")
+        ));
+        for line in &entry.summary {
+            screen.text(format!("    {line}"));
+        }
+    }
+    screen.json(&Audited {
+        outcome: "done",
+        revision,
+        changes,
+    });
+    Ok(())
+}
+
+/// Reads the newest changes, newest first, from the manifest and as many
+/// archives as are needed.
+async fn newest<C: Client>(
+    store: &C,
+    manifest: Manifest,
+    limit: usize,
+) -> Result<Vec<Entry>, Failure> {
+    let mut changes = manifest.audit;
+    changes.reverse();
+    let mut archives = manifest.audit_segments;
+    while changes.len() < limit {
+        let Some(key) = archives.pop() else { break };
+        let pair = read(store, key.clone()).await?;
+        let archive: codec::Archive = decode(pair.ok_or(Failure::Missing(key))?)?;
+        // The archive's own list is older than every key that is left.
+        archives.splice(0..0, archive.older);
+        changes.extend(archive.changes.into_iter().rev());
+    }
+    changes.truncate(limit);
+    Ok(changes.into_iter().map(Entry::from).collect())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(pair: Pair) -> Result<T, Failure> {
+    let key = pair.key;
+    codec::decode(&pair.value).map_err(|error| Failure::Value { key, error })
+}
+
+async fn read<C: Client>(store: &C, key: Arc<str>) -> Result<Option<Pair>, Failure> {
+    for _ in 0..TRIES {
+        if let Answer::Value(pair) = store.call(Call::Get { key: key.clone() }).await {
+            return Ok(pair);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Err(Failure::Unavailable)
+}
+
+/// Writes a time in UTC.
+fn written(at: Wall) -> String {
+    i64::try_from(at.0)
+        .ok()
+        .and_then(DateTime::from_timestamp_millis)
+        .map_or_else(
+            || at.to_string(),
+            |time| time.to_rfc3339_opts(SecondsFormat::Secs, true),
+        )
+}
--- /dev/null
+++ b/crates/filbertbend/src/cli/failure.rs
@@ -0,0 +1,145 @@
+//! Why a command failed, what to do about it, and its exit code.
+
+use {
+    super::audit::Entry,
+    filbertbend_coordination::config::codec,
+    filbertbend_state::id,
+    filbertbend_yaml::Fault,
+    miette::Diagnostic,
+    std::{io, net::SocketAddr, process::ExitCode, sync::Arc},
+};
+
+/// The exit codes, which `docs/operators.md` lists.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u8)]
+pub enum Exit {
+    /// The command did what it says.
+    Done = 0,
+    /// It failed.
+    Failed = 1,
+    /// The arguments are wrong, or a file has faults.
+    Usage = 2,
+    /// Another publish came first.
+    LostRace = 3,
+    /// It is not known whether the publish is in force.
+    Unknown = 4,
+    /// The store did not answer; nothing changed.
+    Unavailable = 5,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub(super) enum Failure {
+    /// A settings file has faults.
+    #[error("the settings file has {}", count(.0.len(), "fault"))]
+    #[diagnostic(help("correct the faults above"))]
+    Settings(Vec<Fault>),
+    /// Scheduling files have faults.
+    #[error("the scheduling files have {}", count(.0.len(), "fault"))]
+    #[diagnostic(help("correct the faults above; nothing was published"))]
+    Files(Vec<Fault>),
+    /// Nobody is named as the author.
+    #[error("the author of the change is not known")]
+    #[diagnostic(help("add --author NAME"))]
+    Author,
+    /// The process cannot start.
+    #[error("the process cannot start: {0}")]
+    #[diagnostic(help("check the limits of the instance"))]
+    Runtime(#[source] io::Error),
+    /// Another publish came first.
+    #[error("{}", lost_race(*.base, .winner.as_ref()))]
+    #[diagnostic(help("nothing was published; review the newer revision and publish again"))]
+    LostRace {
+        base: id::Revision,
+        winner: Option<Entry>,
+    },
+    /// It is not known whether the publish is in force.
+    #[error(
+        "it is not known whether revision {revision} is in force: the store stopped answering"
+    )]
+    #[diagnostic(help(
+        "run `filbertbend audit --format json` when the store answers; nonce {nonce} marks this change"
+    ))]
+    Unknown {
+        revision: id::Revision,
+        nonce: id::Nonce,
+    },
+    /// The store did not answer.
+    #[error("the store is unavailable")]
+    #[diagnostic(help("nothing changed; check the address, or try again when the store answers"))]
+    Unavailable,
+    /// A value in the store cannot be used.
+    #[error("the value at `{key}` cannot be used: {error}")]
+    #[diagnostic(help("nothing changed; use the version of filbertbend that the entries run"))]
+    Value { key: Arc<str>, error: codec::Error },
+    /// A value that the manifest names is missing.
+    #[error("the value at `{0}` is missing")]
+    #[diagnostic(help("run the command again; a publish may have replaced it"))]
+    Missing(Arc<str>),
+    /// The entry did not answer.
+    #[error("the entry at {address} does not answer: {reason}")]
+    #[diagnostic(help("name the operators' address of a running entry with --entry ADDRESS"))]
+    Entry { address: SocketAddr, reason: String },
+    /// The entry does not know the job.
+    #[error("the job {0} is not known")]
+    #[diagnostic(help(
+        "check the id; ended jobs are kept for a limited time, and each region has its own jobs"
+    ))]
+    Job(id::Job),
+}
+
+impl Failure {
+    /// Returns the exit code.
+    pub(super) fn exit(&self) -> Exit {
+        match self {
+            Self::Settings(_) | Self::Files(_) | Self::Author => Exit::Usage,
+            Self::LostRace { .. } => Exit::LostRace,
+            Self::Unknown { .. } => Exit::Unknown,
+            Self::Unavailable => Exit::Unavailable,
+            Self::Runtime(_)
+            | Self::Value { .. }
+            | Self::Missing(_)
+            | Self::Entry { .. }
+            | Self::Job(_) => Exit::Failed,
+        }
+    }
+
+    /// Returns the faults of files, which are reported one by one.
+    pub(super) fn faults(&self) -> &[Fault] {
+        match self {
+            Self::Settings(faults) | Self::Files(faults) => faults,
+            _ => &[],
+        }
+    }
+
+    /// Returns the change that came first.
+    pub(super) fn winner(&self) -> Option<&Entry> {
+        match self {
+            Self::LostRace { winner, .. } => winner.as_ref(),
+            _ => None,
+        }
+    }
+}
+
+/// Returns a count with its noun, in the plural unless it is one.
+pub(super) fn count(number: usize, noun: &str) -> String {
+    match number {
+        1 => format!("1 {noun}"),
+        _ => format!("{number} {noun}s"),
+    }
+}
+
+fn lost_race(base: id::Revision, winner: Option<&Entry>) -> String {
+    let who = match winner {
+        Some(winner) => format!("{} published revision {}", winner.author, winner.to),
+        None => "another operator published".to_owned(),
+    };
+    format!("revision {base} is no longer in force: {who} first")
+}
--- /dev/null
+++ b/crates/filbertbend/src/cli/inspect.rs
@@ -0,0 +1,183 @@
+//! `status` and `explain JOB`: ask an entry about its state.
+
+use {
+    super::{failure::Failure, Screen},
+    bytes::Bytes,
+    filbertbend_coordination::job::Status,
+    filbertbend_state::{id, outcome::Reason},
+    http_body_util::{BodyExt, Empty, Limited},
+    hyper::{Request, StatusCode},
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    serde_json::Value,
+    std::{fmt::Write as _, io::Write, net::SocketAddr, time::Duration},
+};
+
+/// How long an entry may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+
+pub(super) async fn status<O: Write, E: Write>(
+    entry: SocketAddr,
+    screen: &mut Screen<O, E>,
+) -> Result<(), Failure> {
+    let (code, body) = get(entry, "/v1/status").await?;
+    if code != StatusCode::OK {
+        return Err(unexpected(entry, code, &body));
+    }
+    let value: Value = read(entry, &body)?;
+    let mut text = String::new();
+    outline(&value, 0, &mut text);
+    screen.text(text.trim_end());
+    screen.json(&value);
+    Ok(())
+}
+
+pub(super) async fn explain<O: Write, E: Write>(
+    job: id::Job,
+    entry: SocketAddr,
+    screen: &mut Screen<O, E>,
+) -> Result<(), Failure> {
+    let (code, body) = get(entry, &format!("/v1/explain/{job}")).await?;
+    match code {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => return Err(Failure::Job(job)),
+        code => return Err(unexpected(entry, code, &body)),
+    }
+    let status: Status = read(entry, &body)?;
+    screen.text(account(&status));
+    screen.json(&status);
+    Ok(())
+}
+
+async fn get(entry: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), Failure> {
+    let failure = |reason: String| Failure::Entry {
+        address: entry,
+        reason,
+    };
+    let request = Request::get(format!("http://{entry}{path}"))
+        .body(Empty::<Bytes>::new())
+        .map_err(|error| failure(error.to_string()))?;
+    let exchange = async {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let response = client
+            .request(request)
+            .await
+            .map_err(|error| failure(root(&error)))?;
+        let code = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| failure(error.to_string()))?;
+        Ok((code, body.to_bytes()))
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, exchange)
+        .await
+        .unwrap_or_else(|_| Err(failure("no answer within 5s".to_owned())))
+}
+
+/// Returns the innermost cause of an error, which tells people most.
+fn root(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(source) => root(source),
+        None => error.to_string(),
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(entry: SocketAddr, body: &Bytes) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| Failure::Entry {
+        address: entry,
+        reason: format!("the answer cannot be read: {error}"),
+    })
+}
+
+/// Reports an answer that is no result, with the entry's own message if any.
+fn unexpected(entry: SocketAddr, code: StatusCode, body: &Bytes) -> Failure {
+    let message = serde_json::from_slice::<Value>(body)
+        .ok()
+        .and_then(|value| value.get("message")?.as_str().map(str::to_owned));
+    let reason = match message {
+        Some(message) => format!("{code}: {message}"),
+        None => code.to_string(),
+    };
+    let address = entry;
+    Failure::Entry { address, reason }
+}
+
+/// Writes a JSON value as indented lines.
+fn outline(value: &Value, depth: usize, text: &mut String) {
+    let indent = "  ".repeat(depth);
+    let fields: Vec<(String, &Value)> = match value {
+        Value::Object(map) => map
+            .iter()
+            .map(|(key, value)| (format!("{key}:"), value))
+            .collect(),
+        Value::Array(list) => list.iter().map(|value| ("-".to_owned(), value)).collect(),
+        scalar => {
+            let _ = writeln!(text, "{indent}{}", plain(scalar));
+            return;
+        }
+    };
+    for (key, value) in fields {
+        match value {
+            Value::Object(_) | Value::Array(_) => {
+                let _ = writeln!(text, "{indent}{key}");
+                outline(value, depth + 1, text);
+            }
+            scalar => {
+                let _ = writeln!(text, "{indent}{key} {}", plain(scalar));
+            }
+        }
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "none".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+/// Writes the account of a job for people.
+fn account(status: &Status) -> String {
+    let mut text = format!(
+        "job {} of service {}: {}, {} of {} tasks done",
+        status.job, status.service, status.phase, status.tasks_done, status.tasks
+    );
+    if let Some(reason) = status.reason {
+        let _ = write!(text, "\nreason: {reason}, {}", words(reason));
+    }
+    if !status.trials.is_empty() {
+        text.push_str("\nattempts:");
+    }
+    for trial in &status.trials {
+        let _ = write!(
+            text,
+            "\n    task {} attempt {} on {}: {}",
+            trial.index, trial.number, trial.worker, trial.state
+        );
+    }
+    text
+}
+
+/// Explains a reason in words.
+fn words(reason: Reason) -> &'static str {
+    match reason {
+        Reason::QueueFull => "the queue would hold it past its deadline or its bound",
+        Reason::DeadlineTooShort => "its deadline cannot be met",
+        Reason::NoRoom => "no endpoint or worker has room for it now",
+        Reason::NoEndpoint => "no endpoint serves the service",
+        Reason::Leaving => "the process that was asked is leaving",
+        Reason::StoreUnavailable => "the store is down, so nothing new can be made durable",
+        Reason::QuotaExceeded => "the team is over its quota",
+        Reason::UnknownService => "the service is not in the configuration",
+        Reason::SequenceGap => "an earlier order of the customer is missing",
+        Reason::KeyReused => "the idempotency key was used with another body",
+        Reason::TooLarge => "it is larger than every worker",
+        Reason::Parked => "it failed on several workers in good standing",
+        Reason::NoOwner => "its slice has no owner at the moment",
+        Reason::RetryBudget => "no try is left in the retry budget",
+    }
+}
--- /dev/null
+++ b/crates/filbertbend/src/cli/mod.rs
@@ -0,0 +1,157 @@
+//! The command line: the entry process and the operators' commands.
+//!
+//! `docs/operators.md` describes every command and exit code.
+
+mod arguments;
+mod audit;
+mod check;
+mod failure;
+mod inspect;
+mod publish;
+mod screen;
+mod store;
+
+pub use {
+    arguments::{arguments, Arguments, Command, Format, Operation, Place},
+    failure::Exit,
+    screen::Screen,
+};
+
+use {
+    crate::settings::Settings,
+    failure::Failure,
+    filbertbend_coordination::config::Intent,
+    filbertbend_state::time::Wall,
+    filbertbend_transport::{clock, store::Client},
+    std::{
+        collections::hash_map::RandomState,
+        env,
+        hash::{BuildHasher, Hasher},
+        io::Write,
+        process::ExitCode,
+        sync::Arc,
+    },
+};
+
+/// Longest line of the help and of reports, in characters.
+const WIDTH: usize = 100;
+
+/// Reads the command line, carries the command out and returns its exit code.
+///
+/// `serve` runs the entry process, which is not part of the command line.
+pub fn main(serve: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
+    let arguments = match arguments().run_inner(bpaf::Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            return match failure.exit_code() {
+                0 => Exit::Done.into(),
+                _ => Exit::Usage.into(),
+            };
+        }
+    };
+    let mut screen = Screen::terminal(arguments.format);
+    let operation = match arguments.command {
+        Command::Serve { settings, check } => {
+            return match Settings::load(settings) {
+                Ok(_) if check => check::correct(&mut screen).into(),
+                Ok(settings) => serve(settings),
+                Err(faults) => screen.fail(Failure::Settings(faults)).into(),
+            };
+        }
+        Command::Operate(operation) => operation,
+    };
+    let context = match Context::resolve(arguments.store, arguments.author) {
+        Ok(context) => context,
+        Err(failure) => return screen.fail(failure).into(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime
+            .block_on(run(operation, context, &mut screen))
+            .into(),
+        Err(error) => screen.fail(Failure::Runtime(error)).into(),
+    }
+}
+
+/// What a command gets from its surroundings.
+pub struct Context<C> {
+    /// The store.
+    pub store: C,
+    /// Who publishes, if it is known.
+    pub author: Option<Arc<str>>,
+    /// The time of the command, for the audit trail.
+    pub at: Wall,
+    /// Differs between any two publishes; makes the keys of values unique.
+    pub seed: u64,
+}
+
+impl Context<store::Failover> {
+    /// Finds the store and the author.
+    fn resolve(store: Option<Place>, given: Option<Arc<str>>) -> Result<Self, Failure> {
+        Ok(Self {
+            store: store::Failover::resolve(store.as_ref())?,
+            author: author(given),
+            at: clock::wall(),
+            seed: seed(),
+        })
+    }
+}
+
+/// Carries out an operator's command and returns its exit code.
+pub async fn run<C: Client, O: Write, E: Write>(
+    operation: Operation,
+    context: Context<C>,
+    screen: &mut Screen<O, E>,
+) -> Exit {
+    let result = match operation {
+        Operation::Check { folder } => check::run(&folder, screen),
+        Operation::Publish {
+            folder,
+            expect,
+            dry_run,
+        } => match check::collect(&folder) {
+            Ok(services) => {
+                let wish = publish::Wish {
+                    intent: Intent::Services(services),
+                    expected: expect,
+                    dry_run,
+                };
+                publish::run(wish, context, screen).await
+            }
+            Err(failure) => Err(failure),
+        },
+        Operation::Drain { endpoint } => {
+            let wish = publish::Wish::new(Intent::Drain(endpoint));
+            publish::run(wish, context, screen).await
+        }
+        Operation::Undrain { endpoint } => {
+            let wish = publish::Wish::new(Intent::Undrain(endpoint));
+            publish::run(wish, context, screen).await
+        }
+        Operation::Audit { limit } => audit::run(limit, &context.store, screen).await,
+        Operation::Status { entry } => inspect::status(entry, screen).await,
+        Operation::Explain { job, entry } => inspect::explain(job, entry, screen).await,
+    };
+    match result {
+        Ok(()) => Exit::Done,
+        Err(failure) => screen.fail(failure),
+    }
+}
+
+/// Returns the author from the command line or the user's name.
+fn author(given: Option<Arc<str>>) -> Option<Arc<str>> {
+    given.or_else(|| {
+        let user = env::var("USER").or_else(|_| env::var("LOGNAME")).ok()?;
+        arguments::is_author(&user).then(|| user.into())
+    })
+}
+
+/// Returns a number that the operating system's randomness determines.
+fn seed() -> u64 {
+    let mut hasher = RandomState::new().build_hasher();
+    hasher.write_u64(clock::wall().0);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/filbertbend/src/cli/publish.rs
@@ -0,0 +1,192 @@
+//! `publish DIR`, `drain` and `undrain`: publish a change of the configuration.
+
+use {
+    super::{audit::Entry, failure::Failure, Context, Screen},
+    filbertbend_coordination::{
+        config::{
+            publish::{Action, Event},
+            Difference, Edit, Intent, Outcome, Publisher, Request,
+        },
+        store::{Answer, Call, Ticket},
+    },
+    filbertbend_state::{id, time::Instant},
+    filbertbend_transport::store::Client,
+    futures_util::{stream::FuturesUnordered, StreamExt},
+    serde::Serialize,
+    std::{future::Future, io::Write, sync::Arc},
+    tokio::time,
+};
+
+/// What the operator asks for.
+pub(super) struct Wish {
+    pub(super) intent: Intent,
+    pub(super) expected: Option<id::Revision>,
+    pub(super) dry_run: bool,
+}
+
+impl Wish {
+    pub(super) fn new(intent: Intent) -> Self {
+        Self {
+            intent,
+            expected: None,
+            dry_run: false,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Published {
+    outcome: &'static str,
+    base: id::Revision,
+    revision: id::Revision,
+    author: Arc<str>,
+    edits: Difference,
+}
+
+pub(super) async fn run<C: Client, O: Write, E: Write>(
+    wish: Wish,
+    context: Context<C>,
+    screen: &mut Screen<O, E>,
+) -> Result<(), Failure> {
+    let author = context.author.ok_or(Failure::Author)?;
+    let request = Request {
+        intent: wish.intent,
+        author: author.clone(),
+        at: context.at,
+        expected: wish.expected,
+    };
+    let mut shown = (id::Revision::default(), Difference::default());
+    let publisher = Publisher::new(request, context.seed);
+    let outcome = drive(&context.store, publisher, |base, difference| {
+        for edit in &difference.edits {
+            screen.text(line(edit));
+        }
+        shown = (base, difference);
+        !wish.dry_run
+    })
+    .await;
+    let (base, edits) = shown;
+    let (outcome, base, revision, text) = match outcome {
+        Outcome::Published(change) => (
+            "published",
+            base,
+            change.to,
+            format!(
+                "Published revision {} as {author}, against revision {base}.",
+                change.to
+            ),
+        ),
+        Outcome::Unchanged(revision) => (
+            "unchanged",
+            revision,
+            revision,
+            format!("Nothing to publish: revision {revision} already is as declared."),
+        ),
+        Outcome::Declined => (
+            "declined",
+            base,
+            base,
+            format!("Nothing was published; revision {base} stays in force."),
+        ),
+        failed => return Err(failure(failed)),
+    };
+    screen.text(text);
+    screen.json(&Published {
+        outcome,
+        base: if outcome == "unchanged" {
+            revision
+        } else {
+            base
+        },
+        revision,
+        author,
+        edits,
+    });
+    Ok(())
+}
+
+/// Returns why a publish that is not in force failed.
+fn failure(outcome: Outcome) -> Failure {
+    match outcome {
+        Outcome::LostRace { base, winner } => Failure::LostRace {
+            base,
+            winner: winner.map(Entry::from),
+        },
+        Outcome::Unknown(change) => Failure::Unknown {
+            revision: change.to,
+            nonce: change.nonce,
+        },
+        Outcome::Rejected { key, error } => Failure::Value { key, error },
+        _ => Failure::Unavailable,
+    }
+}
+
+/// Runs a publish to its end. `decide` sees the plan and agrees or declines.
+async fn drive<C: Client>(
+    store: &C,
+    mut publisher: Publisher,
+    mut decide: impl FnMut(id::Revision, Difference) -> bool,
+) -> Outcome {
+    let started = time::Instant::now();
+    let now = || Instant(started.elapsed().as_millis() as u64);
+    let mut calls = FuturesUnordered::new();
+    let mut event = Event::Tick;
+    loop {
+        let mut actions = Vec::new();
+        publisher.step(now(), event, &mut actions);
+        let mut decision = None;
+        for action in actions {
+            match action {
+                Action::Store(ticket, call) => calls.push(ask(store, ticket, call)),
+                Action::Plan(plan) => decision = Some(decide(plan.base, plan.difference)),
+                Action::Done(outcome) => return outcome,
+            }
+        }
+        event = match decision {
+            Some(true) => Event::Proceed,
+            Some(false) => Event::Decline,
+            None => {
+                let wait = publisher.wake_at().map(|at| at.since(now()).duration());
+                next(&mut calls, wait.unwrap_or(IDLE)).await
+            }
+        };
+    }
+}
+
+/// The longest wait without a reason to wake up.
+const IDLE: time::Duration = time::Duration::from_secs(1);
+
+async fn ask<C: Client>(store: &C, ticket: Ticket, call: Call) -> Event {
+    let answer: Answer = store.call(call).await;
+    Event::Answer(ticket, answer)
+}
+
+/// Waits for the next answer, or for a time.
+async fn next<F: Future<Output = Event>>(
+    calls: &mut FuturesUnordered<F>,
+    wait: time::Duration,
+) -> Event {
+    tokio::select! {
+        Some(event) = calls.next() => event,
+        () = time::sleep(wait) => Event::Tick,
+    }
+}
+
+/// Formats one change of a plan.
+fn line(edit: &Edit) -> String {
+    let sign = match edit {
+        Edit::Add { .. } | Edit::Undrain { .. } => '+',
+        Edit::Remove { .. } | Edit::Drain { .. } => '-',
+        Edit::Change { .. } => '~',
+    };
+    match edit {
+        Edit::Change { service, fields } => {
+            let fields: String = fields
+                .iter()
+                .map(|field| format!("\n    {}: {} -> {}", field.key, field.from, field.to))
+                .collect();
+            format!("{sign} change service {service}{fields}")
+        }
+        other => format!("{sign} {other}"),
+    }
+}
--- /dev/null
+++ b/crates/filbertbend/src/cli/screen.rs
@@ -0,0 +1,113 @@
+//! Writes results and failures as text or as JSON.
+
+use {
+    super::{audit::Entry, failure::Failure, Exit, Format, WIDTH},
+    filbertbend_yaml::fault::Record,
+    miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme},
+    serde::Serialize,
+    std::{
+        env,
+        io::{self, IsTerminal, Stderr, Stdout, Write},
+    },
+};
+
+/// Where a command writes. A reader that closed its end is no failure of the
+/// command, so errors of writing are ignored.
+pub struct Screen<O, E> {
+    format: Format,
+    out: O,
+    err: E,
+    reports: GraphicalReportHandler,
+}
+
+/// A failure as the JSON output states it.
+#[derive(Serialize)]
+struct Failed<'a> {
+    outcome: String,
+    message: String,
+    fix: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    winner: Option<&'a Entry>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    faults: Vec<Record>,
+}
+
+impl Screen<Stdout, Stderr> {
+    /// Makes a screen of the process's own outputs, with colours if reports go
+    /// to a terminal and `NO_COLOR` is not set.
+    pub fn terminal(format: Format) -> Self {
+        let colours = io::stderr().is_terminal() && env::var_os("NO_COLOR").is_none();
+        let theme = match colours {
+            true => GraphicalTheme::unicode(),
+            false => GraphicalTheme::unicode_nocolor(),
+        };
+        Self::new(format, io::stdout(), io::stderr(), theme)
+    }
+}
+
+impl<O: Write, E: Write> Screen<O, E> {
+    /// Makes a screen that writes results to `out` and reports to `err`.
+    pub fn new(format: Format, out: O, err: E, theme: GraphicalTheme) -> Self {
+        Self {
+            format,
+            out,
+            err,
+            reports: GraphicalReportHandler::new_themed(theme)
+                .with_width(WIDTH)
+                .with_links(false),
+        }
+    }
+
+    /// Returns what was written, for tests.
+    pub fn into_parts(self) -> (O, E) {
+        (self.out, self.err)
+    }
+
+    /// Writes lines for people.
+    pub(super) fn text(&mut self, text: impl AsRef<str>) {
+        if self.format == Format::Text {
+            let _ = writeln!(self.out, "{}", text.as_ref());
+        }
+    }
+
+    /// Writes the result for scripts.
+    pub(super) fn json(&mut self, value: &impl Serialize) {
+        if self.format == Format::Json {
+            let line = serde_json::to_string(value).unwrap_or_default();
+            let _ = writeln!(self.out, "{line}");
+        }
+    }
+
+    /// Reports a failure and returns its exit code.
+    pub(super) fn fail(&mut self, failure: Failure) -> Exit {
+        let exit = failure.exit();
+        match self.format {
+            Format::Text => {
+                for fault in failure.faults() {
+                    self.report(fault);
+                }
+                self.report(&failure);
+            }
+            Format::Json => self.json(&Failed {
+                outcome: exit.to_string(),
+                message: failure.to_string(),
+                fix: failure.help().map(|fix| fix.to_string()),
+                winner: failure.winner(),
+                faults: failure
+                    .faults()
+                    .iter()
+                    .map(|fault| fault.record())
+                    .collect(),
+            }),
+        }
+        exit
+    }
+
+    fn report(&mut self, diagnostic: &dyn Diagnostic) {
+        let mut text = String::new();
+        if self.reports.render_report(&mut text, diagnostic).is_err() {
+            text = diagnostic.to_string();
+        }
+        let _ = writeln!(self.err, "{}\n", text.trim_end());
+    }
+}
--- a/crates/filbertbend/src/lib.rs
+++ b/crates/filbertbend/src/lib.rs
@@ -5,5 +5,6 @@
     warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
 )]
 
+pub mod cli;
 pub mod declaration;
 pub mod settings;
--- /dev/null
+++ b/crates/filbertbend/tests/cli.rs
@@ -0,0 +1,342 @@
+//! Tests of the operators' commands.
+
+mod support {
+    pub(crate) mod shell;
+}
+
+use {
+    axum::{extract::Path as Segment, http::StatusCode, routing::get, Json, Router},
+    filbertbend::cli::{arguments, Exit},
+    filbertbend_coordination::job::{Phase, Status, Trial},
+    filbertbend_state::{id, outcome::Reason},
+    serde_json::{json, Value},
+    std::{fs, net::SocketAddr, path::Path},
+    support::shell::{copied, examples, shell, Fault, Store},
+};
+
+const STORE: &str = "127.0.0.1:2400";
+
+/// The arguments of a publish of `folder`.
+fn publish(folder: &Path) -> [&str; 4] {
+    ["publish", "--store", STORE, folder.to_str().unwrap()]
+}
+
+fn edit(folder: &Path, service: &str, from: &str, to: &str) {
+    let path = folder.join(service).join("filbertbend.yaml");
+    let text = fs::read_to_string(&path).unwrap();
+    assert!(text.contains(from), "{text}");
+    fs::write(path, text.replace(from, to)).unwrap();
+}
+
+/// A store with the examples in force, and the folder they come from.
+async fn published() -> (Store, tempfile::TempDir) {
+    let store = Store::default();
+    let folder = copied("cumbre-nevada");
+    let ran = shell(&store, 1, &publish(folder.path())).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    (store, folder)
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_shows_the_difference_and_the_revision() {
+    // Guards against a publish whose effect the operator cannot review.
+    let (store, folder) = published().await;
+    edit(folder.path(), "spacing-check", "800ms", "900ms");
+    edit(folder.path(), "spacing-check", "40%", "45%");
+    fs::remove_dir_all(folder.path().join("material-order")).unwrap();
+    fs::create_dir(folder.path().join("roof-scan")).unwrap();
+    let layout = fs::read_to_string(folder.path().join("layout/filbertbend.yaml")).unwrap();
+    let added = layout
+        .replace("name: layout", "name: roof-scan")
+        .replace("30%", "5%");
+    fs::write(folder.path().join("roof-scan/filbertbend.yaml"), added).unwrap();
+
+    let mut dry = publish(folder.path()).to_vec();
+    dry.push("--dry-run");
+    let dry = shell(&store, 2, &dry).await;
+    let real = shell(&store, 3, &publish(folder.path())).await;
+    let again = shell(&store, 4, &publish(folder.path())).await;
+
+    let all = [dry, real, again].map(|ran| ran.transcript());
+    insta::assert_snapshot!(all.join("\n\n"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn audit_lists_who_changed_what_newest_first() {
+    // Guards against changes that cannot be traced to their author.
+    let (store, folder) = published().await;
+    edit(folder.path(), "layout", "6h", "8h");
+    shell(&store, 2, &publish(folder.path())).await;
+    let drain = ["drain", "--store", STORE, "--author", "luis", "runner-3"];
+    shell(&store, 3, &drain).await;
+    shell(&store, 4, &["undrain", "--store", STORE, "runner-3"]).await;
+
+    let all = shell(&store, 5, &["audit", "--store", STORE]).await;
+    let two = [
+        "audit", "--store", STORE, "--limit", "2", "--format", "json",
+    ];
+    let two = shell(&store, 6, &two).await;
+    let none = shell(&Store::default(), 7, &["audit", "--store", STORE]).await;
+
+    let two: Value = serde_json::from_str(&two.out).unwrap();
+    let tos: Vec<&Value> = two["changes"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|c| &c["to"])
+        .collect();
+    assert_eq!(tos, [&json!(4), &json!(3)]);
+    insta::assert_snapshot!(format!("{}\n\n{}", all.transcript(), none.transcript()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn audit_reads_changes_that_left_the_manifest() {
+    // Guards against a listing that ends where the manifest's tail ends, or
+    // where the first of its archives that names others does.
+    let store = Store::default();
+    for number in 1..=2300 {
+        let command = ["undrain", "drain"][number as usize % 2];
+        let ran = shell(&store, number, &[command, "--store", STORE, "runner-3"]).await;
+        assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    }
+
+    let line = [
+        "audit", "--store", STORE, "--limit", "5000", "--format", "json",
+    ];
+    let ran = shell(&store, 999, &line).await;
+
+    let value: Value = serde_json::from_str(&ran.out).unwrap();
+    let tos: Vec<u64> = value["changes"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|change| change["to"].as_u64().unwrap())
+        .collect();
+    assert_eq!(tos, (1..=2300).rev().collect::<Vec<_>>());
+}
+
+#[tokio::test(start_paused = true)]
+async fn loser_of_a_race_exits_with_3_and_names_the_winner() {
+    // Guards against a script that takes a lost race for a success.
+    let (store, folder) = published().await;
+    let other = store.copy();
+    let drain = ["drain", "--store", STORE, "--author", "luis", "runner-3"];
+    shell(&other, 2, &drain).await;
+    store.set_fault(Fault::Overtaken(other.manifest()));
+    edit(folder.path(), "layout", "6h", "8h");
+
+    let text = shell(&store, 3, &publish(folder.path())).await;
+    let mut line = publish(folder.path()).to_vec();
+    line.extend(["--expect", "1", "--format", "json"]);
+    let json = shell(&store, 4, &line).await;
+
+    assert_eq!(text.exit, Exit::LostRace);
+    assert_eq!(json.exit, Exit::LostRace);
+    let value: Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(value["outcome"], "lost-race");
+    assert_eq!(value["winner"]["author"], "luis");
+    insta::assert_snapshot!(text.transcript());
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_and_outages_have_their_own_exit_codes() {
+    // Guards against reporting a failure for a change in force, and a success
+    // or a failure where neither is known.
+    let line = ["drain", "--store", STORE, "runner-3"];
+
+    let settled = Store::default();
+    settled.set_fault(Fault::Lost);
+    let settled = shell(&settled, 1, &line).await;
+    let unknown = Store::default();
+    unknown.set_fault(Fault::LostAndDown);
+    let unknown = shell(&unknown, 2, &line).await;
+    let down = Store::default();
+    down.set_down(true);
+    let publish = shell(&down, 3, &line).await;
+    let audit = shell(&down, 4, &["audit", "--store", STORE]).await;
+
+    let exits = [&settled, &unknown, &publish, &audit].map(|ran| ran.exit);
+    assert_eq!(
+        exits,
+        [
+            Exit::Done,
+            Exit::Unknown,
+            Exit::Unavailable,
+            Exit::Unavailable
+        ]
+    );
+    insta::assert_snapshot!([settled, unknown, publish]
+        .map(|ran| ran.transcript())
+        .join("\n\n"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn faulty_files_are_reported_and_not_published() {
+    // Guards against publishing the correct part of a faulty folder.
+    let (store, folder) = published().await;
+    let before = store.manifest();
+    edit(folder.path(), "layout", "size:", "siez:");
+    edit(
+        folder.path(),
+        "material-order",
+        "idempotent: false",
+        "idempotent: true",
+    );
+
+    let check = shell(&store, 2, &["check", folder.path().to_str().unwrap()]).await;
+    let mut line = publish(folder.path()).to_vec();
+    line.extend(["--format", "json"]);
+    let publish = shell(&store, 3, &line).await;
+
+    assert_eq!([check.exit, publish.exit], [Exit::Usage, Exit::Usage]);
+    assert_eq!(store.manifest(), before);
+    assert_eq!(publish.err, "");
+    let value: Value = serde_json::from_str(&publish.out).unwrap();
+    let value = serde_json::to_string_pretty(&value).unwrap();
+    insta::assert_snapshot!(format!("{}\n\n{value}", check.transcript()));
+}
+
+#[tokio::test]
+async fn check_counts_the_files_of_both_users() {
+    // Guards against a check that looks at nothing.
+    let store = Store::default();
+    let folder = examples("cot-linen");
+    let folder = folder.to_str().unwrap();
+
+    let text = shell(&store, 1, &["check", folder]).await;
+    let json = shell(&store, 1, &["check", "--format", "json", folder]).await;
+
+    assert_eq!(text.out, "3 services in 3 files, no faults\n");
+    let value: Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(
+        value,
+        json!({
+            "outcome": "done",
+            "files": 3,
+            "services": ["batch-plan", "bundle-order", "pricing-check"]
+        })
+    );
+}
+
+/// Serves what an entry serves to operators.
+async fn entry() -> SocketAddr {
+    let known = "01JD3Q6W8P9V2T5N4R7X0Y1Z2A";
+    let explain = move |Segment(job): Segment<String>| async move {
+        if job != known {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        Ok(Json(Status {
+            job: job.parse().unwrap(),
+            phase: Phase::Waiting,
+            service: id::Service::new("layout").unwrap(),
+            reason: Some(Reason::NoRoom),
+            tasks_done: 1,
+            tasks: 3,
+            trials: vec![Trial {
+                index: 0,
+                number: id::Attempt(2),
+                worker: id::Worker::new("worker-4").unwrap(),
+                state: "done".into(),
+            }],
+        }))
+    };
+    let status = json!({
+        "entry": "entry-1",
+        "revision": 7,
+        "endpoints": [{"endpoint": "runner-1", "free_slots": 3, "leaving": false}],
+        "store": null
+    });
+    let router = Router::new()
+        .route("/v1/explain/{job}", get(explain))
+        .route("/v1/status", get(move || async move { Json(status) }));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+#[tokio::test]
+async fn status_and_explain_show_what_an_entry_answers() {
+    // Guards against an account that leaves out the reason or the attempts.
+    let store = Store::default();
+    let entry = entry().await.to_string();
+    let known = "01JD3Q6W8P9V2T5N4R7X0Y1Z2A";
+
+    let status = shell(&store, 1, &["status", "--entry", &entry]).await;
+    let explain = shell(&store, 1, &["explain", "--entry", &entry, known]).await;
+    let absent = known.replace('A', "B");
+    let absent = shell(&store, 1, &["explain", "--entry", &entry, &absent]).await;
+    let json = ["explain", "--entry", &entry, "--format", "json", known];
+    let json = shell(&store, 1, &json).await;
+
+    let value: Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(value["reason"], "no-room");
+    let all = [status, explain, absent].map(|ran| ran.transcript());
+    insta::assert_snapshot!(all.join("\n\n"));
+}
+
+#[tokio::test]
+async fn entry_that_does_not_answer_is_a_failure() {
+    // Guards against an empty result that looks like a state without endpoints.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+
+    let ran = shell(&Store::default(), 1, &["status", "--entry", &address]).await;
+
+    assert_eq!(ran.exit, Exit::Failed);
+    assert!(ran.err.contains("does not answer"), "{}", ran.err);
+    assert_eq!(ran.out, "");
+}
+
+/// Returns what the parser prints for `line`, which must not be a command.
+fn printed(line: &[&str]) -> String {
+    match arguments().run_inner(line).unwrap_err() {
+        bpaf::ParseFailure::Stdout(doc, full) => doc.monochrome(full),
+        bpaf::ParseFailure::Stderr(doc) => format!("error: {}", doc.monochrome(true)),
+        bpaf::ParseFailure::Completion(text) => text,
+    }
+}
+
+#[test]
+fn every_command_has_help_with_examples() {
+    // Guards against options without help and against help that changes without
+    // notice.
+    let commands = [
+        "serve", "check", "publish", "audit", "status", "explain", "drain", "undrain",
+    ];
+
+    let mut text = printed(&["--help"]);
+    for command in commands {
+        let help = printed(&[command, "--help"]);
+        assert!(help.contains("--format"), "{command}: {help}");
+        assert!(
+            help.contains(&format!("filbertbend {command}")),
+            "{command}"
+        );
+        text.push_str(&format!("\n\n{command} --help\n\n{help}"));
+    }
+
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn wrong_arguments_say_what_is_wrong() {
+    // Guards against a usage error that does not name the argument.
+    let lines: [&[&str]; 7] = [
+        &["publsh", "."],
+        &["publish", "."],
+        &["drain", "--store", "store:2400", "runner-3"],
+        &["drain", "--store", STORE, "Runner 3"],
+        &["explain", "17"],
+        &["check", "--format", "xml", "."],
+        &["drain", "--store", STORE, "--author", "a\nb", "runner-3"],
+    ];
+
+    let text: Vec<String> = lines
+        .iter()
+        .map(|line| format!("{}\n    {}", line.join(" "), printed(line)))
+        .collect();
+
+    insta::assert_snapshot!(text.join("\n"));
+}
--- /dev/null
+++ b/crates/filbertbend/tests/support/shell.rs
@@ -0,0 +1,173 @@
+//! Runs commands over a store in memory that can fail.
+
+use {
+    filbertbend::cli::{arguments, run, Command, Context, Exit, Screen},
+    filbertbend_coordination::{
+        config::key,
+        store::{Answer, Call, Expect},
+    },
+    filbertbend_standin::store::Memory,
+    filbertbend_state::time::{Instant, Wall},
+    filbertbend_transport::store::Client,
+    miette::GraphicalTheme,
+    std::{
+        path::PathBuf,
+        sync::{Arc, Mutex},
+    },
+};
+
+/// What happens to the next replacement of the manifest.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Fault {
+    #[default]
+    None,
+    /// It takes effect and its answer is lost.
+    Lost,
+    /// It takes effect, its answer is lost, and then the store is down.
+    LostAndDown,
+    /// Another operator replaces the manifest first, with this value.
+    Overtaken(Vec<u8>),
+}
+
+#[derive(Default)]
+struct State {
+    memory: Memory,
+    down: bool,
+    fault: Fault,
+}
+
+/// A store that commands share.
+#[derive(Clone, Default)]
+pub(crate) struct Store(Arc<Mutex<State>>);
+
+impl Store {
+    pub(crate) fn set_down(&self, down: bool) {
+        self.0.lock().unwrap().down = down;
+    }
+
+    pub(crate) fn set_fault(&self, fault: Fault) {
+        self.0.lock().unwrap().fault = fault;
+    }
+
+    /// Returns the manifest's value, to put it in force elsewhere.
+    pub(crate) fn manifest(&self) -> Vec<u8> {
+        let state = self.0.lock().unwrap();
+        state.memory.pairs(key::MANIFEST).remove(0).value
+    }
+
+    /// Makes an independent store with the same configuration.
+    pub(crate) fn copy(&self) -> Self {
+        let copy = Self::default();
+        let pairs = self.0.lock().unwrap().memory.pairs("config/");
+        for pair in pairs {
+            copy.put(pair.key, pair.value);
+        }
+        copy
+    }
+
+    fn put(&self, key: Arc<str>, value: Vec<u8>) {
+        let mut state = self.0.lock().unwrap();
+        put(&mut state.memory, key, value);
+    }
+}
+
+fn put(memory: &mut Memory, key: Arc<str>, value: Vec<u8>) {
+    let version = match memory.call(Instant(0), Call::Get { key: key.clone() }) {
+        Answer::Value(Some(pair)) => Some(pair.version),
+        _ => None,
+    };
+    let expect = version.map_or(Expect::Absent, Expect::At);
+    let lease = None;
+    memory.call(
+        Instant(0),
+        Call::Put {
+            key,
+            value,
+            expect,
+            lease,
+        },
+    );
+}
+
+impl Client for Store {
+    async fn call(&self, call: Call) -> Answer {
+        let mut state = self.0.lock().unwrap();
+        if state.down {
+            return Answer::Unavailable;
+        }
+        let swap = matches!(&call, Call::Put { key, .. } if &**key == key::MANIFEST);
+        let fault = match swap {
+            true => std::mem::take(&mut state.fault),
+            false => Fault::None,
+        };
+        if let Fault::Overtaken(value) = &fault {
+            put(&mut state.memory, key::MANIFEST.into(), value.clone());
+        }
+        let answer = state.memory.call(Instant(0), call);
+        match fault {
+            Fault::Lost => Answer::Lost,
+            Fault::LostAndDown => {
+                state.down = true;
+                Answer::Lost
+            }
+            _ => answer,
+        }
+    }
+}
+
+/// What a command wrote, and its exit code.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) struct Ran {
+    pub(crate) exit: Exit,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+impl Ran {
+    /// Returns everything for a golden file.
+    pub(crate) fn transcript(&self) -> String {
+        format!("{}{}exit {}", self.out, self.err, self.exit as u8)
+    }
+}
+
+/// Runs one command as the author `ana`. Each number of `seed` is one publish.
+pub(crate) async fn shell(store: &Store, seed: u64, line: &[&str]) -> Ran {
+    let parsed = arguments().run_inner(line).unwrap();
+    let theme = GraphicalTheme::unicode_nocolor();
+    let mut screen = Screen::new(parsed.format, Vec::new(), Vec::new(), theme);
+    let context = Context {
+        store: store.clone(),
+        author: parsed.author.or_else(|| Some("ana".into())),
+        at: Wall(1_796_367_600_000 + seed * 60_000),
+        seed,
+    };
+    let Command::Operate(operation) = parsed.command else {
+        panic!("{line:?} is no operator's command");
+    };
+    let exit = run(operation, context, &mut screen).await;
+    let (out, err) = screen.into_parts();
+    Ran {
+        exit,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+    }
+}
+
+/// Returns the folder of one user's examples.
+pub(crate) fn examples(user: &str) -> PathBuf {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(user)
+}
+
+/// Copies one user's examples, so that a test can change them.
+pub(crate) fn copied(user: &str) -> tempfile::TempDir {
+    let target = tempfile::tempdir().unwrap();
+    for entry in std::fs::read_dir(examples(user)).unwrap() {
+        let from = entry.unwrap().path();
+        let to = target.path().join(from.file_name().unwrap());
+        std::fs::create_dir(&to).unwrap();
+        let file = "filbertbend.yaml";
+        std::fs::copy(from.join(file), to.join(file)).unwrap();
+    }
+    target
+}
