--- a/crates/agent/tests/settings.rs
+++ b/crates/agent/tests/settings.rs
@@ -1,8 +1,13 @@
 //! Tests of the agent's settings file.
 
+#[path = "../../filbertbend/tests/support/page.rs"]
+mod page;
+
 use {
     filbertbend_agent::settings::{keys, Settings},
     filbertbend_state::unit::{Accelerators, Slots},
+    page::{code, leaves, set, table},
+    serde_json::json,
     std::{fs, path::PathBuf},
 };
 
@@ -74,3 +79,33 @@
     assert!(keys.contains(&"room.memory".to_owned()), "{keys:?}");
     assert!(keys.contains(&"tls.authority".to_owned()), "{keys:?}");
 }
+
+#[test]
+fn settings_of_an_agent_are_documented_with_their_defaults() {
+    // Guards against a key or a default that the page lacks or has wrong.
+    let rows = table("### Settings of an agent");
+    let minimal = json!({
+        "endpoint": "runner-1", "worker": "worker-1", "data_centre": "xela", "rack": "a",
+        "services": ["spacing-check"], "room": {"cores": "64", "memory": "250GiB"},
+        "addresses": {"endpoint": "127.0.0.1:9000", "worker": "127.0.0.1:9100"},
+        "seeds": ["127.0.0.1:7400"],
+        "tls": {"certificate": "agent.pem", "key": "agent.key", "authority": "authority.pem"},
+    });
+    let (_folder, path) = folder(&minimal.to_string());
+    let expected = Settings::load(&path).unwrap();
+
+    let mut compared = 0;
+    for row in &rows {
+        let (key, default) = (code(&row[0]).unwrap(), code(&row[2]));
+        if let Some(default) = default {
+            let mut value = minimal.clone();
+            set(&mut value, key, default);
+            fs::write(&path, value.to_string()).unwrap();
+            assert_eq!(Settings::load(&path).unwrap(), expected, "{key}");
+            compared += 1;
+        }
+    }
+
+    assert_eq!(page::keys(&rows), leaves(keys()));
+    assert_eq!(compared, 5);
+}
