--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,4 +5,5 @@
     warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
 )]
 
+pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/agent/src/serve/check.rs
@@ -0,0 +1,99 @@
+//! One quick check, from the entry's stream to the endpoint and back.
+
+use {
+    super::{control, endpoint},
+    filbertbend_protocol::message::{Request, Response},
+    filbertbend_state::{outcome::Reason, unit::Millis},
+    filbertbend_transport::{
+        http::{fields, receive_body, send_body},
+        link::{self, Receiver, Sender},
+    },
+    spdlog::prelude::*,
+    tokio::time::Instant,
+};
+
+/// When a caller may try again after the endpoint could not be reached.
+const RETRY_AFTER: Millis = Millis(250);
+
+/// Serves `request`; whatever goes wrong, the entry learns it or sees the
+/// stream break, so it never takes a truncated answer as complete.
+pub(crate) async fn serve(
+    request: Request,
+    mut sender: Sender,
+    receiver: Receiver,
+    control: control::Handle,
+    endpoint: endpoint::Client,
+) {
+    let deadline = Instant::now() + request.remaining.duration();
+    let slot = match control.admit(&request).await {
+        Ok(slot) => slot,
+        Err(response) => return answer(&mut sender, &response, &request).await,
+    };
+    let started = Instant::now();
+    let result = exchange(&request, &mut sender, receiver, &endpoint, deadline).await;
+    drop(slot);
+    let elapsed = Millis(started.elapsed().as_millis() as u64);
+    control.send(control::Input::Served(elapsed)).await;
+    if let Err(error) = result {
+        sender.abort();
+        debug!("request broken", kv: { request = request.id.0, error: });
+    }
+}
+
+async fn exchange(
+    request: &Request,
+    sender: &mut Sender,
+    receiver: Receiver,
+    endpoint: &endpoint::Client,
+    deadline: Instant,
+) -> Result<(), link::Error> {
+    let asked = endpoint.check(request, receive_body(receiver, deadline));
+    // The entry resets the stream when its caller has gone, which ends the
+    // endpoint's work as well.
+    let response = tokio::select! {
+        response = asked => response,
+        () = tokio::time::sleep_until(deadline) => {
+            return refuse(sender, Response::Expired { started: true }).await;
+        }
+        () = sender.stopped() => return Ok(()),
+    };
+    match response {
+        Ok(response) => {
+            let head = Response::Head {
+                status: response.status().as_u16(),
+                headers: fields(response.headers()),
+            };
+            sender.send(&head).await?;
+            let sent = tokio::time::timeout_at(deadline, send_body(sender, response.into_body()));
+            match sent.await {
+                Ok(result) => result.map(|_| ()),
+                Err(_) => {
+                    sender.abort();
+                    Ok(())
+                }
+            }
+        }
+        Err(endpoint::Error::Unreachable(_) | endpoint::Error::Invalid(_)) => {
+            let refused = Response::Refused {
+                reason: Reason::NoEndpoint,
+                retry_after: RETRY_AFTER,
+            };
+            refuse(sender, refused).await
+        }
+        Err(endpoint::Error::Broken(_)) => refuse(sender, Response::Broken).await,
+    }
+}
+
+async fn refuse(sender: &mut Sender, response: Response) -> Result<(), link::Error> {
+    sender.send(&response).await?;
+    sender.finish();
+    Ok(())
+}
+
+async fn answer(sender: &mut Sender, response: &Response, request: &Request) {
+    let sent = sender.send(response).await;
+    sender.finish();
+    if let Err(error) = sent {
+        debug!("refusal not delivered", kv: { request = request.id.0, error: });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/serve/links.rs
@@ -0,0 +1,162 @@
+//! Links to the entries: dialling, the control stream, and request streams.
+
+use {
+    super::{
+        check,
+        control::{Handle, Input},
+        endpoint,
+    },
+    filbertbend_coordination::membership::{Announcement, Connection, Hello},
+    filbertbend_protocol::message::{Control, Stream},
+    filbertbend_transport::{
+        link::{Error, Link, Receiver, Sender, Socket},
+        outbox,
+        tls::Identity,
+    },
+    spdlog::prelude::*,
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicUsize, Ordering},
+            Arc,
+        },
+        time::Duration,
+    },
+    tokio::{
+        runtime,
+        sync::{watch, Notify},
+    },
+};
+
+/// Longest time that a retired link stays open for its requests.
+const RETIRE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Opens links on the traffic threads.
+#[derive(Clone)]
+pub(crate) struct Dialler {
+    /// The threads that move traffic.
+    pub(crate) runtime: runtime::Handle,
+    /// The newest keys.
+    pub(crate) identity: watch::Receiver<Arc<Identity>>,
+    /// What is announced.
+    pub(crate) announcement: Announcement,
+    /// The number of slices, which must be that of every entry.
+    pub(crate) slices: u16,
+    /// The way to the control thread.
+    pub(crate) control: Handle,
+    /// The endpoint that requests go to.
+    pub(crate) endpoint: endpoint::Client,
+}
+
+impl Dialler {
+    /// Dials `address` from a new socket and reports how it went.
+    pub(crate) fn dial(&self, connection: Connection, address: SocketAddr) {
+        let dialler = self.clone();
+        self.runtime.spawn(async move {
+            if let Err(error) = dialler.serve(connection, address).await {
+                debug!("link ended", kv: { address:, connection:, error: });
+            }
+            dialler.control.send(Input::Closed { connection }).await;
+        });
+    }
+
+    async fn serve(&self, connection: Connection, address: SocketAddr) -> Result<(), Error> {
+        let identity = self.identity.borrow().clone();
+        let socket = Socket::dialler(&identity)?;
+        let link = socket.dial(address).await?;
+        let (mut sender, receiver) = link.open().await?;
+        let hello = Control::Hello(Hello::Agent(self.announcement.clone()));
+        sender.send(&hello).await?;
+        let (outbox, mut queue) = outbox::channel();
+        let retired = queue.retired();
+        self.control
+            .send(Input::Opened { connection, outbox })
+            .await;
+        let requests = Arc::new(AtomicUsize::new(0));
+        let result = tokio::select! {
+            result = queue.write(&mut sender) => result,
+            result = self.read(connection, receiver) => result,
+            result = self.accept(&link, &requests) => result,
+            () = retire(&retired, &requests) => Ok(()),
+        };
+        link.close();
+        socket.close().await;
+        result
+    }
+
+    async fn read(&self, connection: Connection, mut receiver: Receiver) -> Result<(), Error> {
+        while let Some(message) = receiver.receive::<Control>().await? {
+            if let Control::Welcome { member, slices } = &message {
+                if *slices != self.slices {
+                    error!(
+                        "entry has another number of slices; link not used",
+                        kv: { entry: = member.entry, slices:, own: = self.slices }
+                    );
+                    return Ok(());
+                }
+            }
+            self.control
+                .send(Input::Received {
+                    connection,
+                    message,
+                })
+                .await;
+        }
+        Ok(())
+    }
+
+    async fn accept(&self, link: &Link, requests: &Arc<AtomicUsize>) -> Result<(), Error> {
+        loop {
+            let (sender, receiver) = link.accept().await?;
+            let request = InProgress::new(requests);
+            let dialler = self.clone();
+            tokio::spawn(async move {
+                dialler.request(sender, receiver).await;
+                drop(request);
+            });
+        }
+    }
+
+    async fn request(&self, mut sender: Sender, mut receiver: Receiver) {
+        match receiver.receive::<Stream>().await {
+            Ok(Some(Stream::Check(request))) => {
+                let control = self.control.clone();
+                let endpoint = self.endpoint.clone();
+                check::serve(request, sender, receiver, control, endpoint).await;
+            }
+            Ok(_) => {
+                warn!("stream does not begin with a check");
+                sender.abort();
+            }
+            Err(error) => {
+                debug!("stream cannot be read", kv: { error: });
+                sender.abort();
+            }
+        }
+    }
+}
+
+/// Counts a request as in progress until it is dropped.
+struct InProgress(Arc<AtomicUsize>);
+
+impl InProgress {
+    fn new(requests: &Arc<AtomicUsize>) -> Self {
+        requests.fetch_add(1, Ordering::SeqCst);
+        Self(requests.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Returns once the link is retired and its last request has ended.
+async fn retire(retired: &Notify, requests: &AtomicUsize) {
+    retired.notified().await;
+    let deadline = tokio::time::Instant::now() + RETIRE_LIMIT;
+    while requests.load(Ordering::SeqCst) > 0 && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/serve/mod.rs
@@ -0,0 +1,188 @@
+//! The agent's process: its threads, links, endpoint and worker.
+
+mod check;
+mod control;
+mod endpoint;
+mod links;
+mod orders;
+mod recent;
+mod worker;
+
+use {
+    crate::settings::Settings,
+    control::{Handle, Input, Thread, INBOX_LIMIT},
+    filbertbend_coordination::{
+        executor::{self, Executor},
+        membership::{self, Announcement, Beacon},
+    },
+    filbertbend_process::{http, keys, operators, signal},
+    filbertbend_state::{config::Snapshot, hash, id},
+    filbertbend_transport::{clock, tls},
+    links::Dialler,
+    metrics_exporter_prometheus::PrometheusHandle,
+    orders::Orders,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    spdlog::prelude::*,
+    std::{io, sync::Arc},
+    tokio::{
+        net::TcpListener,
+        runtime,
+        sync::{mpsc, oneshot, watch},
+    },
+};
+
+/// Threads that move traffic.
+const TRAFFIC_THREADS: usize = 2;
+/// Limits of the operators' interface, which only scrapers use.
+const OPERATOR_LIMITS: http::Limits = http::Limits {
+    header_bytes: 16 << 10,
+    connections: 64,
+};
+
+/// Why the agent could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A thread, socket or signal handler could not be had.
+    #[error("cannot start: {0}")]
+    Io(#[from] io::Error),
+    /// The keys cannot be used.
+    #[error(transparent)]
+    Keys(#[from] tls::Error),
+    /// The metrics recorder cannot be installed.
+    #[error("cannot record metrics: {0}")]
+    Metrics(String),
+    /// The operators' address cannot be bound.
+    #[error("cannot listen for operators at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the agent as a process of its own, until a signal tells it to leave and
+/// everything has ended.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let metrics = operators::install().map_err(|error| Error::Metrics(error.to_string()))?;
+        serve(settings, metrics, signal::listen()?).await
+    })
+}
+
+/// Runs the agent until `stop` turns true and everything has ended. Several
+/// may run in one process, as the local example does.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub async fn serve(
+    settings: Settings,
+    metrics: PrometheusHandle,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), Error> {
+    let identity = keys::follow(&settings.tls)?;
+    let incarnation = id::Incarnation(clock::wall().0);
+    let (inbox, inputs) = mpsc::channel(INBOX_LIMIT);
+    let control = Handle::new(inbox);
+    let endpoint = endpoint::Client::new(settings.addresses.endpoint);
+    let worker = worker::Client::new(settings.addresses.worker).start(control.clone());
+    let dialler = Dialler {
+        runtime: runtime::Handle::current(),
+        identity,
+        announcement: announcement(&settings, incarnation),
+        slices: settings.slices,
+        control: control.clone(),
+        endpoint: endpoint.clone(),
+    };
+    let orders = Orders {
+        runtime: runtime::Handle::current(),
+        control: control.clone(),
+        endpoint,
+    };
+    let (snapshot, _) = watch::channel(Arc::new(Snapshot::default()));
+    let (exit, exited) = oneshot::channel();
+    let thread = Thread::new(
+        executor(&settings, incarnation),
+        beacon(&settings, incarnation),
+        dialler,
+        worker,
+        orders,
+        snapshot,
+        exit,
+    );
+    control::start(thread, inputs)?;
+    let ready = operate(&settings, metrics).await?;
+    info!("agent started", kv: { endpoint: = settings.endpoint, worker: = settings.worker });
+    let _ = stop.wait_for(|stop| *stop).await;
+    ready.send_replace(false);
+    control.send(Input::Leave).await;
+    let _ = exited.await;
+    info!("agent left", kv: { endpoint: = settings.endpoint });
+    Ok(())
+}
+
+/// Starts the operators' interface and returns its readiness.
+async fn operate(
+    settings: &Settings,
+    metrics: PrometheusHandle,
+) -> Result<watch::Sender<bool>, Error> {
+    let address = settings.addresses.operators;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })?;
+    let (ready, readiness) = watch::channel(true);
+    let router = operators::router(metrics, readiness);
+    let (_, never) = watch::channel(false);
+    tokio::spawn(http::serve(listener, router, OPERATOR_LIMITS, never));
+    Ok(ready)
+}
+
+fn announcement(settings: &Settings, incarnation: id::Incarnation) -> Announcement {
+    Announcement {
+        endpoint: settings.endpoint.clone(),
+        worker: settings.worker.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        rack: settings.rack.clone(),
+        services: settings.services.clone(),
+        slots: settings.slots,
+        connections: settings.connections,
+        room: settings.room,
+    }
+}
+
+fn executor(settings: &Settings, incarnation: id::Incarnation) -> Executor {
+    let limits = executor::Settings::new(
+        settings.room,
+        settings.slots,
+        settings.connections,
+        settings.slices,
+    );
+    Executor::new(
+        limits,
+        ChaCha8Rng::seed_from_u64(seed(settings, incarnation)),
+    )
+}
+
+fn beacon(settings: &Settings, incarnation: id::Incarnation) -> Beacon {
+    Beacon::new(membership::Settings {
+        seeds: settings.seeds.clone(),
+        own: None,
+        seed: seed(settings, incarnation),
+    })
+}
+
+/// Makes a seed that differs between agents and between their lives.
+fn seed(settings: &Settings, incarnation: id::Incarnation) -> u64 {
+    hash::of(format!("{}/{incarnation}", settings.endpoint))
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -51,6 +51,8 @@
     pub room: Room,
     /// The addresses that it uses.
     pub addresses: Addresses,
+    /// The number of slices; the same as in every entry of the region.
+    pub slices: u16,
     /// Entries to connect to at start; never empty.
     pub seeds: Vec<SocketAddr>,
     /// Its identity.
@@ -90,6 +92,7 @@
     let connections = positive(connections, "connections", report);
     let room = read_room(&mut section, report);
     let addresses = read_addresses(&mut section, report);
+    let slices = process::slices(&mut section, report);
     let seeds = section.required_list::<SocketAddr>("seeds", report);
     let (tls, log) = process::read(&mut section, base, report);
     section.close(report);
@@ -103,6 +106,7 @@
         connections: connections.unwrap_or(CONNECTIONS),
         room: room?,
         addresses: addresses?,
+        slices,
         seeds: seeds.into_iter().map(|spot| spot.value).collect(),
         tls: tls?,
         log,
--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -1,3 +1,237 @@
-//! To be written.
+//! The path through entry and agent against a plain one-hop forwarder.
+//!
+//! Both forward to the same endpoint on the same machine in one run, so their
+//! ratio is meaningful where the absolute figures are not.
 
-fn main() {}
+use {
+    filbertbend_bench::{
+        declare,
+        figure::Figure,
+        load::{self, Outcome},
+        memory, role,
+    },
+    filbertbend_standin::{
+        client::Client,
+        endpoint,
+        fleet::{wait_for, Fleet, Launcher, Plan},
+    },
+    filbertbend_state::service::{Class, Kind},
+    hyper::{body::Incoming, service::service_fn, Request, Response},
+    hyper_util::{
+        client::legacy::{connect::HttpConnector, Client as Pool},
+        rt::{TokioExecutor, TokioIo},
+        server::conn::auto::Builder,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpListener, process::Child},
+};
+
+const CONNECTIONS: u32 = 48;
+const ROUND: Duration = Duration::from_secs(5);
+const PATH: &str = "/v1/check/echo/figure";
+const MEBIBYTE: f64 = 1_048_576.0;
+const REQUESTS_IN_PROGRESS: usize = 1000;
+
+fn plan(service_time: Duration) -> Plan {
+    Plan {
+        data_centres: vec!["xela"],
+        entries: 1,
+        workers: 1,
+        services: vec!["echo"],
+        cores: 64,
+        memory_gib: 250,
+        slots: 2000,
+        connections: 2000,
+        service_time,
+        slices: 4,
+        log_level: "warn",
+        launcher: Launcher::OwnExecutable,
+    }
+}
+
+/// The system with one entry and one agent.
+struct System {
+    fleet: Fleet,
+    _entry: Child,
+    agent: Child,
+}
+
+impl System {
+    async fn start(service_time: Duration) -> Self {
+        let fleet = Fleet::start(&plan(service_time))
+            .await
+            .expect("the fleet starts");
+        fleet.configure([declare::service("echo", Kind::Check, Class::Interactive)]);
+        let entry = fleet.spawn_entry(0).expect("the entry starts");
+        let agent = fleet.spawn_agent(0).expect("the agent starts");
+        let client = Client::new(fleet.entries[0].callers);
+        let ready = wait_for(Duration::from_secs(30), || async {
+            client
+                .get(PATH)
+                .await
+                .is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        assert!(ready, "{}", fleet.log("entry-0"));
+        Self {
+            fleet,
+            _entry: entry,
+            agent,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.fleet.entries[0].callers
+    }
+
+    fn agent_mib(&self) -> f64 {
+        let bytes = self.agent.id().and_then(memory::resident_bytes);
+        bytes.map_or(f64::NAN, |bytes| bytes as f64 / MEBIBYTE)
+    }
+}
+
+/// Forwards every request to `endpoint`, as little as a proxy can do.
+async fn forwarder(endpoint: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("the port is bound");
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let pool: Pool<_, Incoming> = Pool::builder(TokioExecutor::new()).build(connector);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let pool = pool.clone();
+            let service = service_fn(move |request| forward(pool.clone(), endpoint, request));
+            tokio::spawn(async move {
+                let builder = Builder::new(TokioExecutor::new());
+                let _ = builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    address
+}
+
+async fn forward(
+    pool: Pool<HttpConnector, Incoming>,
+    endpoint: SocketAddr,
+    mut request: Request<Incoming>,
+) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+    let uri = format!("http://{endpoint}{}", request.uri().path());
+    *request.uri_mut() = uri.parse().expect("the path was valid before");
+    pool.request(request).await
+}
+
+/// Serves the forwarder in a process of its own, like the entry.
+fn run_forwarder(endpoint: SocketAddr) -> ! {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let address = forwarder(endpoint).await;
+        println!("{address}");
+        std::future::pending::<()>().await;
+    });
+    std::process::exit(0)
+}
+
+async fn spawn_forwarder(endpoint: SocketAddr) -> (Child, SocketAddr) {
+    use tokio::io::{AsyncBufReadExt, BufReader};
+    let own = std::env::current_exe().expect("the bench has a path");
+    let mut child = tokio::process::Command::new(own)
+        .arg("role-forwarder")
+        .arg(endpoint.to_string())
+        .stdout(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the forwarder starts");
+    let output = child.stdout.take().expect("the output is piped");
+    let line = BufReader::new(output).lines().next_line().await;
+    let line = line.expect("the output is readable").unwrap_or_default();
+    (
+        child,
+        line.parse().expect("the forwarder prints its address"),
+    )
+}
+
+fn row(name: &str, outcome: &Outcome) {
+    println!(
+        "{name:24} {:>9.0}/s  p50 {:>7.3} ms  p99 {:>7.3} ms  failed {}",
+        outcome.throughput(),
+        outcome.quantile_ms(0.5),
+        outcome.quantile_ms(0.99),
+        outcome.failed
+    );
+}
+
+async fn measure() -> Vec<Figure> {
+    let system = System::start(Duration::ZERO).await;
+    let idle_mib = system.agent_mib();
+    let (_forwarder, plain) = spawn_forwarder(system.fleet.instances[0].endpoint.address()).await;
+    load::run(plain, PATH, CONNECTIONS, None, Duration::from_secs(1)).await;
+    load::run(
+        system.address(),
+        PATH,
+        CONNECTIONS,
+        None,
+        Duration::from_secs(1),
+    )
+    .await;
+    let plain_full = load::run(plain, PATH, CONNECTIONS, None, ROUND).await;
+    let path_full = load::run(system.address(), PATH, CONNECTIONS, None, ROUND).await;
+    row("forwarder, full load", &plain_full);
+    row("path, full load", &path_full);
+    let half = path_full.throughput() / 2.0;
+    let plain_half = load::run(plain, PATH, CONNECTIONS, Some(half), ROUND).await;
+    let path_half = load::run(system.address(), PATH, CONNECTIONS, Some(half), ROUND).await;
+    row("forwarder, half load", &plain_half);
+    row("path, half load", &path_half);
+    let added = |quantile| path_half.quantile_ms(quantile) - plain_half.quantile_ms(quantile);
+    let throughput = path_full.throughput() / plain_full.throughput();
+    let median = added(0.5) / plain_half.quantile_ms(0.5);
+    let tail = added(0.99) / plain_half.quantile_ms(0.99);
+    vec![
+        Figure::at_least("path.throughput", throughput, "ratio", 0.8),
+        Figure::at_most("path.added_p50", median, "ratio", 1.2),
+        Figure::at_most("path.added_p99", tail, "ratio", 2.0),
+        Figure::at_most("agent.idle", idle_mib, "MiB", 16.0),
+        Figure::at_most("agent.busy", busy_mib().await, "MiB", 128.0),
+    ]
+}
+
+/// Returns the agent's memory with 1,000 requests in progress.
+async fn busy_mib() -> f64 {
+    let system = System::start(Duration::from_secs(4)).await;
+    let client = Client::new(system.address());
+    let requests: Vec<_> = (0..REQUESTS_IN_PROGRESS)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { client.get(PATH).await })
+        })
+        .collect();
+    let endpoint: &endpoint::Server = &system.fleet.instances[0].endpoint;
+    let running = wait_for(Duration::from_secs(4), || async {
+        endpoint.running() as usize >= REQUESTS_IN_PROGRESS
+    })
+    .await;
+    println!("in progress: {} (all: {running})", endpoint.running());
+    let mib = system.agent_mib();
+    for request in requests {
+        let _ = request.await;
+    }
+    mib
+}
+
+fn main() {
+    role::run_if_asked();
+    let mut args = std::env::args().skip(1);
+    if args.next().as_deref() == Some("role-forwarder") {
+        let endpoint = args.next().and_then(|address| address.parse().ok());
+        run_forwarder(endpoint.expect("an address"));
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    for figure in runtime.block_on(measure()) {
+        println!("{figure}");
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,7 @@
 //! Pieces that the benches share.
 
+pub mod declare;
 pub mod figure;
+pub mod load;
+pub mod memory;
+pub mod role;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,107 @@
+//! A load of HTTP requests, as fast as they are answered or at a fixed rate.
+
+use {
+    filbertbend_standin::client::Client,
+    hdrhistogram::Histogram,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{task::JoinSet, time::Instant},
+};
+
+/// Highest latency that is told apart, in microseconds.
+const LATENCY_LIMIT_US: u64 = 60_000_000;
+/// Significant digits of the recorded latencies.
+const DIGITS: u8 = 3;
+
+/// What a load measured.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Latencies of the answered requests, in microseconds.
+    pub latencies_us: Histogram<u64>,
+    /// Requests that got another answer than 200, or none.
+    pub failed: u64,
+    /// How long the load took.
+    pub elapsed: Duration,
+}
+
+impl Outcome {
+    fn empty() -> Self {
+        let latencies_us = Histogram::new_with_max(LATENCY_LIMIT_US, DIGITS);
+        Self {
+            latencies_us: latencies_us.expect("the bounds are valid"),
+            failed: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    /// Returns the answered requests a second.
+    pub fn throughput(&self) -> f64 {
+        self.latencies_us.len() as f64 / self.elapsed.as_secs_f64()
+    }
+
+    /// Returns a quantile of the latencies in milliseconds.
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latencies_us.value_at_quantile(quantile) as f64 / 1000.0
+    }
+
+    fn merge(&mut self, other: &Self) {
+        self.failed += other.failed;
+        let added = self.latencies_us.add(&other.latencies_us);
+        added.expect("both histograms have the same bounds");
+    }
+}
+
+/// Sends requests for `path` over `connections` connections, each one after
+/// the other, for `span`. With `rate_per_s`, each request waits for its turn
+/// and its latency counts from then, so a slow answer delays what is measured
+/// of the ones behind it.
+pub async fn run(
+    address: SocketAddr,
+    path: &'static str,
+    connections: u32,
+    rate_per_s: Option<f64>,
+    span: Duration,
+) -> Outcome {
+    let started = Instant::now();
+    let mut tasks = JoinSet::new();
+    for index in 0..connections {
+        let pace = rate_per_s.map(|rate| Duration::from_secs_f64(f64::from(connections) / rate));
+        let offset = pace.map(|pace| pace * index / connections);
+        tasks.spawn(one(address, path, pace, offset, started + span));
+    }
+    let mut outcome = Outcome::empty();
+    while let Some(part) = tasks.join_next().await {
+        outcome.merge(&part.expect("a load task does not panic"));
+    }
+    outcome.elapsed = started.elapsed();
+    outcome
+}
+
+async fn one(
+    address: SocketAddr,
+    path: &'static str,
+    pace: Option<Duration>,
+    offset: Option<Duration>,
+    end: Instant,
+) -> Outcome {
+    let client = Client::new(address);
+    let mut outcome = Outcome::empty();
+    let mut due = Instant::now() + offset.unwrap_or_default();
+    while Instant::now() < end {
+        if let Some(pace) = pace {
+            tokio::time::sleep_until(due).await;
+            due += pace;
+        }
+        let from = match pace {
+            Some(pace) => due - pace,
+            None => Instant::now(),
+        };
+        let answered = client.get(path).await;
+        if answered.is_ok_and(|answer| answer.status == 200) {
+            let elapsed_us = from.elapsed().as_micros() as u64;
+            outcome.latencies_us.saturating_record(elapsed_us);
+        } else {
+            outcome.failed += 1;
+        }
+    }
+    outcome
+}
--- a/crates/coordination/src/attempt.rs
+++ b/crates/coordination/src/attempt.rs
@@ -8,6 +8,7 @@
     filbertbend_state::{id, room::Room, unit::Millis},
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc},
+    strum::IntoStaticStr,
 };
 
 /// One attempt at one task.
@@ -82,7 +83,8 @@
 }
 
 /// A message from the owner of a task to the agent.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, IntoStaticStr, PartialEq, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Command {
     /// Asks the agent to reserve room and claim the attempt.
     Start {
@@ -113,8 +115,16 @@
     Ack,
 }
 
+impl Command {
+    /// Returns the command's name, for logs.
+    pub fn name(&self) -> &'static str {
+        self.into()
+    }
+}
+
 /// A message from the agent to the owner of a task.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, IntoStaticStr, PartialEq, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Report {
     /// The attempt was not started and never will be.
     Refused {
@@ -149,6 +159,13 @@
     Started,
 }
 
+impl Report {
+    /// Returns the report's name, for logs.
+    pub fn name(&self) -> &'static str {
+        self.into()
+    }
+}
+
 /// Why an agent refused an attempt.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -19,6 +19,7 @@
 mod report;
 mod result;
 mod state;
+mod stored;
 mod timer;
 mod write;
 
--- a/crates/coordination/src/ownership/mod.rs
+++ b/crates/coordination/src/ownership/mod.rs
@@ -224,14 +224,20 @@
         Some(self.confirmed_at(slice)? + OWNERSHIP_HORIZON)
     }
 
-    /// Tells whether the first grant of an attempt in `slice` is allowed: the
-    /// slice is held and the store lease certainly has not lapsed.
-    pub fn may_grant_first(&self, now: Instant, slice: id::Slice) -> bool {
-        let leased = self.tenure.is_some_and(|tenure| now < tenure.until);
+    /// Returns until when first grants of attempts in `slice` are allowed, as
+    /// far as is known now.
+    pub fn first_grants_until(&self, slice: id::Slice) -> Option<Instant> {
         let held = self
             .holding(slice)
             .is_some_and(|h| h.used == Use::Owner && h.is_confirmed());
-        leased && held
+        self.tenure.filter(|_| held).map(|tenure| tenure.until)
+    }
+
+    /// Tells whether the first grant of an attempt in `slice` is allowed: the
+    /// slice is held and the store lease certainly has not lapsed.
+    pub fn may_grant_first(&self, now: Instant, slice: id::Slice) -> bool {
+        self.first_grants_until(slice)
+            .is_some_and(|until| now < until)
     }
 
     /// Returns since when the store has not answered.
--- a/crates/filbertbend/src/cli/mod.rs
+++ b/crates/filbertbend/src/cli/mod.rs
@@ -22,7 +22,10 @@
     failure::Failure,
     filbertbend_coordination::config::Intent,
     filbertbend_state::time::Wall,
-    filbertbend_transport::{clock, store::Client},
+    filbertbend_transport::{
+        clock,
+        store::{Client, Http},
+    },
     std::{
         collections::hash_map::RandomState,
         env,
@@ -88,11 +91,11 @@
     pub seed: u64,
 }
 
-impl Context<store::Failover> {
+impl Context<Http> {
     /// Finds the store and the author.
     fn resolve(store: Option<Place>, given: Option<Arc<str>>) -> Result<Self, Failure> {
         Ok(Self {
-            store: store::Failover::resolve(store.as_ref())?,
+            store: store::resolve(store.as_ref())?,
             author: author(given),
             at: clock::wall(),
             seed: seed(),
--- a/crates/filbertbend/src/lib.rs
+++ b/crates/filbertbend/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod cli;
 pub mod declaration;
+pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/filbertbend/src/serve/front.rs
@@ -0,0 +1,214 @@
+//! The callers' HTTP interface: routes, headers and limits.
+//!
+//! `docs/guide.md` describes it for callers.
+
+use {
+    super::{answer::Answer, check, control, desk::Desk, jobs},
+    axum::{
+        extract::{DefaultBodyLimit, Path, Request, State},
+        http::{HeaderMap, StatusCode},
+        response::{IntoResponse, Response},
+        routing::{any, get, post},
+        Router,
+    },
+    filbertbend_state::{config::Snapshot, hash, id, service::Declaration, unit::Millis},
+    filbertbend_transport::clock,
+    std::{
+        str::FromStr,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
+    },
+    tokio::{sync::watch, time::Instant},
+};
+
+/// Longest deadline that a caller may ask for.
+const DEADLINE_LIMIT: Millis = Millis::from_secs(3600);
+
+/// What every handler shares.
+pub(crate) struct Front {
+    /// The entry's name.
+    pub(crate) entry: id::Entry,
+    /// Admission, routing and the links to agents.
+    pub(crate) desk: Arc<Desk>,
+    /// The control thread.
+    pub(crate) control: control::Handle,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// The number of slices.
+    pub(crate) slices: u16,
+    /// Largest body of a request, in bytes.
+    pub(crate) body_limit_bytes: usize,
+    next_request: AtomicU64,
+}
+
+impl Front {
+    /// Makes the shared part; request ids start at a point that differs
+    /// between lives of the process, so that logs can be told apart.
+    pub(crate) fn new(
+        entry: id::Entry,
+        desk: Arc<Desk>,
+        control: control::Handle,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+        slices: u16,
+        body_limit_bytes: usize,
+    ) -> Self {
+        let first = hash::of(format!("{entry}/{}", clock::wall().0)) >> 24 << 16;
+        Self {
+            entry,
+            desk,
+            control,
+            snapshot,
+            slices,
+            body_limit_bytes,
+            next_request: AtomicU64::new(first),
+        }
+    }
+
+    /// Returns a new request id.
+    pub(crate) fn request(&self) -> id::Request {
+        id::Request(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.borrow().clone()
+    }
+
+    /// Finds the declaration of a service by the name in a path.
+    pub(crate) fn declaration(
+        &self,
+        name: &str,
+        request: id::Request,
+    ) -> Result<Declaration, Answer> {
+        let unknown = || {
+            Answer::invalid(
+                StatusCode::NOT_FOUND,
+                request,
+                format!("no service `{name}` in the configuration in force"),
+            )
+        };
+        let service = id::Service::from_str(name).map_err(|_| unknown())?;
+        let snapshot = self.snapshot.borrow();
+        snapshot.service(&service).cloned().ok_or_else(unknown)
+    }
+}
+
+/// The headers that state how a request is to be treated.
+pub(crate) struct Terms {
+    /// The request's id.
+    pub(crate) request: id::Request,
+    /// The team that it counts against.
+    pub(crate) team: id::Team,
+    /// When the caller gives up.
+    pub(crate) deadline: Instant,
+}
+
+impl Terms {
+    /// Reads the terms of a request for the declared service.
+    pub(crate) fn read(
+        headers: &HeaderMap,
+        declaration: &Declaration,
+        snapshot: &Snapshot,
+        request: id::Request,
+    ) -> Result<Self, Answer> {
+        let team = field(headers, "x-team", request)?.unwrap_or(declaration.team.clone());
+        if team != declaration.team && !snapshot.has_team(&team) {
+            let message = format!("x-team: no team `{team}` in the configuration in force");
+            return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
+        }
+        let remaining = match field::<u64>(headers, "x-deadline-ms", request)? {
+            Some(0) => {
+                let message = "x-deadline-ms must be at least 1";
+                return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
+            }
+            Some(millis) => Millis(millis).min(DEADLINE_LIMIT),
+            None => declaration.deadline,
+        };
+        Ok(Self {
+            request,
+            team,
+            deadline: Instant::now() + remaining.duration(),
+        })
+    }
+
+    /// Returns the time that is still left.
+    pub(crate) fn left(&self) -> Millis {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        Millis(left.as_millis() as u64)
+    }
+}
+
+/// Reads one header field, if it is present.
+pub(crate) fn field<T>(
+    headers: &HeaderMap,
+    name: &'static str,
+    request: id::Request,
+) -> Result<Option<T>, Answer>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let invalid = |why: String| {
+        let message = format!("header {name}: {why}");
+        Answer::invalid(StatusCode::BAD_REQUEST, request, message)
+    };
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|error| invalid(error.to_string()))?;
+    text.parse()
+        .map(Some)
+        .map_err(|error: T::Err| invalid(error.to_string()))
+}
+
+/// Reads an identifier that is part of the path.
+pub(crate) fn segment<T>(text: &str, request: id::Request) -> Result<T, Answer>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error: T::Err| {
+        Answer::invalid(StatusCode::BAD_REQUEST, request, error.to_string())
+    })
+}
+
+/// Builds the callers' routes.
+pub(crate) fn router(front: Arc<Front>) -> Router {
+    let body_limit_bytes = front.body_limit_bytes;
+    Router::new()
+        .route("/v1/check/{service}", any(check_root))
+        .route("/v1/check/{service}/", any(check_root))
+        .route("/v1/check/{service}/{*path}", any(check_path))
+        .route(
+            "/v1/jobs/{name}",
+            post(jobs::submit).get(jobs::status).delete(jobs::cancel),
+        )
+        .route("/v1/jobs/{name}/result", get(jobs::result))
+        .route("/v1/orders/{service}", post(jobs::order))
+        .route("/v1/orders/{service}/{customer}/{key}", get(jobs::ask))
+        .fallback(not_found)
+        .layer(DefaultBodyLimit::max(body_limit_bytes))
+        .with_state(front)
+}
+
+async fn check_root(
+    State(front): State<Arc<Front>>,
+    Path(service): Path<String>,
+    request: Request,
+) -> Response {
+    check::handle(front, &service, request).await
+}
+
+async fn check_path(
+    State(front): State<Arc<Front>>,
+    Path((service, _)): Path<(String, String)>,
+    request: Request,
+) -> Response {
+    check::handle(front, &service, request).await
+}
+
+async fn not_found(State(front): State<Arc<Front>>) -> Response {
+    let message = "no such path; see the guide for the callers' interface";
+    Answer::invalid(StatusCode::NOT_FOUND, front.request(), message).into_response()
+}
--- /dev/null
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -0,0 +1,387 @@
+//! Jobs and orders, from the caller to the owner of their slice and back.
+
+use {
+    super::{
+        answer::{Answer, OUTCOME},
+        front::{field, segment, Front, Terms},
+    },
+    axum::{
+        body::Bytes,
+        extract::{Path, Query, State},
+        http::{header, HeaderMap, HeaderValue, StatusCode},
+        response::{IntoResponse, Response},
+        Json,
+    },
+    filbertbend_coordination::{
+        attempt::Output,
+        job::{self, Call, Order, Spec, Status},
+    },
+    filbertbend_state::{
+        hash, id,
+        outcome::{Outcome, Ran, Reason},
+        service::{Declaration, Kind},
+        unit::Millis,
+    },
+    filbertbend_transport::clock,
+    serde::Deserialize,
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+    ulid::Ulid,
+};
+
+/// Largest input of a job or order, in bytes; it becomes part of one store
+/// value of at most 1 MiB.
+const INPUT_LIMIT_BYTES: usize = 512 << 10;
+/// Most tasks of one job.
+const TASKS_LIMIT: u32 = 4096;
+/// How long a call waits for an owner when the caller states no deadline.
+const CALL_WAIT: Millis = Millis::from_secs(5);
+/// How often a watched job is looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait of one watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(60);
+
+/// Query of a job submission.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Submission {
+    tasks: Option<u32>,
+}
+
+/// Query of a status or result call.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Watch {
+    wait_ms: Option<u64>,
+    task: Option<usize>,
+}
+
+/// Accepts a job; the same idempotency key gives the same job.
+pub(crate) async fn submit(
+    State(front): State<Arc<Front>>,
+    Path(service): Path<String>,
+    Query(query): Query<Submission>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    submit_job(&front, &service, query, &headers, body, request).await
+}
+
+async fn submit_job(
+    front: &Front,
+    service: &str,
+    query: Submission,
+    headers: &HeaderMap,
+    body: Bytes,
+    request: id::Request,
+) -> Result<Response, Answer> {
+    let declaration = declared(front, service, Kind::Job, request)?;
+    let terms = Terms::read(headers, &declaration, &front.snapshot(), request)?;
+    check_input(&body, request)?;
+    let tasks = query.tasks.unwrap_or(1);
+    if !(1..=TASKS_LIMIT).contains(&tasks) {
+        let message = format!("tasks must be from 1 to {TASKS_LIMIT}");
+        return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
+    }
+    let id = match field::<id::Key>(headers, "idempotency-key", request)? {
+        Some(key) => job_id(format!("job/{service}/{}/{key}", terms.team)),
+        None => new_job_id(front, request),
+    };
+    let spec = Spec {
+        tasks,
+        ..spec(id, &declaration, &terms, body)
+    };
+    let slice = hash::slice(id.to_string(), front.slices);
+    let call = Call::Submit(spec);
+    let answer = front
+        .control
+        .call(slice, call, CALL_WAIT.min(terms.left()))
+        .await;
+    match answer {
+        job::Answer::Accepted(job) => {
+            let document = Json(json!({ "job": job, "request": request }));
+            Ok(done(StatusCode::ACCEPTED, document))
+        }
+        other => Err(failed(other, request)),
+    }
+}
+
+/// Runs an order and answers with its recorded outcome.
+pub(crate) async fn order(
+    State(front): State<Arc<Front>>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    submit_order(&front, &service, &headers, body, request).await
+}
+
+async fn submit_order(
+    front: &Front,
+    service: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+    request: id::Request,
+) -> Result<Response, Answer> {
+    let declaration = declared(front, service, Kind::Order, request)?;
+    let terms = Terms::read(headers, &declaration, &front.snapshot(), request)?;
+    check_input(&body, request)?;
+    let key: id::Key = required(headers, "idempotency-key", request)?;
+    let customer: id::Customer = required(headers, "x-customer", request)?;
+    let sequence: u64 = required(headers, "x-sequence", request)?;
+    if sequence == 0 {
+        let message = "x-sequence counts from 1";
+        return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
+    }
+    let id = job_id(format!("order/{service}/{customer}/{key}"));
+    let slice = hash::slice(customer.as_str(), front.slices);
+    let spec = Spec {
+        order: Some(Order {
+            customer,
+            sequence,
+            key,
+        }),
+        ..spec(id, &declaration, &terms, body)
+    };
+    let answer = front
+        .control
+        .call(slice, Call::Submit(spec), terms.left())
+        .await;
+    recorded(answer, request)
+}
+
+/// Asks how an order ended.
+pub(crate) async fn ask(
+    State(front): State<Arc<Front>>,
+    Path((service, customer, key)): Path<(String, String, String)>,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    let customer: id::Customer = segment(&customer, request)?;
+    let slice = hash::slice(customer.as_str(), front.slices);
+    let call = Call::Order {
+        service: segment(&service, request)?,
+        customer,
+        key: segment(&key, request)?,
+    };
+    recorded(front.control.call(slice, call, CALL_WAIT).await, request)
+}
+
+/// Tells how far a job has come, waiting for its end if asked to.
+pub(crate) async fn status(
+    State(front): State<Arc<Front>>,
+    Path(job): Path<String>,
+    Query(watch): Query<Watch>,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    let job = segment(&job, request)?;
+    let wait = Duration::from_millis(watch.wait_ms.unwrap_or(0)).min(WATCH_LIMIT);
+    let end = Instant::now() + wait;
+    loop {
+        match front.job_call(Call::Status(job), job).await {
+            job::Answer::Status(status) if status.phase.is_final() || Instant::now() >= end => {
+                return Ok(done(StatusCode::OK, Json(status)));
+            }
+            job::Answer::Status(_) => tokio::time::sleep(WATCH_INTERVAL).await,
+            other => return Err(failed(other, request)),
+        }
+    }
+}
+
+/// Returns the output of one task, or the list of all outputs.
+pub(crate) async fn result(
+    State(front): State<Arc<Front>>,
+    Path(job): Path<String>,
+    Query(query): Query<Watch>,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    let job = segment(&job, request)?;
+    let outputs = match front.job_call(Call::Result(job), job).await {
+        job::Answer::Outputs(outputs) => outputs,
+        other => return Err(failed(other, request)),
+    };
+    match (query.task, outputs.as_slice()) {
+        (None, [output]) => Ok(output_response(output.clone())),
+        (None, _) => Ok(done(StatusCode::OK, Json(listing(&outputs)))),
+        (Some(task), _) => outputs
+            .into_iter()
+            .nth(task)
+            .map(output_response)
+            .ok_or_else(|| {
+                let message = format!("job {job} has no task {task}");
+                Answer::invalid(StatusCode::NOT_FOUND, request, message)
+            }),
+    }
+}
+
+/// Cancels a job; once this answers, no task of it starts any more.
+pub(crate) async fn cancel(
+    State(front): State<Arc<Front>>,
+    Path(job): Path<String>,
+) -> Result<Response, Answer> {
+    let request = front.request();
+    let job = segment(&job, request)?;
+    match front.job_call(Call::Cancel(job), job).await {
+        job::Answer::Status(status) => Ok(done(StatusCode::OK, Json(status))),
+        job::Answer::Outcome(Outcome::Cancelled) => {
+            let document = Json(json!({ "job": job, "phase": "cancelled" }));
+            Ok(done(StatusCode::OK, document))
+        }
+        other => Err(failed(other, request)),
+    }
+}
+
+impl Front {
+    async fn job_call(&self, call: Call, job: id::Job) -> job::Answer {
+        let slice = hash::slice(job.to_string(), self.slices);
+        self.control.call(slice, call, CALL_WAIT).await
+    }
+}
+
+fn declared(
+    front: &Front,
+    service: &str,
+    kind: Kind,
+    request: id::Request,
+) -> Result<Declaration, Answer> {
+    let declaration = front.declaration(service, request)?;
+    if declaration.kind == kind {
+        return Ok(declaration);
+    }
+    let message = format!(
+        "service `{service}` takes {}s, not {kind}s",
+        declaration.kind
+    );
+    Err(Answer::invalid(StatusCode::NOT_FOUND, request, message))
+}
+
+fn check_input(body: &Bytes, request: id::Request) -> Result<(), Answer> {
+    if body.len() <= INPUT_LIMIT_BYTES {
+        return Ok(());
+    }
+    let message = format!("input of {} bytes is over {INPUT_LIMIT_BYTES}", body.len());
+    Err(Answer::invalid(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        request,
+        message,
+    ))
+}
+
+fn required<T>(headers: &HeaderMap, name: &'static str, request: id::Request) -> Result<T, Answer>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    field(headers, name, request)?.ok_or_else(|| {
+        let message = format!("header {name} is missing");
+        Answer::invalid(StatusCode::BAD_REQUEST, request, message)
+    })
+}
+
+/// Derives the id from what identifies the job, so that a repeated submission
+/// names the same job wherever it arrives.
+fn job_id(identity: String) -> id::Job {
+    id::Job(hash::ulid(identity))
+}
+
+/// Makes an id for a job that its caller gave no key; it holds the time, after
+/// which reports about the job can be told from those about forgotten ones.
+fn new_job_id(front: &Front, request: id::Request) -> id::Job {
+    let wall = clock::wall();
+    let random = hash::ulid(format!("{}/{request}/{}", front.entry, wall.0)).random();
+    id::Job(Ulid::from_parts(wall.0, random))
+}
+
+fn spec(id: id::Job, declaration: &Declaration, terms: &Terms, body: Bytes) -> Spec {
+    Spec {
+        id,
+        service: declaration.name.clone(),
+        team: terms.team.clone(),
+        class: declaration.class,
+        size: declaration.size,
+        tasks: 1,
+        run_time: declaration.run_time,
+        expires_at: Some(clock::wall() + terms.left()),
+        data_centres: declaration.data_centres.clone(),
+        body: body.to_vec(),
+        order: None,
+    }
+}
+
+fn recorded(answer: job::Answer, request: id::Request) -> Result<Response, Answer> {
+    match answer {
+        job::Answer::Output(output) => Ok(output_response(output)),
+        job::Answer::Pending(status) => Ok(pending(StatusCode::ACCEPTED, status)),
+        other => Err(failed(other, request)),
+    }
+}
+
+fn pending(code: StatusCode, status: Status) -> Response {
+    (code, Json(status)).into_response()
+}
+
+fn done(code: StatusCode, body: impl IntoResponse) -> Response {
+    let mut response = (code, body).into_response();
+    response
+        .headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static("done"));
+    response
+}
+
+fn output_response(output: Output) -> Response {
+    let code = StatusCode::from_u16(output.status).unwrap_or(StatusCode::OK);
+    let mut response = done(code, output.body);
+    if let Ok(value) = HeaderValue::from_str(&output.content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+fn listing(outputs: &[Output]) -> Vec<serde_json::Value> {
+    outputs
+        .iter()
+        .enumerate()
+        .map(|(task, output)| {
+            json!({
+                "task": task,
+                "status": output.status,
+                "content_type": output.content_type,
+                "bytes": output.body.len(),
+            })
+        })
+        .collect()
+}
+
+/// Turns an answer that is no success into the caller's answer.
+fn failed(answer: job::Answer, request: id::Request) -> Answer {
+    match answer {
+        job::Answer::Outcome(outcome) => Answer::new(outcome, request),
+        job::Answer::Pending(status) => Answer::invalid(
+            StatusCode::CONFLICT,
+            request,
+            format!(
+                "job {} is {}; it has no result yet",
+                status.job, status.phase
+            ),
+        ),
+        job::Answer::Status(status) => Answer::new(outcome_of(&status), request),
+        _ => Answer::invalid(
+            StatusCode::NOT_FOUND,
+            request,
+            "no such job or order, or its result is no longer kept",
+        ),
+    }
+}
+
+fn outcome_of(status: &Status) -> Outcome {
+    match status.phase {
+        job::Phase::Cancelled => Outcome::Cancelled,
+        job::Phase::Expired => Outcome::Expired { ran: Ran::No },
+        job::Phase::Refused => Outcome::Refused {
+            reason: status.reason.unwrap_or(Reason::NoRoom),
+            retry_after_ms: Millis::from_secs(1),
+        },
+        job::Phase::Done => Outcome::Done,
+        _ => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/filbertbend/src/serve/links.rs
@@ -0,0 +1,216 @@
+//! Links that agents and other entries have dialled.
+
+use {
+    super::{
+        control::{Handle, Input},
+        desk::Desk,
+    },
+    filbertbend_coordination::membership::{Connection, Hello, Member},
+    filbertbend_protocol::message::{Control, Forwarded, Stream},
+    filbertbend_state::id,
+    filbertbend_transport::{
+        clock,
+        link::{Error, Handshake, Link, Receiver, Sender, Socket},
+        outbox::{self, Outbox},
+    },
+    spdlog::prelude::*,
+    std::{
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// How long a peer may take from the handshake to its hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What every accepted link shares.
+#[derive(Clone)]
+pub(crate) struct Acceptor {
+    /// This entry as others see it.
+    pub(crate) own: Member,
+    /// The number of slices.
+    pub(crate) slices: u16,
+    /// Admission, routing and the directory.
+    pub(crate) desk: Arc<Desk>,
+    /// The control thread.
+    pub(crate) control: Handle,
+    /// Numbers connections; shared with dialled ones.
+    pub(crate) connections: Arc<AtomicU64>,
+}
+
+impl Acceptor {
+    /// Accepts links until the socket is closed.
+    pub(crate) async fn run(self, socket: Socket) {
+        while let Some(handshake) = socket.accept().await {
+            let acceptor = self.clone();
+            tokio::spawn(async move { acceptor.serve(handshake).await });
+        }
+    }
+
+    async fn serve(self, handshake: Handshake) {
+        let accepted = clock::monotonic();
+        let link = match handshake.complete().await {
+            Ok(link) => link,
+            Err(error) => {
+                warn!("link refused", kv: { error: });
+                return;
+            }
+        };
+        let opened = timeout(HELLO_TIMEOUT, hello(&link)).await;
+        let (mut sender, receiver, hello) = match opened {
+            Ok(Ok(parts)) => parts,
+            Ok(Err(error)) => {
+                warn!("link without a hello", kv: { peer: = link.peer(), error: });
+                return;
+            }
+            Err(_) => {
+                warn!("link without a hello", kv: { peer: = link.peer() });
+                return;
+            }
+        };
+        let welcome = Control::Welcome {
+            member: self.own.clone(),
+            slices: self.slices,
+        };
+        if sender.send(&welcome).await.is_err() {
+            return;
+        }
+        let connection = Connection(self.connections.fetch_add(1, Ordering::Relaxed));
+        let (outbox, mut queue) = outbox::channel();
+        let peer = Peer {
+            link: link.clone(),
+            outbox,
+        };
+        let worker = self.open(connection, accepted, hello, peer);
+        let ended = tokio::select! {
+            result = queue.write(&mut sender) => result,
+            result = self.read(connection, &worker, receiver) => result,
+            result = self.streams(&link) => result,
+        };
+        if let Err(error) = ended {
+            debug!("link ended", kv: { connection:, error: });
+        }
+        self.desk.closed(connection);
+        link.close();
+    }
+
+    /// Registers the link and returns the worker that reports come from.
+    fn open(
+        &self,
+        connection: Connection,
+        accepted: filbertbend_state::time::Instant,
+        hello: Hello,
+        peer: Peer,
+    ) -> Option<id::Worker> {
+        let worker = match &hello {
+            Hello::Agent(announcement) => Some(announcement.worker.clone()),
+            Hello::Entry(_) => None,
+        };
+        self.desk.opened(connection, accepted, hello, peer);
+        worker
+    }
+
+    async fn read(
+        &self,
+        connection: Connection,
+        worker: &Option<id::Worker>,
+        mut receiver: Receiver,
+    ) -> Result<(), Error> {
+        while let Some(message) = receiver.receive::<Control>().await? {
+            match (message, worker) {
+                (Control::Heartbeat(heartbeat), worker) => {
+                    self.desk.heartbeat(connection, worker.as_ref(), heartbeat);
+                }
+                (
+                    Control::Report {
+                        slice,
+                        attempt,
+                        report,
+                    },
+                    Some(worker),
+                ) => {
+                    let input = Input::Report {
+                        worker: worker.clone(),
+                        slice,
+                        attempt,
+                        report,
+                    };
+                    self.control.post(input);
+                }
+                (
+                    Control::Inventory {
+                        slice,
+                        epoch,
+                        attempts,
+                    },
+                    Some(worker),
+                ) => {
+                    let input = Input::Inventory {
+                        worker: worker.clone(),
+                        slice,
+                        epoch,
+                        attempts,
+                    };
+                    self.control.post(input);
+                }
+                _ => warn!("unexpected message on a link", kv: { connection: }),
+            }
+        }
+        Ok(())
+    }
+
+    /// Serves the calls that other entries forward.
+    async fn streams(&self, link: &Link) -> Result<(), Error> {
+        loop {
+            let (sender, receiver) = link.accept().await?;
+            let control = self.control.clone();
+            tokio::spawn(async move {
+                if let Err(error) = forwarded(control, sender, receiver).await {
+                    debug!("forwarded call broken", kv: { error: });
+                }
+            });
+        }
+    }
+}
+
+/// The sending side of a link.
+#[derive(Clone)]
+pub(crate) struct Peer {
+    /// For request streams.
+    pub(crate) link: Link,
+    /// For the control stream.
+    pub(crate) outbox: Outbox,
+}
+
+async fn hello(link: &Link) -> Result<(Sender, Receiver, Hello), Error> {
+    let (sender, mut receiver) = link.accept().await?;
+    match receiver.receive::<Control>().await? {
+        Some(Control::Hello(hello)) => Ok((sender, receiver, hello)),
+        _ => Err(Error::Truncated),
+    }
+}
+
+async fn forwarded(
+    control: Handle,
+    mut sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), Error> {
+    let Some(Stream::Forward {
+        slice,
+        call,
+        remaining,
+    }) = receiver.receive::<Stream>().await?
+    else {
+        sender.abort();
+        return Ok(());
+    };
+    let answered = control.call_here(slice, call, remaining).await;
+    let answer = answered.map_or(Forwarded::NotOwner, Forwarded::Answer);
+    sender.send(&answer).await?;
+    sender.finish();
+    Ok(())
+}
--- /dev/null
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -0,0 +1,234 @@
+//! The entry's process: its threads, servers and links.
+
+mod answer;
+mod check;
+mod control;
+mod desk;
+mod dial;
+mod front;
+mod inspect;
+mod jobs;
+mod links;
+mod observe;
+mod slices;
+mod store;
+mod upload;
+mod watched;
+
+use {
+    crate::settings::Settings,
+    control::{Handle, Input, Thread},
+    desk::Desk,
+    dial::Dialler,
+    filbertbend_coordination::{
+        config::Follower,
+        membership::{self, Beacon, Member},
+        ownership::Registry,
+    },
+    filbertbend_process::{http, keys, operators, signal},
+    filbertbend_state::{config::Snapshot, hash, id, unit::Millis},
+    filbertbend_transport::{
+        clock,
+        link::{self, Socket},
+        store::Http,
+        tls,
+    },
+    front::Front,
+    links::Acceptor,
+    metrics_exporter_prometheus::PrometheusHandle,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    slices::Slices,
+    spdlog::prelude::*,
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{atomic::AtomicU64, Arc},
+        time::Duration,
+    },
+    store::Calls,
+    tokio::{
+        net::TcpListener,
+        runtime,
+        sync::{oneshot, watch},
+    },
+};
+
+/// How long a leaving entry waits for its slices to be handed over; the store
+/// may be down, and the slices are taken over without it as well.
+const LEAVE_LIMIT: Duration = Duration::from_secs(15);
+/// The delay that a start in another data centre must save to be worth it.
+const REMOTE_COST: Millis = Millis(500);
+/// Limits of the operators' interface, which only scrapers and operators use.
+const OPERATOR_LIMITS: http::Limits = http::Limits {
+    header_bytes: 16 << 10,
+    connections: 64,
+};
+/// Connections of accepted links are numbered from here, apart from those that
+/// the beacon numbers.
+const FIRST_ACCEPTED: u64 = 1 << 32;
+
+/// Why the entry could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A thread or signal handler could not be had.
+    #[error("cannot start: {0}")]
+    Io(#[from] io::Error),
+    /// The keys cannot be used.
+    #[error(transparent)]
+    Keys(#[from] tls::Error),
+    /// The address for other processes cannot be bound.
+    #[error(transparent)]
+    Link(#[from] link::Error),
+    /// The metrics recorder cannot be installed.
+    #[error("cannot record metrics: {0}")]
+    Metrics(String),
+    /// An HTTP address cannot be bound.
+    #[error("cannot listen at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the entry as a process of its own, until a signal tells it to leave and
+/// every request has ended.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let metrics = operators::install().map_err(|error| Error::Metrics(error.to_string()))?;
+        serve(settings, metrics, signal::listen()?).await
+    })
+}
+
+/// Runs the entry until `stop` turns true and every request has ended. Several
+/// may run in one process, as the local example does.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub async fn serve(
+    settings: Settings,
+    metrics: PrometheusHandle,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), Error> {
+    let identity = keys::follow(&settings.tls)?;
+    let callers = listen(settings.addresses.callers).await?;
+    let operators = listen(settings.addresses.operators).await?;
+    let socket = Socket::listen(settings.addresses.processes, &identity.borrow())?;
+    let (control, inbox) = Handle::channel();
+    let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+    let own = member(&settings);
+    let desk = Arc::new(Desk::new(own.clone(), control.clone()));
+    let thread = thread(&settings, &control, &desk, identity, own.clone(), snapshot);
+    control::start(thread, inbox)?;
+    let acceptor = Acceptor {
+        own,
+        slices: settings.slices,
+        desk: desk.clone(),
+        control: control.clone(),
+        connections: Arc::new(AtomicU64::new(FIRST_ACCEPTED)),
+    };
+    tokio::spawn(acceptor.run(socket.clone()));
+    let (ready, readiness) = watch::channel(true);
+    let (_running, never) = watch::channel(false);
+    let front = Arc::new(Front::new(
+        settings.name.clone(),
+        desk,
+        control.clone(),
+        snapshots,
+        settings.slices,
+        settings.limits.body.0 as usize,
+    ));
+    let router = operators::router(metrics, readiness).merge(inspect::router(front.clone()));
+    tokio::spawn(http::serve(operators, router, OPERATOR_LIMITS, never));
+    let limits = http::Limits {
+        header_bytes: settings.limits.header.0 as usize,
+        connections: settings.limits.connections.0 as usize,
+    };
+    info!("entry started", kv: { entry: = settings.name });
+    let server = http::serve(callers, front::router(front), limits, stop.clone());
+    let leaving = async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        ready.send_replace(false);
+    };
+    tokio::join!(server, leaving);
+    let (left, leaving) = oneshot::channel();
+    control.post(Input::Leave { left });
+    if tokio::time::timeout(LEAVE_LIMIT, leaving).await.is_err() {
+        warn!("left without handing every slice over", kv: { entry: = settings.name });
+    }
+    socket.close().await;
+    info!("entry left", kv: { entry: = settings.name });
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
+
+fn member(settings: &Settings) -> Member {
+    Member {
+        entry: settings.name.clone(),
+        address: settings.addresses.advertised,
+        data_centre: settings.data_centre.clone(),
+        incarnation: id::Incarnation(clock::wall().0),
+    }
+}
+
+fn thread(
+    settings: &Settings,
+    control: &Handle,
+    desk: &Arc<Desk>,
+    identity: watch::Receiver<Arc<tls::Identity>>,
+    own: Member,
+    snapshot: watch::Sender<Arc<Snapshot>>,
+) -> Thread {
+    let seed = hash::of(format!("{}/{}", own.entry, own.incarnation));
+    let runtime = runtime::Handle::current();
+    let calls = Calls {
+        runtime: runtime.clone(),
+        client: Http::new(settings.store.addresses.clone()),
+        control: control.clone(),
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let value = postcard::to_stdvec(&own).unwrap_or_default();
+    let registry_rng = ChaCha8Rng::from_rng(&mut rng);
+    let slices = Slices::new(slices::Parts {
+        entry: own.entry.clone(),
+        registry: Registry::new(own.entry.clone(), value, settings.slices, registry_rng),
+        planner: slices::planner(own.data_centre.clone(), REMOTE_COST, settings.slices),
+        writes_per_s: settings.store.writes_per_second,
+        desk: desk.clone(),
+        calls: calls.clone(),
+        rng,
+    });
+    Thread {
+        follower: Follower::new(seed),
+        beacon: Beacon::new(membership::Settings {
+            seeds: settings.seeds.clone(),
+            own: Some(own.address),
+            seed,
+        }),
+        dialler: Dialler {
+            runtime,
+            identity,
+            own,
+            control: control.clone(),
+        },
+        calls,
+        desk: desk.clone(),
+        snapshot,
+        entries: HashMap::new(),
+        slices,
+    }
+}
--- /dev/null
+++ b/crates/filbertbend/src/serve/store.rs
@@ -0,0 +1,117 @@
+//! Store calls of the control thread, carried out on the traffic threads.
+
+use {
+    super::control::{Handle, Input, Source},
+    filbertbend_coordination::store::{Answer, Call, Expect, Ticket},
+    filbertbend_state::id,
+    filbertbend_transport::store::{Client, Http},
+    metrics::counter,
+    std::{sync::Arc, time::Duration},
+    tokio::runtime,
+};
+
+/// How often a chunk is written at most.
+const CHUNK_TRIES: usize = 5;
+/// How long to wait between two tries.
+const CHUNK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Carries out store calls and sends their answers to the control thread.
+#[derive(Clone)]
+pub(crate) struct Calls {
+    /// The threads that move traffic.
+    pub(crate) runtime: runtime::Handle,
+    /// The store.
+    pub(crate) client: Http,
+    /// The way to the control thread.
+    pub(crate) control: Handle,
+}
+
+impl Calls {
+    /// Starts a call of the machine `source`.
+    pub(crate) fn start(&self, source: Source, ticket: Ticket, call: Call) {
+        let calls = self.clone();
+        self.runtime.spawn(async move {
+            let answer = calls.carry_out(call).await;
+            calls.control.post(Input::Stored {
+                source,
+                ticket,
+                answer,
+            });
+        });
+    }
+}
+
+impl Calls {
+    /// Writes a chunk of a result, trying again until it is certainly written
+    /// or the store stays silent.
+    pub(crate) fn store_chunk(
+        &self,
+        slice: id::Slice,
+        ticket: Ticket,
+        key: Arc<str>,
+        value: Vec<u8>,
+    ) {
+        let calls = self.clone();
+        let call = Call::Put {
+            key,
+            value,
+            expect: Expect::Absent,
+            lease: None,
+        };
+        self.runtime.spawn(async move {
+            let mut answer = calls.carry_out(call.clone()).await;
+            for _ in 1..CHUNK_TRIES {
+                if !matches!(answer, Answer::Lost | Answer::Unavailable) {
+                    break;
+                }
+                tokio::time::sleep(CHUNK_PAUSE).await;
+                answer = calls.carry_out(call.clone()).await;
+            }
+            calls.control.post(Input::Stored {
+                source: Source::Chunk(slice),
+                ticket,
+                answer,
+            });
+        });
+    }
+
+    /// Deletes a chunk that nothing refers to any more. One that stays after a
+    /// lost call takes room and does no other harm.
+    pub(crate) fn delete_chunk(&self, key: Arc<str>) {
+        let calls = self.clone();
+        self.runtime.spawn(async move {
+            let version = None;
+            calls.carry_out(Call::Delete { key, version }).await;
+        });
+    }
+
+    async fn carry_out(&self, call: Call) -> Answer {
+        let kind = kind(&call);
+        let answer = self.client.call(call).await;
+        counter!("filbertbend_store_calls_total", "kind" => kind, "answer" => result(&answer))
+            .increment(1);
+        answer
+    }
+}
+
+fn kind(call: &Call) -> &'static str {
+    match call {
+        Call::Get { .. } => "get",
+        Call::Put { .. } => "put",
+        Call::Delete { .. } => "delete",
+        Call::List { .. } => "list",
+        Call::Grant { .. } => "grant",
+        Call::Renew { .. } => "renew",
+        Call::Revoke { .. } => "revoke",
+        Call::Watch { .. } => "watch",
+    }
+}
+
+fn result(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Unavailable => "unavailable",
+        Answer::Lost => "lost",
+        Answer::Conflict(_) => "conflict",
+        _ => "ok",
+    }
+}
--- a/crates/filbertbend/src/settings/read.rs
+++ b/crates/filbertbend/src/settings/read.rs
@@ -13,7 +13,6 @@
     },
 };
 
-const SLICES: u16 = 16;
 const CALLERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 8080);
 const OPERATORS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8081);
 const WRITES_PER_SECOND: u32 = 30;
@@ -26,15 +25,12 @@
 /// other records, so it stays well below that.
 const JOB_BODY_CEILING: Bytes = Bytes(512 << 10);
 
-/// Most slices; each costs its owner a journal and a manifest in the store.
-const SLICES_CEILING: u16 = 4096;
-
 pub(super) fn read(root: &document::Node, base: &Path, report: &mut Report) -> Option<Settings> {
     let mut section = Section::open(root, "the settings file", report)?;
     let name = section.required::<id::Entry>("name", report);
     let data_centre = section.required::<id::DataCentre>("data_centre", report);
     let region = section.required::<id::Region>("region", report);
-    let slices = read_slices(&mut section, report);
+    let slices = process::slices(&mut section, report);
     let addresses = read_addresses(&mut section, report);
     let store = read_store(&mut section, report);
     let seeds = section.list::<SocketAddr>("seeds", report);
@@ -55,21 +51,6 @@
     })
 }
 
-fn read_slices(section: &mut Section<'_>, report: &mut Report) -> u16 {
-    let Some(spot) = section.optional::<u16>("slices", report) else {
-        return SLICES;
-    };
-    if !(1..=SLICES_CEILING).contains(&spot.value) {
-        report.add(
-            Code::Value,
-            spot.span,
-            format!("`slices` must be from 1 to {SLICES_CEILING}"),
-            format!("use {SLICES}, and the same number in every entry of the region"),
-        );
-    }
-    spot.value
-}
-
 fn read_addresses(section: &mut Section<'_>, report: &mut Report) -> Option<Addresses> {
     let mut part = section.section("addresses", "the section `addresses`", report)?;
     let callers = part.optional::<SocketAddr>("callers", report);
--- a/crates/filbertbend/tests/cli.rs
+++ b/crates/filbertbend/tests/cli.rs
@@ -249,7 +249,7 @@
         lost_answers: 8,
         ..Faults::default()
     });
-    let store = Arc::new(Http::new(server.address()));
+    let store = Arc::new(Http::new([server.address()]));
 
     let racers = (0..OPERATORS).map(|number| tokio::spawn(drain_until_done(store.clone(), number)));
     let mut losses = 0;
--- /dev/null
+++ b/crates/process/src/log.rs
@@ -0,0 +1,53 @@
+//! Structured logs, one JSON object a line.
+
+use {
+    filbertbend_yaml::{Level, Log},
+    spdlog::{
+        formatter::JsonFormatter,
+        sink::{FileSink, Sink, StdStream, StdStreamSink},
+        LevelFilter, Logger,
+    },
+    std::sync::Arc,
+};
+
+/// Makes the logger of the whole process from the settings.
+///
+/// # Errors
+///
+/// Returns an error if the log file cannot be opened.
+pub fn init(log: &Log) -> spdlog::Result<()> {
+    let formatter = JsonFormatter::new();
+    let sink: Arc<dyn Sink> = match &log.file {
+        Some(path) => Arc::new(
+            FileSink::builder()
+                .path(path)
+                .truncate(false)
+                .formatter(formatter)
+                .build()?,
+        ),
+        None => Arc::new(
+            StdStreamSink::builder()
+                .std_stream(StdStream::Stderr)
+                .formatter(formatter)
+                .build()?,
+        ),
+    };
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(filter(log.level))
+        .flush_level_filter(LevelFilter::All)
+        .build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+fn filter(level: Level) -> LevelFilter {
+    let level = match level {
+        Level::Error => spdlog::Level::Error,
+        Level::Warn => spdlog::Level::Warn,
+        Level::Info => spdlog::Level::Info,
+        Level::Debug => spdlog::Level::Debug,
+        Level::Trace => spdlog::Level::Trace,
+    };
+    LevelFilter::MoreSevereEqual(level)
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -7,110 +7,26 @@
     filbertbend_coordination::{
         attempt::{self, Attempt},
         job,
+        membership::{Heartbeat, Hello, Member, Pulse},
     },
-    filbertbend_state::{
-        config::Snapshot,
-        id,
-        outcome::Reason,
-        room::Room,
-        service::Class,
-        unit::{Connections, Millis, Slots},
-    },
+    filbertbend_state::{id, outcome::Reason, service::Class, unit::Millis},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::sync::Arc,
 };
 
-/// What an agent announces about itself and its endpoint.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// The endpoint beside the agent.
-    pub endpoint: id::Endpoint,
-    /// The worker that both run on.
-    pub worker: id::Worker,
-    /// The life of the agent's process.
-    pub incarnation: id::Incarnation,
-    /// The data centre.
-    pub data_centre: id::DataCentre,
-    /// The rack.
-    pub rack: id::Rack,
-    /// The services that the endpoint answers.
-    pub services: Vec<id::Service>,
-    /// The endpoint's request slots.
-    pub slots: Slots,
-    /// The endpoint's connection limit.
-    pub connections: Connections,
-    /// The worker's room for tasks.
-    pub room: Room,
-}
-
-/// An entry as others see it.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-pub struct Member {
-    /// The entry.
-    pub entry: id::Entry,
-    /// The address where it takes connections from agents and entries.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: id::DataCentre,
-    /// The life of its process.
-    pub incarnation: id::Incarnation,
-}
-
-/// The first message on a connection.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Hello {
-    /// An agent dials an entry.
-    Agent(Announcement),
-    /// An entry dials an entry.
-    Entry(Member),
-}
-
-/// The load of an endpoint and worker, sent every heartbeat interval.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Free room for tasks.
-    pub free: Room,
-    /// Request slots in use.
-    pub slots_used: Slots,
-    /// Connections in use.
-    pub connections_used: Connections,
-    /// Expected wait for a slot.
-    pub queue: Millis,
-    /// Recent median service time.
-    pub service_time: Millis,
-    /// Whether the endpoint takes no new work.
-    pub leaving: bool,
-}
-
-/// A heartbeat, and the newest configuration that its sender has in force.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Rises with each heartbeat of one process life.
-    pub sequence: u64,
-    /// The load, absent from entries.
-    pub load: Load,
-    /// The configuration in force.
-    pub revision: id::Revision,
-    /// A hash of the roster that the sender knows.
-    pub roster: u64,
-}
-
-/// The answer to a heartbeat.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Pulse {
-    /// The sequence of the heartbeat.
-    pub sequence: u64,
-    /// The live entries, if the sender of the heartbeat had others.
-    pub roster: Option<Vec<Member>>,
-    /// The configuration, if the sender of the heartbeat had an older one.
-    pub config: Option<Arc<Snapshot>>,
-}
-
 /// A frame of a control stream.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Control {
-    /// Sent by the process that dialled, once and first.
+    /// Sent once and first by the process that dialled.
     Hello(Hello),
+    /// Answers `Hello`, once and first.
+    Welcome {
+        /// The entry that was reached.
+        member: Member,
+        /// The number of slices. An agent that counts another number would
+        /// miss tasks in its inventories, so it must not use the link.
+        slices: u16,
+    },
     /// Load and liveness.
     Heartbeat(Heartbeat),
     /// Answers a heartbeat.
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -103,6 +103,11 @@
         self.shared.service_time_ms.store(time_ms, Ordering::SeqCst);
     }
 
+    /// Returns the requests that run at the moment.
+    pub fn running(&self) -> u32 {
+        self.shared.running.load(Ordering::SeqCst)
+    }
+
     /// Returns the most requests that ran at once.
     pub fn most_running(&self) -> u32 {
         self.shared.most_running.load(Ordering::SeqCst)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,9 @@
 //! They hold only what the tests, the benches and the local example use, and
 //! they are never shipped. `docs/design.md`, section 15, lists their interfaces.
 
+pub mod client;
 pub mod endpoint;
+pub mod fleet;
 pub mod keys;
 pub mod slices;
 pub mod store;
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -84,6 +84,11 @@
         self.address
     }
 
+    /// Carries out one call without the network and its faults.
+    pub fn call(&self, call: Call) -> Answer {
+        carry_out(&self.shared, call)
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: Faults) {
         *lock(&self.shared.faults) = faults;
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -21,6 +21,7 @@
 pub use {
     model::{Faults, Model, Page, Settings},
     pairs::Pairs,
+    server::{serve, Shared},
     task::{Body, Echo},
     trace::{overlaps, Span, Trace},
 };
--- /dev/null
+++ b/crates/standin/tests/processes.rs
@@ -0,0 +1,166 @@
+//! The whole path through separate processes.
+
+use {
+    filbertbend_standin::{
+        client::Client,
+        fleet::{wait_for, Fleet, Launcher, Plan},
+    },
+    filbertbend_state::{
+        room::Room,
+        service::{Class, Declaration, Kind, Retry},
+        unit::{Bytes, Cores, Millis, Share},
+    },
+    std::time::Duration,
+};
+
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+fn plan() -> Plan {
+    Plan {
+        data_centres: vec!["xela", "toto", "sanmarcos"],
+        entries: 2,
+        workers: 3,
+        services: vec!["spacing-check", "material-order"],
+        cores: 64,
+        memory_gib: 250,
+        slots: 8,
+        connections: 64,
+        service_time: Duration::from_millis(5),
+        slices: 4,
+        log_level: "debug",
+        launcher: Launcher::Binaries,
+    }
+}
+
+fn declaration(name: &str, kind: Kind, class: Class) -> Declaration {
+    Declaration {
+        name: name.parse().unwrap(),
+        team: "installers".parse().unwrap(),
+        kind,
+        class,
+        idempotent: kind != Kind::Order,
+        deadline: Millis::from_secs(10),
+        size: Room {
+            cores: Cores(2000),
+            memory: Bytes(1 << 30),
+            ..Room::NONE
+        },
+        run_time: Millis::from_secs(1),
+        share: Share::of(0.2),
+        quota: Room {
+            cores: Cores(64_000),
+            memory: Bytes(64 << 30),
+            ..Room::NONE
+        },
+        retry: Retry {
+            tries: 3,
+            hedge: false,
+        },
+        data_centres: Vec::new(),
+    }
+}
+
+async fn ready(client: &Client, path: &str) -> bool {
+    wait_for(START_LIMIT, || async {
+        let answer = client.get(path).await;
+        answer.is_ok_and(|answer| answer.outcome() == "done")
+    })
+    .await
+}
+
+/// Guards against a caller who gets no answer, or somebody else's, through
+/// entry and agent as separate processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn check_is_answered_through_entry_and_agent() {
+    let fleet = Fleet::start(&plan()).await.unwrap();
+    fleet.configure([declaration(
+        "spacing-check",
+        Kind::Check,
+        Class::Interactive,
+    )]);
+    let _entries = [fleet.spawn_entry(0).unwrap(), fleet.spawn_entry(1).unwrap()];
+    let _agents = [0, 1, 2].map(|index| fleet.spawn_agent(index).unwrap());
+    let client = Client::new(fleet.entries[0].callers);
+    assert!(
+        ready(&client, "/v1/check/spacing-check/ready").await,
+        "{}{}",
+        fleet.log("entry-0"),
+        fleet.log("runner-0")
+    );
+
+    let answer = client
+        .post(
+            "/v1/check/spacing-check/roof?pitch=30",
+            &[],
+            vec![7; 3 << 20],
+        )
+        .await
+        .unwrap();
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.json()["path"], "/roof?pitch=30");
+    assert_eq!(answer.json()["bytes"], 3 << 20);
+}
+
+/// Guards against a job that is lost, or an order that runs twice, between an
+/// entry that does not own the slice, its owner and the agents.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_and_order_run_through_separate_processes() {
+    let fleet = Fleet::start(&plan()).await.unwrap();
+    fleet.configure([
+        declaration("layout", Kind::Job, Class::Batch),
+        declaration("material-order", Kind::Order, Class::Interactive),
+    ]);
+    let _entries = [fleet.spawn_entry(0).unwrap(), fleet.spawn_entry(1).unwrap()];
+    let _agents = [0, 1, 2].map(|index| fleet.spawn_agent(index).unwrap());
+    let clients = [0, 1].map(|index| Client::new(fleet.entries[index].callers));
+    let body = r#"{"work_ms": 50, "echo": "ridge"}"#;
+    let submitted = wait_for(START_LIMIT, || async {
+        let headers = [("idempotency-key", "roof-1"), ("x-deadline-ms", "2000")];
+        let answer = clients[0].post("/v1/jobs/layout", &headers, body).await;
+        answer.is_ok_and(|answer| answer.status == 202)
+    })
+    .await;
+    assert!(submitted, "{}", fleet.log("entry-0"));
+    let headers = [("idempotency-key", "roof-1")];
+    let again = clients[1]
+        .post("/v1/jobs/layout", &headers, body)
+        .await
+        .unwrap();
+    let job = again.json()["job"].as_str().unwrap().to_owned();
+
+    let status = clients[1]
+        .get(format!("/v1/jobs/{job}?wait_ms=20000"))
+        .await
+        .unwrap();
+    let result = clients[0]
+        .get(format!("/v1/jobs/{job}/result"))
+        .await
+        .unwrap();
+
+    assert_eq!(status.json()["phase"], "done", "{}", status.json());
+    assert_eq!(result.json()["echo"], "ridge");
+    for sequence in ["1", "2", "3"] {
+        let key = format!("brackets-{sequence}");
+        let headers = [
+            ("idempotency-key", key.as_str()),
+            ("x-customer", "finca-7"),
+            ("x-sequence", sequence),
+        ];
+        for client in &clients {
+            let answer = client
+                .post("/v1/orders/material-order", &headers, "2 pallets")
+                .await;
+            let answer = answer.unwrap();
+            assert_eq!(answer.status, 200, "{}", answer.json());
+            assert_eq!(answer.json()["key"], key.as_str());
+        }
+    }
+    let keys: Vec<_> = fleet
+        .instances
+        .iter()
+        .flat_map(|instance| instance.endpoint.orders())
+        .map(|order| order.key)
+        .collect();
+    assert_eq!(keys.len(), 3, "{keys:?}");
+}
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -67,6 +67,12 @@
         self.services.iter().find(|found| found.name == *service)
     }
 
+    /// Tells whether `team` owns a declared service. Callers name teams, and an
+    /// unbounded set of names would fill queues and metrics.
+    pub fn has_team(&self, team: &id::Team) -> bool {
+        self.services.iter().any(|service| service.team == *team)
+    }
+
     /// Tells whether operators are draining `endpoint`.
     pub fn drains(&self, endpoint: &id::Endpoint) -> bool {
         self.drains.contains(endpoint)
--- a/crates/state/src/hash.rs
+++ b/crates/state/src/hash.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::id,
-    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+    ulid::Ulid,
+    xxhash_rust::xxh3::{xxh3_128, xxh3_64, xxh3_64_with_seed},
 };
 
 /// Hashes bytes to 64 bits, the same in every process.
@@ -23,3 +24,11 @@
 pub fn weight(member: impl AsRef<[u8]>, slice: id::Slice) -> u64 {
     xxh3_64_with_seed(member.as_ref(), u64::from(slice.0))
 }
+
+/// Hashes bytes to an identifier, so that equal names get equal identifiers.
+///
+/// Its time part is the latest possible one: nobody can tell from the
+/// identifier when it was made, so nobody may take it as old.
+pub fn ulid(bytes: impl AsRef<[u8]>) -> Ulid {
+    Ulid::from_parts(u64::MAX >> 16, xxh3_128(bytes.as_ref()))
+}
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -8,6 +8,7 @@
     http_body::{Body as HttpBody, Frame},
     http_body_util::{BodyExt, StreamBody},
     std::{io, sync::Arc},
+    tokio::time::{timeout_at, Instant},
 };
 
 /// Header fields in the form that frames carry.
@@ -100,16 +101,20 @@
 /// Makes an HTTP body of the frames that are still to come on a stream.
 ///
 /// The body ends with an error, never as complete, if the stream ends before
-/// its [`Body::End`] frame.
+/// its [`Body::End`] frame or `deadline` passes.
 pub fn receive_body(
     receiver: Receiver,
+    deadline: Instant,
 ) -> impl HttpBody<Data = Bytes, Error = io::Error> + Send + 'static {
     StreamBody::new(futures_util::stream::unfold(
         Some(receiver),
-        |receiver| async move {
+        move |receiver| async move {
             let mut receiver = receiver?;
             let truncated = |what: String| Some((Err(io::Error::other(what)), None));
-            match receiver.receive::<Body>().await {
+            let Ok(frame) = timeout_at(deadline, receiver.receive::<Body>()).await else {
+                return truncated("the deadline passed before the body was complete".to_owned());
+            };
+            match frame {
                 Ok(Some(Body::Data(data))) => Some((Ok(Frame::data(data)), Some(receiver))),
                 Ok(Some(Body::End(trailers))) if trailers.is_empty() => None,
                 Ok(Some(Body::End(trailers))) => {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod clock;
 pub mod http;
 pub mod link;
+pub mod outbox;
 pub mod store;
 pub mod tls;
--- a/crates/transport/src/store.rs
+++ b/crates/transport/src/store.rs
@@ -14,7 +14,7 @@
 
 /// How long a call may take before its answer counts as lost. Watches get
 /// their own wait on top.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest answer that is read, in bytes: a page of values as JSON.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 
@@ -34,27 +34,27 @@
 /// A client of the store's HTTP interface.
 #[derive(Clone, Debug)]
 pub struct Http {
-    address: SocketAddr,
+    addresses: Arc<[SocketAddr]>,
     pool: Pool<HttpConnector, Full<Bytes>>,
 }
 
 impl Http {
-    /// Makes a client of the store at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Makes a client of the store at `addresses`, which are tried in order.
+    pub fn new(addresses: impl Into<Arc<[SocketAddr]>>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(500)));
         connector.set_nodelay(true);
         Self {
-            address,
+            addresses: addresses.into(),
             pool: Pool::builder(TokioExecutor::new()).build(connector),
         }
     }
 
-    async fn exchange(&self, call: &Call) -> Answer {
+    async fn exchange(&self, address: SocketAddr, call: &Call) -> Answer {
         let Ok(body) = serde_json::to_vec(call) else {
             return Answer::Unavailable;
         };
-        let request = Request::post(format!("http://{}/v1/call", self.address))
+        let request = Request::post(format!("http://{address}/v1/call"))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)));
         let Ok(request) = request else {
@@ -87,8 +87,17 @@
             Call::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
             _ => Duration::ZERO,
         };
-        tokio::time::timeout(CALL_TIMEOUT + wait, self.exchange(&call))
-            .await
-            .unwrap_or(Answer::Lost)
+        for address in self.addresses.iter() {
+            let exchange = self.exchange(*address, &call);
+            let answer = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
+            match answer {
+                // Only an address that certainly did not take the call may be
+                // followed by the next one.
+                Ok(Answer::Unavailable) => {}
+                Ok(answer) => return answer,
+                Err(_) => return Answer::Lost,
+            }
+        }
+        Answer::Unavailable
     }
 }
--- a/crates/yaml/src/process.rs
+++ b/crates/yaml/src/process.rs
@@ -49,6 +49,28 @@
     pub file: Option<PathBuf>,
 }
 
+/// The number of slices when the settings name none.
+const SLICES: u16 = 16;
+
+/// Most slices; each costs its owner a journal and a manifest in the store.
+const SLICES_CEILING: u16 = 4096;
+
+/// Reads the key `slices`, the number of slices of the region.
+pub fn slices(section: &mut Section<'_>, report: &mut Report) -> u16 {
+    let Some(spot) = section.optional::<u16>("slices", report) else {
+        return SLICES;
+    };
+    if !(1..=SLICES_CEILING).contains(&spot.value) {
+        report.add(
+            Code::Value,
+            spot.span,
+            format!("`slices` must be from 1 to {SLICES_CEILING}"),
+            format!("use {SLICES}, and the same number in every process of the region"),
+        );
+    }
+    spot.value
+}
+
 /// Reads the keys `tls` and `log` and makes their paths relative to `base`.
 ///
 /// A TLS file that cannot be opened is a fault.
