Wait when the manifest is deleted, and open only regular files

A watch from before a delete of the manifest ends at once each time, so the follower asked the store again and again without a pause. It now waits from the version that the watch reported. With that line taken out the test process overflows its stack, because its driver answers each call at once.

A named pipe called filbertbend.yaml stopped 'check' until somebody wrote to it; anything but a regular file is a fault now.

Conclusion: both faults have a test; the named pipe is represented by a link to a device.

--- a/crates/coordination/src/config/follower.rs
+++ b/crates/coordination/src/config/follower.rs
@@ -218,7 +218,12 @@
 
     fn watch_ended(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
         match answer {
-            Answer::Changed(_) => self.read(now, actions),
+            Answer::Changed(version) => {
+                // A manifest that was deleted has no version of its own, and a
+                // watch from before the delete would end at once each time.
+                self.since = self.since.max(version);
+                self.read(now, actions);
+            }
             Answer::Unchanged => self.watch(now, actions),
             _ => self.pause(now),
         }
--- a/crates/coordination/tests/follower.rs
+++ b/crates/coordination/tests/follower.rs
@@ -176,6 +176,26 @@
     assert_eq!(reader.revisions(), [1, 3]);
 }
 
+#[test]
+fn follower_waits_when_the_manifest_is_deleted() {
+    // Guards against a loop of calls without a pause, and against dropping the
+    // configuration in force.
+    let mut store = Store::default();
+    let mut reader = Reader::new(9);
+    store.set(1, &[("config/segment/1-a", declaration("layout", 100))]);
+    reader.run(&mut store, 1000);
+    store.drain_calls();
+
+    let key = key::MANIFEST.into();
+    let version = None;
+    store.memory.call(Instant(0), Call::Delete { key, version });
+    reader.run(&mut store, 5000);
+
+    let calls = store.drain_calls();
+    assert_eq!(calls, ["get config/manifest", "watch"]);
+    assert_eq!(reader.revisions(), [1]);
+}
+
 #[test]
 fn follower_lists_many_missing_segments_in_pages() {
     // Guards against one call for each of thousands of segments at start.
--- a/crates/filbertbend/src/declaration/collect.rs
+++ b/crates/filbertbend/src/declaration/collect.rs
@@ -68,6 +68,10 @@
     }
 
     fn file(&mut self, path: &Path) {
+        if !path.is_file() {
+            // Opening a named pipe would wait for a writer.
+            return self.fault(path, "it is not a regular file");
+        }
         match Source::read(self.name(path), path) {
             Ok(source) => self.sources.push(source),
             Err(error) => self.fault(path, error),
--- a/crates/filbertbend/tests/declaration.rs
+++ b/crates/filbertbend/tests/declaration.rs
@@ -186,6 +186,9 @@
     write(".git/filbertbend.yaml", "not read");
     write("binary/filbertbend.yaml", "");
     fs::write(folder.path().join("binary/filbertbend.yaml"), [0xff, 0xfe]).unwrap();
+    fs::create_dir(folder.path().join("link")).unwrap();
+    let link = folder.path().join("link/filbertbend.yaml");
+    std::os::unix::fs::symlink("/dev/null", link).unwrap();
     write("large/filbertbend.yaml", &"# x\n".repeat(100_000));
 
     let found = collect(folder.path());
