Choose endpoints from stale and shared views

The entry needs an endpoint for each quick check. Reports of load are up to a second old and several entries share the endpoints.

routing::Router adds its own requests since the newest report to what the report says of others, skips suspect, leaving, drained, full and tried endpoints, and takes the better of two free ones drawn at random. A remote data centre is used when it starts the request sooner by more than round trip and cost, and when every local slot is taken for longer than that. An agent's refusal for lack of room counts as full until its next report.

Ruled out: the least loaded by report (all entries send to it for a second); decaying a report with age (other entries refill a busy endpoint, and the agent makes the final check); a delay learned per link (heartbeats do not measure it yet; the settings name round trips).

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -22,14 +22,16 @@
     std::{fmt, net::SocketAddr, sync::Arc},
 };
 
+mod agent;
 mod beacon;
 mod directory;
 mod link;
 mod session;
 
 pub use {
+    agent::Agent,
     beacon::{Action as BeaconAction, Beacon, Event as BeaconEvent, Settings},
-    directory::{Action as DirectoryAction, Agent, Directory, Event as DirectoryEvent},
+    directory::{Action as DirectoryAction, Directory, Event as DirectoryEvent},
     link::State,
 };
 
--- /dev/null
+++ b/crates/coordination/src/membership/agent.rs
@@ -0,0 +1,92 @@
+//! What the directory keeps about one peer.
+
+use {
+    super::{
+        directory::Action,
+        link::{Link, State},
+        Announcement, Connection, Load, Member,
+    },
+    filbertbend_state::{id, time::Instant},
+};
+
+/// An agent as the directory knows it.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    pub(super) announcement: Announcement,
+    pub(super) link: Link,
+    pub(super) load: Load,
+    pub(super) reported: Instant,
+    told: Option<State>,
+}
+
+impl Agent {
+    /// Makes an agent that has not been heard from.
+    pub(super) fn new(announcement: Announcement, now: Instant) -> Self {
+        Self {
+            link: Link::new(announcement.incarnation),
+            load: Load::default(),
+            reported: now,
+            told: None,
+            announcement,
+        }
+    }
+
+    /// Returns what the agent announced.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
+    /// Returns the newest reported load.
+    pub fn load(&self) -> &Load {
+        &self.load
+    }
+
+    /// Returns the number of the newest report, which rises with each.
+    pub fn report(&self) -> u64 {
+        self.link.sequence
+    }
+
+    /// Returns when the newest report arrived.
+    pub fn reported(&self) -> Instant {
+        self.reported
+    }
+
+    /// Returns the agent's state at `now`.
+    pub fn state(&self, now: Instant) -> State {
+        self.link.state(now)
+    }
+
+    /// Tells whether the agent has said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.link.leaving
+    }
+
+    /// Returns the connection to send on.
+    pub fn connection(&self) -> Option<Connection> {
+        self.link.current()
+    }
+
+    /// Tells the state if it differs from the one told last.
+    pub(super) fn tell(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let state = self.link.state(now);
+        if self.told != Some(state) {
+            self.told = Some(state);
+            let endpoint = self.announcement.endpoint.clone();
+            actions.push(Action::Agent { endpoint, state });
+        }
+    }
+}
+
+/// Another entry as the directory knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) member: Member,
+    pub(super) link: Link,
+}
+
+/// The peer at the other end of a connection.
+#[derive(Clone, Debug)]
+pub(super) enum Owner {
+    Agent(id::Endpoint),
+    Entry(id::Entry),
+}
--- a/crates/coordination/src/membership/directory.rs
+++ b/crates/coordination/src/membership/directory.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
+        agent::{Agent, Owner, Peer},
         link::{Link, State},
-        roster_hash, Announcement, Connection, Heartbeat, Hello, Load, Member, Pulse,
+        roster_hash, Announcement, Connection, Heartbeat, Hello, Member, Pulse,
     },
     filbertbend_state::{config::Snapshot, id, time::Instant},
     std::{collections::BTreeMap, sync::Arc},
@@ -73,74 +74,6 @@
     Roster(Vec<Member>),
 }
 
-/// An agent as the directory knows it.
-#[derive(Clone, Debug)]
-pub struct Agent {
-    announcement: Announcement,
-    link: Link,
-    load: Load,
-    reported: Instant,
-    told: Option<State>,
-}
-
-impl Agent {
-    /// Returns what the agent announced.
-    pub fn announcement(&self) -> &Announcement {
-        &self.announcement
-    }
-
-    /// Returns the newest reported load.
-    pub fn load(&self) -> &Load {
-        &self.load
-    }
-
-    /// Returns the number of the newest report, which rises with each.
-    pub fn report(&self) -> u64 {
-        self.link.sequence
-    }
-
-    /// Returns when the newest report arrived.
-    pub fn reported(&self) -> Instant {
-        self.reported
-    }
-
-    /// Returns the agent's state at `now`.
-    pub fn state(&self, now: Instant) -> State {
-        self.link.state(now)
-    }
-
-    /// Tells whether the agent has said that it is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.link.leaving
-    }
-
-    /// Returns the connection to send on.
-    pub fn connection(&self) -> Option<Connection> {
-        self.link.current()
-    }
-
-    fn tell(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let state = self.link.state(now);
-        if self.told != Some(state) {
-            self.told = Some(state);
-            let endpoint = self.announcement.endpoint.clone();
-            actions.push(Action::Agent { endpoint, state });
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    member: Member,
-    link: Link,
-}
-
-#[derive(Clone, Debug)]
-enum Owner {
-    Agent(id::Endpoint),
-    Entry(id::Entry),
-}
-
 /// The agents and entries that an entry knows, and how they stand.
 ///
 /// Maps are ordered so that two runs with the same events act alike.
@@ -301,13 +234,7 @@
                 .or_default()
                 .push(endpoint.clone());
         }
-        let agent = Agent {
-            link: Link::new(announcement.incarnation),
-            load: Load::default(),
-            reported: now,
-            told: None,
-            announcement,
-        };
+        let agent = Agent::new(announcement, now);
         self.agents.insert(endpoint, agent);
     }
 
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -1,1 +1,353 @@
 //! Chooses the endpoint that takes a request.
+//!
+//! Views of load are up to a second old and several entries share the
+//! endpoints, so the least loaded endpoint by report is one that every entry
+//! would flood at once. The router adds its own requests to the newest report
+//! and chooses the better one of two endpoints drawn at random.
+
+use {
+    crate::membership::{Agent, Connection, Directory},
+    filbertbend_state::{
+        id,
+        outcome::Reason,
+        service::Declaration,
+        time::Instant,
+        unit::{Millis, Slots},
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::collections::BTreeMap,
+};
+
+mod counter;
+mod tier;
+
+use {
+    counter::Counter,
+    tier::{pick_one, whole, Estimate, Link, Tier},
+};
+
+/// Wait proposed to a caller when no endpoint is known or alive: about the
+/// time in which an endpoint that restarts announces itself.
+const NO_ENDPOINT_RETRY_MS: Millis = Millis(1000);
+/// Shortest wait proposed to a caller.
+const RETRY_FLOOR_MS: Millis = Millis(10);
+/// Endpoints of one data centre that are compared in full; of more, this many
+/// are drawn first.
+const SAMPLE: usize = 32;
+
+/// What a router is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The data centre of this entry.
+    pub data_centre: id::DataCentre,
+    /// The round trip to another data centre if `delays` does not name it.
+    pub delay: Millis,
+    /// Round trips to other data centres.
+    pub delays: BTreeMap<id::DataCentre, Millis>,
+    /// The time that leaving the data centre must save beyond its round trip,
+    /// which stands for the cost of the link.
+    pub cost: Millis,
+    /// The seed of the random choices.
+    pub seed: u64,
+}
+
+/// What a request asks of the router.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The declaration of its service.
+    pub declaration: &'a Declaration,
+    /// Endpoints that were tried for it before.
+    pub tried: &'a [id::Endpoint],
+    /// The time until its deadline.
+    pub remaining: Millis,
+}
+
+/// An endpoint that was chosen, which now counts one more request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// The connection to its agent.
+    pub connection: Connection,
+    /// The expected time from sending until a slot is free there.
+    pub wait: Millis,
+}
+
+/// A request for which no endpoint was found; it was certainly not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When a retry is worthwhile.
+    pub retry_after: Millis,
+}
+
+/// How a request at an endpoint ended, as far as the router cares.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The endpoint took it, whatever came of it.
+    Taken,
+    /// The agent refused it for lack of room; its view is newer than ours.
+    Full,
+}
+
+/// Slots for the requests of one service or of all, over all endpoints that
+/// take work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Supply {
+    /// All slots.
+    pub slots: Slots,
+    /// Slots that other entries' requests hold, by the newest reports.
+    pub others: Slots,
+}
+
+/// Chooses endpoints and counts this entry's requests at each.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: Settings,
+    rng: ChaCha8Rng,
+    counters: BTreeMap<id::Endpoint, Counter>,
+}
+
+impl Router {
+    /// Makes a router without requests in progress.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            counters: BTreeMap::new(),
+        }
+    }
+
+    /// Chooses an endpoint and counts the request there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] with [`Reason::NoEndpoint`] if no endpoint of the
+    /// service takes work, [`Reason::NoRoom`] if all that do are full or were
+    /// tried, and [`Reason::DeadlineTooShort`] if the request would only reach
+    /// a free one after its deadline.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        ask: &Ask<'_>,
+    ) -> Result<Choice, Refusal> {
+        let mut local = Tier::default();
+        let mut remote = Tier::default();
+        for (data_centre, endpoints) in directory.serving(&ask.declaration.name) {
+            if !ask.declaration.allows(data_centre) {
+                continue;
+            }
+            let is_local = *data_centre == self.settings.data_centre;
+            let tier = if is_local { &mut local } else { &mut remote };
+            let link = self.link(data_centre);
+            self.survey(now, directory, ask, endpoints, link, tier);
+        }
+        let chosen = self.choose(&local, &remote).ok_or_else(|| Refusal {
+            reason: local.reason(&remote),
+            retry_after: local.retry_after(&remote),
+        })?;
+        if chosen.wait_ms > ask.remaining.0 as f64 {
+            return Err(Refusal {
+                reason: Reason::DeadlineTooShort,
+                retry_after: whole(chosen.wait_ms),
+            });
+        }
+        let agent = chosen.agent;
+        let Some(connection) = agent.connection() else {
+            return Err(Refusal {
+                reason: Reason::NoEndpoint,
+                retry_after: NO_ENDPOINT_RETRY_MS,
+            });
+        };
+        let endpoint = agent.announcement().endpoint.clone();
+        self.counter(agent).own += 1;
+        Ok(Choice {
+            endpoint,
+            connection,
+            wait: Millis(chosen.wait_ms as u64),
+        })
+    }
+
+    /// Notes that a request that [`Router::pick`] placed has ended.
+    pub fn ended(&mut self, directory: &Directory, endpoint: &id::Endpoint, end: End) {
+        if let Some(agent) = directory.agent(endpoint) {
+            self.counter(agent);
+        }
+        if let Some(counter) = self.counters.get_mut(endpoint) {
+            counter.own = counter.own.saturating_sub(1);
+            counter.full |= end == End::Full;
+            if counter.own == 0 && directory.agent(endpoint).is_none() {
+                self.counters.remove(endpoint);
+            }
+        }
+    }
+
+    /// Returns the number of own requests in progress at `endpoint`.
+    pub fn outstanding(&self, endpoint: &id::Endpoint) -> u32 {
+        self.counters.get(endpoint).map_or(0, |counter| counter.own)
+    }
+
+    /// Returns the slots that requests of `service` can use, or of all services.
+    pub fn supply(
+        &self,
+        now: Instant,
+        directory: &Directory,
+        service: Option<&id::Service>,
+    ) -> Supply {
+        let mut supply = Supply::default();
+        let takes_work = |agent: &&Agent| {
+            directory.takes_work(agent, now)
+                && service.is_none_or(|service| agent.announcement().services.contains(service))
+        };
+        for agent in directory.agents().filter(takes_work) {
+            supply.slots += agent.announcement().slots;
+            supply.others += Slots(self.others(agent));
+        }
+        supply
+    }
+
+    /// Slots at `agent` that requests of other entries hold.
+    fn others(&self, agent: &Agent) -> u32 {
+        let own = self
+            .counters
+            .get(&agent.announcement().endpoint)
+            .map_or(0, |counter| counter.own_at(agent));
+        agent.load().slots_used.0.saturating_sub(own)
+    }
+
+    /// Returns the counter of `agent`. Own requests are only counted through
+    /// here, so when a newer report is found, the count has not changed since
+    /// that report arrived.
+    fn counter(&mut self, agent: &Agent) -> &mut Counter {
+        let announcement = agent.announcement();
+        let counter = self
+            .counters
+            .entry(announcement.endpoint.clone())
+            .or_default();
+        if !counter.is_current(agent) {
+            counter.own_reported = counter.own;
+            counter.report = agent.report();
+            counter.incarnation = announcement.incarnation;
+            counter.full = false;
+        }
+        counter
+    }
+
+    fn link(&self, data_centre: &id::DataCentre) -> Link {
+        if *data_centre == self.settings.data_centre {
+            return Link::default();
+        }
+        let delays = &self.settings.delays;
+        let delay = delays.get(data_centre).copied();
+        Link {
+            delay_ms: delay.unwrap_or(self.settings.delay).0 as f64,
+            cost_ms: self.settings.cost.0 as f64,
+        }
+    }
+
+    /// Adds the endpoints of one data centre that may take the request.
+    fn survey<'d>(
+        &mut self,
+        now: Instant,
+        directory: &'d Directory,
+        ask: &Ask<'_>,
+        endpoints: &[id::Endpoint],
+        link: Link,
+        tier: &mut Tier<'d>,
+    ) {
+        let free_before = tier.free.len();
+        if endpoints.len() > SAMPLE {
+            for _ in 0..SAMPLE {
+                let index = self.rng.random_range(0..endpoints.len());
+                self.consider(now, directory, ask, &endpoints[index], link, tier);
+            }
+            if tier.free.len() > free_before {
+                return;
+            }
+        }
+        for endpoint in endpoints {
+            self.consider(now, directory, ask, endpoint, link, tier);
+        }
+    }
+
+    fn consider<'d>(
+        &self,
+        now: Instant,
+        directory: &'d Directory,
+        ask: &Ask<'_>,
+        endpoint: &id::Endpoint,
+        link: Link,
+        tier: &mut Tier<'d>,
+    ) {
+        let Some(agent) = directory.agent(endpoint) else {
+            return;
+        };
+        if !directory.takes_work(agent, now) {
+            return;
+        }
+        tier.takes_work = true;
+        if ask.tried.contains(endpoint) {
+            return;
+        }
+        let estimate = self.estimate(now, agent, link);
+        if estimate.full {
+            tier.full_wait_ms = tier.full_wait_ms.min(estimate.wait_ms);
+        } else {
+            tier.free.push(estimate);
+        }
+    }
+
+    fn estimate<'d>(&self, now: Instant, agent: &'d Agent, link: Link) -> Estimate<'d> {
+        let announcement = agent.announcement();
+        let load = agent.load();
+        let counter = self.counters.get(&announcement.endpoint);
+        let own = counter.map_or(0, |counter| counter.own);
+        let own_reported = counter.map_or(0, |counter| counter.own_at(agent));
+        let refused = counter.is_some_and(|counter| counter.full && counter.is_current(agent));
+        let busy = self.others(agent) + own;
+        let slots = announcement.slots.0;
+        let connections = load.connections_used.0.saturating_sub(own_reported) + own;
+        let full = refused || busy >= slots || connections >= announcement.connections.0;
+        let service_ms = (load.service_time.0 as f64).max(1.0);
+        let queue_ms = (load.queue - now.since(agent.reported())).0 as f64;
+        let excess = f64::from((busy + 1).saturating_sub(slots).max(u32::from(full)));
+        let slots = f64::from(slots.max(1));
+        Estimate {
+            agent,
+            full,
+            wait_ms: queue_ms + excess * service_ms / slots + link.delay_ms,
+            cost_ms: link.cost_ms,
+            pressure_ms: service_ms * f64::from(busy + 1) / slots,
+        }
+    }
+
+    /// Takes a local endpoint unless a remote one starts the request sooner by
+    /// more than the link costs, or all local ones are full and a remote one
+    /// has room before a local slot is expected to be free.
+    fn choose<'d>(&mut self, local: &Tier<'d>, remote: &Tier<'d>) -> Option<Estimate<'d>> {
+        let near = self.draw(&local.free);
+        let local_wait_ms = match near {
+            Some(near) => near.wait_ms,
+            None if local.takes_work => local.full_wait_ms,
+            None => f64::INFINITY,
+        };
+        if local_wait_ms <= remote.least_wait_ms() {
+            return near;
+        }
+        self.draw(&remote.free).or(near)
+    }
+
+    /// Draws two and returns the better one.
+    fn draw<'d>(&mut self, free: &[Estimate<'d>]) -> Option<Estimate<'d>> {
+        let first = *pick_one(&mut self.rng, free)?;
+        let second = *pick_one(&mut self.rng, free)?;
+        Some(if second.score_ms() < first.score_ms() {
+            second
+        } else {
+            first
+        })
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/routing/tier.rs
@@ -0,0 +1,93 @@
+//! Estimates for endpoints, grouped by how far away they are.
+
+use {
+    super::{NO_ENDPOINT_RETRY_MS, RETRY_FLOOR_MS},
+    crate::membership::Agent,
+    filbertbend_state::{outcome::Reason, unit::Millis},
+    rand::{Rng, RngExt},
+};
+
+/// What it takes to reach a data centre.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Link {
+    pub(super) delay_ms: f64,
+    pub(super) cost_ms: f64,
+}
+
+/// What is expected of one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate<'a> {
+    pub(super) agent: &'a Agent,
+    pub(super) full: bool,
+    /// Expected time until a request gets a slot.
+    pub(super) wait_ms: f64,
+    /// The cost of the link as time; it weighs against the endpoint but does
+    /// not pass.
+    pub(super) cost_ms: f64,
+    /// The service time weighted by use, which tells endpoints without a wait
+    /// apart.
+    pub(super) pressure_ms: f64,
+}
+
+impl Estimate<'_> {
+    pub(super) fn score_ms(&self) -> f64 {
+        self.wait_ms + self.cost_ms + self.pressure_ms
+    }
+}
+
+/// The endpoints of the local data centre, or of all others.
+#[derive(Debug)]
+pub(super) struct Tier<'d> {
+    pub(super) takes_work: bool,
+    pub(super) free: Vec<Estimate<'d>>,
+    pub(super) full_wait_ms: f64,
+}
+
+impl Default for Tier<'_> {
+    fn default() -> Self {
+        Self {
+            takes_work: false,
+            free: Vec::new(),
+            full_wait_ms: f64::INFINITY,
+        }
+    }
+}
+
+impl Tier<'_> {
+    pub(super) fn least_wait_ms(&self) -> f64 {
+        self.free
+            .iter()
+            .map(|estimate| estimate.wait_ms + estimate.cost_ms)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    pub(super) fn reason(&self, other: &Self) -> Reason {
+        if self.takes_work || other.takes_work {
+            Reason::NoRoom
+        } else {
+            Reason::NoEndpoint
+        }
+    }
+
+    pub(super) fn retry_after(&self, other: &Self) -> Millis {
+        if self.takes_work || other.takes_work {
+            whole(self.full_wait_ms.min(other.full_wait_ms))
+        } else {
+            NO_ENDPOINT_RETRY_MS
+        }
+    }
+}
+
+pub(super) fn pick_one<'a, T>(rng: &mut impl Rng, items: &'a [T]) -> Option<&'a T> {
+    match items.len() {
+        0 => None,
+        1 => items.first(),
+        length => items.get(rng.random_range(0..length)),
+    }
+}
+
+/// Rounds a wait up for a caller, within 10 ms and 1 s.
+pub(super) fn whole(wait_ms: f64) -> Millis {
+    let limited = wait_ms.min(NO_ENDPOINT_RETRY_MS.0 as f64).ceil() as u64;
+    Millis(limited.max(RETRY_FLOOR_MS.0))
+}
