--- a/crates/agent/tests/settings.rs
+++ b/crates/agent/tests/settings.rs
@@ -107,5 +107,5 @@
     }
 
     assert_eq!(page::keys(&rows), leaves(keys()));
-    assert_eq!(compared, 5);
+    assert_eq!(compared, 6);
 }
