Bound retries and hedges, and tell what follows each try

The entry needs to know whether a request may be tried again, and must not call a request "not run" when an earlier try of it may have run.

Ruled out: a token bucket of the same rate (its capacity is either too small for a busy service or a burst for a small one; the window scales with the requests); a budget over all services (one failing service would spend it).

Each rule was taken out once to see its test fail, then put back: - the budget: half_of_the_endpoints_lost... and two others failed - the limit for one second: half_of_the_endpoints_lost... failed - idempotent for a broken try: broken_connection_of_a_non_idempotent... printed "left: Retry right: Finish(Unknown)" - may have run: refusal_after_a_broken_try... printed "left: Refused(RetryBudget) right: Unknown" - the budget of hedges: hedge_needs_an_idempotent_service... failed

15 tests pass.

--- /dev/null
+++ b/crates/coordination/src/retry/budget.rs
@@ -0,0 +1,95 @@
+//! The number of extra tries that a service may have.
+
+use {
+    filbertbend_state::{id, time::Instant},
+    std::collections::BTreeMap,
+};
+
+/// Length of one part of the window.
+const PART_MS: u64 = 1000;
+/// Parts of the window; requests of the last 10 s earn tries.
+const PARTS: usize = 10;
+/// Requests that earn one extra try.
+const REQUESTS_PER_TRY: u32 = 10;
+/// Extra tries in each window that need no requests, so that a service with
+/// few requests can retry at all.
+const FLOOR_TRIES: u32 = 10;
+/// The most extra tries in one part of the window. A burst of failures could
+/// otherwise spend the tries that 10 s of requests have earned at once.
+const BURST_PARTS: u32 = 2;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    requests: u32,
+    tries: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Window {
+    parts: [Part; PARTS],
+    /// The number of the newest part since the clock's start.
+    newest: u64,
+}
+
+/// Counts requests and extra tries of each service over the last 10 s.
+///
+/// Extra tries are held to 10% of the requests plus one a second.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    windows: BTreeMap<id::Service, Window>,
+}
+
+impl Budget {
+    /// Makes a budget without any requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request, not a try, of `service`.
+    pub fn request(&mut self, now: Instant, service: &id::Service) {
+        let part = self.window(now, service).newest();
+        part.requests = part.requests.saturating_add(1);
+    }
+
+    /// Takes one extra try from the budget; returns false if none is left.
+    pub fn take(&mut self, now: Instant, service: &id::Service) -> bool {
+        let window = self.window(now, service);
+        let allowed = window.allows();
+        if allowed {
+            window.newest().tries += 1;
+        }
+        allowed
+    }
+
+    fn window(&mut self, now: Instant, service: &id::Service) -> &mut Window {
+        if !self.windows.contains_key(service) {
+            self.windows.insert(service.clone(), Window::default());
+        }
+        let window = self.windows.entry(service.clone()).or_default();
+        window.advance(now.0 / PART_MS);
+        window
+    }
+}
+
+impl Window {
+    fn advance(&mut self, part: u64) {
+        let passed = part.saturating_sub(self.newest).min(PARTS as u64);
+        for step in 1..=passed {
+            let index = (part - passed + step) as usize % PARTS;
+            self.parts[index] = Part::default();
+        }
+        self.newest = self.newest.max(part);
+    }
+
+    fn newest(&mut self) -> &mut Part {
+        &mut self.parts[self.newest as usize % PARTS]
+    }
+
+    fn allows(&mut self) -> bool {
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let tries: u32 = self.parts.iter().map(|part| part.tries).sum();
+        let limit = requests / REQUESTS_PER_TRY + FLOOR_TRIES;
+        let burst = (limit * BURST_PARTS / PARTS as u32).max(FLOOR_TRIES);
+        tries < limit && self.newest().tries < burst
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/retry/plan.rs
@@ -0,0 +1,225 @@
+//! What comes after each try of one request.
+
+use {
+    super::{Budget, Hedge},
+    filbertbend_state::{
+        id,
+        outcome::{Outcome, Ran, Reason},
+        service::Declaration,
+        time::Instant,
+        unit::Millis,
+    },
+};
+
+/// Wait proposed to a caller whose request found no try in the budget.
+const BUDGET_RETRY_MS: Millis = Millis(1000);
+
+/// How one try ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The endpoint's answer has begun and is passed on to the caller.
+    Answered,
+    /// The request certainly did not reach the endpoint: the agent refused it,
+    /// or it was not written to any connection.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// When a retry at the same place is worthwhile.
+        retry_after: Millis,
+    },
+    /// The connection broke, or the endpoint gave no whole answer, after the
+    /// request was sent and before any of the answer was passed on.
+    Broken,
+    /// No answer came in the time that one try may take.
+    Timeout,
+    /// The agent found the deadline passed.
+    Expired {
+        /// Whether the endpoint may have run the request.
+        started: bool,
+    },
+}
+
+/// What to do after a try has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Try again at an endpoint that is not in [`Plan::tried`].
+    Retry,
+    /// Another try of the request is still in progress; wait for it.
+    Wait,
+    /// Pass the answer on, and cancel the tries at the endpoints named.
+    Answer {
+        /// Endpoints with other tries in progress.
+        cancel: Vec<id::Endpoint>,
+    },
+    /// Answer the caller with this outcome.
+    Finish(Outcome),
+}
+
+/// The tries of one request and what is known about them.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    service: id::Service,
+    idempotent: bool,
+    tries_limit: u8,
+    deadline: Instant,
+    tries: u8,
+    hedged: bool,
+    /// Whether some try may have run, so that the request can no longer be
+    /// reported as not run.
+    may_have_run: bool,
+    in_progress: Vec<id::Endpoint>,
+    tried: Vec<id::Endpoint>,
+}
+
+impl Plan {
+    /// Makes the plan of a request that has not been sent.
+    pub fn new(declaration: &Declaration, deadline: Instant) -> Self {
+        Self {
+            service: declaration.name.clone(),
+            idempotent: declaration.idempotent,
+            tries_limit: declaration.retry.tries.max(1),
+            deadline,
+            tries: 0,
+            hedged: false,
+            may_have_run: false,
+            in_progress: Vec::new(),
+            tried: Vec::new(),
+        }
+    }
+
+    /// Notes that a try is sent to `endpoint`.
+    pub fn sent(&mut self, endpoint: id::Endpoint) {
+        self.tries = self.tries.saturating_add(1);
+        self.in_progress.push(endpoint.clone());
+        self.tried.push(endpoint);
+    }
+
+    /// Returns the endpoints that were tried.
+    pub fn tried(&self) -> &[id::Endpoint] {
+        &self.tried
+    }
+
+    /// Returns the number of tries sent so far.
+    pub fn tries(&self) -> u8 {
+        self.tries
+    }
+
+    /// Returns the time left for the next try.
+    pub fn remaining(&self, now: Instant) -> Millis {
+        self.deadline.since(now)
+    }
+
+    /// Decides what follows the end of the try at `endpoint`.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        endpoint: &id::Endpoint,
+        end: End,
+        budget: &mut Budget,
+    ) -> Next {
+        self.in_progress.retain(|found| found != endpoint);
+        match end {
+            End::Answered => Next::Answer {
+                cancel: std::mem::take(&mut self.in_progress),
+            },
+            End::Refused {
+                reason,
+                retry_after,
+            } => self.after_refusal(now, reason, retry_after, budget),
+            End::Broken | End::Timeout => self.after_loss(now, budget),
+            End::Expired { started } => {
+                self.may_have_run |= started;
+                if self.in_progress.is_empty() {
+                    Next::Finish(self.expired())
+                } else {
+                    Next::Wait
+                }
+            }
+        }
+    }
+
+    /// Decides whether a second try starts now, after [`Hedge::delay`] has
+    /// passed since the first one was sent. A request is hedged at most once.
+    pub fn hedges(
+        &mut self,
+        now: Instant,
+        declaration: &Declaration,
+        hedge: &Hedge,
+        budget: &mut Budget,
+    ) -> bool {
+        let may = self.idempotent
+            && !self.hedged
+            && self.in_progress.len() == 1
+            && self.tries < self.tries_limit
+            && hedge
+                .delay(declaration)
+                .is_some_and(|delay| self.remaining(now) > delay)
+            && budget.take(now, &self.service);
+        self.hedged |= may;
+        may
+    }
+
+    /// Returns the outcome if the deadline passes before an answer, or the
+    /// retry that [`Next::Retry`] allowed finds no endpoint in time.
+    pub fn expired(&self) -> Outcome {
+        let certain = !self.may_have_run && self.in_progress.is_empty();
+        Outcome::Expired {
+            ran: if certain { Ran::No } else { Ran::Unknown },
+        }
+    }
+
+    /// Returns the outcome if no endpoint was found for a try.
+    pub fn unplaced(&self, reason: Reason, retry_after: Millis) -> Next {
+        if !self.in_progress.is_empty() {
+            return Next::Wait;
+        }
+        Next::Finish(if self.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::Refused {
+                reason,
+                retry_after_ms: retry_after,
+            }
+        })
+    }
+
+    fn after_refusal(
+        &mut self,
+        now: Instant,
+        reason: Reason,
+        retry_after: Millis,
+        budget: &mut Budget,
+    ) -> Next {
+        if !self.in_progress.is_empty() {
+            return Next::Wait;
+        }
+        if self.remaining(now) == Millis::ZERO {
+            return Next::Finish(self.expired());
+        }
+        if self.tries >= self.tries_limit || (self.may_have_run && !self.idempotent) {
+            return self.unplaced(reason, retry_after);
+        }
+        if budget.take(now, &self.service) {
+            Next::Retry
+        } else {
+            self.unplaced(Reason::RetryBudget, retry_after.max(BUDGET_RETRY_MS))
+        }
+    }
+
+    fn after_loss(&mut self, now: Instant, budget: &mut Budget) -> Next {
+        self.may_have_run = true;
+        if !self.in_progress.is_empty() {
+            return Next::Wait;
+        }
+        if self.remaining(now) == Millis::ZERO {
+            return Next::Finish(self.expired());
+        }
+        let may =
+            self.idempotent && self.tries < self.tries_limit && budget.take(now, &self.service);
+        if may {
+            Next::Retry
+        } else {
+            Next::Finish(Outcome::Unknown)
+        }
+    }
+}
