Route checks with the router, and bound their retries and hedges

Cause: the entry took the endpoint with the fewest requests of its own and tried again without a budget.

--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -12,9 +12,12 @@
     },
     filbertbend_coordination::{
         membership::{
-            Agent, Connection, Directory, DirectoryAction, DirectoryEvent, Heartbeat, Hello, Member,
+            Agent, Connection, Directory, DirectoryAction, DirectoryEvent, Heartbeat, Hello,
+            Member, State as Liveness,
         },
         placement,
+        retry::{self, Budget, Hedge, Next, Plan},
+        routing::{self, Ask, Router},
     },
     filbertbend_protocol::message::Control,
     filbertbend_state::{
@@ -23,18 +26,26 @@
         outcome::{Outcome, Reason},
         service::Declaration,
         time::Instant,
+        unit::Millis,
     },
     filbertbend_transport::{clock, link::Link},
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
 };
 
+/// Round trip to another data centre, which is about 4 ms away one way.
+const REMOTE_DELAY: Millis = Millis(8);
+/// What a request must gain to be worth a link between data centres.
+const REMOTE_COST: Millis = Millis(5);
+
 struct State {
     directory: Directory,
+    router: Router,
+    budget: Budget,
+    hedge: Hedge,
     peers: HashMap<Connection, Peer>,
-    outstanding: HashMap<id::Endpoint, u32>,
     endpoints: HashMap<id::Worker, id::Endpoint>,
 }
 
@@ -51,8 +62,10 @@
 /// A request on its way to one endpoint.
 pub(crate) struct Try {
     endpoint: id::Endpoint,
+    connection: Connection,
     link: Link,
     desk: Arc<Desk>,
+    started: Instant,
     ended: bool,
 }
 
@@ -67,28 +80,54 @@
         &self.link
     }
 
-    /// Records the end of the try; `complete` if the answer was whole.
-    pub(crate) fn end(&mut self, complete: bool) {
+    /// Returns how long the try has taken so far.
+    pub(crate) fn elapsed(&self) -> Millis {
+        clock::monotonic().since(self.started)
+    }
+
+    /// Tells whether nothing may be heard on the link any more: the agent is
+    /// silent, or has dialled a new link because this one was.
+    pub(crate) fn is_lost(&self) -> bool {
+        let now = clock::monotonic();
+        let state = self.desk.lock();
+        state.directory.agent(&self.endpoint).is_none_or(|agent| {
+            agent.connection() != Some(self.connection) || agent.state(now) != Liveness::Alive
+        })
+    }
+
+    /// Frees the request's place at the endpoint.
+    pub(crate) fn end(&mut self, end: routing::End) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.desk.ended(&self.endpoint, complete);
+            let mut state = self.desk.lock();
+            let state = &mut *state;
+            state.router.ended(&state.directory, &self.endpoint, end);
         }
     }
 }
 
 impl Drop for Try {
     fn drop(&mut self) {
-        self.end(false);
+        self.end(routing::End::Taken);
     }
 }
 
 impl Desk {
     /// Makes the desk of the entry `own`.
-    pub(crate) fn new(own: Member, control: control::Handle) -> Self {
+    pub(crate) fn new(own: Member, seed: u64, control: control::Handle) -> Self {
+        let settings = routing::Settings {
+            data_centre: own.data_centre.clone(),
+            delay: REMOTE_DELAY,
+            delays: BTreeMap::new(),
+            cost: REMOTE_COST,
+            seed,
+        };
         Self {
             state: Mutex::new(State {
                 directory: Directory::new(own),
+                router: Router::new(settings),
+                budget: Budget::new(),
+                hedge: Hedge::new(),
                 peers: HashMap::new(),
-                outstanding: HashMap::new(),
                 endpoints: HashMap::new(),
             }),
             control,
@@ -108,43 +147,69 @@
         Ok(Permit)
     }
 
-    /// Chooses an endpoint for a request of `service`.
+    /// Starts the plan of an admitted request.
+    pub(crate) fn plan(&self, declaration: &Declaration, left: Millis) -> Plan {
+        let now = clock::monotonic();
+        self.lock().budget.request(now, &declaration.name);
+        Plan::new(declaration, now + left)
+    }
+
+    /// Chooses an endpoint for the next try.
     pub(crate) fn pick(
         self: &Arc<Self>,
-        service: &id::Service,
-        tried: &[id::Endpoint],
-    ) -> Result<Try, Reason> {
+        declaration: &Declaration,
+        plan: &mut Plan,
+    ) -> Result<Try, routing::Refusal> {
         let now = clock::monotonic();
         let mut state = self.lock();
-        let chosen = state
-            .directory
-            .serving(service)
-            .flat_map(|(_, endpoints)| endpoints)
-            .filter(|endpoint| !tried.contains(endpoint))
-            .filter_map(|endpoint| {
-                let agent = state.directory.agent(endpoint)?;
-                if !state.directory.takes_work(agent, now) {
-                    return None;
-                }
-                let peer = state.peers.get(&agent.connection()?)?;
-                let outstanding = state.outstanding.get(endpoint).copied().unwrap_or(0);
-                Some((outstanding, endpoint.clone(), peer.link.clone()))
-            })
-            .min_by_key(|(outstanding, ..)| *outstanding);
-        let (_, endpoint, link) = chosen.ok_or(Reason::NoEndpoint)?;
-        *state.outstanding.entry(endpoint.clone()).or_default() += 1;
+        let state = &mut *state;
+        let ask = Ask {
+            declaration,
+            tried: plan.tried(),
+            remaining: plan.remaining(now),
+        };
+        let choice = state.router.pick(now, &state.directory, &ask)?;
+        let Some(peer) = state.peers.get(&choice.connection) else {
+            let end = routing::End::Taken;
+            state.router.ended(&state.directory, &choice.endpoint, end);
+            return Err(routing::Refusal {
+                reason: Reason::NoEndpoint,
+                retry_after: Millis(250),
+            });
+        };
+        plan.sent(choice.endpoint.clone());
         Ok(Try {
-            endpoint,
-            link,
+            endpoint: choice.endpoint,
+            connection: choice.connection,
+            link: peer.link.clone(),
             desk: self.clone(),
+            started: now,
             ended: false,
         })
     }
 
-    fn ended(&self, endpoint: &id::Endpoint, _complete: bool) {
-        if let Some(count) = self.lock().outstanding.get_mut(endpoint) {
-            *count = count.saturating_sub(1);
-        }
+    /// Decides what follows the end of a try.
+    pub(crate) fn ended(&self, plan: &mut Plan, endpoint: &id::Endpoint, end: retry::End) -> Next {
+        let now = clock::monotonic();
+        plan.ended(now, endpoint, end, &mut self.lock().budget)
+    }
+
+    /// Returns after which time without an answer a second try may start.
+    pub(crate) fn hedge_delay(&self, declaration: &Declaration) -> Option<Millis> {
+        self.lock().hedge.delay(declaration)
+    }
+
+    /// Decides whether a second try starts now.
+    pub(crate) fn hedges(&self, declaration: &Declaration, plan: &mut Plan) -> bool {
+        let now = clock::monotonic();
+        let mut state = self.lock();
+        let state = &mut *state;
+        plan.hedges(now, declaration, &state.hedge, &mut state.budget)
+    }
+
+    /// Takes note of how long a service took to answer.
+    pub(crate) fn answered(&self, service: &id::Service, latency: Millis) {
+        self.lock().hedge.observe(service, latency);
     }
 
     /// Registers a link whose hello has arrived.
@@ -261,7 +326,6 @@
                 }
             }
             DirectoryAction::Forgotten { endpoint } => {
-                state.outstanding.remove(&endpoint);
                 state.endpoints.retain(|_, known| *known != endpoint);
             }
             DirectoryAction::Roster(_) => {}
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod desk;
 mod dial;
+mod exchange;
 mod front;
 mod inspect;
 mod jobs;
@@ -126,7 +127,7 @@
     let (control, inbox) = Handle::channel();
     let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     let own = member(&settings);
-    let desk = Arc::new(Desk::new(own.clone(), control.clone()));
+    let desk = Arc::new(Desk::new(own.clone(), seed(&own), control.clone()));
     let thread = thread(&settings, &control, &desk, identity, own.clone(), snapshot);
     control::start(thread, inbox)?;
     let acceptor = Acceptor {
@@ -185,6 +186,11 @@
     }
 }
 
+/// Makes a seed that differs between entries and between their lives.
+fn seed(own: &Member) -> u64 {
+    hash::of(format!("{}/{}", own.entry, own.incarnation))
+}
+
 fn thread(
     settings: &Settings,
     control: &Handle,
@@ -193,7 +199,7 @@
     own: Member,
     snapshot: watch::Sender<Arc<Snapshot>>,
 ) -> Thread {
-    let seed = hash::of(format!("{}/{}", own.entry, own.incarnation));
+    let seed = seed(&own);
     let runtime = runtime::Handle::current();
     let calls = Calls {
         runtime: runtime.clone(),
