--- a/crates/coordination/src/journal/compaction.rs
+++ b/crates/coordination/src/journal/compaction.rs
@@ -143,11 +143,13 @@
             let slot = &mut segments[bucket.index()];
             replaced.extend(slot.iter().flat_map(|s| part_keys(self.slice, bucket, *s)));
             let bytes = image.encode(bucket);
+            let fewest = bytes.len().div_ceil(usize::from(value::PART_LIMIT));
+            let part_bytes = self.limits.part_bytes.max(fewest);
             *slot = (!bytes.is_empty()).then(|| Segment {
                 seq: base,
-                parts: bytes.chunks(self.limits.part_bytes).len() as u16,
+                parts: bytes.chunks(part_bytes).len() as u16,
             });
-            for (part, chunk) in (0..).zip(bytes.chunks(self.limits.part_bytes)) {
+            for (part, chunk) in (0..).zip(bytes.chunks(part_bytes)) {
                 let key = key::segment(self.slice, bucket, base, part);
                 let value = value::encode_part(self.slice, bucket, base, part, chunk);
                 writes.push_back(Write::new(key, value, Expect::Absent));
--- /dev/null
+++ b/crates/coordination/tests/journal_damage.rs
@@ -0,0 +1,270 @@
+//! Damaged and hostile values in the store.
+
+#[allow(dead_code)]
+#[path = "support/journal.rs"]
+mod support;
+
+use {
+    filbertbend_coordination::{
+        journal::{key, Action, Error, Event, Fault, Reason},
+        store::{Answer, Lease, Pair, Version, VALUE_LIMIT_BYTES},
+    },
+    filbertbend_state::hash,
+    proptest::{prelude::*, test_runner::RngSeed},
+    support::{fill, small, Owner, Store, SLICE},
+};
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(20_260_101),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Makes a slice with a manifest, segments and entries after the base.
+fn filled() -> Store {
+    let mut store = Store::new();
+    let mut owner = Owner::recovered(&mut store, "a", 1);
+    fill(&mut store, &mut owner, 1..=20);
+    store
+}
+
+/// Tries to recover the slice and returns why it failed.
+fn failure(store: &mut Store) -> Option<Error> {
+    let mut owner = Owner::new("b", 2, small());
+    owner.step(store, Event::Recover);
+    owner.run(store);
+    owner.reports.into_iter().find_map(|report| match report {
+        Action::Failed(error) => Some(error),
+        _ => None,
+    })
+}
+
+/// Returns the keys that a recovery reads: the manifest, the segments and the
+/// entries after the `Epoch` entry that is kept as a fence.
+fn needed(store: &Store) -> Vec<Pair> {
+    let fence = key::entry(SLICE, 1);
+    let pairs = store.pairs().into_iter();
+    pairs.filter(|pair| pair.key != fence).collect()
+}
+
+fn check_damage(damage: impl Fn(&Pair) -> Vec<u8>) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for pair in needed(&filled()) {
+        let mut store = filled();
+        store.overwrite(&pair.key, damage(&pair));
+        let before = store.pairs();
+
+        let error = failure(&mut store);
+
+        match error {
+            Some(Error::Damaged { key, fault, slice }) => {
+                assert_eq!((key, slice), (pair.key, SLICE));
+                faults.push(fault);
+            }
+            other => panic!("{}: {other:?}", pair.key),
+        }
+        assert_eq!(store.pairs(), before, "the slice was not left alone");
+    }
+    assert!(faults.len() > 10);
+    faults
+}
+
+/// Guards against acting on a state that a damaged value has made wrong, and
+/// against overwriting what an operator may still repair.
+#[test]
+fn a_flipped_bit_stops_the_recovery() {
+    let faults = check_damage(|pair| {
+        let mut value = pair.value.clone();
+        let middle = value.len() / 2;
+        value[middle] ^= 4;
+        value
+    });
+
+    assert!(faults.iter().all(|fault| *fault == Fault::Checksum));
+}
+
+#[test]
+fn a_truncated_value_stops_the_recovery() {
+    check_damage(|pair| pair.value[..pair.value.len() - 1].to_vec());
+    check_damage(|pair| pair.value[..5].to_vec());
+    check_damage(|_| Vec::new());
+}
+
+#[test]
+fn a_value_of_another_format_stops_the_recovery() {
+    let faults = check_damage(|_| b"{\"jobs\": []}".to_vec());
+
+    assert!(faults.iter().all(|fault| *fault == Fault::Format));
+}
+
+/// Guards against a value that is whole but was written for another key.
+#[test]
+fn a_value_of_another_key_stops_the_recovery() {
+    let mut other = Store::new();
+    let mut owner = Owner::recovered(&mut other, "x", 9);
+    fill(&mut other, &mut owner, 1..=3);
+    let foreign = other.pairs()[2].value.clone();
+
+    check_damage(|_| foreign.clone());
+}
+
+/// Guards against a recovery that passes over a missing value.
+#[test]
+fn a_missing_value_stops_the_recovery() {
+    let all = needed(&filled());
+    let last = all.iter().rposition(|pair| pair.key.contains("/journal/"));
+    for (index, pair) in all.iter().enumerate() {
+        // Without the last entry the journal is shorter, but whole.
+        if Some(index) == last {
+            continue;
+        }
+        let mut store = filled();
+        store.call(filbertbend_coordination::store::Call::Delete {
+            key: pair.key.clone(),
+            version: None,
+        });
+        let before = store.pairs();
+
+        let error = failure(&mut store);
+
+        assert!(
+            matches!(error, Some(Error::Missing { .. })),
+            "{}: {error:?}",
+            pair.key
+        );
+        assert_eq!(store.pairs(), before, "the slice was not left alone");
+    }
+}
+
+/// Guards against an owner that writes on after a value that is not its own.
+#[test]
+fn a_hostile_entry_in_the_way_stops_the_owner() {
+    let mut store = Store::new();
+    let mut owner = Owner::recovered(&mut store, "a", 1);
+    store.overwrite(&key::entry(SLICE, 2), b"hostile".to_vec());
+
+    fill(&mut store, &mut owner, 1..=1);
+
+    let failed = owner.reports.last();
+    assert!(matches!(
+        failed,
+        Some(Action::Failed(Error::Damaged {
+            fault: Fault::Format,
+            ..
+        }))
+    ));
+    assert_eq!(owner.not_written(), [(1, Reason::NotOwner)]);
+}
+
+/// Guards against replacing a manifest that cannot be read.
+#[test]
+fn a_hostile_manifest_stops_the_owner() {
+    let mut store = Store::new();
+    let mut owner = Owner::recovered(&mut store, "a", 1);
+    store.overwrite(&key::manifest(SLICE), b"hostile".to_vec());
+
+    fill(&mut store, &mut owner, 1..=8);
+
+    let failed = owner.reports.iter().any(|r| matches!(r, Action::Failed(_)));
+    assert!(failed, "{:?}", owner.reports);
+    let manifest = store.memory.pairs(key::manifest(SLICE));
+    assert_eq!(manifest[0].value, b"hostile");
+}
+
+/// Guards against errors that do not say which value to repair.
+#[test]
+fn an_error_names_the_key_and_the_fault() {
+    let mut store = filled();
+    store.overwrite(&key::manifest(SLICE), vec![0; 40]);
+
+    let error = failure(&mut store).unwrap();
+
+    let text = "slice 3: the value at `slice/3/manifest` is damaged: it is not in the \
+                journal's format, or of another version; the slice is left as it is until the \
+                value is repaired";
+    assert_eq!(error.to_string(), text);
+}
+
+/// Wraps hostile bytes so that marker, version and checksum are right.
+fn sealed(body: &[u8]) -> Vec<u8> {
+    let mut value = vec![0xfb, 1];
+    value.extend(hash::of(body).to_le_bytes());
+    value.extend(body);
+    value
+}
+
+fn answers() -> impl Strategy<Value = Answer> {
+    let pair = (0..40u64, prop::collection::vec(any::<u8>(), 0..40)).prop_map(|(seq, body)| Pair {
+        key: key::entry(SLICE, seq),
+        value: sealed(&body),
+        version: Version(seq),
+    });
+    prop_oneof![
+        Just(Answer::Unavailable),
+        Just(Answer::Lost),
+        Just(Answer::LeaseGone),
+        Just(Answer::Unchanged),
+        Just(Answer::Leased(Lease(1))),
+        Just(Answer::Conflict(None)),
+        any::<u64>().prop_map(|version| Answer::Written(Version(version))),
+        prop::option::of(pair.clone()).prop_map(Answer::Value),
+        prop::collection::vec(pair, 0..40).prop_map(Answer::Page),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config(400))]
+
+    /// Guards against panics and unbounded memory on values whose checksum is
+    /// right but whose fields are hostile.
+    #[test]
+    fn sealed_hostile_values_are_refused(
+        index in any::<prop::sample::Index>(),
+        cut in any::<prop::sample::Index>(),
+        noise in prop::collection::vec(any::<u8>(), 0..64),
+    ) {
+        let mut store = filled();
+        let all = needed(&store);
+        let pair = index.get(&all);
+        let body = &pair.value[10..];
+        let mut hostile = body[..cut.index(body.len())].to_vec();
+        hostile.extend(&noise);
+        prop_assume!(hostile != body);
+        store.overwrite(&pair.key, sealed(&hostile));
+        let before = store.pairs();
+
+        if failure(&mut store).is_some() {
+            prop_assert_eq!(store.pairs(), before);
+        }
+    }
+
+    /// Guards against panics on a store that answers anything at all.
+    #[test]
+    fn no_answer_makes_a_journal_panic(
+        warm in 0..40usize,
+        answers in prop::collection::vec(answers(), 0..60),
+    ) {
+        let mut store = Store::new();
+        let mut owner = Owner::new("a", 1, small());
+        owner.step(&store, Event::Recover);
+        for id in 0..warm as u64 {
+            owner.append_sized(&store, id, 4);
+            if !owner.calls.is_empty() {
+                owner.answer_next(&mut store);
+            }
+        }
+
+        for (id, answer) in (100..).zip(answers) {
+            owner.append(&store, id);
+            if !owner.calls.is_empty() {
+                owner.answer_with(&store, answer);
+            }
+            owner.sleep(&mut store);
+        }
+
+        prop_assert!(owner.journal.waiting() < VALUE_LIMIT_BYTES);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/ownership.rs
@@ -0,0 +1,612 @@
+//! Registration of entries and the division of the slices among them.
+
+use {
+    filbertbend_coordination::{
+        ownership::{
+            Action, Event, Registry, LEASE_TTL, OWNERSHIP_HORIZON, STABLE_SPAN, TICK_INTERVAL,
+        },
+        store::{Answer, Call, Expect, Lease, Ticket, Version},
+    },
+    filbertbend_standin::store::network::{Faults, Network},
+    filbertbend_state::{hash, id, time::Instant, unit::Millis},
+    proptest::{prelude::*, test_runner::RngSeed},
+    rand_chacha::{rand_core::SeedableRng, ChaCha8Rng},
+    std::collections::BTreeSet,
+};
+
+const SLICES: u16 = 16;
+const LATENCY_MS: u64 = 4;
+
+fn rng(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
+}
+
+fn entry(name: &str) -> id::Entry {
+    id::Entry::new(name).unwrap()
+}
+
+/// One entry with its reports, as (time, action).
+struct Node {
+    name: id::Entry,
+    registry: Registry,
+    reports: Vec<(Instant, Action)>,
+    frozen: bool,
+    held: Vec<(Ticket, Answer)>,
+    /// Whether it confirms its epoch and releases when asked.
+    obeys: bool,
+}
+
+struct Rig {
+    now: Instant,
+    network: Network<usize>,
+    nodes: Vec<Node>,
+}
+
+impl Rig {
+    fn new(names: &[&str]) -> Self {
+        let faults = Faults {
+            latency_ms: LATENCY_MS,
+            ..Faults::default()
+        };
+        let mut rig = Self {
+            now: Instant(1000),
+            network: Network::new(faults, rng(7)),
+            nodes: Vec::new(),
+        };
+        names.iter().for_each(|name| rig.join(name));
+        rig
+    }
+
+    /// Starts another entry.
+    fn join(&mut self, name: &str) {
+        let index = self.nodes.len();
+        let value = name.as_bytes().to_vec();
+        self.nodes.push(Node {
+            name: entry(name),
+            registry: Registry::new(entry(name), value, SLICES, rng(index as u64)),
+            reports: Vec::new(),
+            frozen: false,
+            held: Vec::new(),
+            obeys: true,
+        });
+        self.step(index, Event::Start);
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let node = &mut self.nodes[index];
+            let mut actions = Vec::new();
+            node.registry.step(self.now, event, &mut actions);
+            for action in actions {
+                match action {
+                    Action::Call { ticket, call } => {
+                        self.network.send(self.now, index, ticket, call);
+                        continue;
+                    }
+                    Action::Release(slice) if node.obeys => events.push(Event::Released(slice)),
+                    Action::Reclaimed(slice) if node.obeys => {
+                        let at = self.now;
+                        events.push(Event::Confirmed { slice, at });
+                    }
+                    _ => {}
+                }
+                node.reports.push((self.now, action));
+            }
+        }
+    }
+
+    /// Lets `span` pass; each millisecond is a step.
+    fn pass(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Millis(1);
+            while let Some((index, ticket, answer)) = self.network.receive(self.now) {
+                if self.nodes[index].frozen {
+                    self.nodes[index].held.push((ticket, answer));
+                } else {
+                    self.step(index, Event::Answer { ticket, answer });
+                }
+            }
+            if self.now.0.is_multiple_of(TICK_INTERVAL.0) {
+                for index in 0..self.nodes.len() {
+                    if !self.nodes[index].frozen {
+                        self.step(index, Event::Tick);
+                    }
+                }
+            }
+            self.check_grants();
+        }
+    }
+
+    /// At no time may two entries give first grants in one slice.
+    fn check_grants(&self) {
+        for slice in slices() {
+            let nodes = self.nodes.iter();
+            let allowed = nodes.filter(|n| n.registry.may_grant_first(self.now, slice));
+            assert!(allowed.count() <= 1, "slice {slice} at {}", self.now);
+        }
+    }
+
+    fn thaw(&mut self, index: usize) {
+        self.nodes[index].frozen = false;
+        for (ticket, answer) in std::mem::take(&mut self.nodes[index].held) {
+            self.step(index, Event::Answer { ticket, answer });
+        }
+    }
+
+    fn owned(&self, index: usize) -> BTreeSet<id::Slice> {
+        let registry = &self.nodes[index].registry;
+        slices().filter(|slice| registry.owns(*slice)).collect()
+    }
+
+    /// Returns the slices that belong to entry `index` among all `live` ones.
+    fn share(&self, index: usize, live: &[usize]) -> BTreeSet<id::Slice> {
+        let weight = |index: usize, slice| hash::weight(self.nodes[index].name.as_str(), slice);
+        let best = |slice| live.iter().copied().max_by_key(|i| weight(*i, slice));
+        slices()
+            .filter(|slice| best(*slice) == Some(index))
+            .collect()
+    }
+
+    fn count(&self, index: usize, pick: impl Fn(&Action) -> bool) -> usize {
+        let reports = self.nodes[index].reports.iter();
+        reports.filter(|(_, action)| pick(action)).count()
+    }
+
+    fn forget_reports(&mut self) {
+        self.nodes.iter_mut().for_each(|n| n.reports.clear());
+    }
+}
+
+fn slices() -> impl Iterator<Item = id::Slice> {
+    (0..SLICES).map(id::Slice)
+}
+
+fn settle() -> Millis {
+    Millis::from_secs(60)
+}
+
+#[test]
+fn a_single_entry_owns_everything_and_is_listed() {
+    let mut rig = Rig::new(&["a"]);
+
+    rig.pass(settle());
+
+    assert_eq!(rig.owned(0).len(), usize::from(SLICES));
+    let members = rig.nodes[0].registry.members();
+    assert_eq!(members.len(), 1);
+    assert_eq!(
+        (&members[0].entry, &*members[0].value),
+        (&entry("a"), &b"a"[..])
+    );
+}
+
+/// Guards against slices without an owner or with two, and against moving
+/// slices that a change of members does not concern.
+#[test]
+fn entries_share_the_slices_and_hand_over_one_at_a_time() {
+    let mut rig = Rig::new(&["a", "b"]);
+    rig.pass(settle());
+    let before = [rig.owned(0), rig.owned(1)];
+    rig.forget_reports();
+
+    rig.join("d");
+    rig.nodes[0].obeys = false;
+    rig.pass(settle());
+    let asked = rig.count(0, |action| matches!(action, Action::Release(_)));
+    let moved = before[0].difference(&rig.share(0, &[0, 1, 2])).count();
+    assert!(moved > 1, "the names must make the test meaningful");
+    assert_eq!(asked, 1, "a second hand-over began during the first");
+    rig.nodes[0].obeys = true;
+    let pending = rig.nodes[0]
+        .reports
+        .iter()
+        .find_map(|(_, action)| match action {
+            Action::Release(slice) => Some(*slice),
+            _ => None,
+        });
+    rig.step(0, Event::Released(pending.unwrap()));
+    rig.pass(settle());
+
+    for index in 0..3 {
+        assert_eq!(rig.owned(index), rig.share(index, &[0, 1, 2]));
+    }
+    assert!(before[0].is_superset(&rig.owned(0)));
+    assert!(before[1].is_superset(&rig.owned(1)));
+    assert_eq!(rig.count(0, |action| matches!(action, Action::Lost(_))), 0);
+}
+
+/// Guards against hand-overs while members come and go.
+#[test]
+fn nothing_is_handed_over_before_the_members_are_stable() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+
+    rig.join("b");
+    let joined = rig.now;
+    rig.pass(settle());
+
+    let reports = rig.nodes[0].reports.iter();
+    let mut releases = reports.filter(|(_, a)| matches!(a, Action::Release(_)));
+    let first = releases.next().unwrap().0;
+    assert!(first >= joined + STABLE_SPAN, "{joined} {first}");
+    assert!(
+        first <= joined + STABLE_SPAN + Millis::from_secs(1),
+        "{first}"
+    );
+}
+
+/// Guards against slices that stay without an owner for longer than the
+/// target for urgent work (8.6 s) leaves room for.
+#[test]
+fn the_slices_of_a_dead_entry_are_claimed_in_time() {
+    let mut rig = Rig::new(&["a", "b", "c"]);
+    rig.pass(settle());
+    rig.nodes[1].frozen = true;
+
+    rig.pass(LEASE_TTL + Millis::from_secs(2));
+
+    let all: usize = [0, 2].into_iter().map(|index| rig.owned(index).len()).sum();
+    assert_eq!(all, usize::from(SLICES));
+}
+
+/// Guards against dropping running work in a store outage, against first
+/// grants without a lease, and against grants beyond the horizon.
+#[test]
+fn an_outage_keeps_what_is_owned() {
+    let mut rig = Rig::new(&["a", "b"]);
+    rig.pass(settle());
+    let before = [rig.owned(0), rig.owned(1)];
+    let slice = *before[0].first().unwrap();
+    rig.forget_reports();
+    let down_at = rig.now;
+
+    rig.network.down = true;
+    rig.pass(Millis::from_secs(60));
+    let granted = rig.nodes[0].registry.may_grant_first(rig.now, slice);
+    let limit = rig.nodes[0].registry.grant_limit(slice).unwrap();
+    let stalled = rig.nodes[0].registry.stalled();
+    rig.nodes[0].obeys = false;
+    rig.network.down = false;
+    rig.pass(settle());
+    let unconfirmed = rig.nodes[0].registry.grant_limit(slice).unwrap();
+    let granted_unconfirmed = rig.nodes[0].registry.may_grant_first(rig.now, slice);
+    let at = rig.now;
+    rig.step(0, Event::Confirmed { slice, at });
+
+    assert!(!granted && !granted_unconfirmed);
+    assert!(limit <= down_at + OWNERSHIP_HORIZON);
+    assert!(limit + Millis::from_secs(2) >= down_at + OWNERSHIP_HORIZON);
+    assert!(stalled.is_some_and(|since| since.since(down_at) <= Millis::from_secs(2)));
+    assert_eq!(unconfirmed, limit);
+    assert!(rig.nodes[0].registry.may_grant_first(rig.now, slice));
+    assert_eq!([rig.owned(0), rig.owned(1)], before);
+    for (index, owned) in before.iter().enumerate() {
+        let changed = |action: &Action| matches!(action, Action::Owned(_) | Action::Lost(_));
+        assert_eq!(rig.count(index, changed), 0, "entry {index}");
+        let reclaimed = rig.count(index, |action| matches!(action, Action::Reclaimed(_)));
+        assert_eq!(reclaimed, owned.len());
+    }
+}
+
+/// Guards against a process that goes on as an owner after it was frozen.
+#[test]
+fn a_frozen_entry_loses_what_others_have_claimed() {
+    let mut rig = Rig::new(&["a", "b"]);
+    rig.pass(settle());
+    let before = rig.owned(0);
+    rig.forget_reports();
+    rig.nodes[0].frozen = true;
+    rig.pass(Millis::from_secs(20));
+    let claimed = rig.owned(1).len();
+
+    let granted = before
+        .iter()
+        .any(|slice| rig.nodes[0].registry.may_grant_first(rig.now, *slice));
+    rig.thaw(0);
+    rig.pass(Millis::from_secs(2));
+    let lost = rig.count(0, |action| matches!(action, Action::Lost(_)));
+    rig.pass(settle());
+
+    assert!(!granted);
+    assert_eq!(claimed, usize::from(SLICES));
+    assert_eq!(lost, before.len());
+    assert_eq!(rig.owned(0), before);
+}
+
+/// Guards against taking over everything in the moment in which the first
+/// entry is back after an outage.
+#[test]
+fn an_early_entry_waits_for_the_others_after_an_outage() {
+    let mut rig = Rig::new(&["a", "b", "c"]);
+    rig.pass(settle());
+    let before = rig.owned(1);
+    rig.network.down = true;
+    rig.pass(Millis::from_secs(10));
+    rig.forget_reports();
+
+    rig.nodes[1].frozen = true;
+    rig.network.down = false;
+    rig.pass(Millis(600));
+    rig.thaw(1);
+    rig.pass(settle());
+
+    assert_eq!(rig.owned(1), before);
+    assert_eq!(rig.count(1, |action| matches!(action, Action::Lost(_))), 0);
+}
+
+/// A registry whose calls the test answers by hand.
+struct Manual {
+    registry: Registry,
+    calls: Vec<(Ticket, Call)>,
+    reports: Vec<Action>,
+}
+
+impl Manual {
+    fn new() -> Self {
+        let registry = Registry::new(entry("a"), Vec::new(), 1, rng(3));
+        Self {
+            registry,
+            calls: Vec::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, now: Instant, event: Event) {
+        let mut actions = Vec::new();
+        self.registry.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Call { ticket, call } => self.calls.push((ticket, call)),
+                report => self.reports.push(report),
+            }
+        }
+    }
+
+    fn take(&mut self, pick: impl Fn(&Call) -> bool) -> Option<(Ticket, Call)> {
+        let found = self.calls.iter().position(|(_, call)| pick(call))?;
+        Some(self.calls.remove(found))
+    }
+}
+
+/// Guards against counting the lease from when the answer arrived: the store
+/// counts it from when the call did, which may be much earlier.
+#[test]
+fn the_lease_counts_from_before_the_call() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+    let slice = id::Slice(0);
+    rig.network.faults.latency_ms = 6000;
+    let slow_from = rig.now;
+
+    rig.pass(Millis::from_secs(5));
+    let granted = rig.nodes[0].registry.may_grant_first(rig.now, slice);
+    let confirmed = rig.nodes[0].registry.confirmed_at(slice).unwrap();
+
+    assert!(!granted);
+    assert!(confirmed <= slow_from);
+}
+
+/// Guards against a claim that is held without being used, because its answer
+/// was lost.
+#[test]
+fn a_lost_answer_to_a_claim_is_settled() {
+    let now = Instant(1000);
+    let mut store = filbertbend_standin::store::Memory::new();
+    let mut manual = Manual::new();
+    manual.step(now, Event::Start);
+    let mut lost = 0;
+    for ms in 1..10_000 {
+        let now = Instant(now.0 + ms);
+        for (ticket, call) in std::mem::take(&mut manual.calls) {
+            let claims = matches!(&call, Call::Put { key, .. } if &**key == "slice/0/owner");
+            let mut answer = store.call(now, call);
+            if claims {
+                answer = Answer::Lost;
+                lost += 1;
+            }
+            manual.step(now, Event::Answer { ticket, answer });
+        }
+        manual.step(now, Event::Tick);
+    }
+
+    assert_eq!(lost, 1);
+    assert!(manual.reports.contains(&Action::Owned(id::Slice(0))));
+}
+
+/// Guards against a slice without an owner because a claim took effect late,
+/// when the claimer did not want it any more.
+#[test]
+fn a_late_claim_that_is_not_wanted_is_given_up() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+    rig.join("b");
+    rig.network.faults.lost_calls = 100;
+    rig.network.faults.late_calls = 150;
+    rig.network.faults.lost_answers = 100;
+    for round in 0..12 {
+        let index = round % 2;
+        rig.nodes[index].frozen = true;
+        rig.pass(Millis(4000 + 300 * round as u64));
+        rig.thaw(index);
+        rig.pass(Millis(3000));
+    }
+
+    rig.network.faults = Faults {
+        latency_ms: LATENCY_MS,
+        ..Faults::default()
+    };
+    rig.pass(settle());
+
+    for index in 0..2 {
+        assert_eq!(rig.owned(index), rig.share(index, &[0, 1]), "entry {index}");
+    }
+}
+
+/// Guards against deleting a claim that could not be wanted more: a fenced
+/// owner that still holds the key begins again.
+#[test]
+fn a_fenced_owner_that_holds_the_key_begins_again() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+    rig.forget_reports();
+
+    rig.step(0, Event::Fenced(id::Slice(5)));
+    let owned = rig.nodes[0].registry.owns(id::Slice(5));
+    rig.pass(Millis::from_secs(1));
+
+    assert!(!owned);
+    let again = rig.count(0, |action| *action == Action::Owned(id::Slice(5)));
+    assert_eq!(again, 1);
+}
+
+/// Guards against two processes with one name that overwrite each other.
+#[test]
+fn a_second_process_of_the_same_name_waits() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+
+    rig.join("a");
+    rig.pass(Millis::from_secs(10));
+    let waits = rig.count(1, |action| *action == Action::NameTaken);
+    let owned = rig.owned(1).len();
+    rig.nodes[0].frozen = true;
+    rig.pass(Millis::from_secs(10));
+
+    assert!(waits > 0);
+    assert_eq!(owned, 0);
+    assert_eq!(rig.owned(1).len(), usize::from(SLICES));
+}
+
+/// Guards against a graceful shutdown that leaves slices without an owner
+/// until a lease lapses.
+#[test]
+fn a_leaving_entry_hands_everything_over_at_once() {
+    let mut rig = Rig::new(&["a", "b"]);
+    rig.pass(settle());
+
+    rig.step(0, Event::Leave);
+    rig.pass(Millis::from_secs(2));
+
+    assert_eq!(rig.count(0, |action| *action == Action::Left), 1);
+    assert_eq!(rig.owned(1).len(), usize::from(SLICES));
+    assert_eq!(rig.nodes[1].registry.members().len(), 1);
+}
+
+/// Guards against a departure that never ends because the store is down.
+#[test]
+fn a_departure_ends_when_the_store_is_back() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+    rig.network.down = true;
+    rig.pass(Millis::from_secs(10));
+
+    rig.step(0, Event::Leave);
+    rig.pass(Millis::from_secs(1));
+    rig.network.down = false;
+    rig.pass(Millis::from_secs(5));
+
+    assert_eq!(rig.count(0, |action| *action == Action::Left), 1);
+    assert!(rig.network.memory.pairs("member/").is_empty());
+    assert!(rig.network.memory.pairs("slice/").is_empty());
+}
+
+/// Guards against a roster that one hostile value makes unreadable.
+#[test]
+fn a_damaged_member_is_passed_over_and_reported() {
+    let mut rig = Rig::new(&["a"]);
+    rig.pass(settle());
+
+    for key in ["member/b", "member/../x"] {
+        let call = Call::Put {
+            key: key.into(),
+            value: vec![0xff; 40],
+            expect: Expect::Absent,
+            lease: None,
+        };
+        rig.network.memory.call(rig.now, call);
+    }
+    rig.pass(Millis::from_secs(1));
+
+    let key = "member/b".into();
+    assert!(
+        rig.count(0, |action| *action
+            == Action::Damaged {
+                key: std::sync::Arc::clone(&key)
+            })
+            > 0
+    );
+    assert_eq!(rig.nodes[0].registry.members().len(), 1);
+    assert_eq!(rig.owned(0).len(), usize::from(SLICES));
+}
+
+/// Guards against renewals that wait behind one whose connection is silent.
+#[test]
+fn a_silent_renewal_does_not_delay_the_next() {
+    let mut manual = Manual::new();
+    manual.step(Instant(0), Event::Start);
+    let grant = manual
+        .take(|call| matches!(call, Call::Grant { .. }))
+        .unwrap();
+    let answer = Answer::Leased(Lease(1));
+    let ticket = grant.0;
+    manual.step(Instant(5), Event::Answer { ticket, answer });
+
+    for ms in (100..3500).step_by(100) {
+        manual.step(Instant(ms), Event::Tick);
+    }
+
+    let renewals = manual.calls.iter();
+    let renewals = renewals.filter(|(_, call)| matches!(call, Call::Renew { .. }));
+    assert_eq!(renewals.count(), 3);
+}
+
+fn answers() -> impl Strategy<Value = Answer> {
+    let pair = prop::collection::vec(any::<u8>(), 0..40).prop_map(|value| {
+        filbertbend_coordination::store::Pair {
+            key: "member/b".into(),
+            value,
+            version: Version(3),
+        }
+    });
+    prop_oneof![
+        Just(Answer::Unavailable),
+        Just(Answer::Lost),
+        Just(Answer::LeaseGone),
+        Just(Answer::Unchanged),
+        Just(Answer::Leased(Lease(1))),
+        Just(Answer::Conflict(None)),
+        any::<u64>().prop_map(|version| Answer::Written(Version(version))),
+        any::<u64>().prop_map(|version| Answer::Changed(Version(version))),
+        prop::option::of(pair.clone()).prop_map(Answer::Value),
+        prop::collection::vec(pair, 0..70).prop_map(Answer::Page),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_260_102),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against panics on a store that answers anything at all.
+    #[test]
+    fn no_answer_makes_a_registry_panic(answers in prop::collection::vec(answers(), 0..80)) {
+        let mut manual = Manual::new();
+        manual.step(Instant(0), Event::Start);
+
+        for (tick, answer) in (1..).zip(answers) {
+            let now = Instant(tick * 100);
+            if !manual.calls.is_empty() {
+                let (ticket, _) = manual.calls.remove(0);
+                manual.step(now, Event::Answer { ticket, answer });
+            }
+            manual.step(now, Event::Tick);
+        }
+
+        prop_assert!(manual.calls.len() < 100);
+    }
+}
