--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -57,6 +57,9 @@
 /// agent that is silent for this long is a suspect.
 pub const START_TIMEOUT: Millis = Millis(2000);
 
+/// The same for an order, which may wait at its endpoint for a free slot.
+pub const ORDER_START_TIMEOUT: Millis = Millis::from_secs(10);
+
 /// How often an eviction, a cancellation or a withdrawal is resent.
 pub const COMMAND_RESEND_INTERVAL: Millis = Millis(1000);
 
@@ -189,7 +192,7 @@
                 worker,
                 incarnation,
             } => self.agent_appeared(cx, worker, incarnation),
-            Event::Down { worker } => self.agent_down(&worker),
+            Event::Down { worker } => self.agent_down(cx, &worker),
             Event::Authority(authority) => self.authority = authority,
             Event::Tick { .. } => self.tick(cx),
         }
--- a/crates/coordination/src/owner/dispatch.rs
+++ b/crates/coordination/src/owner/dispatch.rs
@@ -5,7 +5,7 @@
         order::consumes_sequence,
         state::{Evicting, Live, Timer},
         Action, Counter, Cx, Over, Owner, Record, COMMAND_RESEND_INTERVAL, EVICT_TIMEOUT,
-        FAILURES_LIMIT, START_RESEND_INTERVAL, START_TIMEOUT,
+        FAILURES_LIMIT, ORDER_START_TIMEOUT, START_RESEND_INTERVAL, START_TIMEOUT,
     },
     crate::{
         attempt::{Attempt, Command, Work},
@@ -157,6 +157,10 @@
             .open
             .get(&attempt.task.job)
             .is_none_or(|open| open.ending.is_some() || open.closing);
+        let order = self
+            .image
+            .job(attempt.task.job)
+            .is_some_and(|job| job.spec.order.is_some());
         let Some(live) = self.live.get_mut(&attempt.task) else {
             return;
         };
@@ -165,8 +169,13 @@
             self.abandon(cx, attempt);
             return;
         }
+        let timeout = if order {
+            ORDER_START_TIMEOUT
+        } else {
+            START_TIMEOUT
+        };
         live.start_resend_at = cx.now;
-        live.start_give_up_at = cx.now + START_TIMEOUT;
+        live.start_give_up_at = cx.now + timeout;
         self.resend_start(cx, attempt.task);
         self.arm_task(cx.now, attempt.task);
     }
--- a/crates/coordination/src/owner/image.rs
+++ b/crates/coordination/src/owner/image.rs
@@ -113,22 +113,26 @@
     ///
     /// # Errors
     ///
-    /// Returns the encoder's error; a bucket that does not exist is encoded as
-    /// an empty one.
+    /// Returns the encoder's error. A bucket that is empty or does not exist
+    /// is encoded as no bytes.
     pub fn encode(&self, bucket: usize) -> Result<Vec<u8>, postcard::Error> {
         match self.buckets.get(bucket) {
-            Some(found) => postcard::to_stdvec(found),
-            None => postcard::to_stdvec(&Bucket::default()),
+            Some(found) if *found != Bucket::default() => postcard::to_stdvec(found),
+            _ => Ok(Vec::new()),
         }
     }
 
-    /// Replaces one bucket by its encoded form.
+    /// Replaces one bucket by its encoded form; no bytes make it empty.
     ///
     /// # Errors
     ///
     /// Returns the decoder's error and leaves the image unchanged.
     pub fn decode(&mut self, bucket: usize, bytes: &[u8]) -> Result<(), postcard::Error> {
-        let decoded = postcard::from_bytes(bytes)?;
+        let decoded = if bytes.is_empty() {
+            Bucket::default()
+        } else {
+            postcard::from_bytes(bytes)?
+        };
         if let Some(found) = self.buckets.get_mut(bucket) {
             *found = decoded;
         }
--- a/crates/coordination/src/owner/report.rs
+++ b/crates/coordination/src/owner/report.rs
@@ -217,9 +217,12 @@
                 cx.count(Counter::Denied);
                 Command::Deny { nonce: *nonce }
             }
-            Report::Refused { .. } | Report::Stopped { .. } | Report::Ended(_) => Command::Ack,
+            Report::Refused { .. }
+            | Report::Withdrawn
+            | Report::Stopped { .. }
+            | Report::Ended(_) => Command::Ack,
             Report::Started => Command::Cancel,
-            Report::Withdrawn | Report::Checkpointed { .. } => return,
+            Report::Checkpointed { .. } => return,
         };
         self.send(cx, worker.clone(), attempt, command);
     }
@@ -265,8 +268,20 @@
         cx.actions.push(Action::Adopt { worker });
     }
 
-    pub(super) fn agent_down(&mut self, worker: &id::Worker) {
+    /// Gives up what an agent that is down has not been granted. What it has
+    /// been granted is over when its lease is.
+    pub(super) fn agent_down(&mut self, cx: &mut Cx<'_>, worker: &id::Worker) {
         self.agents.remove(worker);
+        let placed = self.by_worker.get(worker).cloned().unwrap_or_default();
+        for task in placed {
+            let Some(live) = self.live.get(&task) else {
+                continue;
+            };
+            if !live.may_run && !live.placing {
+                let attempt = live.attempt;
+                self.abandon(cx, attempt);
+            }
+        }
     }
 
     /// Compares the attempts that an agent holds with those placed on it.
--- a/crates/coordination/src/owner/timer.rs
+++ b/crates/coordination/src/owner/timer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{state::Timer, Cx, Over, Owner, Record, COMMAND_RESEND_INTERVAL, RETENTION},
-    crate::attempt::Command,
+    crate::attempt::{Command, Refusal},
     filbertbend_state::{id, time::Instant},
 };
 
@@ -66,7 +66,9 @@
             self.check_running(cx, task);
         } else if cx.now >= live.start_give_up_at {
             let attempt = live.attempt;
+            let worker = live.worker.clone();
             cx.planner.vacated(task);
+            cx.planner.refused(&worker, Refusal::NoRoom);
             self.abandon(cx, attempt);
         } else if cx.now >= live.start_resend_at {
             self.resend_start(cx, task);
--- a/crates/coordination/src/owner/write.rs
+++ b/crates/coordination/src/owner/write.rs
@@ -127,11 +127,20 @@
         };
         cx.planner.vacated(attempt.task);
         match over {
-            Over::Stopped | Over::Refused(_) | Over::Failed(_) | Over::Unknown => {
+            Over::Stopped
+            | Over::Refused(_)
+            | Over::Withdrawn
+            | Over::Failed(_)
+            | Over::Unknown => {
                 let worker = live.worker.clone();
                 self.send(cx, worker, attempt, Command::Ack);
             }
-            Over::Abandoned | Over::Withdrawn | Over::LeaseExpired => {}
+            // The agent may still hold room or a place in its queue for it.
+            Over::Abandoned => {
+                let worker = live.worker.clone();
+                self.send(cx, worker, attempt, Command::Withdraw);
+            }
+            Over::LeaseExpired => {}
         }
         cx.count(match over {
             Over::Failed(_) => Counter::Failed,
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -6,6 +6,7 @@
 //! guarantee gets room back by the eviction of a borrower's task. See
 //! `docs/design.md`, section 11.
 
+mod decide;
 mod grid;
 mod node;
 mod queue;
@@ -193,15 +194,30 @@
     quotas: BTreeMap<id::Team, Room>,
     shapes: Vec<Shape>,
     shape_by_key: BTreeMap<queue::Key, u32>,
+    shapes_by_service: BTreeMap<id::Service, BTreeSet<u32>>,
+    /// Indices of shapes that are no longer used.
+    free_shapes: Vec<u32>,
     waiting: BTreeMap<id::Task, (u32, queue::Place)>,
     arrivals: u64,
     /// Teams with tasks that may fit somewhere, in the order of decisions.
     order: BTreeSet<queue::Turn>,
+    /// Teams with blocked shapes, in the same order.
+    blocked_order: BTreeSet<queue::Turn>,
+    smallest: queue::Smallest,
+    /// Workers that have more room than when the blocked shapes were tried.
+    raised: BTreeSet<u32>,
     /// Shapes whose tasks fit nowhere at the moment.
     blocked: BTreeSet<u32>,
     /// Shapes that wait for room in the local data centre, and until when.
     deferred: BTreeSet<(Instant, u32)>,
     runs: BTreeMap<id::Task, Run>,
+    /// When placed tasks are expected to end, by data centre.
+    ends: BTreeSet<(u16, Instant, id::Task)>,
+    /// When blocked shapes were last tried again, and which one is next.
+    retried_at: Instant,
+    retry_next: u32,
+    /// Placed tasks on workers that no agent has announced yet.
+    unlinked: BTreeMap<id::Worker, BTreeSet<id::Task>>,
     /// Teams beyond their guarantee, the furthest beyond first.
     borrowers: BTreeSet<(u64, u32)>,
     /// For each task being evicted, the shape that the room is for.
@@ -229,12 +245,21 @@
             quotas: BTreeMap::new(),
             shapes: Vec::new(),
             shape_by_key: BTreeMap::new(),
+            shapes_by_service: BTreeMap::new(),
+            free_shapes: Vec::new(),
             waiting: BTreeMap::new(),
             arrivals: 0,
             order: BTreeSet::new(),
+            blocked_order: BTreeSet::new(),
+            smallest: queue::Smallest::default(),
+            raised: BTreeSet::new(),
             blocked: BTreeSet::new(),
             deferred: BTreeSet::new(),
             runs: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            retried_at: Instant::default(),
+            retry_next: 0,
+            unlinked: BTreeMap::new(),
             borrowers: BTreeSet::new(),
             evicting: BTreeMap::new(),
             spread: BTreeMap::new(),
@@ -371,7 +396,7 @@
         let waiting: Vec<id::Task> = self
             .waiting
             .iter()
-            .filter(|(_, (shape, _))| self.shapes[*shape as usize].slice_of == Some(slice))
+            .filter(|(_, (shape, _))| self.shapes[*shape as usize].slice == slice)
             .map(|(task, _)| *task)
             .collect();
         for task in waiting {
--- a/crates/coordination/src/placement/grid.rs
+++ b/crates/coordination/src/placement/grid.rs
@@ -128,23 +128,17 @@
         let (low_a, low_c, low_m) = low.indices();
         for a in low_a..ACCELERATOR_LEVELS {
             for c in low_c..LEVELS {
-                let mut mask = self.masks[a][c] >> low_m << low_m;
-                // The lowest levels fit best; the next one is taken as well
-                // because workers at the lowest level may be just too small.
-                for _ in 0..2 {
-                    if mask == 0 {
-                        break;
-                    }
+                let mask = self.masks[a][c] >> low_m << low_m;
+                // The level at which as much memory as processor time is left.
+                let even = (low_m + c - low_c).min(LEVELS - 1);
+                for m in around(mask, even).into_iter().flatten() {
                     let cell = Cell {
                         accelerators: a as u8,
                         cores: c as u8,
-                        memory: mask.trailing_zeros() as u8,
+                        memory: m,
                     };
-                    mask &= mask - 1;
-                    insert(
-                        &mut best,
-                        (waste(&self.corner(cell), need, &self.scale), cell),
-                    );
+                    let score = waste(&self.corner(cell), need, &self.scale);
+                    insert(&mut best, (score, cell));
                 }
             }
         }
@@ -192,6 +186,26 @@
     }
 }
 
+/// Returns the two occupied levels from `even` up and the two below it. Two,
+/// because workers at the nearest level may be just too small.
+fn around(mask: u32, even: usize) -> [Option<u8>; 4] {
+    let mut levels = [None; 4];
+    let mut above = mask >> even << even;
+    let mut below = mask & !above;
+    for pair in levels.chunks_exact_mut(2) {
+        if above != 0 {
+            pair[0] = Some(above.trailing_zeros() as u8);
+            above &= above - 1;
+        }
+        if below != 0 {
+            let level = u32::BITS - 1 - below.leading_zeros();
+            pair[1] = Some(level as u8);
+            below &= !(1 << level);
+        }
+    }
+    levels
+}
+
 /// Keeps the worker with the lowest score.
 fn better<'a>(
     best: &mut Option<(f64, u32)>,
@@ -222,19 +236,30 @@
 /// scarcest, so tasks that need none are kept away from them.
 const ACCELERATOR_WEIGHT: f64 = 4.0;
 
-/// Returns how much of a worker's room would be left over, weighted towards
-/// the resource of which the most is left. Lower is the better fit.
+/// The weight of an uneven rest: processor time without memory, or memory
+/// without processor time, fits few tasks.
+const UNEVEN_WEIGHT: f64 = 2.0;
+
+/// Returns the sum of a size's shares of the largest worker, by which tasks
+/// are ordered: what takes much of several resources is hardest to place.
+pub(super) fn total_share(size: &Room, scale: &Room) -> f64 {
+    let part = |size: u64, scale: u64| size as f64 / scale.max(1) as f64;
+    part(size.cores.0, scale.cores.0)
+        + part(size.memory.0, scale.memory.0)
+        + part(size.accelerators.0.into(), scale.accelerators.0.into())
+}
+
+/// Returns how much of a worker's room would be left over, and how unevenly.
+/// Lower is the better fit.
 pub(super) fn waste(free: &Room, need: &Room, scale: &Room) -> f64 {
-    let left = |free: u64, need: u64, scale: u64| {
-        let left = free.saturating_sub(need) as f64 / scale.max(1) as f64;
-        left * left
-    };
-    left(free.cores.0, need.cores.0, scale.cores.0)
-        + left(free.memory.0, need.memory.0, scale.memory.0)
-        + ACCELERATOR_WEIGHT
-            * left(
-                free.accelerators.0.into(),
-                need.accelerators.0.into(),
-                scale.accelerators.0.into(),
-            )
+    let left =
+        |free: u64, need: u64, scale: u64| free.saturating_sub(need) as f64 / scale.max(1) as f64;
+    let cores = left(free.cores.0, need.cores.0, scale.cores.0);
+    let memory = left(free.memory.0, need.memory.0, scale.memory.0);
+    let accelerators = left(
+        free.accelerators.0.into(),
+        need.accelerators.0.into(),
+        scale.accelerators.0.into(),
+    );
+    cores + memory + ACCELERATOR_WEIGHT * accelerators + UNEVEN_WEIGHT * (cores - memory).abs()
 }
--- a/crates/coordination/src/placement/node.rs
+++ b/crates/coordination/src/placement/node.rs
@@ -41,6 +41,8 @@
 pub(super) struct Run {
     pub(super) slice: id::Slice,
     pub(super) worker: id::Worker,
+    /// The worker's place in the planner, once its agent is known.
+    pub(super) node: Option<u32>,
     pub(super) team: u32,
     pub(super) class: Class,
     pub(super) size: Room,
@@ -48,6 +50,8 @@
     pub(super) progress_at: Instant,
     pub(super) expected_end: Instant,
     pub(super) spread: bool,
+    /// Whether an eviction failed since the newest checkpoint.
+    pub(super) unevictable: bool,
 }
 
 impl Planner {
@@ -71,6 +75,7 @@
             None => self.new_node(&agent, data_centre),
         };
         self.unindex(index);
+        self.move_ends(index, data_centre);
         let node = &mut self.nodes[index as usize];
         node.endpoint = agent.endpoint;
         node.incarnation = agent.incarnation;
@@ -89,10 +94,32 @@
         node.tasks = tasks;
         node.free = taken.into_iter().fold(node.room, |free, size| free - size);
         self.rescale(data_centre, agent.room);
+        for task in self.unlinked.remove(&agent.worker).unwrap_or_default() {
+            if let Some(mut run) = self.runs.remove(&task) {
+                run.node = Some(index);
+                self.link(index, task, &run);
+                self.runs.insert(task, run);
+            }
+        }
         self.reindex(index);
         self.wake(index);
     }
 
+    /// Moves the expected ends of a worker's tasks to another data centre.
+    fn move_ends(&mut self, index: u32, data_centre: u16) {
+        let node = &self.nodes[index as usize];
+        if node.data_centre == data_centre {
+            return;
+        }
+        for task in &node.tasks {
+            if let Some(run) = self.runs.get(task) {
+                self.ends
+                    .remove(&(node.data_centre, run.expected_end, *task));
+                self.ends.insert((data_centre, run.expected_end, *task));
+            }
+        }
+    }
+
     fn new_node(&mut self, agent: &Agent, data_centre: u16) -> u32 {
         let index = self.nodes.len() as u32;
         self.nodes.push(Node {
@@ -221,6 +248,7 @@
         let team = self.team(&running.team);
         let run = Run {
             slice: running.slice,
+            node: self.node_by_worker.get(&running.worker).copied(),
             worker: running.worker,
             team,
             class: running.class,
@@ -228,18 +256,29 @@
             progress_at: now,
             expected_end: now + running.run_time,
             spread: false,
+            unevictable: false,
         };
         self.insert_run(running.task, run);
     }
 
+    /// Takes the room of a placed task off its worker.
+    fn link(&mut self, index: u32, task: id::Task, run: &Run) {
+        let node = &mut self.nodes[index as usize];
+        node.free -= run.size;
+        node.unreported.insert(task, (run.size, false));
+        node.tasks.push(task);
+        self.ends.insert((node.data_centre, run.expected_end, task));
+        self.reindex(index);
+    }
+
     /// Accounts for a placed task.
     pub(super) fn insert_run(&mut self, task: id::Task, run: Run) {
-        if let Some(&index) = self.node_by_worker.get(&run.worker) {
-            let node = &mut self.nodes[index as usize];
-            node.free -= run.size;
-            node.unreported.insert(task, (run.size, false));
-            node.tasks.push(task);
-            self.reindex(index);
+        match run.node {
+            Some(node) => self.link(node, task, &run),
+            None => {
+                let tasks = self.unlinked.entry(run.worker.clone()).or_default();
+                tasks.insert(task);
+            }
         }
         self.use_room(run.team, run.size);
         if run.class != Class::Urgent {
@@ -251,10 +290,7 @@
 
     /// Takes note that the agent has reserved the room of a placed task.
     pub fn claimed(&mut self, _now: Instant, task: id::Task) {
-        let Some(run) = self.runs.get(&task) else {
-            return;
-        };
-        let Some(&index) = self.node_by_worker.get(&run.worker) else {
+        let Some(index) = self.runs.get(&task).and_then(|run| run.node) else {
             return;
         };
         if let Some(unreported) = self.nodes[index as usize].unreported.get_mut(&task) {
@@ -272,6 +308,7 @@
             victims.insert((now, task));
         }
         run.progress_at = now;
+        run.unevictable = false;
     }
 
     /// Takes note that a placed task no longer takes room.
@@ -287,11 +324,16 @@
             .remove(&(run.progress_at, task));
         self.return_room(run.team, run.size);
         self.ledger.left(&run.worker, task);
-        let Some(&index) = self.node_by_worker.get(&run.worker) else {
+        let Some(index) = run.node else {
+            if let Some(tasks) = self.unlinked.get_mut(&run.worker) {
+                tasks.remove(&task);
+            }
             return;
         };
         let node = &mut self.nodes[index as usize];
         node.tasks.retain(|found| *found != task);
+        self.ends
+            .remove(&(node.data_centre, run.expected_end, task));
         node.unreported.remove(&task);
         let free = node.free + run.size;
         node.free = Room {
--- a/crates/coordination/src/placement/queue.rs
+++ b/crates/coordination/src/placement/queue.rs
@@ -1,12 +1,7 @@
 //! Waiting tasks by team, class and size, and the order of decisions.
 
 use {
-    super::{
-        grid::waste,
-        node::{Node, Run},
-        Decision, Planner, Request,
-    },
-    crate::probation::Standing,
+    super::{grid::total_share, Planner, Request},
     filbertbend_state::{
         id,
         room::Room,
@@ -24,10 +19,6 @@
 /// fills workers better; an older window goes before a newer one.
 const WINDOW: Millis = Millis::from_secs(30);
 
-/// What each task of the same job in a rack adds to the score of a worker in
-/// it, against a fit between 0 and about 1.
-const SPREAD_PENALTY: f64 = 0.02;
-
 /// What a shape is: tasks that are alike for placement.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Key {
@@ -48,12 +39,59 @@
 pub(super) type Turn = (bool, Class, u64, u32);
 
 /// The turn of a shape within its team.
-type ShapeTurn = (Class, u64, Reverse<u64>, u32);
+pub(super) type ShapeTurn = (Class, u64, Reverse<u64>, u32);
+
+/// Where a shape is in its team's orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Listed {
+    blocked: bool,
+    turn: ShapeTurn,
+    size: Room,
+}
+
+/// The smallest amounts that any blocked shape needs, by which a worker that
+/// fits none of them is recognised at once.
+#[derive(Debug, Default)]
+pub(super) struct Smallest {
+    cores: BTreeMap<u64, usize>,
+    memory: BTreeMap<u64, usize>,
+}
+
+impl Smallest {
+    fn insert(&mut self, size: &Room) {
+        *self.cores.entry(size.cores.0).or_default() += 1;
+        *self.memory.entry(size.memory.0).or_default() += 1;
+    }
+
+    fn remove(&mut self, size: &Room) {
+        let amounts = [
+            (&mut self.cores, size.cores.0),
+            (&mut self.memory, size.memory.0),
+        ];
+        for (counts, amount) in amounts {
+            if let Some(count) = counts.get_mut(&amount) {
+                *count -= 1;
+                if *count == 0 {
+                    counts.remove(&amount);
+                }
+            }
+        }
+    }
+
+    pub(super) fn may_fit(&self, free: &Room) -> bool {
+        let fits = |counts: &BTreeMap<u64, usize>, free: u64| {
+            let smallest = counts.first_key_value();
+            smallest.is_some_and(|(amount, _)| *amount <= free)
+        };
+        fits(&self.cores, free.cores.0) && fits(&self.memory, free.memory.0)
+    }
+}
 
 /// Waiting tasks that are alike for placement.
 #[derive(Debug)]
 pub(super) struct Shape {
-    pub(super) slice_of: Option<id::Slice>,
+    key: Key,
+    pub(super) slice: id::Slice,
     pub(super) team: u32,
     pub(super) class: Class,
     pub(super) service: id::Service,
@@ -61,11 +99,13 @@
     /// The declared size corrected by what was observed.
     pub(super) size: Room,
     pub(super) data_centres: Vec<u16>,
-    avoid: Vec<id::Worker>,
+    pub(super) avoid: Vec<id::Worker>,
     pub(super) queue: BTreeMap<Place, (id::Task, Millis)>,
-    turn: Option<ShapeTurn>,
+    /// Where it is in its team's orders.
+    listed: Option<Listed>,
+    /// Whether its tasks fitted nowhere when they were last tried.
     pub(super) blocked: bool,
-    deferred_until: Option<Instant>,
+    pub(super) deferred_until: Option<Instant>,
     /// Evictions in progress that make room for this shape.
     pub(super) reclaims: usize,
 }
@@ -76,8 +116,10 @@
     id: id::Team,
     pub(super) quota: Room,
     pub(super) used: Room,
-    ready: BTreeSet<ShapeTurn>,
+    pub(super) ready: BTreeSet<ShapeTurn>,
+    pub(super) blocked: BTreeSet<ShapeTurn>,
     turn: Option<Turn>,
+    blocked_turn: Option<Turn>,
     /// Placed tasks that may be evicted, by when they last made progress.
     pub(super) victims: BTreeSet<(Instant, id::Task)>,
     pub(super) borrowing: Option<u64>,
@@ -90,6 +132,14 @@
         self.used.dominant_share(&self.quota).to_bits()
     }
 
+    fn shapes(&mut self, blocked: bool) -> &mut BTreeSet<ShapeTurn> {
+        if blocked {
+            &mut self.blocked
+        } else {
+            &mut self.ready
+        }
+    }
+
     /// Tells whether the team stays within its guarantee with `size` more.
     pub(super) fn guarantees(&self, size: &Room) -> bool {
         self.quota.fits(&(self.used + *size))
@@ -108,7 +158,9 @@
             quota: self.quota(id),
             used: Room::NONE,
             ready: BTreeSet::new(),
+            blocked: BTreeSet::new(),
             turn: None,
+            blocked_turn: None,
             victims: BTreeSet::new(),
             borrowing: None,
         });
@@ -167,48 +219,54 @@
         team.borrowing = ratio;
     }
 
-    /// Puts a team where the order of decisions expects it.
+    /// Puts a team where the orders of decisions expect it.
     fn update_turn(&mut self, index: u32) {
         let team = &self.teams[index as usize];
-        let turn = team.ready.first().map(|(class, _, _, shape)| {
-            let over = !team.guarantees(&self.shapes[*shape as usize].size);
-            (over, *class, team.ratio(), index)
-        });
-        if turn == team.turn {
-            return;
-        }
-        if let Some(turn) = team.turn {
-            self.order.remove(&turn);
-        }
-        if let Some(turn) = turn {
-            self.order.insert(turn);
-        }
-        self.teams[index as usize].turn = turn;
+        let turn = |first: Option<&ShapeTurn>| {
+            first.map(|(class, _, _, shape)| {
+                let over = !team.guarantees(&self.shapes[*shape as usize].size);
+                (over, *class, team.ratio(), index)
+            })
+        };
+        let ready = turn(team.ready.first());
+        let blocked = turn(team.blocked.first());
+        let team = &mut self.teams[index as usize];
+        replace(&mut self.order, &mut team.turn, ready);
+        replace(&mut self.blocked_order, &mut team.blocked_turn, blocked);
     }
 
-    /// Puts a shape where its team's order expects it.
+    /// Puts a shape where its team's orders expect it.
     pub(super) fn update_shape(&mut self, index: u32) {
         let shape = &self.shapes[index as usize];
-        let waits = !shape.blocked && shape.deferred_until.is_none();
-        let head = shape.queue.first_key_value().filter(|_| waits);
-        let turn = head.map(|((since, _), _)| {
+        let blocked = shape.blocked || shape.deferred_until.is_some();
+        let listed = shape.queue.first_key_value().map(|((since, _), _)| {
             let window = since.0 / WINDOW.0;
             let scale = self.grids[self.local as usize].scale();
-            let share = shape.size.dominant_share(&scale).to_bits();
-            (shape.class, window, Reverse(share), index)
+            let share = total_share(&shape.size, &scale).to_bits();
+            Listed {
+                blocked,
+                turn: (shape.class, window, Reverse(share), index),
+                size: shape.size,
+            }
         });
-        if turn == shape.turn {
+        if listed == shape.listed {
             return;
         }
-        let team = &mut self.teams[shape.team as usize];
-        if let Some(turn) = &shape.turn {
-            team.ready.remove(turn);
+        let team = shape.team;
+        let order = &mut self.teams[team as usize];
+        if let Some(listed) = &shape.listed {
+            order.shapes(listed.blocked).remove(&listed.turn);
+            if listed.blocked {
+                self.smallest.remove(&listed.size);
+            }
         }
-        if let Some(turn) = turn {
-            team.ready.insert(turn);
+        if let Some(listed) = listed {
+            order.shapes(listed.blocked).insert(listed.turn);
+            if listed.blocked {
+                self.smallest.insert(&listed.size);
+            }
         }
-        let team = shape.team;
-        self.shapes[index as usize].turn = turn;
+        self.shapes[index as usize].listed = listed;
         self.update_turn(team);
     }
 
@@ -224,7 +282,12 @@
             .queue
             .insert(place, (request.task, request.run_time));
         self.waiting.insert(request.task, (shape, place));
-        self.update_shape(shape);
+        if request.class == Class::Urgent {
+            // What fits nowhere may be made room for at once.
+            self.unblock(shape);
+        } else {
+            self.update_shape(shape);
+        }
     }
 
     fn shape(&mut self, request: &Request) -> u32 {
@@ -247,9 +310,9 @@
         if let Some(index) = self.shape_by_key.get(&key) {
             return *index;
         }
-        let index = self.shapes.len() as u32;
-        self.shapes.push(Shape {
-            slice_of: Some(request.slice),
+        let shape = Shape {
+            key: key.clone(),
+            slice: request.slice,
             team,
             class: request.class,
             service: request.service.clone(),
@@ -258,39 +321,75 @@
             data_centres,
             avoid: request.avoid.clone(),
             queue: BTreeMap::new(),
-            turn: None,
+            listed: None,
             blocked: false,
             deferred_until: None,
             reclaims: 0,
-        });
+        };
+        self.insert_shape(key, shape)
+    }
+
+    fn insert_shape(&mut self, key: Key, shape: Shape) -> u32 {
+        let service = shape.service.clone();
+        let index = match self.free_shapes.pop() {
+            Some(index) => {
+                self.shapes[index as usize] = shape;
+                index
+            }
+            None => {
+                self.shapes.push(shape);
+                self.shapes.len() as u32 - 1
+            }
+        };
         self.shape_by_key.insert(key, index);
+        let indices = self.shapes_by_service.entry(service).or_default();
+        indices.insert(index);
         index
     }
 
+    /// Frees a shape without tasks that a repeated failure made. Others stay,
+    /// since there are only as many as services and sizes.
+    pub(super) fn free_shape(&mut self, index: u32) {
+        let shape = &self.shapes[index as usize];
+        if shape.avoid.is_empty() || !shape.queue.is_empty() || shape.reclaims > 0 {
+            return;
+        }
+        if self.shape_by_key.remove(&shape.key).is_none() {
+            return;
+        }
+        if let Some(indices) = self.shapes_by_service.get_mut(&shape.service) {
+            indices.remove(&index);
+        }
+        if let Some(until) = shape.deferred_until {
+            self.deferred.remove(&(until, index));
+        }
+        self.blocked.remove(&index);
+        self.free_shapes.push(index);
+    }
+
     /// Takes a task out of the queue, because its job ends.
     pub fn dequeue(&mut self, task: id::Task) {
         if let Some((shape, place)) = self.waiting.remove(&task) {
             self.shapes[shape as usize].queue.remove(&place);
             self.update_shape(shape);
+            self.free_shape(shape);
         }
     }
 
     /// Applies newly observed sizes to waiting tasks.
     pub(super) fn resize(&mut self, service: &id::Service) {
-        for index in 0..self.shapes.len() {
-            let shape = &self.shapes[index];
-            if shape.service != *service {
-                continue;
-            }
+        let indices = self.shapes_by_service.get(service);
+        for index in indices.cloned().unwrap_or_default() {
+            let shape = &self.shapes[index as usize];
             let size = self.corrected(service, &shape.declared);
             if size != shape.size {
-                self.shapes[index].size = size;
-                self.unblock(index as u32);
+                self.shapes[index as usize].size = size;
+                self.unblock(index);
             }
         }
     }
 
-    fn unblock(&mut self, index: u32) {
+    pub(super) fn unblock(&mut self, index: u32) {
         let shape = &mut self.shapes[index as usize];
         shape.blocked = false;
         if let Some(until) = shape.deferred_until.take() {
@@ -300,205 +399,6 @@
         self.update_shape(index);
     }
 
-    /// Lets the shapes be tried again that fit a worker's room now.
-    pub(super) fn wake(&mut self, node: u32) {
-        let node = &self.nodes[node as usize];
-        if !self.takes_work(node) {
-            return;
-        }
-        let (free, data_centre) = (node.free, node.data_centre);
-        let fits = |index: &&u32| {
-            let shape = &self.shapes[**index as usize];
-            free.fits(&shape.size) && allows(shape, data_centre)
-        };
-        let woken: Vec<u32> = self.blocked.iter().filter(fits).copied().collect();
-        for shape in woken {
-            self.unblock(shape);
-        }
-    }
-
-    /// Decides about waiting tasks until none fits anywhere, at most `limit`
-    /// times.
-    pub fn decide(&mut self, now: Instant, limit: usize, decisions: &mut Vec<Decision>) {
-        while let Some(&(until, shape)) = self.deferred.first() {
-            if until > now {
-                break;
-            }
-            self.unblock(shape);
-        }
-        for _ in 0..limit {
-            let Some(&(_, _, _, team)) = self.order.first() else {
-                return;
-            };
-            let Some(&(_, _, _, shape)) = self.teams[team as usize].ready.first() else {
-                return;
-            };
-            self.decide_shape(now, shape, decisions);
-        }
-    }
-
-    /// Places the first task of a shape, or blocks the shape.
-    fn decide_shape(&mut self, now: Instant, index: u32, decisions: &mut Vec<Decision>) {
-        let shape = &self.shapes[index as usize];
-        let Some((&place, &(task, run_time))) = shape.queue.first_key_value() else {
-            return;
-        };
-        let trial = (shape.class == Class::Batch).then(|| self.trial(now, shape));
-        if let Some(node) = trial.flatten() {
-            let worker = self.nodes[node as usize].worker.clone();
-            self.ledger.trial(&worker, task);
-            self.assign(now, index, place, node, run_time, decisions);
-            return;
-        }
-        if let Some(node) = self.fit(shape, task, &[self.local]) {
-            self.assign(now, index, place, node, run_time, decisions);
-            return;
-        }
-        let remote: Vec<u16> = (0..self.grids.len() as u16)
-            .filter(|data_centre| *data_centre != self.local)
-            .collect();
-        if let Some(node) = self.fit(shape, task, &remote) {
-            let until = self.local_wait(now, shape, place.0);
-            if let Some(until) = until.filter(|until| *until > now) {
-                self.defer(index, until);
-                return;
-            }
-            self.assign(now, index, place, node, run_time, decisions);
-            return;
-        }
-        self.shapes[index as usize].blocked = true;
-        self.blocked.insert(index);
-        self.update_shape(index);
-        self.reclaim(now, index, decisions);
-    }
-
-    /// Returns until when a task waits for room in the local data centre, if
-    /// room there is expected within the cost of another data centre.
-    fn local_wait(&self, now: Instant, shape: &Shape, since: Instant) -> Option<Instant> {
-        let latest = since + self.settings.remote_cost;
-        if latest <= now || !allows(shape, self.local) {
-            return None;
-        }
-        let fits = |node: &&Node| {
-            node.data_centre == self.local && self.takes_work(node) && node.room.fits(&shape.size)
-        };
-        let mut tasks = self
-            .nodes
-            .iter()
-            .filter(fits)
-            .flat_map(|node| &node.tasks)
-            .filter_map(|task| self.runs.get(task));
-        tasks
-            .any(|run| run.expected_end <= latest)
-            .then_some(latest)
-    }
-
-    fn defer(&mut self, index: u32, until: Instant) {
-        self.shapes[index as usize].deferred_until = Some(until);
-        self.deferred.insert((until, index));
-        self.blocked.insert(index);
-        self.update_shape(index);
-    }
-
-    /// Returns a worker not in good standing that is due for a trial task.
-    fn trial(&self, now: Instant, shape: &Shape) -> Option<u32> {
-        self.limited.iter().copied().find(|index| {
-            let node = &self.nodes[*index as usize];
-            self.ledger.standing(&node.worker) != Standing::Good
-                && self.ledger.may_try(now, &node.worker)
-                && node.free.fits(&shape.size)
-                && allows(shape, node.data_centre)
-                && !shape.avoid.contains(&node.worker)
-        })
-    }
-
-    /// Returns the best worker in one of `data_centres`.
-    fn fit(&self, shape: &Shape, task: id::Task, data_centres: &[u16]) -> Option<u32> {
-        let racks = self.spread.get(&task.job);
-        let avoids_all = !shape.avoid.is_empty() && self.avoids_all(shape);
-        let mut best: Option<(f64, u32)> = None;
-        for data_centre in data_centres {
-            if !allows(shape, *data_centre) {
-                continue;
-            }
-            let grid = &self.grids[*data_centre as usize];
-            let scale = grid.scale();
-            let score = |index: u32| {
-                let node = &self.nodes[index as usize];
-                let avoided = !avoids_all && shape.avoid.contains(&node.worker);
-                if avoided || !node.free.fits(&shape.size) {
-                    return None;
-                }
-                let same = racks.and_then(|racks| racks.get(&node.rack));
-                let penalty = f64::from(same.copied().unwrap_or(0)) * SPREAD_PENALTY;
-                Some(waste(&node.free, &shape.size, &scale) + penalty)
-            };
-            let found = grid.best(&shape.size, score);
-            if let Some(found) = found {
-                if best.is_none_or(|best| found.0 < best.0) {
-                    best = Some(found);
-                }
-            }
-        }
-        best.map(|(_, node)| node)
-    }
-
-    /// Tells whether a task has failed on every worker that could take it.
-    fn avoids_all(&self, shape: &Shape) -> bool {
-        self.nodes.iter().all(|node| {
-            !self.takes_work(node)
-                || !allows(shape, node.data_centre)
-                || !node.room.fits(&shape.size)
-                || self.ledger.standing(&node.worker) != Standing::Good
-                || shape.avoid.contains(&node.worker)
-        })
-    }
-
-    fn assign(
-        &mut self,
-        now: Instant,
-        index: u32,
-        place: Place,
-        node: u32,
-        run_time: Millis,
-        decisions: &mut Vec<Decision>,
-    ) {
-        let shape = &mut self.shapes[index as usize];
-        let Some((task, _)) = shape.queue.remove(&place) else {
-            return;
-        };
-        let (slice, size, team, class) = (
-            shape.slice_of.unwrap_or_default(),
-            shape.size,
-            shape.team,
-            shape.class,
-        );
-        self.waiting.remove(&task);
-        let node = &self.nodes[node as usize];
-        let (worker, incarnation) = (node.worker.clone(), node.incarnation);
-        let racks = self.spread.entry(task.job).or_default();
-        *racks.entry(node.rack.clone()).or_default() += 1;
-        let run = Run {
-            slice,
-            worker: worker.clone(),
-            team,
-            class,
-            size,
-            progress_at: now,
-            expected_end: now + run_time,
-            spread: true,
-        };
-        self.insert_run(task, run);
-        self.update_shape(index);
-        decisions.push(Decision::Place {
-            slice,
-            task,
-            worker,
-            incarnation,
-            size,
-        });
-    }
-
     /// Returns why a task waits, if it fits nowhere.
     pub fn reason(&self, task: id::Task) -> Option<filbertbend_state::outcome::Reason> {
         use filbertbend_state::outcome::Reason;
@@ -516,6 +416,20 @@
     }
 }
 
+/// Replaces a turn in an order.
+fn replace(order: &mut BTreeSet<Turn>, known: &mut Option<Turn>, turn: Option<Turn>) {
+    if *known == turn {
+        return;
+    }
+    if let Some(known) = known {
+        order.remove(known);
+    }
+    if let Some(turn) = turn {
+        order.insert(turn);
+    }
+    *known = turn;
+}
+
 /// Tells whether tasks of a shape may run in a data centre.
 pub(super) fn allows(shape: &Shape, data_centre: u16) -> bool {
     shape.data_centres.is_empty() || shape.data_centres.contains(&data_centre)
--- a/crates/coordination/src/placement/reclaim.rs
+++ b/crates/coordination/src/placement/reclaim.rs
@@ -2,17 +2,19 @@
 
 use {
     super::{
+        node::Run,
         queue::{allows, Shape},
         Decision, Planner,
     },
     filbertbend_state::{id, room::Room, service::Class, time::Instant, unit::Millis},
+    std::collections::BTreeMap,
 };
 
 /// Borrowing teams that are searched for tasks to evict.
 const BORROWERS_LIMIT: usize = 8;
 
 /// Tasks of one team that are examined.
-const VICTIMS_LIMIT: usize = 32;
+const VICTIMS_LIMIT: usize = 16;
 
 /// Most evictions that one decision starts.
 const EVICTIONS_LIMIT: usize = 64;
@@ -20,6 +22,14 @@
 /// What stopping and starting a task again costs, as run time lost.
 const RESTART_COST: Millis = Millis::from_secs(5);
 
+/// A task that may be evicted.
+struct Candidate {
+    task: id::Task,
+    node: u32,
+    size: Room,
+    loss: f64,
+}
+
 /// Tasks on one worker whose eviction makes room.
 struct Offer {
     loss: f64,
@@ -65,31 +75,41 @@
         }
     }
 
-    /// Takes note that a task could not be evicted.
+    /// Takes note that a task could not be evicted; others are tried before it
+    /// until its next checkpoint.
     pub fn eviction_failed(&mut self, task: id::Task) {
-        if let Some(shape) = self.evicting.remove(&task) {
-            self.reclaimed(shape);
+        let Some(shape) = self.evicting.remove(&task) else {
+            return;
+        };
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.unevictable = true;
+        }
+        self.reclaimed(shape);
+        if self.blocked.contains(&shape) {
+            self.unblock(shape);
         }
     }
 
     /// Returns the evictions that lose least and make room for one task.
     fn offer(&self, now: Instant, shape: &Shape, within: bool) -> Option<Offer> {
-        let candidates = self.candidates(shape, within);
-        let singles = candidates.iter().filter_map(|task| {
-            let run = self.runs.get(task)?;
-            let free = self.free(&run.worker)? + run.size;
-            free.fits(&shape.size).then(|| Offer {
-                loss: self.loss(now, *task),
-                tasks: vec![*task],
-            })
+        let mut candidates = self.candidates(now, shape, within);
+        candidates.sort_by(|a, b| a.loss.total_cmp(&b.loss));
+        let single = candidates.iter().find(|candidate| {
+            let free = self.nodes[candidate.node as usize].free;
+            (free + candidate.size).fits(&shape.size)
         });
-        let best = singles.min_by(|a, b| a.loss.total_cmp(&b.loss));
-        best.or_else(|| self.combined(now, shape, &candidates))
+        match single {
+            Some(candidate) => Some(Offer {
+                loss: candidate.loss,
+                tasks: vec![candidate.task],
+            }),
+            None => self.combined(shape, candidates),
+        }
     }
 
-    /// Returns the tasks that may be evicted for a shape, where the newest
-    /// progress, and so the least loss, comes first for each team.
-    fn candidates(&self, shape: &Shape, within: bool) -> Vec<id::Task> {
+    /// Returns the tasks that may be evicted for a shape. Those of each team
+    /// are taken from the newest progress on, which loses least.
+    fn candidates(&self, now: Instant, shape: &Shape, within: bool) -> Vec<Candidate> {
         let own = std::iter::once(shape.team).filter(|_| shape.class == Class::Urgent);
         let ratio = self.teams[shape.team as usize].borrowing;
         let borrowers = self
@@ -105,70 +125,64 @@
                 let victims = self.teams[team as usize].victims.iter().rev();
                 victims.take(VICTIMS_LIMIT).map(|(_, task)| *task)
             })
-            .filter(|task| self.may_evict(*task, shape))
+            .filter_map(|task| self.candidate(now, task, shape))
             .collect()
     }
 
-    fn may_evict(&self, task: id::Task, shape: &Shape) -> bool {
-        let Some(run) = self.runs.get(&task) else {
-            return false;
-        };
-        let Some(node) = self.node_by_worker.get(&run.worker) else {
-            return false;
-        };
-        let node = &self.nodes[*node as usize];
+    /// Returns a task with what its eviction loses, if it may be evicted.
+    fn candidate(&self, now: Instant, task: id::Task, shape: &Shape) -> Option<Candidate> {
+        let run = self.runs.get(&task)?;
+        let index = run.node?;
+        let node = &self.nodes[index as usize];
         let class = if shape.class == Class::Urgent {
             run.class == Class::Batch
         } else {
             run.class >= shape.class
         };
-        class
-            && self.takes_work(node)
+        let may_evict = class
+            && !run.unevictable
             && node.cell.is_some()
+            && node.room.fits(&shape.size)
             && allows(shape, node.data_centre)
-            && !self.evicting.contains_key(&task)
-    }
-
-    /// Returns what an eviction loses: work since the last checkpoint and the
-    /// restart, weighted by the part of its worker that the task uses.
-    fn loss(&self, now: Instant, task: id::Task) -> f64 {
-        let Some(run) = self.runs.get(&task) else {
-            return f64::INFINITY;
-        };
-        let room = self
-            .node_by_worker
-            .get(&run.worker)
-            .map_or(run.size, |node| self.nodes[*node as usize].room);
-        let lost = now.since(run.progress_at) + RESTART_COST;
-        lost.0 as f64 * run.size.dominant_share(&room)
+            && !self.evicting.contains_key(&task);
+        may_evict.then(|| Candidate {
+            task,
+            node: index,
+            size: run.size,
+            loss: loss(now, run, &node.room),
+        })
     }
 
     /// Returns several evictions on one worker that together make room.
-    fn combined(&self, now: Instant, shape: &Shape, candidates: &[id::Task]) -> Option<Offer> {
-        let mut by_worker: std::collections::BTreeMap<&id::Worker, Vec<id::Task>> =
-            std::collections::BTreeMap::new();
-        for task in candidates {
-            if let Some(run) = self.runs.get(task) {
-                by_worker.entry(&run.worker).or_default().push(*task);
-            }
+    /// `candidates` are sorted by their loss.
+    fn combined(&self, shape: &Shape, candidates: Vec<Candidate>) -> Option<Offer> {
+        let mut by_node: BTreeMap<u32, Vec<Candidate>> = BTreeMap::new();
+        for candidate in candidates {
+            by_node.entry(candidate.node).or_default().push(candidate);
         }
-        let offers = by_worker.into_iter().filter_map(|(worker, mut tasks)| {
-            tasks.sort_by(|a, b| self.loss(now, *a).total_cmp(&self.loss(now, *b)));
-            let mut free = self.free(worker)?;
+        let offers = by_node.into_iter().filter_map(|(node, candidates)| {
+            let mut free = self.nodes[node as usize].free;
             let mut offer = Offer {
                 loss: 0.0,
                 tasks: Vec::new(),
             };
-            for task in tasks {
+            for candidate in candidates {
                 if free.fits(&shape.size) {
                     break;
                 }
-                free += self.runs.get(&task)?.size;
-                offer.loss += self.loss(now, task);
-                offer.tasks.push(task);
+                free += candidate.size;
+                offer.loss += candidate.loss;
+                offer.tasks.push(candidate.task);
             }
             free.fits(&shape.size).then_some(offer)
         });
         offers.min_by(|a, b| a.loss.total_cmp(&b.loss))
     }
 }
+
+/// Returns what an eviction loses: work since the last checkpoint and the
+/// restart, weighted by the part of its worker that the task uses.
+fn loss(now: Instant, run: &Run, room: &Room) -> f64 {
+    let lost = now.since(run.progress_at) + RESTART_COST;
+    lost.0 as f64 * run.size.dominant_share(room)
+}
--- a/crates/coordination/src/placement/size.rs
+++ b/crates/coordination/src/placement/size.rs
@@ -61,14 +61,14 @@
             .iter()
             .map(|peak| {
                 let peak = amount(peak);
-                peak + peak * MARGIN_PERCENT / 100
+                round_up(peak + peak * MARGIN_PERCENT / 100)
             })
             .collect();
         let missing = PRIOR_WEIGHT.saturating_sub(amounts.len());
         amounts.extend(std::iter::repeat_n(declared, missing));
         amounts.sort_unstable();
         let rank = (amounts.len() * QUANTILE_PERCENT).div_ceil(100);
-        round_up(amounts[rank.clamp(1, amounts.len()) - 1])
+        amounts[rank.clamp(1, amounts.len()) - 1]
     }
 }
 
