--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,5 +1,10 @@
 //! The platform's key-value store.
 
 mod memory;
+pub mod network;
+mod server;
 
-pub use memory::{Count, Memory};
+pub use {
+    memory::{Count, Memory},
+    server::{Faults, Server},
+};
