Admit checks through the gate

Cause: the entry sent every check to the router at once, so a flood of one class took the slots of the others. Change: each check waits for its turn at the gate, goes back to the head of its queue when no endpoint had room, and is taken out when its caller goes away.

--- a/crates/filbertbend/src/serve/check.rs
+++ b/crates/filbertbend/src/serve/check.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         answer::{Answer, OUTCOME},
+        desk::Permit,
         exchange::{Exchange, Reply},
         front::{Front, Terms},
         observe::Observation,
@@ -17,7 +18,7 @@
     filbertbend_coordination::routing,
     filbertbend_state::{
         id,
-        outcome::{Outcome, Ran},
+        outcome::{Outcome, Ran, Reason},
         service::{Declaration, Kind},
     },
     filbertbend_transport::http::{headers, receive_body},
@@ -61,7 +62,7 @@
     let observation = Observation::start(&declaration, &terms);
     let outcome = admitted(front, &declaration, &terms, &parts, body).await;
     match outcome {
-        Ok(reply) => Ok(reply.into_response(observation)),
+        Ok((reply, permit)) => Ok(reply.into_response(permit, observation)),
         Err(outcome) => {
             observation.end(&outcome);
             if outcome == Outcome::Invalid {
@@ -96,14 +97,14 @@
     terms: &Terms,
     parts: &Parts,
     body: Body,
-) -> Result<Reply, Outcome> {
-    let permit = front.desk.admit(declaration, terms).await?;
+) -> Result<(Reply, Permit), Outcome> {
+    let mut permit = front.desk.admit(declaration, terms).await?;
     let limited = Limited::new(body, front.body_limit_bytes);
     let replayable = !parts.headers.contains_key(header::TRANSFER_ENCODING)
         && (body_is_small(parts) || limited.is_end_stream());
-    let exchange = Exchange::new(front, declaration, terms, parts, permit);
     if !replayable {
-        return exchange.once(limited).await;
+        let exchange = Exchange::new(front, declaration, terms, parts);
+        return Ok((exchange.once(limited).await?, permit));
     }
     let body = timeout_at(terms.deadline, limited.collect())
         .await
@@ -111,8 +112,28 @@
         .map_err(|error| {
             debug!("body not read", kv: { request = terms.request.0, error: });
             Outcome::Invalid
-        })?;
-    exchange.with_retries(body.to_bytes()).await
+        })?
+        .to_bytes();
+    loop {
+        let exchange = Exchange::new(front, declaration, terms, parts);
+        match exchange.with_retries(&body).await {
+            Ok(reply) => return Ok((reply, permit)),
+            Err(outcome) if found_no_room(&outcome) => permit.wait_again().await?,
+            Err(outcome) => return Err(outcome),
+        }
+    }
+}
+
+/// Tells whether the request did not run because every endpoint was full, so
+/// that it may go back to its queue.
+fn found_no_room(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Refused {
+            reason: Reason::NoRoom | Reason::QueueFull,
+            ..
+        }
+    )
 }
 
 fn body_is_small(parts: &Parts) -> bool {
@@ -120,13 +141,15 @@
 }
 
 impl Reply {
-    fn into_response(self, observation: Observation) -> Response {
+    fn into_response(self, permit: Permit, observation: Observation) -> Response {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let (permit, mut attempt) = (self.permit, self.attempt);
+        let mut attempt = self.attempt;
         let body = Body::new(receive_body(self.receiver, self.deadline));
         let body = Body::new(Watched::new(body, move |complete| {
             attempt.end(routing::End::Taken);
-            let _ = &permit;
+            if complete {
+                permit.complete();
+            }
             observation.complete(complete);
         }));
         let mut response = Response::new(body);
--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -11,6 +11,7 @@
         links::Peer,
     },
     filbertbend_coordination::{
+        admission::{self, Gate},
         membership::{
             Agent, Connection, Directory, DirectoryAction, DirectoryEvent, Heartbeat, Hello,
             Member, State as Liveness,
@@ -29,10 +30,12 @@
         unit::Millis,
     },
     filbertbend_transport::{clock, link::Link},
+    metrics::gauge,
     std::{
         collections::{BTreeMap, HashMap},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
+    tokio::sync::oneshot,
 };
 
 /// Round trip to another data centre, which is about 4 ms away one way.
@@ -40,11 +43,20 @@
 /// What a request must gain to be worth a link between data centres.
 const REMOTE_COST: Millis = Millis(5);
 
+/// How often the gate learns which slots there are; heartbeats come once a
+/// second, so a few times as often follows each of them soon.
+const SUPPLY_INTERVAL: Millis = Millis(200);
+/// When a retry is worthwhile after a refusal that says nothing better.
+const RETRY_AFTER: Millis = Millis(250);
+
 struct State {
     directory: Directory,
     router: Router,
     budget: Budget,
     hedge: Hedge,
+    gate: Gate,
+    turns: HashMap<id::Request, oneshot::Sender<Turn>>,
+    next_supply: Instant,
     peers: HashMap<Connection, Peer>,
     endpoints: HashMap<id::Worker, id::Endpoint>,
 }
@@ -56,8 +68,51 @@
 }
 
 /// A request's place among those admitted, given back when dropped.
-#[derive(Default)]
-pub(crate) struct Permit;
+pub(crate) struct Permit {
+    request: id::Request,
+    desk: Arc<Desk>,
+    ended: bool,
+}
+
+impl Permit {
+    /// Gives the place back after an endpoint has answered, from which the
+    /// gate learns how long requests take.
+    pub(crate) fn complete(mut self) {
+        self.end(admission::Event::Completed(self.request));
+    }
+
+    /// Goes back to the head of the queue after no endpoint had room, and
+    /// waits for another turn.
+    pub(crate) async fn wait_again(&mut self) -> Result<(), Outcome> {
+        let turn = self.desk.expect_turn(self.request);
+        self.desk.gate(admission::Event::Returned(self.request));
+        wait_for_turn(turn).await
+    }
+
+    fn end(&mut self, event: admission::Event) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let mut state = self.desk.lock();
+            state.turns.remove(&self.request);
+            step_gate(&mut state, event);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(admission::Event::Dropped(self.request));
+    }
+}
+
+/// The gate's decision about a request that waits.
+type Turn = Result<(), Outcome>;
+
+async fn wait_for_turn(turn: oneshot::Receiver<Turn>) -> Turn {
+    turn.await.unwrap_or(Err(Outcome::Refused {
+        reason: Reason::Leaving,
+        retry_after_ms: RETRY_AFTER,
+    }))
+}
 
 /// A request on its way to one endpoint.
 pub(crate) struct Try {
@@ -127,6 +182,9 @@
                 router: Router::new(settings),
                 budget: Budget::new(),
                 hedge: Hedge::new(),
+                gate: Gate::new(),
+                turns: HashMap::new(),
+                next_supply: Instant::default(),
                 peers: HashMap::new(),
                 endpoints: HashMap::new(),
             }),
@@ -140,11 +198,38 @@
 
     /// Waits until the request may go on, or tells why it may not.
     pub(crate) async fn admit(
-        &self,
-        _declaration: &Declaration,
-        _terms: &Terms,
+        self: &Arc<Self>,
+        declaration: &Declaration,
+        terms: &Terms,
     ) -> Result<Permit, Outcome> {
-        Ok(Permit)
+        let deadline = clock::monotonic() + terms.left();
+        let turn = self.expect_turn(terms.request);
+        // Dropping the permit takes the request out of the queue, also when
+        // its caller goes away while it waits.
+        let permit = Permit {
+            request: terms.request,
+            desk: self.clone(),
+            ended: false,
+        };
+        let team = terms.team.clone();
+        let ask = admission::Ask::new(terms.request, declaration, team, deadline);
+        self.gate(admission::Event::Arrived(ask));
+        wait_for_turn(turn).await.map(|()| permit)
+    }
+
+    fn expect_turn(&self, request: id::Request) -> oneshot::Receiver<Turn> {
+        let (turn, waiting) = oneshot::channel();
+        self.lock().turns.insert(request, turn);
+        waiting
+    }
+
+    fn gate(&self, event: admission::Event) {
+        step_gate(&mut self.lock(), event);
+    }
+
+    /// Refuses new requests from now on; those that wait are still served.
+    pub(crate) fn leave(&self) {
+        self.gate(admission::Event::Leave);
     }
 
     /// Starts the plan of an admitted request.
@@ -174,7 +259,7 @@
             state.router.ended(&state.directory, &choice.endpoint, end);
             return Err(routing::Refusal {
                 reason: Reason::NoEndpoint,
-                retry_after: Millis(250),
+                retry_after: RETRY_AFTER,
             });
         };
         plan.sent(choice.endpoint.clone());
@@ -289,6 +374,13 @@
     /// Tells that time has passed.
     pub(crate) fn tick(&self) {
         self.step(DirectoryEvent::Tick);
+        let now = clock::monotonic();
+        let mut state = self.lock();
+        step_gate(&mut state, admission::Event::Tick);
+        if now >= state.next_supply {
+            state.next_supply = now + SUPPLY_INTERVAL;
+            supply(&mut state, now);
+        }
     }
 
     fn step(&self, event: DirectoryEvent) {
@@ -317,6 +409,7 @@
                 endpoint,
                 state: liveness,
             } => {
+                state.next_supply = Instant::default();
                 if let Some(agent) = state.directory.agent(&endpoint).map(planned) {
                     state.endpoints.insert(agent.worker.clone(), endpoint);
                     self.control.post(Input::Agent {
@@ -333,6 +426,47 @@
     }
 }
 
+/// Tells the gate which slots there are.
+fn supply(state: &mut State, now: Instant) {
+    let slots = |service| state.router.supply(now, &state.directory, service);
+    let services = state.directory.services();
+    let event = admission::Event::Supplied {
+        entries: u32::try_from(state.directory.roster().len()).unwrap_or(u32::MAX),
+        total: slots(None),
+        services: services
+            .map(|service| (service.clone(), slots(Some(service))))
+            .collect(),
+    };
+    step_gate(state, event);
+    gauge!("filbertbend_requests_queued").set(state.gate.queued() as f64);
+    gauge!("filbertbend_requests_running").set(state.gate.running() as f64);
+}
+
+fn step_gate(state: &mut State, event: admission::Event) {
+    let mut actions = Vec::new();
+    state.gate.step(clock::monotonic(), event, &mut actions);
+    for action in actions {
+        let (request, turn) = match action {
+            admission::Action::Dispatch(request) => (request, Ok(())),
+            admission::Action::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                let outcome = Outcome::Refused {
+                    reason,
+                    retry_after_ms: retry_after,
+                };
+                (request, Err(outcome))
+            }
+        };
+        // The waiter may have gone; its permit tells the gate.
+        if let Some(waiter) = state.turns.remove(&request) {
+            let _ = waiter.send(turn);
+        }
+    }
+}
+
 /// Makes the planner's view of an agent.
 fn planned(agent: &Agent) -> placement::Agent {
     let announcement = agent.announcement();
--- a/crates/filbertbend/src/serve/exchange.rs
+++ b/crates/filbertbend/src/serve/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        desk::{Permit, Try},
+        desk::Try,
         front::{Front, Terms},
         upload::Upload,
     },
@@ -42,7 +42,6 @@
     pub(crate) receiver: Receiver,
     pub(crate) deadline: Instant,
     pub(crate) attempt: Try,
-    pub(crate) permit: Permit,
 }
 
 /// A request on its way to one endpoint after another.
@@ -51,7 +50,6 @@
     declaration: &'a Declaration,
     terms: &'a Terms,
     parts: &'a Parts,
-    permit: Permit,
     plan: Plan,
 }
 
@@ -89,14 +87,12 @@
         declaration: &'a Declaration,
         terms: &'a Terms,
         parts: &'a Parts,
-        permit: Permit,
     ) -> Self {
         Self {
             front,
             declaration,
             terms,
             parts,
-            permit,
             plan: front.desk.plan(declaration, terms.left()),
         }
     }
@@ -120,7 +116,7 @@
     }
 
     /// Tries endpoints until one answers or no other try is allowed.
-    pub(crate) async fn with_retries(mut self, body: Bytes) -> Result<Reply, Outcome> {
+    pub(crate) async fn with_retries(mut self, body: &Bytes) -> Result<Reply, Outcome> {
         let mut tries = FuturesUnordered::new();
         let mut next = Next::Retry;
         loop {
@@ -210,7 +206,6 @@
                     receiver: answered.receiver,
                     deadline: self.terms.deadline,
                     attempt: ended.attempt,
-                    permit: std::mem::take(&mut self.permit),
                 })
             }
             Err(Failure::Body) => Err(Next::Finish(Outcome::Invalid)),
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -142,7 +142,7 @@
     let (_running, never) = watch::channel(false);
     let front = Arc::new(Front::new(
         settings.name.clone(),
-        desk,
+        desk.clone(),
         control.clone(),
         snapshots,
         settings.slices,
@@ -159,6 +159,7 @@
     let leaving = async {
         let _ = stop.wait_for(|stop| *stop).await;
         ready.send_replace(false);
+        desk.leave();
     };
     tokio::join!(server, leaving);
     let (left, leaving) = oneshot::channel();
