--- a/crates/coordination/tests/owner.rs
+++ b/crates/coordination/tests/owner.rs
@@ -458,6 +458,25 @@
     assert!(fixture.starts().is_empty());
 }
 
+/// Guards against a decision that the planner made before the cancellation.
+#[test]
+fn a_decision_that_arrives_after_the_cancellation_places_nothing() {
+    let mut fixture = owner(0);
+    fixture.call(Call::Submit(job(1)));
+    fixture.writes = Writes::Held;
+    fixture.call(Call::Cancel(job_id(1)));
+
+    fixture.step(Event::Decision(Decision::Place {
+        slice: id::Slice(0),
+        task: task(1),
+        worker: worker(0),
+        incarnation: id::Incarnation(1),
+        size: room(16, 32, 0),
+    }));
+
+    assert_eq!(fixture.held.len(), 1, "only the cancellation is written");
+}
+
 /// Guards against a confirmed cancellation of a task that still runs.
 #[test]
 fn a_running_job_is_confirmed_as_cancelled_only_when_it_has_stopped() {
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -296,12 +296,14 @@
 /// ever.
 #[test]
 fn a_team_at_its_guarantee_evicts_nobody() {
-    let mut planner = two_teams(2);
-    for number in 0..4 {
+    let mut planner = two_teams(3);
+    for number in 0..8 {
         planner.enqueue(NOW, of_team("cot", request(number, room(16, 60, 0))));
-        planner.enqueue(NOW, of_team("linen", request(10 + number, room(16, 60, 0))));
     }
-    decide(&mut planner, NOW);
+    for number in 10..14 {
+        planner.enqueue(NOW, of_team("linen", request(number, room(16, 60, 0))));
+    }
+    assert_eq!(places(&decide(&mut planner, NOW)).len(), 12, "cot borrows");
 
     planner.enqueue(NOW, of_team("linen", request(20, room(16, 60, 0))));
     let decided = decide(&mut planner, NOW);
