--- a/crates/coordination/src/interference.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Learns how much batch tasks slow a service and controls them.
--- /dev/null
+++ b/crates/coordination/src/interference/filter.rs
@@ -0,0 +1,71 @@
+//! Recursive estimation of a vector from scalar measurements.
+
+/// An extended Kalman filter whose state may grow.
+///
+/// The covariance is dense and small: three entries for a service and three
+/// for each batch kind, so an update with 10 kinds costs some 1,000 operations.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Filter {
+    mean: Vec<f64>,
+    covariance: Vec<Vec<f64>>,
+    drift: Vec<f64>,
+}
+
+impl Filter {
+    /// Adds entries that have a prior mean, deviation and correlation with each
+    /// other, and a deviation by which each drifts from one update to the next.
+    pub(super) fn grow(&mut self, prior: &[(f64, f64)], correlation: f64, drift: f64) {
+        let old = self.mean.len();
+        for row in &mut self.covariance {
+            row.resize(old + prior.len(), 0.0);
+        }
+        for (index, (mean, deviation)) in prior.iter().enumerate() {
+            let mut row = vec![0.0; old + prior.len()];
+            for (other, (_, other_deviation)) in prior.iter().enumerate() {
+                let factor = if index == other { 1.0 } else { correlation };
+                row[old + other] = factor * deviation * other_deviation;
+            }
+            self.mean.push(*mean);
+            self.drift.push(drift * drift);
+            self.covariance.push(row);
+        }
+    }
+
+    pub(super) fn mean(&self) -> &[f64] {
+        &self.mean
+    }
+
+    /// Returns the variance of the sum that `gradient` weighs.
+    pub(super) fn variance(&self, gradient: &[f64]) -> f64 {
+        self.spread(gradient)
+            .iter()
+            .zip(gradient)
+            .map(|(spread, weight)| spread * weight)
+            .sum::<f64>()
+            .max(0.0)
+    }
+
+    fn spread(&self, gradient: &[f64]) -> Vec<f64> {
+        self.covariance
+            .iter()
+            .map(|row| row.iter().zip(gradient).map(|(a, b)| a * b).sum())
+            .collect()
+    }
+
+    /// Takes one measurement whose expected value differs by `innovation`.
+    pub(super) fn update(&mut self, gradient: &[f64], innovation: f64, noise: f64) {
+        for (index, drift) in self.drift.iter().enumerate() {
+            self.covariance[index][index] += drift;
+        }
+        let spread = self.spread(gradient);
+        let total = noise + spread.iter().zip(gradient).map(|(a, b)| a * b).sum::<f64>();
+        for (mean, part) in self.mean.iter_mut().zip(&spread) {
+            *mean += part / total * innovation;
+        }
+        for (row, left) in self.covariance.iter_mut().zip(&spread) {
+            for (cell, right) in row.iter_mut().zip(&spread) {
+                *cell -= left * right / total;
+            }
+        }
+    }
+}
--- a/crates/standin/src/worker/pairs.rs
+++ b/crates/standin/src/worker/pairs.rs
@@ -30,7 +30,13 @@
             .unwrap_or(0.0)
     }
 
-    /// Returns the factor on the service's latency at `load`, from 0 to 1.
+    /// Returns the part of a pair's strength that is felt at `load`, from 0 to
+    /// 1; it grows faster than the load, as queues do.
+    pub fn weight(load: f64) -> f64 {
+        load.max(0.0).powf(1.5)
+    }
+
+    /// Returns the factor on the service's latency at `load`.
     ///
     /// Each task is given as its kind and the part of the worker's cores that
     /// it uses.
@@ -44,6 +50,6 @@
             .into_iter()
             .map(|(kind, part)| self.strength(service, kind) * part)
             .sum();
-        1.0 + pressure * load
+        1.0 + pressure * Self::weight(load)
     }
 }
