Send agents only their part of the configuration, and meter links

Cause: every change sent the whole configuration to every agent. Change: an agent gets the services that its endpoint answers; another entry gets the configuration only if it stays behind for 3 s. The slots of a service are counted over its own endpoints, no longer over all. Links add their bytes to the metrics. Ruled out: leaving agents without any configuration, since they could not state the revision in force.

--- a/crates/agent/src/serve/links.rs
+++ b/crates/agent/src/serve/links.rs
@@ -78,6 +78,7 @@
             result = self.read(connection, receiver) => result,
             result = self.accept(&link, &requests) => result,
             () = retire(&retired, &requests) => Ok(()),
+            () = link.meter() => Ok(()),
         };
         link.close();
         socket.close().await;
--- a/crates/coordination/src/membership/agent.rs
+++ b/crates/coordination/src/membership/agent.rs
@@ -6,9 +6,14 @@
         link::{Link, State},
         Announcement, Connection, Load, Member,
     },
-    filbertbend_state::{id, time::Instant},
+    filbertbend_state::{config::Snapshot, id, service::Declaration, time::Instant, unit::Millis},
+    std::sync::Arc,
 };
 
+/// How long an entry may be behind before it gets the configuration from
+/// another one, which leaves most of the 12 s for it to arrive.
+const PEER_CONFIG_GRACE_MS: Millis = Millis(3000);
+
 /// An agent as the directory knows it.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -66,6 +71,24 @@
         self.link.current()
     }
 
+    /// Returns the part of a configuration that concerns the agent. The whole
+    /// one, sent to every agent with each change, would take most of the
+    /// traffic that a node may spend.
+    pub(super) fn part_of(&self, config: &Snapshot) -> Arc<Snapshot> {
+        let concerned = |service: &&Declaration| self.announcement.services.contains(&service.name);
+        let endpoint = &self.announcement.endpoint;
+        Arc::new(Snapshot {
+            revision: config.revision,
+            services: config.services.iter().filter(concerned).cloned().collect(),
+            drains: config
+                .drains
+                .iter()
+                .filter(|drained| *drained == endpoint)
+                .cloned()
+                .collect(),
+        })
+    }
+
     /// Tells the state if it differs from the one told last.
     pub(super) fn tell(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let state = self.link.state(now);
@@ -82,6 +105,22 @@
 pub(super) struct Peer {
     pub(super) member: Member,
     pub(super) link: Link,
+    /// Since when its configuration has been older than ours.
+    pub(super) behind_since: Option<Instant>,
+}
+
+impl Peer {
+    /// Tells whether the peer does not get the configuration from the store by
+    /// itself. Every entry reads the store within moments of a publish, so
+    /// sending the whole configuration at once would only repeat it.
+    pub(super) fn is_cut_off(&mut self, now: Instant, behind: bool) -> bool {
+        if !behind {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        now.since(since) >= PEER_CONFIG_GRACE_MS
+    }
 }
 
 /// The peer at the other end of a connection.
--- a/crates/coordination/src/membership/directory.rs
+++ b/crates/coordination/src/membership/directory.rs
@@ -281,6 +281,7 @@
         let peer = self.peers.entry(entry.clone()).or_insert_with(|| Peer {
             link: Link::new(member.incarnation),
             member,
+            behind_since: None,
         });
         peer.link.connect(now, connection, accepted);
         self.owners.insert(connection, Owner::Entry(entry));
@@ -294,7 +295,8 @@
         heartbeat: &Heartbeat,
         actions: &mut Vec<Action>,
     ) {
-        let link = match self.owners.get(&connection) {
+        let behind = heartbeat.revision < self.config.revision;
+        let (link, config) = match self.owners.get(&connection) {
             Some(Owner::Agent(endpoint)) => {
                 let Some(agent) = self.agents.get_mut(endpoint) else {
                     return;
@@ -305,7 +307,8 @@
                 agent.load = heartbeat.load;
                 agent.reported = now;
                 agent.tell(now, actions);
-                &mut agent.link
+                let config = behind.then(|| agent.part_of(&self.config));
+                (&mut agent.link, config)
             }
             Some(Owner::Entry(entry)) => {
                 let Some(peer) = self.peers.get_mut(entry) else {
@@ -314,7 +317,8 @@
                 if !peer.link.heard(now, connection, heartbeat) {
                     return;
                 }
-                &mut peer.link
+                let config = peer.is_cut_off(now, behind).then(|| self.config.clone());
+                (&mut peer.link, config)
             }
             None => return,
         };
@@ -322,7 +326,7 @@
         let pulse = Pulse {
             sequence: heartbeat.sequence,
             roster: (heartbeat.roster != self.roster_hash).then(|| self.roster.clone()),
-            config: (heartbeat.revision < self.config.revision).then(|| self.config.clone()),
+            config,
         };
         actions.push(Action::Pulse { connection, pulse });
     }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -198,13 +198,19 @@
         service: Option<&id::Service>,
     ) -> Supply {
         let mut supply = Supply::default();
-        let takes_work = |agent: &&Agent| {
-            directory.takes_work(agent, now)
-                && service.is_none_or(|service| agent.announcement().services.contains(service))
+        let mut add = |agent: &Agent| {
+            if directory.takes_work(agent, now) {
+                supply.slots += agent.announcement().slots;
+                supply.others += Slots(self.others(agent));
+            }
         };
-        for agent in directory.agents().filter(takes_work) {
-            supply.slots += agent.announcement().slots;
-            supply.others += Slots(self.others(agent));
+        match service {
+            Some(service) => directory
+                .serving(service)
+                .flat_map(|(_, endpoints)| endpoints)
+                .filter_map(|endpoint| directory.agent(endpoint))
+                .for_each(&mut add),
+            None => directory.agents().for_each(&mut add),
         }
         supply
     }
--- a/crates/filbertbend/src/serve/control.rs
+++ b/crates/filbertbend/src/serve/control.rs
@@ -34,6 +34,9 @@
 
 /// How often the state machines are told that time has passed.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the directory and the gate are told that time has passed. Each
+/// time looks at every agent, and their timeouts are in seconds.
+const DESK_TICK: Millis = Millis(100);
 /// How long to wait before a call is tried again at the slice's owner.
 const CALL_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -287,6 +290,7 @@
     pub(crate) snapshot: watch::Sender<Arc<Snapshot>>,
     pub(crate) entries: HashMap<Connection, (Link, Outbox)>,
     pub(crate) slices: Slices,
+    pub(crate) next_desk_tick: Instant,
 }
 
 impl Thread {
@@ -308,7 +312,10 @@
     fn tick(&mut self, now: Instant) {
         self.follow(now, follow::Event::Tick);
         self.announce(now, BeaconEvent::Tick);
-        self.desk.tick();
+        if now >= self.next_desk_tick {
+            self.next_desk_tick = now + DESK_TICK;
+            self.desk.tick();
+        }
         self.slices.tick(now);
         self.list(now);
     }
--- a/crates/filbertbend/src/serve/dial.rs
+++ b/crates/filbertbend/src/serve/dial.rs
@@ -57,6 +57,7 @@
             result = queue.write(&mut sender) => result,
             result = self.read(connection, receiver) => result,
             () = retired.notified() => Ok(()),
+            () = link.meter() => Ok(()),
         };
         link.close();
         socket.close().await;
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -27,7 +27,7 @@
         ownership::Registry,
     },
     filbertbend_process::{http, keys, operators, signal},
-    filbertbend_state::{config::Snapshot, hash, id, unit::Millis},
+    filbertbend_state::{config::Snapshot, hash, id, time::Instant, unit::Millis},
     filbertbend_transport::{
         clock,
         link::{self, Socket},
@@ -237,5 +237,6 @@
         snapshot,
         entries: HashMap::new(),
         slices,
+        next_desk_tick: Instant::default(),
     }
 }
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -4,12 +4,15 @@
     crate::tls::{Identity, SERVER_NAME},
     bytes::Bytes,
     filbertbend_protocol::wire::{self, Header, HEADER_BYTES},
+    metrics::counter,
     serde::{de::DeserializeOwned, Serialize},
     std::{io, net::SocketAddr, time::Duration},
 };
 
 /// How long a new connection may take before it counts as failed.
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How often the traffic of a link is added to the metrics.
+const METER_INTERVAL: Duration = Duration::from_secs(1);
 /// The stream error that tells the peer to give a request up.
 const ABORT_CODE: u32 = 1;
 
@@ -189,6 +192,23 @@
         (stats.udp_tx.bytes, stats.udp_rx.bytes)
     }
 
+    /// Adds the link's traffic to the process's metrics until it is closed.
+    pub async fn meter(&self) {
+        let sent = counter!("filbertbend_link_bytes_total", "direction" => "sent");
+        let received = counter!("filbertbend_link_bytes_total", "direction" => "received");
+        let mut counted = (0, 0);
+        loop {
+            let closed = tokio::time::timeout(METER_INTERVAL, self.closed()).await;
+            let now = self.traffic();
+            sent.increment(now.0 - counted.0);
+            received.increment(now.1 - counted.1);
+            counted = now;
+            if closed.is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Waits until the link is closed or lost.
     pub async fn closed(&self) {
         self.connection.closed().await;
