--- a/crates/filbertbend/src/serve/control.rs
+++ b/crates/filbertbend/src/serve/control.rs
@@ -221,7 +221,7 @@
         asked: &mut bool,
     ) -> Option<job::Answer> {
         let asked_before = *asked;
-        *asked |= matches!(call, job::Call::Submit(_));
+        *asked |= matches!(call, job::Call::Submit(_) | job::Call::Cancel(_));
         match self.route(slice, call.clone()).await? {
             Routed::Answered(answer) => Some(answer),
             Routed::Elsewhere(link) => {
--- a/crates/filbertbend/src/serve/jobs.rs
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -39,6 +39,9 @@
 const CALL_WAIT: Millis = Millis::from_secs(5);
 /// How often a watched job is looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time before the caller's deadline at which the owner gives an order
+/// up that has not started, so that the refusal reaches the caller in time.
+const ORDER_MARGIN: Millis = Millis(500);
 /// Longest wait of one watch.
 const WATCH_LIMIT: Duration = Duration::from_secs(60);
 
@@ -136,7 +139,10 @@
     }
     let id = job_id(format!("order/{service}/{customer}/{key}"));
     let slice = hash::slice(customer.as_str(), front.slices);
+    let left = terms.left();
+    let margin = ORDER_MARGIN.min(Millis(left.0 / 4));
     let spec = Spec {
+        expires_at: Some(clock::wall() + Millis(left.0 - margin.0)),
         order: Some(Order {
             customer,
             sequence,
--- /dev/null
+++ b/crates/protocol/tests/message.rs
@@ -0,0 +1,34 @@
+//! Tests of the messages between processes.
+
+use {
+    filbertbend_coordination::job,
+    filbertbend_protocol::{message::Forwarded, wire},
+    filbertbend_state::{
+        outcome::{Outcome, Ran, Reason},
+        unit::Millis,
+    },
+};
+
+#[test]
+fn every_forwarded_outcome_can_be_read_again() {
+    // Guards against an outcome that the owner of a slice writes and the entry
+    // that asked cannot read: its caller was told `no-owner` or `unknown`.
+    let outcomes = [
+        Outcome::Done,
+        Outcome::Refused {
+            reason: Reason::SequenceGap,
+            retry_after_ms: Millis(250),
+        },
+        Outcome::Unknown,
+        Outcome::Expired { ran: Ran::Unknown },
+        Outcome::Cancelled,
+        Outcome::Invalid,
+    ];
+
+    for outcome in outcomes {
+        let message = Forwarded::Answer(job::Answer::Outcome(outcome));
+        let frame = wire::encode(&message).unwrap();
+        let decoded: Forwarded = wire::decode(&frame[wire::HEADER_BYTES..]).unwrap();
+        assert_eq!(decoded, message);
+    }
+}
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -69,8 +69,11 @@
 }
 
 /// How a request, job or order ended for its caller.
+///
+/// Not internally tagged: frames between entries are not self-describing, so a
+/// tagged form could be written but not read there.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "outcome", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The answer is complete.
     Done,
