--- a/crates/bench/benches/flood.rs
+++ b/crates/bench/benches/flood.rs
@@ -1,3 +1,119 @@
-//! To be written.
+//! A tenfold flood of the least urgent work, then of the most urgent.
+//!
+//! Today's fleet of 10 endpoints with 8 slots behind 4 entries runs at 0.7 load
+//! in simulated time, without and with the flood of one class.
 
-fn main() {}
+use {
+    filbertbend_bench::{
+        figure::Figure,
+        traffic::{first_come, gated, Scenario, Source, Tally},
+    },
+    filbertbend_state::service::Class,
+};
+
+const LENGTH_MS: u64 = 30_000;
+const CLASSES: [Class; 3] = [Class::Urgent, Class::Interactive, Class::Batch];
+/// Requests that 80 slots can serve in a second at a mean of 50 ms.
+const CAPACITY: f64 = 1600.0;
+
+fn scenario(flooded: Option<Class>) -> Scenario {
+    let source = |class, share, load: f64, deadline_ms| Source {
+        class,
+        share,
+        rate: CAPACITY * load * if flooded == Some(class) { 10.0 } else { 1.0 },
+        mean_ms: 50.0,
+        deadline_ms,
+    };
+    Scenario {
+        entries: 4,
+        endpoints: 10,
+        slots: 8,
+        length_ms: LENGTH_MS,
+        sources: vec![
+            source(Class::Urgent, 300, 0.2, 1000),
+            source(Class::Interactive, 400, 0.3, 1000),
+            source(Class::Batch, 300, 0.2, 3000),
+        ],
+        loss: None,
+        try_timeout_ms: None,
+        seed: 11,
+    }
+}
+
+fn capacity_used(tallies: &[Tally]) -> f64 {
+    let good: usize = tallies.iter().map(|tally| tally.good_ms.len()).sum();
+    good as f64 / (CAPACITY * LENGTH_MS as f64 / 1000.0)
+}
+
+struct Results {
+    figures: Vec<Figure>,
+}
+
+fn compare(name: &str, flooded: Class, calm: &[Tally], during: &[Tally]) -> Results {
+    let mut figures = Vec::new();
+    for (index, class) in CLASSES.into_iter().enumerate() {
+        let prefix = format!("{name}.{flooded}-flood.{class}");
+        if class == flooded {
+            let others: f64 = during
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index)
+                .map(|(_, tally)| tally.good_ms.len() as f64)
+                .sum();
+            let left = CAPACITY * LENGTH_MS as f64 / 1000.0 - others;
+            let part = during[index].good_ms.len() as f64 / left;
+            let name = format!("{prefix}.goodput-of-capacity-left");
+            figures.push(Figure::at_least(name, part, "ratio", 0.9));
+            continue;
+        }
+        let kept = during[index].goodput() / calm[index].goodput();
+        let slower = during[index].quantile_ms(0.99) / calm[index].quantile_ms(0.99);
+        figures.push(Figure::at_least(
+            format!("{prefix}.goodput-kept"),
+            kept,
+            "ratio",
+            0.95,
+        ));
+        figures.push(Figure::at_most(
+            format!("{prefix}.p99-ratio"),
+            slower,
+            "ratio",
+            1.2,
+        ));
+    }
+    figures.push(Figure::at_least(
+        format!("{name}.{flooded}-flood.capacity-used"),
+        capacity_used(during),
+        "ratio",
+        0.9,
+    ));
+    Results { figures }
+}
+
+fn main() {
+    let calm = gated::run(&scenario(None));
+    let calm_baseline = first_come::run(&scenario(None));
+    for (index, class) in CLASSES.into_iter().enumerate() {
+        println!(
+            "calm {class}: p99 {} ms, baseline {} ms, tries per request {:.3}",
+            calm[index].quantile_ms(0.99),
+            calm_baseline[index].quantile_ms(0.99),
+            calm[index].tries as f64 / calm[index].sent as f64,
+        );
+    }
+    for flooded in [Class::Batch, Class::Urgent] {
+        let scenario = scenario(Some(flooded));
+        let own = compare("flood", flooded, &calm, &gated::run(&scenario));
+        for figure in own.figures {
+            println!("{figure}");
+        }
+        let baseline = first_come::run(&scenario);
+        let baseline = compare("first-come", flooded, &calm_baseline, &baseline);
+        for figure in baseline.figures {
+            println!(
+                "baseline {} {:.4} {}",
+                figure.name, figure.value, figure.unit
+            );
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod load;
 pub mod memory;
 pub mod role;
+pub mod traffic;
--- /dev/null
+++ b/crates/bench/src/traffic/first_come.rs
@@ -0,0 +1,107 @@
+//! The baseline: one queue for all, in the order of arrival, with retries.
+
+use {
+    super::{Arrival, Scenario, Tally},
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, VecDeque},
+    },
+};
+
+/// Tries that a request gets if earlier ones are lost.
+const TRIES: u8 = 3;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct End {
+    at_ms: u64,
+    request: usize,
+    endpoint: usize,
+    lost: bool,
+}
+
+/// Runs `scenario` through one queue before all slots. An endpoint that has
+/// stopped answering is not noticed: requests there end by the try's timeout,
+/// go back to the queue and take a slot again.
+pub fn run(scenario: &Scenario) -> Vec<Tally> {
+    let arrivals = scenario.arrivals();
+    let mut tallies = vec![Tally::default(); scenario.sources.len()];
+    let mut tries = vec![0_u8; arrivals.len()];
+    let mut free = vec![scenario.slots; scenario.endpoints];
+    let mut queue = VecDeque::new();
+    let mut ends: BinaryHeap<Reverse<End>> = BinaryHeap::new();
+    let mut next = 0;
+    for now_ms in 0..scenario.length_ms {
+        while ends.peek().is_some_and(|end| end.0.at_ms <= now_ms) {
+            let Some(Reverse(end)) = ends.pop() else {
+                break;
+            };
+            free[end.endpoint] += 1;
+            let arrival = &arrivals[end.request];
+            if !end.lost {
+                let deadline_ms = scenario.sources[arrival.source].deadline_ms;
+                tallies[arrival.source].answered(now_ms, arrival, deadline_ms);
+            } else if tries[end.request] < TRIES {
+                queue.push_back(end.request);
+            }
+        }
+        while arrivals
+            .get(next)
+            .is_some_and(|arrival| arrival.at_ms <= now_ms)
+        {
+            tallies[arrivals[next].source].sent += 1;
+            queue.push_back(next);
+            next += 1;
+        }
+        while let Some(endpoint) = most_free(&free) {
+            let Some(request) = queue.pop_front() else {
+                break;
+            };
+            free[endpoint] -= 1;
+            tries[request] += 1;
+            let arrival = &arrivals[request];
+            count(
+                scenario,
+                &mut tallies[arrival.source],
+                arrival,
+                tries[request],
+            );
+            ends.push(Reverse(end(scenario, arrival, request, endpoint, now_ms)));
+        }
+    }
+    tallies
+}
+
+fn most_free(free: &[u32]) -> Option<usize> {
+    (0..free.len())
+        .filter(|endpoint| free[*endpoint] > 0)
+        .max_by_key(|endpoint| free[*endpoint])
+}
+
+fn count(scenario: &Scenario, tally: &mut Tally, arrival: &Arrival, tries: u8) {
+    tally.tries += 1;
+    if scenario
+        .loss
+        .is_some_and(|loss| arrival.at_ms >= loss.at_ms)
+    {
+        tally.tries_after_loss += 1;
+        tally.tried_after_loss += u64::from(tries == 1);
+    }
+}
+
+fn end(
+    scenario: &Scenario,
+    arrival: &Arrival,
+    request: usize,
+    endpoint: usize,
+    now_ms: u64,
+) -> End {
+    let timeout_ms = scenario.try_timeout_ms.unwrap_or(u64::MAX / 2);
+    let done_ms = now_ms + arrival.service_ms;
+    let lost = scenario.is_lost(endpoint, done_ms) || arrival.service_ms > timeout_ms;
+    End {
+        at_ms: if lost { now_ms + timeout_ms } else { done_ms },
+        request,
+        endpoint,
+        lost,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/traffic/gated.rs
@@ -0,0 +1,398 @@
+//! The entries' own state machines before a simulated fleet.
+
+use {
+    super::{Arrival, Scenario, Tally},
+    crate::declare,
+    filbertbend_coordination::{
+        admission::{self, Ask, Gate},
+        membership::{
+            Announcement, Connection, Directory, DirectoryEvent, Heartbeat, Hello, Load, Member,
+        },
+        retry::{Budget, End, Next, Plan},
+        routing::{self, Router},
+    },
+    filbertbend_state::{
+        id,
+        outcome::Reason,
+        room::Room,
+        service::{Declaration, Kind},
+        time::Instant,
+        unit::{Connections, Millis, Share, Slots},
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+    },
+};
+
+/// Time between two supplies of the gate.
+const SUPPLY_INTERVAL_MS: u64 = 100;
+/// Time between two ticks of the gate.
+const TICK_INTERVAL_MS: u64 = 10;
+const HEARTBEAT_INTERVAL_MS: u64 = 1000;
+const PLACE: &str = "xela";
+
+/// Something that happens at a later time, in the order of the fields.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Later {
+    at_ms: u64,
+    request: usize,
+    endpoint: usize,
+    what: What,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum What {
+    /// The endpoint is done with a try.
+    Done,
+    /// The entry stops waiting for a try.
+    Timeout,
+}
+
+struct Entry {
+    directory: Directory,
+    gate: Gate,
+    router: Router,
+    budget: Budget,
+    plans: BTreeMap<usize, Plan>,
+}
+
+struct Fleet<'s> {
+    scenario: &'s Scenario,
+    arrivals: Vec<Arrival>,
+    declarations: Vec<Declaration>,
+    entries: Vec<Entry>,
+    busy: Vec<u32>,
+    sequences: Vec<u64>,
+    later: BinaryHeap<Reverse<Later>>,
+    tallies: Vec<Tally>,
+}
+
+/// Runs `scenario` through the state machines of its entries.
+pub fn run(scenario: &Scenario) -> Vec<Tally> {
+    let mut fleet = Fleet::new(scenario);
+    let mut next = 0;
+    for now_ms in 0..scenario.length_ms {
+        fleet.report(now_ms);
+        while fleet.later.peek().is_some_and(|l| l.0.at_ms <= now_ms) {
+            if let Some(Reverse(later)) = fleet.later.pop() {
+                fleet.happens(now_ms, later);
+            }
+        }
+        while fleet.arrivals.get(next).is_some_and(|a| a.at_ms <= now_ms) {
+            fleet.arrives(now_ms, next);
+            next += 1;
+        }
+        if now_ms.is_multiple_of(TICK_INTERVAL_MS) {
+            for entry in 0..fleet.entries.len() {
+                fleet.gate(now_ms, entry, admission::Event::Tick);
+            }
+        }
+    }
+    fleet.tallies
+}
+
+fn endpoint(index: usize) -> id::Endpoint {
+    id::Endpoint::new(format!("e{index}")).expect("the name is valid")
+}
+
+fn index(endpoint: &id::Endpoint) -> usize {
+    endpoint.as_str()[1..]
+        .parse()
+        .expect("the name has a number")
+}
+
+fn entry(index: usize, seed: u64) -> Entry {
+    let data_centre = id::DataCentre::new(PLACE).expect("the name is valid");
+    let member = Member {
+        entry: id::Entry::new(format!("entry-{index}")).expect("the name is valid"),
+        address: ([127, 0, 0, 1], 7000 + index as u16).into(),
+        data_centre: data_centre.clone(),
+        incarnation: id::Incarnation(1),
+    };
+    Entry {
+        directory: Directory::new(member),
+        gate: Gate::new(),
+        router: Router::new(routing::Settings {
+            data_centre,
+            delay: Millis(8),
+            delays: BTreeMap::new(),
+            cost: Millis(10),
+            seed: seed + index as u64,
+        }),
+        budget: Budget::new(),
+        plans: BTreeMap::new(),
+    }
+}
+
+impl<'s> Fleet<'s> {
+    fn new(scenario: &'s Scenario) -> Self {
+        let declarations: Vec<Declaration> = scenario
+            .sources
+            .iter()
+            .map(|source| {
+                let name: &'static str = source.class.into();
+                Declaration {
+                    share: Share::new(source.share),
+                    idempotent: true,
+                    run_time: Millis(source.mean_ms as u64),
+                    ..declare::service(name, Kind::Check, source.class)
+                }
+            })
+            .collect();
+        let mut fleet = Self {
+            arrivals: scenario.arrivals(),
+            declarations,
+            entries: (0..scenario.entries)
+                .map(|index| entry(index, scenario.seed))
+                .collect(),
+            busy: vec![0; scenario.endpoints],
+            sequences: vec![0; scenario.endpoints],
+            later: BinaryHeap::new(),
+            tallies: vec![Tally::default(); scenario.sources.len()],
+            scenario,
+        };
+        for index in 0..scenario.endpoints {
+            fleet.announce(index);
+        }
+        fleet
+    }
+
+    fn announce(&mut self, index: usize) {
+        let announcement = Announcement {
+            endpoint: endpoint(index),
+            worker: id::Worker::new(format!("w{index}")).expect("the name is valid"),
+            incarnation: id::Incarnation(1),
+            data_centre: id::DataCentre::new(PLACE).expect("the name is valid"),
+            rack: id::Rack::new("r1").expect("the name is valid"),
+            services: self.declarations.iter().map(|d| d.name.clone()).collect(),
+            slots: Slots(self.scenario.slots),
+            connections: Connections(1024),
+            room: Room::NONE,
+        };
+        for entry in &mut self.entries {
+            let hello = DirectoryEvent::Hello {
+                connection: Connection(index as u64),
+                accepted: Instant(0),
+                hello: Hello::Agent(announcement.clone()),
+            };
+            entry.directory.step(Instant(0), hello, &mut Vec::new());
+        }
+    }
+
+    /// Sends the heartbeats that are due, each endpoint's at another time of
+    /// the second, and tells the gates of the slots.
+    fn report(&mut self, now_ms: u64) {
+        for index in 0..self.scenario.endpoints {
+            let offset_ms = index as u64 * 97 % HEARTBEAT_INTERVAL_MS;
+            let due = now_ms % HEARTBEAT_INTERVAL_MS == offset_ms;
+            if due && !self.scenario.is_lost(index, now_ms) {
+                self.heartbeat(now_ms, index);
+            }
+        }
+        if now_ms.is_multiple_of(SUPPLY_INTERVAL_MS) {
+            for entry in 0..self.entries.len() {
+                let supplied = self.supplied(now_ms, entry);
+                self.gate(now_ms, entry, supplied);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, now_ms: u64, index: usize) {
+        let answered = self.sequences[index];
+        self.sequences[index] += 1;
+        let heartbeat = Heartbeat {
+            sequence: answered + 1,
+            answered,
+            load: Load {
+                slots_used: Slots(self.busy[index]),
+                connections_used: Connections(self.busy[index]),
+                service_time: Millis(self.scenario.sources[0].mean_ms as u64),
+                ..Load::default()
+            },
+            ..Heartbeat::default()
+        };
+        for entry in &mut self.entries {
+            let event = DirectoryEvent::Heartbeat {
+                connection: Connection(index as u64),
+                heartbeat,
+            };
+            entry
+                .directory
+                .step(Instant(now_ms), event, &mut Vec::new());
+        }
+    }
+
+    fn supplied(&self, now_ms: u64, entry: usize) -> admission::Event {
+        let entry = &self.entries[entry];
+        let now = Instant(now_ms);
+        let supply = |service| entry.router.supply(now, &entry.directory, service);
+        admission::Event::Supplied {
+            entries: self.entries.len() as u32,
+            total: supply(None),
+            services: self
+                .declarations
+                .iter()
+                .map(|declaration| (declaration.name.clone(), supply(Some(&declaration.name))))
+                .collect(),
+        }
+    }
+
+    fn arrives(&mut self, now_ms: u64, request: usize) {
+        let arrival = self.arrivals[request];
+        let declaration = &self.declarations[arrival.source];
+        let deadline = Instant(now_ms + self.scenario.sources[arrival.source].deadline_ms);
+        let ask = Ask::new(
+            id::Request(request as u64),
+            declaration,
+            declaration.team.clone(),
+            deadline,
+        );
+        let entry = &mut self.entries[arrival.entry];
+        entry.budget.request(Instant(now_ms), &declaration.name);
+        entry
+            .plans
+            .insert(request, Plan::new(declaration, deadline));
+        self.tallies[arrival.source].sent += 1;
+        self.gate(now_ms, arrival.entry, admission::Event::Arrived(ask));
+    }
+
+    fn gate(&mut self, now_ms: u64, entry: usize, event: admission::Event) {
+        let mut events = vec![event];
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop() {
+            let gate = &mut self.entries[entry].gate;
+            gate.step(Instant(now_ms), event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    admission::Action::Dispatch(request) => {
+                        events.extend(self.place(now_ms, entry, request.0 as usize));
+                    }
+                    admission::Action::Refuse { request, .. } => {
+                        self.entries[entry].plans.remove(&(request.0 as usize));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a try, and further ones while agents refuse; returns what the gate
+    /// must be told if none is in progress afterwards.
+    fn place(&mut self, now_ms: u64, entry: usize, request: usize) -> Option<admission::Event> {
+        let id = id::Request(request as u64);
+        loop {
+            let arrival = self.arrivals[request];
+            let entry = &mut self.entries[entry];
+            let plan = entry.plans.get_mut(&request)?;
+            let ask = routing::Ask {
+                declaration: &self.declarations[arrival.source],
+                tried: plan.tried(),
+                remaining: plan.remaining(Instant(now_ms)),
+            };
+            let now = Instant(now_ms);
+            let choice = match entry.router.pick(now, &entry.directory, &ask) {
+                Ok(choice) => choice,
+                Err(refusal) if refusal.reason == Reason::NoRoom && plan.tries() == 0 => {
+                    return Some(admission::Event::Returned(id));
+                }
+                Err(_) => {
+                    entry.plans.remove(&request);
+                    return Some(admission::Event::Dropped(id));
+                }
+            };
+            plan.sent(choice.endpoint.clone());
+            let first = plan.tries() == 1;
+            if self.send(now_ms, request, index(&choice.endpoint), first) {
+                return None;
+            }
+            let entry = &mut self.entries[arrival.entry];
+            entry
+                .router
+                .ended(&entry.directory, &choice.endpoint, routing::End::Full);
+            let refused = End::Refused {
+                reason: Reason::NoRoom,
+                retry_after: Millis(50),
+            };
+            let plan = entry.plans.get_mut(&request)?;
+            if plan.ended(now, &choice.endpoint, refused, &mut entry.budget) != Next::Retry {
+                entry.plans.remove(&request);
+                return Some(admission::Event::Dropped(id));
+            }
+        }
+    }
+
+    /// Sends one try; returns false if the agent refuses it.
+    fn send(&mut self, now_ms: u64, request: usize, endpoint: usize, first: bool) -> bool {
+        let arrival = self.arrivals[request];
+        let tally = &mut self.tallies[arrival.source];
+        tally.tries += 1;
+        let loss = self.scenario.loss;
+        if loss.is_some_and(|loss| arrival.at_ms >= loss.at_ms) {
+            tally.tries_after_loss += 1;
+            tally.tried_after_loss += u64::from(first);
+        }
+        let mut plan = |at_ms, what| {
+            self.later.push(Reverse(Later {
+                at_ms,
+                request,
+                endpoint,
+                what,
+            }));
+        };
+        if let Some(timeout_ms) = self.scenario.try_timeout_ms {
+            plan(now_ms + timeout_ms, What::Timeout);
+        }
+        if self.scenario.is_lost(endpoint, now_ms) {
+            return true;
+        }
+        if self.busy[endpoint] >= self.scenario.slots {
+            return false;
+        }
+        plan(now_ms + arrival.service_ms, What::Done);
+        self.busy[endpoint] += 1;
+        true
+    }
+
+    fn happens(&mut self, now_ms: u64, later: Later) {
+        let arrival = self.arrivals[later.request];
+        let is_lost = self.scenario.is_lost(later.endpoint, now_ms);
+        let end = match later.what {
+            What::Done => {
+                self.busy[later.endpoint] -= 1;
+                End::Answered
+            }
+            What::Timeout => End::Timeout,
+        };
+        let endpoint = endpoint(later.endpoint);
+        let entry = &mut self.entries[arrival.entry];
+        let Some(plan) = entry.plans.get_mut(&later.request) else {
+            return;
+        };
+        let is_current = plan.tried().last() == Some(&endpoint);
+        if !is_current || (is_lost && end == End::Answered) {
+            return;
+        }
+        entry
+            .router
+            .ended(&entry.directory, &endpoint, routing::End::Taken);
+        let id = id::Request(later.request as u64);
+        let next = plan.ended(Instant(now_ms), &endpoint, end, &mut entry.budget);
+        let event = match next {
+            Next::Retry => self.place(now_ms, arrival.entry, later.request),
+            Next::Answer { .. } => {
+                let deadline_ms = self.scenario.sources[arrival.source].deadline_ms;
+                self.tallies[arrival.source].answered(now_ms, &arrival, deadline_ms);
+                entry.plans.remove(&later.request);
+                Some(admission::Event::Completed(id))
+            }
+            Next::Wait => None,
+            Next::Finish(_) => {
+                entry.plans.remove(&later.request);
+                Some(admission::Event::Dropped(id))
+            }
+        };
+        if let Some(event) = event {
+            self.gate(now_ms, arrival.entry, event);
+        }
+    }
+}
