--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -11,10 +11,14 @@
         links::Peer,
     },
     filbertbend_coordination::{
+        admission::{self, Gate},
         membership::{
-            Agent, Connection, Directory, DirectoryAction, DirectoryEvent, Heartbeat, Hello, Member,
+            Agent, Connection, Directory, DirectoryAction, DirectoryEvent, Heartbeat, Hello,
+            Member, State as Liveness,
         },
         placement,
+        retry::{self, Budget, Hedge, Next, Plan},
+        routing::{self, Ask, Router},
     },
     filbertbend_protocol::message::Control,
     filbertbend_state::{
@@ -23,18 +27,37 @@
         outcome::{Outcome, Reason},
         service::Declaration,
         time::Instant,
+        unit::Millis,
     },
     filbertbend_transport::{clock, link::Link},
+    metrics::gauge,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
+    tokio::sync::oneshot,
 };
 
+/// Round trip to another data centre, which is about 4 ms away one way.
+const REMOTE_DELAY: Millis = Millis(8);
+/// What a request must gain to be worth a link between data centres.
+const REMOTE_COST: Millis = Millis(5);
+
+/// How often the gate learns which slots there are; heartbeats come once a
+/// second, so a few times as often follows each of them soon.
+const SUPPLY_INTERVAL: Millis = Millis(200);
+/// When a retry is worthwhile after a refusal that says nothing better.
+const RETRY_AFTER: Millis = Millis(250);
+
 struct State {
     directory: Directory,
+    router: Router,
+    budget: Budget,
+    hedge: Hedge,
+    gate: Gate,
+    turns: HashMap<id::Request, oneshot::Sender<Turn>>,
+    next_supply: Instant,
     peers: HashMap<Connection, Peer>,
-    outstanding: HashMap<id::Endpoint, u32>,
     endpoints: HashMap<id::Worker, id::Endpoint>,
 }
 
@@ -45,14 +68,59 @@
 }
 
 /// A request's place among those admitted, given back when dropped.
-#[derive(Default)]
-pub(crate) struct Permit;
+pub(crate) struct Permit {
+    request: id::Request,
+    desk: Arc<Desk>,
+    ended: bool,
+}
+
+impl Permit {
+    /// Gives the place back after an endpoint has answered, from which the
+    /// gate learns how long requests take.
+    pub(crate) fn complete(mut self) {
+        self.end(admission::Event::Completed(self.request));
+    }
+
+    /// Goes back to the head of the queue after no endpoint had room, and
+    /// waits for another turn.
+    pub(crate) async fn wait_again(&mut self) -> Result<(), Outcome> {
+        let turn = self.desk.expect_turn(self.request);
+        self.desk.gate(admission::Event::Returned(self.request));
+        wait_for_turn(turn).await
+    }
+
+    fn end(&mut self, event: admission::Event) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let mut state = self.desk.lock();
+            state.turns.remove(&self.request);
+            step_gate(&mut state, event);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(admission::Event::Dropped(self.request));
+    }
+}
+
+/// The gate's decision about a request that waits.
+type Turn = Result<(), Outcome>;
+
+async fn wait_for_turn(turn: oneshot::Receiver<Turn>) -> Turn {
+    turn.await.unwrap_or(Err(Outcome::Refused {
+        reason: Reason::Leaving,
+        retry_after_ms: RETRY_AFTER,
+    }))
+}
 
 /// A request on its way to one endpoint.
 pub(crate) struct Try {
     endpoint: id::Endpoint,
+    connection: Connection,
     link: Link,
     desk: Arc<Desk>,
+    started: Instant,
     ended: bool,
 }
 
@@ -67,28 +135,57 @@
         &self.link
     }
 
-    /// Records the end of the try; `complete` if the answer was whole.
-    pub(crate) fn end(&mut self, complete: bool) {
+    /// Returns how long the try has taken so far.
+    pub(crate) fn elapsed(&self) -> Millis {
+        clock::monotonic().since(self.started)
+    }
+
+    /// Tells whether nothing may be heard on the link any more: the agent is
+    /// silent, or has dialled a new link because this one was.
+    pub(crate) fn is_lost(&self) -> bool {
+        let now = clock::monotonic();
+        let state = self.desk.lock();
+        state.directory.agent(&self.endpoint).is_none_or(|agent| {
+            agent.connection() != Some(self.connection) || agent.state(now) != Liveness::Alive
+        })
+    }
+
+    /// Frees the request's place at the endpoint.
+    pub(crate) fn end(&mut self, end: routing::End) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.desk.ended(&self.endpoint, complete);
+            let mut state = self.desk.lock();
+            let state = &mut *state;
+            state.router.ended(&state.directory, &self.endpoint, end);
         }
     }
 }
 
 impl Drop for Try {
     fn drop(&mut self) {
-        self.end(false);
+        self.end(routing::End::Taken);
     }
 }
 
 impl Desk {
     /// Makes the desk of the entry `own`.
-    pub(crate) fn new(own: Member, control: control::Handle) -> Self {
+    pub(crate) fn new(own: Member, seed: u64, control: control::Handle) -> Self {
+        let settings = routing::Settings {
+            data_centre: own.data_centre.clone(),
+            delay: REMOTE_DELAY,
+            delays: BTreeMap::new(),
+            cost: REMOTE_COST,
+            seed,
+        };
         Self {
             state: Mutex::new(State {
                 directory: Directory::new(own),
+                router: Router::new(settings),
+                budget: Budget::new(),
+                hedge: Hedge::new(),
+                gate: Gate::new(),
+                turns: HashMap::new(),
+                next_supply: Instant::default(),
                 peers: HashMap::new(),
-                outstanding: HashMap::new(),
                 endpoints: HashMap::new(),
             }),
             control,
@@ -101,50 +198,103 @@
 
     /// Waits until the request may go on, or tells why it may not.
     pub(crate) async fn admit(
-        &self,
-        _declaration: &Declaration,
-        _terms: &Terms,
+        self: &Arc<Self>,
+        declaration: &Declaration,
+        terms: &Terms,
     ) -> Result<Permit, Outcome> {
-        Ok(Permit)
+        let deadline = clock::monotonic() + terms.left();
+        let turn = self.expect_turn(terms.request);
+        // Dropping the permit takes the request out of the queue, also when
+        // its caller goes away while it waits.
+        let permit = Permit {
+            request: terms.request,
+            desk: self.clone(),
+            ended: false,
+        };
+        let team = terms.team.clone();
+        let ask = admission::Ask::new(terms.request, declaration, team, deadline);
+        self.gate(admission::Event::Arrived(ask));
+        wait_for_turn(turn).await.map(|()| permit)
     }
 
-    /// Chooses an endpoint for a request of `service`.
+    fn expect_turn(&self, request: id::Request) -> oneshot::Receiver<Turn> {
+        let (turn, waiting) = oneshot::channel();
+        self.lock().turns.insert(request, turn);
+        waiting
+    }
+
+    fn gate(&self, event: admission::Event) {
+        step_gate(&mut self.lock(), event);
+    }
+
+    /// Refuses new requests from now on; those that wait are still served.
+    pub(crate) fn leave(&self) {
+        self.gate(admission::Event::Leave);
+    }
+
+    /// Starts the plan of an admitted request.
+    pub(crate) fn plan(&self, declaration: &Declaration, left: Millis) -> Plan {
+        let now = clock::monotonic();
+        self.lock().budget.request(now, &declaration.name);
+        Plan::new(declaration, now + left)
+    }
+
+    /// Chooses an endpoint for the next try.
     pub(crate) fn pick(
         self: &Arc<Self>,
-        service: &id::Service,
-        tried: &[id::Endpoint],
-    ) -> Result<Try, Reason> {
+        declaration: &Declaration,
+        plan: &mut Plan,
+    ) -> Result<Try, routing::Refusal> {
         let now = clock::monotonic();
         let mut state = self.lock();
-        let chosen = state
-            .directory
-            .serving(service)
-            .flat_map(|(_, endpoints)| endpoints)
-            .filter(|endpoint| !tried.contains(endpoint))
-            .filter_map(|endpoint| {
-                let agent = state.directory.agent(endpoint)?;
-                if !state.directory.takes_work(agent, now) {
-                    return None;
-                }
-                let peer = state.peers.get(&agent.connection()?)?;
-                let outstanding = state.outstanding.get(endpoint).copied().unwrap_or(0);
-                Some((outstanding, endpoint.clone(), peer.link.clone()))
-            })
-            .min_by_key(|(outstanding, ..)| *outstanding);
-        let (_, endpoint, link) = chosen.ok_or(Reason::NoEndpoint)?;
-        *state.outstanding.entry(endpoint.clone()).or_default() += 1;
+        let state = &mut *state;
+        let ask = Ask {
+            declaration,
+            tried: plan.tried(),
+            remaining: plan.remaining(now),
+        };
+        let choice = state.router.pick(now, &state.directory, &ask)?;
+        let Some(peer) = state.peers.get(&choice.connection) else {
+            let end = routing::End::Taken;
+            state.router.ended(&state.directory, &choice.endpoint, end);
+            return Err(routing::Refusal {
+                reason: Reason::NoEndpoint,
+                retry_after: RETRY_AFTER,
+            });
+        };
+        plan.sent(choice.endpoint.clone());
         Ok(Try {
-            endpoint,
-            link,
+            endpoint: choice.endpoint,
+            connection: choice.connection,
+            link: peer.link.clone(),
             desk: self.clone(),
+            started: now,
             ended: false,
         })
     }
 
-    fn ended(&self, endpoint: &id::Endpoint, _complete: bool) {
-        if let Some(count) = self.lock().outstanding.get_mut(endpoint) {
-            *count = count.saturating_sub(1);
-        }
+    /// Decides what follows the end of a try.
+    pub(crate) fn ended(&self, plan: &mut Plan, endpoint: &id::Endpoint, end: retry::End) -> Next {
+        let now = clock::monotonic();
+        plan.ended(now, endpoint, end, &mut self.lock().budget)
+    }
+
+    /// Returns after which time without an answer a second try may start.
+    pub(crate) fn hedge_delay(&self, declaration: &Declaration) -> Option<Millis> {
+        self.lock().hedge.delay(declaration)
+    }
+
+    /// Decides whether a second try starts now.
+    pub(crate) fn hedges(&self, declaration: &Declaration, plan: &mut Plan) -> bool {
+        let now = clock::monotonic();
+        let mut state = self.lock();
+        let state = &mut *state;
+        plan.hedges(now, declaration, &state.hedge, &mut state.budget)
+    }
+
+    /// Takes note of how long a service took to answer.
+    pub(crate) fn answered(&self, service: &id::Service, latency: Millis) {
+        self.lock().hedge.observe(service, latency);
     }
 
     /// Registers a link whose hello has arrived.
@@ -224,6 +374,13 @@
     /// Tells that time has passed.
     pub(crate) fn tick(&self) {
         self.step(DirectoryEvent::Tick);
+        let now = clock::monotonic();
+        let mut state = self.lock();
+        step_gate(&mut state, admission::Event::Tick);
+        if now >= state.next_supply {
+            state.next_supply = now + SUPPLY_INTERVAL;
+            supply(&mut state, now);
+        }
     }
 
     fn step(&self, event: DirectoryEvent) {
@@ -252,6 +409,7 @@
                 endpoint,
                 state: liveness,
             } => {
+                state.next_supply = Instant::default();
                 if let Some(agent) = state.directory.agent(&endpoint).map(planned) {
                     state.endpoints.insert(agent.worker.clone(), endpoint);
                     self.control.post(Input::Agent {
@@ -261,7 +419,6 @@
                 }
             }
             DirectoryAction::Forgotten { endpoint } => {
-                state.outstanding.remove(&endpoint);
                 state.endpoints.retain(|_, known| *known != endpoint);
             }
             DirectoryAction::Roster(_) => {}
@@ -269,6 +426,47 @@
     }
 }
 
+/// Tells the gate which slots there are.
+fn supply(state: &mut State, now: Instant) {
+    let slots = |service| state.router.supply(now, &state.directory, service);
+    let services = state.directory.services();
+    let event = admission::Event::Supplied {
+        entries: u32::try_from(state.directory.roster().len()).unwrap_or(u32::MAX),
+        total: slots(None),
+        services: services
+            .map(|service| (service.clone(), slots(Some(service))))
+            .collect(),
+    };
+    step_gate(state, event);
+    gauge!("filbertbend_requests_queued").set(state.gate.queued() as f64);
+    gauge!("filbertbend_requests_running").set(state.gate.running() as f64);
+}
+
+fn step_gate(state: &mut State, event: admission::Event) {
+    let mut actions = Vec::new();
+    state.gate.step(clock::monotonic(), event, &mut actions);
+    for action in actions {
+        let (request, turn) = match action {
+            admission::Action::Dispatch(request) => (request, Ok(())),
+            admission::Action::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                let outcome = Outcome::Refused {
+                    reason,
+                    retry_after_ms: retry_after,
+                };
+                (request, Err(outcome))
+            }
+        };
+        // The waiter may have gone; its permit tells the gate.
+        if let Some(waiter) = state.turns.remove(&request) {
+            let _ = waiter.send(turn);
+        }
+    }
+}
+
 /// Makes the planner's view of an agent.
 fn planned(agent: &Agent) -> placement::Agent {
     let announcement = agent.announcement();
