--- a/crates/bench/benches/capacity.rs
+++ b/crates/bench/benches/capacity.rs
@@ -1,3 +1,155 @@
-//! To be written.
+//! The slopes behind `docs/CAPACITY.md`: state machines and whole processes at
+//! several sizes, with the line that fits each and its spread.
 
-fn main() {}
+use {
+    filbertbend_bench::{
+        capacity::{machines, output, owner, processes},
+        figure::Figure,
+        role,
+        slope::Series,
+    },
+    std::path::{Path, PathBuf},
+};
+
+const AGENTS: [usize; 4] = [500, 1000, 2000, 4000];
+const AGENTS_FOR_MEMORY: [usize; 4] = [10_000, 20_000, 40_000, 80_000];
+const ENTRIES: [usize; 4] = [2, 4, 8, 16];
+const SERVICES: [usize; 4] = [250, 500, 1000, 2000];
+const TASKS: [usize; 4] = [2000, 4000, 8000, 16_000];
+const AGENT_PROCESSES: [usize; 5] = [4, 8, 16, 32, 64];
+const ENTRY_PROCESSES: [usize; 4] = [1, 2, 4, 8];
+/// Above this, a quantity grows faster than n log n over the measured sizes.
+const GROWTH_LIMIT: f64 = 1.3;
+
+/// The size in two years that figures are worked out for.
+mod target {
+    pub(super) const ENTRIES_A_REGION: f64 = 9.0;
+    pub(super) const AGENT_BYTES_A_SECOND: f64 = 3000.0;
+    pub(super) const AGENT_MS_A_SECOND: f64 = 12.0;
+    pub(super) const AGENT_BYTES: f64 = 128e6;
+    pub(super) const RECOVERY_TASKS: f64 = 2000.0;
+    pub(super) const RECOVERY_US: f64 = 2e6;
+}
+
+fn machine_series() -> Vec<Series> {
+    let costs = owner::measure(&TASKS);
+    let mut series = vec![
+        machines::directory_time(&AGENTS),
+        machines::directory_memory(&AGENTS_FOR_MEMORY),
+    ];
+    series.extend(machines::beacon(&ENTRIES));
+    series.extend(machines::configuration(&SERVICES));
+    series.extend([
+        costs.start_time,
+        costs.journal,
+        costs.memory,
+        costs.recovery,
+    ]);
+    series
+}
+
+async fn process_series() -> Vec<Series> {
+    let mut by_agents = Vec::new();
+    for agents in AGENT_PROCESSES {
+        by_agents.push((agents, processes::idle(1, agents).await));
+    }
+    let mut by_entries = Vec::new();
+    for entries in ENTRY_PROCESSES {
+        by_entries.push((entries, processes::idle(entries, 4).await));
+    }
+    let agents = |name, unit, field: fn(&processes::Reading) -> f64| {
+        processes::series(name, "agent", unit, &by_agents, field)
+    };
+    let entries = |name, unit, field: fn(&processes::Reading) -> f64| {
+        processes::series(name, "entry", unit, &by_entries, field)
+    };
+    vec![
+        agents("process.entry.memory", "B", |r| r.entry_memory),
+        agents("process.entry.time", "ms/s", |r| r.entry_time),
+        agents("process.entry.traffic", "B/s", |r| r.entry_bytes),
+        agents("process.store.reads.agents", "1/s", |r| r.store_reads),
+        agents("process.store.writes.agents", "1/s", |r| r.store_writes),
+        entries("process.agent.memory", "B", |r| r.agent_memory),
+        entries("process.agent.time", "ms/s", |r| r.agent_time),
+        entries("process.agent.traffic", "B/s", |r| r.agent_bytes),
+        entries("process.store.reads.entries", "1/s", |r| r.store_reads),
+        entries("process.store.writes.entries", "1/s", |r| r.store_writes),
+    ]
+}
+
+fn figures(series: &[Series]) -> Vec<Figure> {
+    let at = |name: &str, size: f64| {
+        let found = series.iter().find(|one| one.name == name);
+        let line = found.map(Series::fit);
+        line.map_or(f64::NAN, |line| line.constant + line.slope * size)
+    };
+    let entries = target::ENTRIES_A_REGION;
+    let mut figures = vec![
+        Figure::at_most(
+            "agent.traffic",
+            at("process.agent.traffic", entries),
+            "B/s",
+            target::AGENT_BYTES_A_SECOND,
+        ),
+        Figure::at_most(
+            "agent.time",
+            at("process.agent.time", entries),
+            "ms/s",
+            target::AGENT_MS_A_SECOND,
+        ),
+        Figure::at_most(
+            "agent.memory",
+            at("process.agent.memory", entries),
+            "B",
+            target::AGENT_BYTES,
+        ),
+        Figure::at_most(
+            "owner.recovery",
+            at("owner.recovery.time", target::RECOVERY_TASKS),
+            "us",
+            target::RECOVERY_US,
+        ),
+    ];
+    for one in series {
+        if one.name.ends_with(".time") && one.name.contains("owner.") || one.name.contains("beacon")
+        {
+            let name = format!("growth.{}", one.name);
+            figures.push(Figure::at_most(name, one.growth(), "ratio", GROWTH_LIMIT));
+        }
+    }
+    figures
+}
+
+fn target_folder() -> PathBuf {
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR"));
+    manifest.join("../../target")
+}
+
+fn main() {
+    role::run_if_asked();
+    let mut series = machine_series();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    series.extend(runtime.block_on(process_series()));
+    for one in &series {
+        let line = one.fit();
+        println!(
+            "slope {:32} {:>12.4} {} per {} + {:>12.2}, spread {:.1}%",
+            one.name,
+            line.slope,
+            one.unit,
+            one.per,
+            line.constant,
+            line.spread * 100.0
+        );
+    }
+    let agent_part = machines::agent_configuration_bytes(2000);
+    println!("value agent.configuration {agent_part:.0} B a change");
+    let folder = target_folder();
+    let csv = folder.join("capacity.csv");
+    output::write_csv(&csv, &series).expect("the CSV is written");
+    let svg = folder.join("capacity.svg");
+    output::write_svg(&svg, &series).expect("the plot is written");
+    for figure in figures(&series) {
+        println!("{figure}");
+    }
+}
--- /dev/null
+++ b/crates/bench/src/capacity/machines.rs
@@ -0,0 +1,280 @@
+//! What the state machines of membership and configuration cost by size.
+
+use {
+    crate::{declare, memory, slope::Series},
+    filbertbend_coordination::{
+        config::codec,
+        membership::{
+            Announcement, Beacon, BeaconAction, BeaconEvent, Connection, Directory,
+            DirectoryAction, DirectoryEvent, Heartbeat, Hello, Member, Pulse, Settings,
+        },
+    },
+    filbertbend_protocol::{message::Control, wire},
+    filbertbend_state::{
+        config::{Manifest, Segment, Snapshot},
+        id,
+        room::Room,
+        service::{Class, Kind},
+        time::Instant,
+        unit::{Bytes, Connections, Cores, Millis, Slots},
+    },
+    std::{hint::black_box, sync::Arc, time::Instant as Clock},
+};
+
+/// Rounds of heartbeats that are timed.
+const ROUNDS: u64 = 50;
+
+fn member(index: usize) -> Member {
+    Member {
+        entry: format!("entry-{index}").parse().expect("the name is valid"),
+        address: ([127, 0, 0, 1], 7000 + index as u16).into(),
+        data_centre: "dc-1".parse().expect("the name is valid"),
+        incarnation: id::Incarnation(1),
+    }
+}
+
+fn announcement(index: usize) -> Announcement {
+    let name = |kind: &str| format!("{kind}-{index}");
+    Announcement {
+        endpoint: name("runner").parse().expect("the name is valid"),
+        worker: name("worker").parse().expect("the name is valid"),
+        incarnation: id::Incarnation(1),
+        data_centre: format!("dc-{}", index % 3)
+            .parse()
+            .expect("the name is valid"),
+        rack: format!("rack-{}", index / 20)
+            .parse()
+            .expect("the name is valid"),
+        services: (0..3)
+            .map(|service| format!("service-{}", (index + service) % 400))
+            .map(|service| service.parse().expect("the name is valid"))
+            .collect(),
+        slots: Slots(8),
+        connections: Connections(64),
+        room: Room {
+            cores: Cores(64_000),
+            memory: Bytes(250 << 30),
+            ..Room::NONE
+        },
+    }
+}
+
+fn directory(agents: usize) -> Directory {
+    let mut directory = Directory::new(member(0));
+    let mut actions = Vec::new();
+    for index in 0..agents {
+        let event = DirectoryEvent::Hello {
+            connection: Connection(index as u64),
+            accepted: Instant(0),
+            hello: Hello::Agent(announcement(index)),
+        };
+        directory.step(Instant(0), event, &mut actions);
+        actions.clear();
+    }
+    directory
+}
+
+fn heartbeats(directory: &mut Directory, agents: usize, round: u64) -> usize {
+    let now = Instant(round * 1000);
+    let mut actions = Vec::new();
+    for index in 0..agents {
+        let heartbeat = Heartbeat {
+            sequence: round,
+            answered: round - 1,
+            ..Heartbeat::default()
+        };
+        let event = DirectoryEvent::Heartbeat {
+            connection: Connection(index as u64),
+            heartbeat,
+        };
+        directory.step(now, event, &mut actions);
+    }
+    for _ in 0..10 {
+        directory.step(now, DirectoryEvent::Tick, &mut actions);
+    }
+    actions.len()
+}
+
+/// Processor time of an entry's directory for one second of heartbeats and
+/// ticks, by agents.
+pub fn directory_time(sizes: &[usize]) -> Series {
+    let points = sizes.iter().map(|&agents| {
+        let mut directory = directory(agents);
+        let start = Clock::now();
+        for round in 1..=ROUNDS {
+            black_box(heartbeats(&mut directory, agents, round));
+        }
+        let micros = start.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64;
+        (agents as f64, micros)
+    });
+    Series {
+        name: "entry.directory.time",
+        per: "agent",
+        unit: "us/s",
+        points: points.collect(),
+    }
+}
+
+/// Resident memory of an entry's directory, by agents.
+pub fn directory_memory(sizes: &[usize]) -> Series {
+    let points = sizes.iter().map(|&agents| {
+        let before = memory::resident_bytes(std::process::id()).unwrap_or_default();
+        let directory = black_box(directory(agents));
+        let after = memory::resident_bytes(std::process::id()).unwrap_or_default();
+        drop(directory);
+        (agents as f64, after.saturating_sub(before) as f64)
+    });
+    Series {
+        name: "entry.directory.memory",
+        per: "agent",
+        unit: "B",
+        points: points.collect(),
+    }
+}
+
+/// Processor time of an agent's beacon for one second, and the bytes of its
+/// heartbeats and their answers before encryption, by entries.
+pub fn beacon(sizes: &[usize]) -> [Series; 2] {
+    let mut times = Vec::new();
+    let mut bytes = Vec::new();
+    for &entries in sizes {
+        let (micros, sent) = beacon_second(entries);
+        times.push((entries as f64, micros));
+        bytes.push((entries as f64, sent));
+    }
+    [
+        Series {
+            name: "agent.beacon.time",
+            per: "entry",
+            unit: "us/s",
+            points: times,
+        },
+        Series {
+            name: "agent.beacon.frames",
+            per: "entry",
+            unit: "B/s",
+            points: bytes,
+        },
+    ]
+}
+
+fn beacon_second(entries: usize) -> (f64, f64) {
+    let mut beacon = Beacon::new(Settings {
+        seeds: (0..entries).map(|index| member(index).address).collect(),
+        own: None,
+        seed: 1,
+    });
+    let mut actions = Vec::new();
+    let mut frames = 0;
+    let mut elapsed = 0.0;
+    for tick in 1..=ROUNDS * 20 {
+        let now = Instant(tick * 50);
+        let start = Clock::now();
+        beacon.step(now, BeaconEvent::Tick, &mut actions);
+        elapsed += start.elapsed().as_secs_f64();
+        for action in std::mem::take(&mut actions) {
+            let event = match action {
+                BeaconAction::Dial { connection, .. } => BeaconEvent::Opened { connection },
+                BeaconAction::Send {
+                    connection,
+                    heartbeat,
+                } => {
+                    let pulse = Pulse {
+                        sequence: heartbeat.sequence,
+                        ..Pulse::default()
+                    };
+                    frames += frame(&Control::Heartbeat(heartbeat));
+                    frames += frame(&Control::Pulse(pulse.clone()));
+                    BeaconEvent::Pulse { connection, pulse }
+                }
+                _ => continue,
+            };
+            let start = Clock::now();
+            beacon.step(now, event, &mut actions);
+            elapsed += start.elapsed().as_secs_f64();
+        }
+    }
+    let seconds = ROUNDS as f64;
+    (elapsed * 1e6 / seconds, frames as f64 / seconds)
+}
+
+fn frame(message: &Control) -> usize {
+    wire::encode(message).map_or(0, |frame| frame.len())
+}
+
+fn snapshot(services: usize) -> Snapshot {
+    let declare = |index: usize| {
+        let name = format!("service-{index}");
+        declare::service(&name, Kind::Check, Class::Interactive)
+    };
+    Snapshot {
+        revision: id::Revision(1),
+        services: (0..services).map(declare).collect(),
+        drains: Vec::new(),
+    }
+}
+
+/// Bytes of the manifest and of the whole configuration, by services.
+pub fn configuration(sizes: &[usize]) -> [Series; 2] {
+    let manifest = |services: usize| {
+        let segments = (0..services).map(|index| Segment {
+            service: format!("service-{index}")
+                .parse()
+                .expect("the name is valid"),
+            key: format!("config/segment/{index:020}-{index:016x}").into(),
+        });
+        let manifest = Manifest {
+            segments: segments.collect(),
+            ..Manifest::default()
+        };
+        codec::encode(&manifest).map_or(f64::NAN, |bytes| bytes.len() as f64)
+    };
+    let whole = |services: usize| {
+        let pulse = Pulse {
+            config: Some(Arc::new(snapshot(services))),
+            ..Pulse::default()
+        };
+        frame(&Control::Pulse(pulse)) as f64
+    };
+    let points = |value: &dyn Fn(usize) -> f64| {
+        let sized = sizes.iter().map(|&size| (size as f64, value(size)));
+        sized.collect()
+    };
+    [
+        Series {
+            name: "store.manifest.size",
+            per: "service",
+            unit: "B",
+            points: points(&manifest),
+        },
+        Series {
+            name: "entry.configuration.size",
+            per: "service",
+            unit: "B",
+            points: points(&whole),
+        },
+    ]
+}
+
+/// Bytes of the configuration that one agent gets with each change.
+pub fn agent_configuration_bytes(services: usize) -> f64 {
+    let mut directory = directory(1);
+    let mut actions = Vec::new();
+    let now = Instant(0) + Millis(500);
+    let configured = DirectoryEvent::Configured(Arc::new(snapshot(services)));
+    directory.step(now, configured, &mut actions);
+    actions.clear();
+    let heartbeat = DirectoryEvent::Heartbeat {
+        connection: Connection(0),
+        heartbeat: Heartbeat {
+            sequence: 1,
+            ..Heartbeat::default()
+        },
+    };
+    directory.step(now, heartbeat, &mut actions);
+    let pulses = actions.into_iter().filter_map(|action| match action {
+        DirectoryAction::Pulse { pulse, .. } => Some(frame(&Control::Pulse(pulse)) as f64),
+        _ => None,
+    });
+    pulses.sum()
+}
