--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -24,6 +24,9 @@
     pub from: id::Revision,
     /// The revision that it made.
     pub to: id::Revision,
+    /// Tells this publish from every other one, so that its author recognizes
+    /// it when the store's answer was lost.
+    pub nonce: id::Nonce,
     /// Who made it.
     pub author: Arc<str>,
     /// When, by the author's clock.
@@ -64,6 +67,12 @@
         self.services.iter().find(|found| found.name == *service)
     }
 
+    /// Tells whether `team` owns a declared service. Callers name teams, and an
+    /// unbounded set of names would fill queues and metrics.
+    pub fn has_team(&self, team: &id::Team) -> bool {
+        self.services.iter().any(|service| service.team == *team)
+    }
+
     /// Tells whether operators are draining `endpoint`.
     pub fn drains(&self, endpoint: &id::Endpoint) -> bool {
         self.drains.contains(endpoint)
