Allow few streams a link at first, and join the interference control

The QUIC library keeps state for every stream that a peer may open, and 4,096 were allowed. Change: four streams at first; an agent allows its endpoint's connections, an entry 1,024 to another entry. Also: the agent passes its endpoint's latencies to the interference controller, and reports what kinds of tasks use, which corrects declared sizes. Ruled out: turning the probes off, because large packets matter for bodies.

--- a/crates/agent/src/serve/check.rs
+++ b/crates/agent/src/serve/check.rs
@@ -32,8 +32,11 @@
     let started = Instant::now();
     let result = exchange(&request, &mut sender, receiver, &endpoint, deadline).await;
     drop(slot);
-    let elapsed = Millis(started.elapsed().as_millis() as u64);
-    control.send(control::Input::Served(elapsed)).await;
+    let service = request.service.clone();
+    let elapsed = started.elapsed();
+    control
+        .send(control::Input::Served { service, elapsed })
+        .await;
     if let Err(error) = result {
         sender.abort();
         debug!("request broken", kv: { request = request.id.0, error: });
--- a/crates/agent/src/serve/control.rs
+++ b/crates/agent/src/serve/control.rs
@@ -2,11 +2,13 @@
 //! touches them.
 
 use {
-    super::{links::Dialler, orders::Orders, recent::Recent, worker},
+    super::{guard::Guard, links::Dialler, orders::Orders, peaks::Peaks, recent::Recent, worker},
     filbertbend_coordination::{
         attempt,
         executor::{self, Check, Executor},
+        interference,
         membership::{Beacon, BeaconAction, BeaconEvent, Connection, Load},
+        worker::{Command, Usage},
     },
     filbertbend_protocol::message::{Control, Request, Response},
     filbertbend_state::{config::Snapshot, id, outcome::Reason, time::Instant, unit::Millis},
@@ -61,8 +63,15 @@
         /// The message.
         message: Control,
     },
-    /// The endpoint has answered a check after this time.
-    Served(Millis),
+    /// The endpoint has answered a check.
+    Served {
+        /// The service.
+        service: id::Service,
+        /// After this time.
+        elapsed: Duration,
+    },
+    /// Late usage of tasks.
+    Usage(Vec<Usage>),
     /// The process was told to leave.
     Leave,
 }
@@ -128,6 +137,19 @@
     outbox: Outbox,
 }
 
+/// What the control thread is made of.
+pub(crate) struct Parts {
+    pub(crate) executor: Executor,
+    pub(crate) beacon: Beacon,
+    pub(crate) guard: Guard,
+    pub(crate) dialler: Dialler,
+    pub(crate) worker: worker::Commands,
+    pub(crate) orders: Orders,
+    pub(crate) revision: watch::Sender<Arc<Snapshot>>,
+    /// Told once the agent has left.
+    pub(crate) exit: oneshot::Sender<()>,
+}
+
 /// What runs on the control thread.
 pub(crate) struct Thread {
     executor: Executor,
@@ -141,35 +163,31 @@
     asked: HashMap<Check, oneshot::Sender<Result<Check, Reason>>>,
     next_check: u64,
     service_times: Recent,
+    guard: Guard,
+    peaks: Peaks,
     revision: watch::Sender<Arc<Snapshot>>,
     exit: Option<oneshot::Sender<()>>,
 }
 
 impl Thread {
-    /// Puts the parts together; `exit` is told once the agent has left.
-    pub(crate) fn new(
-        executor: Executor,
-        beacon: Beacon,
-        dialler: Dialler,
-        worker: worker::Commands,
-        orders: Orders,
-        revision: watch::Sender<Arc<Snapshot>>,
-        exit: oneshot::Sender<()>,
-    ) -> Self {
+    /// Puts the parts together.
+    pub(crate) fn new(parts: Parts) -> Self {
         Self {
-            executor,
-            beacon,
-            dialler,
-            worker,
-            orders,
+            executor: parts.executor,
+            beacon: parts.beacon,
+            dialler: parts.dialler,
+            worker: parts.worker,
+            orders: parts.orders,
             outboxes: HashMap::new(),
             names: HashMap::new(),
             entries: BTreeMap::new(),
             asked: HashMap::new(),
             next_check: 0,
             service_times: Recent::default(),
-            revision,
-            exit: Some(exit),
+            guard: parts.guard,
+            peaks: Peaks::default(),
+            revision: parts.revision,
+            exit: Some(parts.exit),
         }
     }
 
@@ -190,6 +208,8 @@
 
     fn tick(&mut self, now: Instant) {
         self.execute(now, executor::Event::Tick);
+        let actions = self.guard.tick(now, || self.executor.tasks());
+        self.throttle(now, actions);
         let load = self.executor.load();
         gauge!("filbertbend_endpoint_slots_used").set(f64::from(load.slots.0));
         gauge!("filbertbend_endpoint_connections_used").set(f64::from(load.connections.0));
@@ -203,6 +223,30 @@
         };
         self.announce(now, BeaconEvent::Load(load));
         self.announce(now, BeaconEvent::Tick);
+        let peaks = self.peaks.take(now);
+        if !peaks.is_empty() {
+            for peer in self.entries.values() {
+                peer.outbox.send(Control::Peaks(peaks.clone()));
+            }
+        }
+    }
+
+    /// Carries out what the interference controller decided.
+    fn throttle(&mut self, now: Instant, actions: Vec<interference::Action>) {
+        for action in actions {
+            match action {
+                interference::Action::Throttle { attempt, share } => {
+                    debug!("throttled", kv: { job: = attempt.task.job, attempt:, share: });
+                    counter!("filbertbend_throttles_total").increment(1);
+                    self.worker.send(Command::Throttle { attempt, share });
+                }
+                interference::Action::Evict(attempt) => {
+                    info!("evicted", kv: { job: = attempt.task.job, attempt: });
+                    counter!("filbertbend_evictions_total", "cause" => "interference").increment(1);
+                    self.execute(now, executor::Event::Evict(attempt));
+                }
+            }
+        }
     }
 
     fn take(&mut self, now: Instant, input: Input) {
@@ -223,7 +267,15 @@
                 connection,
                 message,
             } => self.received(now, connection, message),
-            Input::Served(time) => self.service_times.add(time),
+            Input::Served { service, elapsed } => {
+                self.service_times.add(Millis(elapsed.as_millis() as u64));
+                self.guard.served(service, elapsed);
+            }
+            Input::Usage(usage) => {
+                self.peaks.add(&usage, &self.executor.tasks());
+                let actions = self.guard.usage(now, usage);
+                self.throttle(now, actions);
+            }
             Input::Leave => {
                 info!("leaving", kv: { tasks = self.executor.tasks().len() });
                 self.execute(now, executor::Event::Leave);
--- a/crates/agent/src/serve/links.rs
+++ b/crates/agent/src/serve/links.rs
@@ -64,6 +64,8 @@
         let identity = self.identity.borrow().clone();
         let socket = Socket::dialler(&identity)?;
         let link = socket.dial(address).await?;
+        // More requests than the endpoint has connections would be refused.
+        link.allow_streams(self.announcement.connections.0.max(1));
         let (mut sender, receiver) = link.open().await?;
         let hello = Control::Hello(Hello::Agent(self.announcement.clone()));
         sender.send(&hello).await?;
--- a/crates/agent/src/serve/mod.rs
+++ b/crates/agent/src/serve/mod.rs
@@ -3,14 +3,16 @@
 mod check;
 mod control;
 mod endpoint;
+mod guard;
 mod links;
 mod orders;
+mod peaks;
 mod recent;
 mod worker;
 
 use {
     crate::settings::Settings,
-    control::{Handle, Input, Thread, INBOX_LIMIT},
+    control::{Handle, Input, Parts, Thread, INBOX_LIMIT},
     filbertbend_coordination::{
         executor::{self, Executor},
         membership::{self, Announcement, Beacon},
@@ -18,6 +20,7 @@
     filbertbend_process::{http, keys, operators, signal},
     filbertbend_state::{config::Snapshot, hash, id},
     filbertbend_transport::{clock, tls},
+    guard::Guard,
     links::Dialler,
     metrics_exporter_prometheus::PrometheusHandle,
     orders::Orders,
@@ -111,15 +114,16 @@
     };
     let (snapshot, _) = watch::channel(Arc::new(Snapshot::default()));
     let (exit, exited) = oneshot::channel();
-    let thread = Thread::new(
-        executor(&settings, incarnation),
-        beacon(&settings, incarnation),
+    let thread = Thread::new(Parts {
+        executor: executor(&settings, incarnation),
+        beacon: beacon(&settings, incarnation),
+        guard: guard(&settings, incarnation),
         dialler,
         worker,
         orders,
-        snapshot,
+        revision: snapshot,
         exit,
-    );
+    });
     control::start(thread, inputs)?;
     let ready = operate(&settings, metrics).await?;
     info!("agent started", kv: { endpoint: = settings.endpoint, worker: = settings.worker });
@@ -174,6 +178,12 @@
     )
 }
 
+fn guard(settings: &Settings, incarnation: id::Incarnation) -> Guard {
+    let seed = seed(settings, incarnation).wrapping_add(1);
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    Guard::new(settings.room.cores, settings.slots, rng)
+}
+
 fn beacon(settings: &Settings, incarnation: id::Incarnation) -> Beacon {
     Beacon::new(membership::Settings {
         seeds: settings.seeds.clone(),
--- /dev/null
+++ b/crates/agent/src/serve/peaks.rs
@@ -0,0 +1,57 @@
+//! The highest use of each kind of task, reported to the entries so that they
+//! can correct declared sizes.
+
+use {
+    filbertbend_coordination::{executor::Task, placement::Peak, worker::Usage},
+    filbertbend_state::{
+        id,
+        room::Room,
+        time::Instant,
+        unit::{Accelerators, Bytes, Cores, Millis},
+    },
+    std::collections::BTreeMap,
+};
+
+/// How often peaks are reported. Sizes change slowly, and a node may send few
+/// bytes for control.
+const INTERVAL: Millis = Millis::from_secs(10);
+
+/// Peaks that have not been reported yet.
+#[derive(Debug, Default)]
+pub(crate) struct Peaks {
+    by_service: BTreeMap<id::Service, Room>,
+    next: Instant,
+}
+
+impl Peaks {
+    /// Adds late usage of `tasks`; usage of a task that has ended is dropped.
+    pub(crate) fn add(&mut self, usage: &[Usage], tasks: &[Task]) {
+        for used in usage {
+            let Some(task) = tasks.iter().find(|task| task.attempt == used.attempt) else {
+                continue;
+            };
+            let peak = self.by_service.entry(task.service.clone()).or_default();
+            *peak = larger(*peak, used.peak);
+        }
+    }
+
+    /// Returns what is to be reported now.
+    pub(crate) fn take(&mut self, now: Instant) -> Vec<Peak> {
+        if now < self.next || self.by_service.is_empty() {
+            return Vec::new();
+        }
+        self.next = now + INTERVAL;
+        std::mem::take(&mut self.by_service)
+            .into_iter()
+            .map(|(service, peak)| Peak { service, peak })
+            .collect()
+    }
+}
+
+fn larger(a: Room, b: Room) -> Room {
+    Room {
+        cores: Cores(a.cores.0.max(b.cores.0)),
+        memory: Bytes(a.memory.0.max(b.memory.0)),
+        accelerators: Accelerators(a.accelerators.0.max(b.accelerators.0)),
+    }
+}
--- a/crates/agent/src/serve/worker.rs
+++ b/crates/agent/src/serve/worker.rs
@@ -162,6 +162,9 @@
             .get(format!("/v1/events?after={position}&wait_ms={wait_ms}"))
             .await?;
         for event in page.events {
+            if let worker::Event::Usage(usage) = &event {
+                control.send(Input::Usage(usage.clone())).await;
+            }
             control.send(Input::Executor(Event::Worker(event))).await;
         }
         *after = Some(page.next);
--- a/crates/bench/src/capacity/processes.rs
+++ b/crates/bench/src/capacity/processes.rs
@@ -11,6 +11,9 @@
     tokio::process::Child,
 };
 
+/// How long the links are left to settle: each one first probes for the
+/// largest packet that its path carries, some 17 KB once in its life.
+const SETTLE: Duration = Duration::from_secs(10);
 /// How long a fleet is watched once all its members know each other.
 const SPAN: Duration = Duration::from_secs(10);
 /// How long the start may take.
@@ -67,6 +70,7 @@
         let complete = wait_for(START_LIMIT, || knows_all(entry.operators, entries, agents));
         assert!(complete.await, "{}", fleet.log("entry-0"));
     }
+    tokio::time::sleep(SETTLE).await;
     let mut watch = Watch::start(&fleet, &entry_processes, &agent_processes).await;
     tokio::time::sleep(SPAN).await;
     watch
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -29,6 +29,7 @@
     grid::Grid,
     node::{Node, Run},
     queue::{Shape, Team},
+    serde::{Deserialize, Serialize},
     size::Peaks,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -118,6 +119,15 @@
     pub run_time: Millis,
 }
 
+/// The highest use that tasks of a service were seen to make.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Peak {
+    /// The service.
+    pub service: id::Service,
+    /// The highest use of each resource.
+    pub peak: Room,
+}
+
 /// What an order needs of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Route<'a> {
--- a/crates/filbertbend/src/serve/control.rs
+++ b/crates/filbertbend/src/serve/control.rs
@@ -8,7 +8,8 @@
         config::{follow, Follower},
         job,
         membership::{Beacon, BeaconAction, BeaconEvent, Connection, Load, Member, Pulse, State},
-        placement, store,
+        placement::{self, Peak},
+        store,
     },
     filbertbend_protocol::message::{Control, Forwarded, Stream},
     filbertbend_state::{
@@ -89,6 +90,8 @@
         /// The load.
         load: Load,
     },
+    /// What an agent has seen kinds of tasks use.
+    Peaks(Vec<Peak>),
     /// A report of an agent.
     Report {
         /// The agent's worker.
@@ -376,6 +379,7 @@
         match input {
             Input::Agent { agent, state } => self.slices.agent(now, agent, state),
             Input::Load { worker, load } => self.slices.load(&worker, load),
+            Input::Peaks(peaks) => self.slices.observe(peaks),
             Input::Report {
                 worker,
                 slice,
--- a/crates/filbertbend/src/serve/links.rs
+++ b/crates/filbertbend/src/serve/links.rs
@@ -27,6 +27,10 @@
 /// How long a peer may take from the handshake to its hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Calls that another entry may forward at once. Submitted orders wait on
+/// their stream until they have run.
+const FORWARDED_CALLS: u32 = 1024;
+
 /// What every accepted link shares.
 #[derive(Clone)]
 pub(crate) struct Acceptor {
@@ -111,6 +115,9 @@
             Hello::Agent(announcement) => Some(announcement.worker.clone()),
             Hello::Entry(_) => None,
         };
+        if worker.is_none() {
+            peer.link.allow_streams(FORWARDED_CALLS);
+        }
         self.desk.opened(connection, accepted, hello, peer);
         worker
     }
@@ -126,6 +133,7 @@
                 (Control::Heartbeat(heartbeat), worker) => {
                     self.desk.heartbeat(connection, worker.as_ref(), heartbeat);
                 }
+                (Control::Peaks(peaks), Some(_)) => self.control.post(Input::Peaks(peaks)),
                 (
                     Control::Report {
                         slice,
--- a/crates/filbertbend/src/serve/slices.rs
+++ b/crates/filbertbend/src/serve/slices.rs
@@ -14,7 +14,7 @@
         membership::{Load, State},
         owner::{self, Authority, Owner, Recovery},
         ownership::{self, Registry, OWNERSHIP_HORIZON},
-        placement::{self, Decision, Liveness, Planner},
+        placement::{self, Decision, Liveness, Peak, Planner},
         store,
     },
     filbertbend_protocol::message::Control,
@@ -255,6 +255,13 @@
             .load(worker, load.free, load.slots_used, load.leaving);
     }
 
+    /// Takes note of what kinds of tasks were seen to use.
+    pub(crate) fn observe(&mut self, peaks: Vec<Peak>) {
+        for Peak { service, peak } in peaks {
+            self.planner.observe(&service, peak);
+        }
+    }
+
     /// Puts a configuration in force.
     pub(crate) fn configure(&mut self, snapshot: &Snapshot) {
         self.planner.configure(snapshot);
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -8,6 +8,7 @@
         attempt::{self, Attempt},
         job,
         membership::{Heartbeat, Hello, Member, Pulse},
+        placement::Peak,
     },
     filbertbend_state::{id, outcome::Reason, service::Class, unit::Millis},
     serde::{Deserialize, Serialize},
@@ -31,6 +32,8 @@
     Heartbeat(Heartbeat),
     /// Answers a heartbeat.
     Pulse(Pulse),
+    /// From an agent: what kinds of tasks were seen to use.
+    Peaks(Vec<Peak>),
     /// From a task's owner to the agent.
     Command {
         /// The slice that owns the task.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -175,6 +175,11 @@
         Ok((Sender { stream: send }, Receiver { stream: receive }))
     }
 
+    /// Allows the peer to have this many streams open at once.
+    pub fn allow_streams(&self, count: u32) {
+        self.connection.set_max_concurrent_bi_streams(count.into());
+    }
+
     /// Returns the peer's address.
     pub fn peer(&self) -> SocketAddr {
         self.connection.remote_address()
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -22,8 +22,10 @@
 pub const SERVER_NAME: &str = "filbertbend";
 /// The application protocol of the links.
 const ALPN: &[u8] = b"filbertbend/1";
-/// Streams that a peer may have open at once on one connection.
-const STREAM_LIMIT: u32 = 4096;
+/// Streams that a peer may have open at once until the process allows more.
+/// The QUIC library keeps some 100 bytes for each allowed stream, which at
+/// thousands of connections an entry is most of its memory.
+const FIRST_STREAMS: u32 = 4;
 /// A connection without any packet for this long is closed. It is longer than
 /// the membership timeouts, which decide earlier whether the peer is usable.
 const IDLE_TIMEOUT_MS: u32 = 15_000;
@@ -141,7 +143,7 @@
 fn transport() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
-        .max_concurrent_bidi_streams(STREAM_LIMIT.into())
+        .max_concurrent_bidi_streams(FIRST_STREAMS.into())
         .max_concurrent_uni_streams(0_u8.into())
         .max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
         .keep_alive_interval(Some(Duration::from_secs(4)))
