Add the relay stand-in and tests of failures over real processes

Cause: nothing showed the processes under kills, freezes and cut links. Change: a UDP relay that forgets, drops and delays flows, fleets whose links go through it, shared declarations for tests and benches, and a first form of the tests; the endpoint stand-in notes when each order ran.

--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -5,14 +5,13 @@
 
 use {
     filbertbend_bench::{
-        declare,
         figure::Figure,
         load::{self, Outcome},
         memory, role,
     },
     filbertbend_standin::{
         client::Client,
-        endpoint,
+        declare, endpoint,
         fleet::{wait_for, Fleet, Launcher, Plan},
     },
     filbertbend_state::service::{Class, Kind},
@@ -46,6 +45,7 @@
         slices: 4,
         log_level: "warn",
         launcher: Launcher::OwnExecutable,
+        relays: false,
     }
 }
 
--- a/crates/bench/src/capacity/machines.rs
+++ b/crates/bench/src/capacity/machines.rs
@@ -1,7 +1,7 @@
 //! What the state machines of membership and configuration cost by size.
 
 use {
-    crate::{declare, memory, slope::Series},
+    crate::{memory, slope::Series},
     filbertbend_coordination::{
         config::codec,
         membership::{
@@ -10,6 +10,7 @@
         },
     },
     filbertbend_protocol::{message::Control, wire},
+    filbertbend_standin::declare,
     filbertbend_state::{
         config::{Manifest, Segment, Snapshot},
         id,
--- a/crates/bench/src/capacity/processes.rs
+++ b/crates/bench/src/capacity/processes.rs
@@ -1,9 +1,10 @@
 //! What whole processes cost by the number of their peers.
 
 use {
-    crate::{declare, memory, slope::Series},
+    crate::{memory, slope::Series},
     filbertbend_standin::{
         client::Client,
+        declare,
         fleet::{wait_for, Fleet, Launcher, Plan},
     },
     filbertbend_state::service::{Class, Kind},
@@ -54,6 +55,7 @@
         slices: 16,
         log_level: "warn",
         launcher: Launcher::OwnExecutable,
+        relays: false,
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,6 @@
 //! Pieces that the benches share.
 
 pub mod capacity;
-pub mod declare;
 pub mod figure;
 pub mod load;
 pub mod memory;
--- a/crates/bench/src/traffic/gated.rs
+++ b/crates/bench/src/traffic/gated.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{Arrival, Scenario, Tally},
-    crate::declare,
     filbertbend_coordination::{
         admission::{self, Ask, Gate},
         membership::{
@@ -11,6 +10,7 @@
         retry::{Budget, End, Next, Plan},
         routing::{self, Router},
     },
+    filbertbend_standin::declare,
     filbertbend_state::{
         id,
         outcome::Reason,
--- a/crates/standin/examples/local.rs
+++ b/crates/standin/examples/local.rs
@@ -431,6 +431,7 @@
         slices: 4,
         log_level: "info",
         launcher: Launcher::Binaries,
+        relays: false,
     }
 }
 
--- a/crates/bench/src/declare.rs
+++ b/crates/standin/src/declare.rs
@@ -1,4 +1,4 @@
-//! Declarations of services for benches.
+//! Declarations of services for tests and benches.
 
 use filbertbend_state::{
     room::Room,
@@ -7,10 +7,14 @@
 };
 
 /// Declares a service with generous limits.
+///
+/// # Panics
+///
+/// Panics if `name` is not a valid name.
 pub fn service(name: &str, kind: Kind, class: Class) -> Declaration {
     Declaration {
         name: name.parse().expect("the name is valid"),
-        team: "bench".parse().expect("the name is valid"),
+        team: "installers".parse().expect("the name is valid"),
         kind,
         class,
         idempotent: kind != Kind::Order,
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -18,7 +18,7 @@
             atomic::{AtomicU32, AtomicU64, Ordering},
             Arc, Mutex, PoisonError,
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::net::TcpListener,
 };
@@ -30,6 +30,8 @@
     pub customer: Arc<str>,
     /// The idempotency key.
     pub key: Arc<str>,
+    /// When it ran.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -175,6 +177,7 @@
     let order = Order {
         customer: field("x-customer"),
         key: field("idempotency-key"),
+        at: Instant::now(),
     };
     work(&shared).await;
     let mut orders = shared.orders.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -5,7 +5,7 @@
 //! that fleets of tests that run at once do not meet.
 
 use {
-    crate::{endpoint, keys, store, worker},
+    crate::{endpoint, keys, relay::Relay, store, worker},
     filbertbend_coordination::{
         config::{codec, key},
         store::{Call, Expect},
@@ -75,6 +75,29 @@
     pub log_level: &'static str,
     /// Where the processes come from.
     pub launcher: Launcher,
+    /// Whether links to the entries go through a [`Relay`].
+    pub relays: bool,
+}
+
+impl Plan {
+    /// Returns a small deployment of processes from the workspace's binaries.
+    pub fn small() -> Self {
+        Self {
+            data_centres: vec!["xela", "toto", "sanmarcos"],
+            entries: 2,
+            workers: 3,
+            services: vec!["spacing-check", "material-order"],
+            cores: 64,
+            memory_gib: 250,
+            slots: 8,
+            connections: 64,
+            service_time: Duration::from_millis(5),
+            slices: 4,
+            log_level: "debug",
+            launcher: Launcher::Binaries,
+            relays: false,
+        }
+    }
 }
 
 /// Where the executables of the processes come from.
@@ -133,6 +156,8 @@
     pub entries: Vec<Entry>,
     /// The worker instances.
     pub instances: Vec<Instance>,
+    /// The network in front of each entry, if the plan asks for it.
+    pub relays: Vec<Relay>,
     launcher: Launcher,
 }
 
@@ -152,23 +177,46 @@
             store,
             entries: Vec::new(),
             instances: Vec::new(),
+            relays: Vec::new(),
             launcher: plan.launcher,
         };
-        for index in 0..plan.entries {
-            let entry = fleet.write_entry(plan, &hosts, index)?;
+        let mut reached = Vec::new();
+        for host in &hosts {
+            let processes = SocketAddr::new(*host, PROCESSES_PORT);
+            reached.push(fleet.reach(plan, processes).await?);
+        }
+        for (index, host) in hosts.iter().enumerate() {
+            let entry = fleet.write_entry(plan, *host, &reached, index)?;
             fleet.entries.push(entry);
         }
         for index in 0..plan.workers {
-            let instance = fleet.start_instance(plan, &hosts, index).await?;
+            let instance = fleet.start_instance(plan, &reached, index).await?;
             fleet.instances.push(instance);
         }
         Ok(fleet)
     }
 
-    fn write_entry(&self, plan: &Plan, hosts: &[IpAddr], index: usize) -> io::Result<Entry> {
-        let host = hosts[index];
+    /// Returns the address under which others reach an entry's `processes`.
+    async fn reach(&mut self, plan: &Plan, processes: SocketAddr) -> io::Result<SocketAddr> {
+        if !plan.relays {
+            return Ok(processes);
+        }
+        let relay = Relay::start(processes).await?;
+        let address = relay.address();
+        self.relays.push(relay);
+        Ok(address)
+    }
+
+    fn write_entry(
+        &self,
+        plan: &Plan,
+        host: IpAddr,
+        reached: &[SocketAddr],
+        index: usize,
+    ) -> io::Result<Entry> {
         let data_centre = plan.data_centres[index % plan.data_centres.len()];
-        let seeds = seeds(hosts);
+        let seeds = seeds(reached);
+        let advertised = reached[index];
         let store = self.store.address();
         let text = format!(
             "name: entry-{index}\n\
@@ -179,6 +227,7 @@
              \x20 callers: {host}:{CALLERS_PORT}\n\
              \x20 operators: {host}:{OPERATORS_PORT}\n\
              \x20 processes: {host}:{PROCESSES_PORT}\n\
+             \x20 advertised: {advertised}\n\
              store:\n\
              \x20 addresses: [{store}]\n\
              seeds: [{seeds}]\n\
@@ -199,7 +248,7 @@
     async fn start_instance(
         &self,
         plan: &Plan,
-        hosts: &[IpAddr],
+        reached: &[SocketAddr],
         index: usize,
     ) -> io::Result<Instance> {
         let name = format!("runner-{index}");
@@ -237,7 +286,7 @@
             cores = plan.cores,
             memory = plan.memory_gib,
             endpoint_address = endpoint.address(),
-            seeds = seeds(hosts),
+            seeds = seeds(reached),
             common = common(plan, &name),
         );
         let settings = self.folder.path().join(format!("{name}.yaml"));
@@ -314,10 +363,10 @@
     }
 }
 
-fn seeds(hosts: &[IpAddr]) -> String {
-    hosts
+fn seeds(reached: &[SocketAddr]) -> String {
+    reached
         .iter()
-        .map(|host| format!("{host}:{PROCESSES_PORT}"))
+        .map(SocketAddr::to_string)
         .collect::<Vec<_>>()
         .join(", ")
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 //! they are never shipped. `docs/design.md`, section 15, lists their interfaces.
 
 pub mod client;
+pub mod declare;
 pub mod endpoint;
 pub mod fleet;
 pub mod keys;
+pub mod relay;
 pub mod slices;
 pub mod store;
 pub mod worker;
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -3,13 +3,10 @@
 use {
     filbertbend_standin::{
         client::Client,
+        declare,
         fleet::{wait_for, Fleet, Launcher, Plan},
     },
-    filbertbend_state::{
-        room::Room,
-        service::{Class, Declaration, Kind, Retry},
-        unit::{Bytes, Cores, Millis, Share},
-    },
+    filbertbend_state::service::{Class, Kind},
     std::time::Duration,
 };
 
@@ -29,34 +26,7 @@
         slices: 4,
         log_level: "debug",
         launcher: Launcher::Binaries,
-    }
-}
-
-fn declaration(name: &str, kind: Kind, class: Class) -> Declaration {
-    Declaration {
-        name: name.parse().unwrap(),
-        team: "installers".parse().unwrap(),
-        kind,
-        class,
-        idempotent: kind != Kind::Order,
-        deadline: Millis::from_secs(10),
-        size: Room {
-            cores: Cores(2000),
-            memory: Bytes(1 << 30),
-            ..Room::NONE
-        },
-        run_time: Millis::from_secs(1),
-        share: Share::of(0.2),
-        quota: Room {
-            cores: Cores(64_000),
-            memory: Bytes(64 << 30),
-            ..Room::NONE
-        },
-        retry: Retry {
-            tries: 3,
-            hedge: false,
-        },
-        data_centres: Vec::new(),
+        relays: false,
     }
 }
 
@@ -73,7 +43,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn check_is_answered_through_entry_and_agent() {
     let fleet = Fleet::start(&plan()).await.unwrap();
-    fleet.configure([declaration(
+    fleet.configure([declare::service(
         "spacing-check",
         Kind::Check,
         Class::Interactive,
@@ -108,8 +78,8 @@
 async fn job_and_order_run_through_separate_processes() {
     let fleet = Fleet::start(&plan()).await.unwrap();
     fleet.configure([
-        declaration("layout", Kind::Job, Class::Batch),
-        declaration("material-order", Kind::Order, Class::Interactive),
+        declare::service("layout", Kind::Job, Class::Batch),
+        declare::service("material-order", Kind::Order, Class::Interactive),
     ]);
     let _entries = [fleet.spawn_entry(0).unwrap(), fleet.spawn_entry(1).unwrap()];
     let _agents = [0, 1, 2].map(|index| fleet.spawn_agent(index).unwrap());
