Keep entries that share endpoints from refusing each other

The tests had one entry only.

- one refusal marked an endpoint as full until its next report, up to 1 s; with several entries most endpoints were marked at any time

Each of several entries now has an equal part of an endpoint's slots. The router uses its own part first, also when the newest report shows all slots taken, and borrows beyond it only while the report shows room. A refusal counts for a quarter of the service time. Router::ended takes the time; the entry's desk passes it.

Ruled out: smoothing the reported use over several reports (a single entry's own count is exact, and the sum over endpoints already averages).

Taken out once to see the test fail, then put back: the own part (entry_uses_its_part... printed "left: 0 right: 2"), its precedence (own_part_is_used... printed "left: 3 right: 2"), the end of the mark (endpoint_that_refused_is_tried_again... failed).

--- a/crates/coordination/src/admission/capacity.rs
+++ b/crates/coordination/src/admission/capacity.rs
@@ -16,6 +16,10 @@
 const RESTORATION: f64 = 0.001;
 /// The least part of the limit that is left.
 const CORRECTION_LEAST: f64 = 0.5;
+/// What the slots that others use are multiplied with. Reports are samples and
+/// up to a second old; without it, entries that are all busy take from each
+/// other whenever a report is low, and endpoints refuse the excess.
+const OTHERS_CAUTION: f64 = 1.15;
 /// Time after a refusal in which the service gets no slot, so that the same
 /// request does not go back and forth.
 const REFUSAL_PAUSE_MS: Millis = Millis(5);
@@ -52,8 +56,8 @@
     /// those that the others leave free.
     pub(super) fn supply(&mut self, entries: u32, supply: Supply) {
         let all = f64::from(supply.slots.0);
-        let free = f64::from((supply.slots - supply.others).0);
-        self.slots = free.max(all / f64::from(entries.max(1)));
+        let others = f64::from(supply.others.0) * OTHERS_CAUTION;
+        self.slots = (all - others).max(all / f64::from(entries.max(1)));
     }
 
     /// Returns how many requests may be in progress at a time.
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -32,6 +32,15 @@
 const NO_ENDPOINT_RETRY_MS: Millis = Millis(1000);
 /// Shortest wait proposed to a caller.
 const RETRY_FLOOR_MS: Millis = Millis(10);
+/// Shortest time for which an endpoint that refused counts as full.
+const FULL_LEAST_MS: Millis = Millis(5);
+/// Part of its service time for which it does: with several slots, some are
+/// free again by then. Waiting for its next report leaves slots idle for up to
+/// a second.
+const FULL_SERVICE_TIME_PARTS: u64 = 4;
+/// How many times better a slot of another entry's part must be to be taken
+/// while slots of the own part are free.
+const BORROW_RATIO: f64 = 3.0;
 /// Endpoints of one data centre that are compared in full; of more, this many
 /// are drawn first.
 const SAMPLE: usize = 32;
@@ -172,13 +181,24 @@
     }
 
     /// Notes that a request that [`Router::pick`] placed has ended.
-    pub fn ended(&mut self, directory: &Directory, endpoint: &id::Endpoint, end: End) {
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        endpoint: &id::Endpoint,
+        end: End,
+    ) {
+        let mut pause = FULL_LEAST_MS;
         if let Some(agent) = directory.agent(endpoint) {
+            let service_time = agent.load().service_time.0;
+            pause = pause.max(Millis(service_time / FULL_SERVICE_TIME_PARTS));
             self.counter(agent);
         }
         if let Some(counter) = self.counters.get_mut(endpoint) {
             counter.own = counter.own.saturating_sub(1);
-            counter.full |= end == End::Full;
+            if end == End::Full {
+                counter.full_until = now + pause;
+            }
             if counter.own == 0 && directory.agent(endpoint).is_none() {
                 self.counters.remove(endpoint);
             }
@@ -231,7 +251,7 @@
             counter.own_reported = counter.own;
             counter.report = agent.report();
             counter.incarnation = announcement.incarnation;
-            counter.full = false;
+            counter.full_until = Instant::default();
         }
         counter
     }
@@ -292,7 +312,8 @@
         if ask.tried.contains(endpoint) {
             return;
         }
-        let estimate = self.estimate(now, agent, link);
+        let own_part = own_part(agent, directory.roster().len());
+        let estimate = self.estimate(now, agent, own_part, link);
         if estimate.full {
             tier.full_wait_ms = tier.full_wait_ms.min(estimate.wait_ms);
         } else {
@@ -300,17 +321,25 @@
         }
     }
 
-    fn estimate<'d>(&self, now: Instant, agent: &'d Agent, link: Link) -> Estimate<'d> {
+    fn estimate<'d>(
+        &self,
+        now: Instant,
+        agent: &'d Agent,
+        own_part: u32,
+        link: Link,
+    ) -> Estimate<'d> {
         let announcement = agent.announcement();
         let load = agent.load();
         let counter = self.counters.get(&announcement.endpoint);
         let own = counter.map_or(0, |counter| counter.own);
         let own_reported = counter.map_or(0, |counter| counter.own_at(agent));
-        let refused = counter.is_some_and(|counter| counter.full && counter.is_current(agent));
+        let refused =
+            counter.is_some_and(|counter| now < counter.full_until && counter.is_current(agent));
         let busy = self.others(agent) + own;
         let slots = announcement.slots.0;
         let connections = load.connections_used.0.saturating_sub(own_reported) + own;
-        let full = refused || busy >= slots || connections >= announcement.connections.0;
+        let is_taken = busy >= slots && own >= own_part;
+        let full = refused || is_taken || connections >= announcement.connections.0;
         let service_ms = (load.service_time.0 as f64).max(1.0);
         let queue_ms = (load.queue - now.since(agent.reported())).0 as f64;
         let excess = f64::from((busy + 1).saturating_sub(slots).max(u32::from(full)));
@@ -321,6 +350,7 @@
             wait_ms: queue_ms + excess * service_ms / slots + link.delay_ms,
             cost_ms: link.cost_ms,
             pressure_ms: service_ms * f64::from(busy + 1) / slots,
+            is_borrowed: own >= own_part && own_part > 0,
         }
     }
 
@@ -340,8 +370,22 @@
         self.draw(&remote.free).or(near)
     }
 
-    /// Draws two and returns the better one.
+    /// Prefers slots of the own part to those that other entries may be using
+    /// by now, unless the endpoints with the latter are far better.
     fn draw<'d>(&mut self, free: &[Estimate<'d>]) -> Option<Estimate<'d>> {
+        let (borrowed, own): (Vec<_>, Vec<_>) =
+            free.iter().partition(|estimate| estimate.is_borrowed);
+        let Some(own) = self.draw_two(&own) else {
+            return self.draw_two(&borrowed);
+        };
+        let borrowed = self
+            .draw_two(&borrowed)
+            .filter(|borrowed| borrowed.score_ms() * BORROW_RATIO < own.score_ms());
+        Some(borrowed.unwrap_or(own))
+    }
+
+    /// Draws two and returns the better one.
+    fn draw_two<'d>(&mut self, free: &[Estimate<'d>]) -> Option<Estimate<'d>> {
         let first = *pick_one(&mut self.rng, free)?;
         let second = *pick_one(&mut self.rng, free)?;
         Some(if second.score_ms() < first.score_ms() {
@@ -351,3 +395,14 @@
         })
     }
 }
+
+/// Returns the slots of `agent` that belong to each of several entries: those
+/// that an entry may count on although the newest report shows them taken, and
+/// that it uses before it borrows. While all keep to their parts, no agent has
+/// to refuse. A single entry owns all slots, so there the report decides.
+fn own_part(agent: &Agent, entries: usize) -> u32 {
+    if entries < 2 {
+        return 0;
+    }
+    agent.announcement().slots.0 / entries as u32
+}
--- a/crates/coordination/src/routing/counter.rs
+++ b/crates/coordination/src/routing/counter.rs
@@ -1,6 +1,9 @@
 //! This entry's requests at one endpoint, beside the newest report from it.
 
-use {crate::membership::Agent, filbertbend_state::id};
+use {
+    crate::membership::Agent,
+    filbertbend_state::{id, time::Instant},
+};
 
 /// Counts own requests, which the newest report may include or not.
 #[derive(Clone, Debug, Default)]
@@ -13,8 +16,8 @@
     /// The number of that report.
     pub(super) report: u64,
     pub(super) incarnation: id::Incarnation,
-    /// Set by a refusal, until the next report.
-    pub(super) full: bool,
+    /// Set by a refusal; the next report ends it sooner.
+    pub(super) full_until: Instant,
 }
 
 impl Counter {
--- a/crates/coordination/src/routing/tier.rs
+++ b/crates/coordination/src/routing/tier.rs
@@ -27,6 +27,8 @@
     /// The service time weighted by use, which tells endpoints without a wait
     /// apart.
     pub(super) pressure_ms: f64,
+    /// Whether the next slot there belongs to another entry's part.
+    pub(super) is_borrowed: bool,
 }
 
 impl Estimate<'_> {
--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -155,7 +155,10 @@
         if !std::mem::replace(&mut self.ended, true) {
             let mut state = self.desk.lock();
             let state = &mut *state;
-            state.router.ended(&state.directory, &self.endpoint, end);
+            let now = clock::monotonic();
+            state
+                .router
+                .ended(now, &state.directory, &self.endpoint, end);
         }
     }
 }
@@ -256,7 +259,9 @@
         let choice = state.router.pick(now, &state.directory, &ask)?;
         let Some(peer) = state.peers.get(&choice.connection) else {
             let end = routing::End::Taken;
-            state.router.ended(&state.directory, &choice.endpoint, end);
+            state
+                .router
+                .ended(now, &state.directory, &choice.endpoint, end);
             return Err(routing::Refusal {
                 reason: Reason::NoEndpoint,
                 retry_after: RETRY_AFTER,
