Measure what heartbeats cost by the number of members

The bench drives every beacon and directory of a region in simulated time, encodes and decodes the real frames and measures the processor time. QUIC and UDP are not run; each exchange counts three datagrams of 58 bytes overhead.

--- a/crates/bench/benches/membership.rs
+++ b/crates/bench/benches/membership.rs
@@ -1,3 +1,353 @@
-//! To be written.
+//! Bytes and processor time that heartbeats take, by the number of members.
+//!
+//! Every agent keeps a connection to each of 10 entries. Simulated time decides
+//! when something is sent; the messages are encoded and decoded as on the wire
+//! and the processor time of that and of the state machines is measured. QUIC,
+//! UDP and IP are not run; their bytes are added as datagrams of a fixed
+//! overhead, and their processor time is not included.
 
-fn main() {}
+use {
+    filbertbend_bench::figure::Figure,
+    filbertbend_coordination::membership::{
+        Announcement, Beacon, BeaconAction, BeaconEvent, Connection, Directory, DirectoryAction,
+        DirectoryEvent, Hello, Load, Member, Settings,
+    },
+    filbertbend_protocol::{
+        message::Control,
+        wire::{self, HEADER_BYTES},
+    },
+    filbertbend_state::{
+        config::Snapshot,
+        id,
+        room::Room,
+        time::Instant,
+        unit::{Bytes, Connections, Cores, Millis, Slots},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant as Clock},
+    },
+};
+
+const ENTRIES: u16 = 10;
+const MEMBERS: [usize; 5] = [10, 50, 100, 200, 300];
+const WARM_MS: u64 = 5_000;
+const LENGTH_MS: u64 = 65_000;
+const STEP_MS: u64 = 10;
+const DIRECTORY_TICK_MS: u64 = 100;
+/// IPv4, UDP and QUIC headers with the authentication tag, for each datagram.
+const DATAGRAM_BYTES: u64 = 20 + 8 + 30;
+/// Heartbeat, pulse, and the acknowledgement of the pulse.
+const DATAGRAMS_PER_EXCHANGE: u64 = 3;
+/// Agents in one of 8 regions with 18,000 workers.
+const REGION_AGENTS: f64 = 2250.0;
+const NODE_BYTES_PER_SECOND: f64 = 3.0 * 1024.0;
+/// 1.2% of a core.
+const NODE_MICROS_PER_SECOND: f64 = 12_000.0;
+
+/// What a kind of node spent in all nodes together.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spent {
+    frame_bytes: u64,
+    exchanges: u64,
+    busy: Duration,
+}
+
+/// What one node spends in a second.
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    members: f64,
+    bytes: f64,
+    micros: f64,
+}
+
+impl Spent {
+    fn rate(&self, members: usize, nodes: usize) -> Rate {
+        let node_seconds = nodes as f64 * (LENGTH_MS - WARM_MS) as f64 / 1000.0;
+        let datagrams = self.exchanges * DATAGRAMS_PER_EXCHANGE;
+        let bytes = self.frame_bytes + datagrams * DATAGRAM_BYTES;
+        Rate {
+            members: members as f64,
+            bytes: bytes as f64 / node_seconds,
+            micros: self.busy.as_secs_f64() * 1e6 / node_seconds,
+        }
+    }
+}
+
+fn member(index: u16) -> Member {
+    Member {
+        entry: id::Entry::new(format!("entry-{index}")).expect("the name is valid"),
+        address: SocketAddr::from(([10, 0, 0, 1], 7000 + index)),
+        data_centre: id::DataCentre::new("xela").expect("the name is valid"),
+        incarnation: id::Incarnation(1_796_000_000_000),
+    }
+}
+
+fn announcement(index: usize) -> Announcement {
+    Announcement {
+        endpoint: id::Endpoint::new(format!("runner-{index}")).expect("the name is valid"),
+        worker: id::Worker::new(format!("worker-{index}")).expect("the name is valid"),
+        incarnation: id::Incarnation(1_796_000_000_000),
+        data_centre: id::DataCentre::new("xela").expect("the name is valid"),
+        rack: id::Rack::new("rack-1").expect("the name is valid"),
+        services: vec![id::Service::new("spacing-check").expect("the name is valid")],
+        slots: Slots(8),
+        connections: Connections(64),
+        room: room(),
+    }
+}
+
+fn room() -> Room {
+    Room {
+        cores: Cores(64_000),
+        memory: Bytes(250 << 30),
+        ..Room::NONE
+    }
+}
+
+fn load() -> Load {
+    Load {
+        free: room(),
+        slots_used: Slots(5),
+        connections_used: Connections(40),
+        queue: Millis(3),
+        service_time: Millis(180),
+        leaving: false,
+    }
+}
+
+struct Agent {
+    announcement: Announcement,
+    beacon: Beacon,
+    /// The entry of each of the agent's connections.
+    entries: BTreeMap<Connection, usize>,
+}
+
+struct Region {
+    agents: Vec<Agent>,
+    directories: Vec<Directory>,
+    agent: Spent,
+    entry: Spent,
+}
+
+/// The number that an entry gives to an agent's connection.
+fn accepted(agent: usize, connection: Connection) -> Connection {
+    Connection(agent as u64 * 1000 + connection.0)
+}
+
+impl Region {
+    fn new(agents: usize) -> Self {
+        let config = Arc::new(Snapshot {
+            revision: id::Revision(100_000),
+            ..Snapshot::default()
+        });
+        let members: Vec<Member> = (0..ENTRIES).map(member).collect();
+        let directories = members
+            .iter()
+            .map(|own| {
+                let mut directory = Directory::new(own.clone());
+                for event in [
+                    DirectoryEvent::Listed(members.clone()),
+                    DirectoryEvent::Configured(config.clone()),
+                ] {
+                    directory.step(Instant(0), event, &mut Vec::new());
+                }
+                directory
+            })
+            .collect();
+        let agents = (0..agents)
+            .map(|index| Agent {
+                announcement: announcement(index),
+                beacon: Beacon::new(Settings {
+                    seeds: members.iter().map(|member| member.address).collect(),
+                    own: None,
+                    seed: index as u64,
+                }),
+                entries: BTreeMap::new(),
+            })
+            .collect();
+        Self {
+            agents,
+            directories,
+            agent: Spent::default(),
+            entry: Spent::default(),
+        }
+    }
+
+    fn run(&mut self) {
+        for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
+            let now = Instant(now_ms);
+            if now_ms == WARM_MS {
+                self.agent = Spent::default();
+                self.entry = Spent::default();
+            }
+            for agent in 0..self.agents.len() {
+                // Agents start at different times within the first second.
+                let started = now_ms >= agent as u64 * 37 % 1000 / STEP_MS * STEP_MS;
+                let due = self.agents[agent].beacon.wake().is_none_or(|at| at <= now);
+                if started && due {
+                    self.step_agent(now, agent, BeaconEvent::Load(load()));
+                }
+            }
+            if now_ms.is_multiple_of(DIRECTORY_TICK_MS) {
+                let began = Clock::now();
+                for directory in &mut self.directories {
+                    directory.step(now, DirectoryEvent::Tick, &mut Vec::new());
+                }
+                self.entry.busy += began.elapsed();
+            }
+        }
+    }
+
+    fn step_agent(&mut self, now: Instant, index: usize, event: BeaconEvent) {
+        let mut actions = Vec::new();
+        let began = Clock::now();
+        self.agents[index].beacon.step(now, event, &mut actions);
+        self.agent.busy += began.elapsed();
+        for action in actions {
+            match action {
+                BeaconAction::Dial {
+                    connection,
+                    address,
+                } => self.dialled(now, index, connection, address),
+                BeaconAction::Send {
+                    connection,
+                    heartbeat,
+                } => {
+                    let began = Clock::now();
+                    let frame = wire::encode(&Control::Heartbeat(heartbeat)).expect("it encodes");
+                    self.agent.busy += began.elapsed();
+                    self.heartbeat(now, index, connection, &frame);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn dialled(&mut self, now: Instant, index: usize, connection: Connection, to: SocketAddr) {
+        let entry = usize::from(to.port() - 7000);
+        self.agents[index].entries.insert(connection, entry);
+        let hello = DirectoryEvent::Hello {
+            connection: accepted(index, connection),
+            accepted: now,
+            hello: Hello::Agent(self.agents[index].announcement.clone()),
+        };
+        self.directories[entry].step(now, hello, &mut Vec::new());
+        self.step_agent(now, index, BeaconEvent::Opened { connection });
+    }
+
+    /// Delivers a heartbeat to its entry, and the pulse back.
+    fn heartbeat(&mut self, now: Instant, index: usize, connection: Connection, frame: &[u8]) {
+        let entry = self.agents[index].entries[&connection];
+        let mut actions = Vec::new();
+        let began = Clock::now();
+        let Ok(Control::Heartbeat(heartbeat)) = wire::decode(&frame[HEADER_BYTES..]) else {
+            panic!("the frame is not a heartbeat");
+        };
+        let event = DirectoryEvent::Heartbeat {
+            connection: accepted(index, connection),
+            heartbeat,
+        };
+        self.directories[entry].step(now, event, &mut actions);
+        let pulse = actions.into_iter().find_map(|action| match action {
+            DirectoryAction::Pulse { pulse, .. } => Some(pulse),
+            _ => None,
+        });
+        let answer = wire::encode(&Control::Pulse(pulse.expect("it is answered")));
+        let answer = answer.expect("it encodes");
+        self.entry.busy += began.elapsed();
+        self.count(frame.len() + answer.len());
+        let began = Clock::now();
+        let Ok(Control::Pulse(pulse)) = wire::decode(&answer[HEADER_BYTES..]) else {
+            panic!("the frame is not a pulse");
+        };
+        self.agent.busy += began.elapsed();
+        self.step_agent(now, index, BeaconEvent::Pulse { connection, pulse });
+    }
+
+    fn count(&mut self, frame_bytes: usize) {
+        for spent in [&mut self.agent, &mut self.entry] {
+            spent.frame_bytes += frame_bytes as u64;
+            spent.exchanges += 1;
+        }
+    }
+}
+
+/// A least-squares line through points.
+struct Line {
+    slope: f64,
+    base: f64,
+}
+
+impl Line {
+    fn through(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let covariance: f64 = points
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y - mean_y))
+            .sum();
+        let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        let slope = covariance / variance;
+        Self {
+            slope,
+            base: mean_y - slope * mean_x,
+        }
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
+
+fn report(role: &str, rates: &[Rate]) {
+    for rate in rates {
+        println!(
+            "{role} with {} agents: {:.0} B/s, {:.1} us/s",
+            rate.members, rate.bytes, rate.micros
+        );
+    }
+    let line = |value: fn(&Rate) -> f64| {
+        let points: Vec<_> = rates
+            .iter()
+            .map(|rate| (rate.members, value(rate)))
+            .collect();
+        Line::through(&points)
+    };
+    let (bytes, micros) = (line(|rate| rate.bytes), line(|rate| rate.micros));
+    println!(
+        "{role} slope: {:.3} B/s and {:.3} us/s for each agent",
+        bytes.slope, micros.slope
+    );
+    for (size, agents) in [("today", 10.0), ("300", 300.0), ("region", REGION_AGENTS)] {
+        let prefix = format!("membership.{role}.{size}");
+        let bytes = bytes.at(agents);
+        let micros = micros.at(agents);
+        let name = format!("{prefix}.bytes");
+        println!(
+            "{}",
+            Figure::at_most(name, bytes, "B/s", NODE_BYTES_PER_SECOND)
+        );
+        let name = format!("{prefix}.processor");
+        println!(
+            "{}",
+            Figure::at_most(name, micros, "us/s", NODE_MICROS_PER_SECOND)
+        );
+    }
+}
+
+fn main() {
+    let mut agents = Vec::new();
+    let mut entries = Vec::new();
+    for members in MEMBERS {
+        let mut region = Region::new(members);
+        region.run();
+        agents.push(region.agent.rate(members, members));
+        entries.push(region.entry.rate(members, usize::from(ENTRIES)));
+    }
+    report("agent", &agents);
+    report("entry", &entries);
+}
