Test what callers expect of HTTP, and fix what the tests show

Faults that the tests found, now fixed:

- A body over the limit without a stated length was answered 502 `unknown` instead of 413: only a broken stream was checked for the caller's fault.
Reading the rest of the body in the handler was ruled out: it would send `100 Continue` to a caller that waits for it.
- Rejections by the router (405, wrong query, undecodable path, 413 for jobs) were plain text without an outcome.
All have the JSON form now.
- A header over the limit got a bare 431; up to twice the limit it is now explained.
- Answers with a stated length, with trailers and to HEAD requests were counted as `broken`, because the server does not ask for their end.
- `limits.job_body` was ignored in favour of a constant of 512 KiB.
- A path with bytes that are not UTF-8 when decoded was refused, although it is the endpoint's own.
- Trailers of endpoints were lost, because the agent sent no `TE`.

--- a/crates/agent/src/serve/endpoint.rs
+++ b/crates/agent/src/serve/endpoint.rs
@@ -10,7 +10,7 @@
     filbertbend_protocol::message::Request,
     filbertbend_state::time::Instant,
     filbertbend_transport::http::headers,
-    http::{header, uri::PathAndQuery, Method, Uri},
+    http::{header, uri::PathAndQuery, HeaderValue, Method, Uri},
     http_body::Body,
     http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -88,6 +88,9 @@
         *message.uri_mut() = self.uri(&request.path)?;
         *message.headers_mut() = headers(&request.headers);
         message.headers_mut().remove(header::HOST);
+        // Without this, an endpoint leaves out its trailers.
+        let trailers = HeaderValue::from_static("trailers");
+        message.headers_mut().insert(header::TE, trailers);
         Ok(self.pool.request(message).await?)
     }
 
--- a/crates/filbertbend/src/serve/answer.rs
+++ b/crates/filbertbend/src/serve/answer.rs
@@ -17,6 +17,9 @@
 /// The header that carries the outcome on every answer.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("x-filbertbend-outcome");
 
+/// What [`OUTCOME`] carries while a job or order has not ended.
+pub(crate) const PENDING: &str = "pending";
+
 /// The JSON body of an answer without an endpoint's answer.
 #[derive(Debug, Serialize)]
 struct Document<'a> {
@@ -64,12 +67,18 @@
             message: message.into(),
         }
     }
+
+    /// Replaces the message.
+    pub(crate) fn explained(self, message: String) -> Self {
+        Self { message, ..self }
+    }
 }
 
 /// Returns the name of an outcome as it stands in headers, bodies and metrics.
 pub(crate) fn name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Done => "done",
+        Outcome::Refused { reason, .. } if is_invalid(*reason) => "invalid",
         Outcome::Refused { .. } => "refused",
         Outcome::Unknown => "unknown",
         Outcome::Expired { .. } => "expired",
@@ -81,10 +90,7 @@
 fn explain(outcome: &Outcome) -> (StatusCode, &'static str) {
     match outcome {
         Outcome::Done => (StatusCode::OK, "the request is done"),
-        Outcome::Refused { reason, .. } => (
-            refusal_status(*reason),
-            "the request was refused and did not run",
-        ),
+        Outcome::Refused { reason, .. } => (refusal_status(*reason), refusal_message(*reason)),
         Outcome::Unknown => (
             StatusCode::BAD_GATEWAY,
             "the request may have run; ask again with the same key",
@@ -98,7 +104,27 @@
             "the deadline passed; the request may have run",
         ),
         Outcome::Cancelled => (StatusCode::CONFLICT, "the request was cancelled"),
-        Outcome::Invalid => (StatusCode::BAD_REQUEST, "the request is not valid"),
+        Outcome::Invalid => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the key or sequence number was used before for another request",
+        ),
+    }
+}
+
+/// Tells whether the request is itself wrong, so that no retry can help.
+fn is_invalid(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::KeyReused | Reason::TooLarge | Reason::UnknownService
+    )
+}
+
+fn refusal_message(reason: Reason) -> &'static str {
+    match reason {
+        Reason::KeyReused => "the idempotency key was used before with another body",
+        Reason::TooLarge => "a task of the service is larger than every worker",
+        Reason::UnknownService => "the service is not in the configuration in force",
+        _ => "the request was refused and did not run",
     }
 }
 
@@ -117,6 +143,7 @@
 impl IntoResponse for Answer {
     fn into_response(self) -> Response<Body> {
         let (reason, retry_after_ms) = match self.outcome {
+            Outcome::Refused { reason, .. } if is_invalid(reason) => (Some(reason), None),
             Outcome::Refused {
                 reason,
                 retry_after_ms,
@@ -124,7 +151,10 @@
             _ => (None, None),
         };
         let ran = match self.outcome {
-            Outcome::Unknown | Outcome::Expired { ran: Ran::Unknown } => Ran::Unknown,
+            // A cancelled job may have run for a while.
+            Outcome::Unknown | Outcome::Cancelled | Outcome::Expired { ran: Ran::Unknown } => {
+                Ran::Unknown
+            }
             _ => Ran::No,
         };
         let outcome = name(&self.outcome);
--- a/crates/filbertbend/src/serve/check.rs
+++ b/crates/filbertbend/src/serve/check.rs
@@ -11,7 +11,7 @@
     axum::{
         body::Body,
         extract::Request,
-        http::{header, request::Parts, HeaderValue, StatusCode},
+        http::{header, request::Parts, HeaderMap, HeaderValue, Method, StatusCode},
         response::{IntoResponse, Response},
     },
     filbertbend_coordination::routing,
@@ -61,7 +61,7 @@
     let observation = Observation::start(&declaration, &terms);
     let outcome = admitted(front, &declaration, &terms, &parts, body).await;
     match outcome {
-        Ok(reply) => Ok(reply.into_response(observation)),
+        Ok(reply) => Ok(reply.into_response(&parts.method, observation)),
         Err(outcome) => {
             observation.end(&outcome);
             if outcome == Outcome::Invalid {
@@ -75,7 +75,7 @@
 }
 
 fn check_length(parts: &Parts, limit: usize, id: id::Request) -> Result<(), Answer> {
-    match content_length(parts) {
+    match content_length(&parts.headers) {
         Some(length) if length > limit as u64 => Err(Answer::invalid(
             StatusCode::PAYLOAD_TOO_LARGE,
             id,
@@ -85,8 +85,8 @@
     }
 }
 
-fn content_length(parts: &Parts) -> Option<u64> {
-    let value = parts.headers.get(header::CONTENT_LENGTH)?;
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
 }
 
@@ -116,22 +116,28 @@
 }
 
 fn body_is_small(parts: &Parts) -> bool {
-    content_length(parts).is_some_and(|length| length <= REPLAY_LIMIT_BYTES)
+    content_length(&parts.headers).is_some_and(|length| length <= REPLAY_LIMIT_BYTES)
 }
 
 impl Reply {
-    fn into_response(self, observation: Observation) -> Response {
+    fn into_response(self, method: &Method, observation: Observation) -> Response {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = headers(&self.headers);
+        let length = match status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Some(0),
+            _ if method == Method::HEAD => Some(0),
+            _ => content_length(&headers),
+        };
         let (permit, mut attempt) = (self.permit, self.attempt);
         let body = Body::new(receive_body(self.receiver, self.deadline));
-        let body = Body::new(Watched::new(body, move |complete| {
+        let body = Body::new(Watched::new(body, length, move |complete| {
             attempt.end(routing::End::Taken);
             let _ = &permit;
             observation.complete(complete);
         }));
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        *response.headers_mut() = headers(&self.headers);
+        *response.headers_mut() = headers;
         response
             .headers_mut()
             .insert(OUTCOME, HeaderValue::from_static("done"));
--- a/crates/filbertbend/src/serve/exchange.rs
+++ b/crates/filbertbend/src/serve/exchange.rs
@@ -312,6 +312,7 @@
         Err(_) if upload.body_broke() => return Err(Failure::Body),
         Err(error) => return Err(broken(error)),
     };
+    let body_broke = upload.body_broke();
     upload.release(&response);
     match response {
         Response::Head { status, headers } => Ok(Answered {
@@ -328,6 +329,7 @@
         }
         .into()),
         Response::Expired { started } => Err(retry::End::Expired { started }.into()),
+        Response::Broken if body_broke => Err(Failure::Body),
         Response::Broken => Err(retry::End::Broken.into()),
     }
 }
--- a/crates/filbertbend/src/serve/front.rs
+++ b/crates/filbertbend/src/serve/front.rs
@@ -3,10 +3,12 @@
 //! `docs/guide.md` describes it for callers.
 
 use {
-    super::{answer::Answer, check, control, desk::Desk, jobs},
+    super::{answer::Answer, check, control, desk::Desk, guard, jobs},
+    crate::settings::Limits,
     axum::{
-        extract::{DefaultBodyLimit, Path, Request, State},
+        extract::{DefaultBodyLimit, Request, State},
         http::{HeaderMap, StatusCode},
+        middleware::from_fn_with_state,
         response::{IntoResponse, Response},
         routing::{any, get, post},
         Router,
@@ -37,8 +39,12 @@
     snapshot: watch::Receiver<Arc<Snapshot>>,
     /// The number of slices.
     pub(crate) slices: u16,
-    /// Largest body of a request, in bytes.
+    /// Largest header of a request, in bytes.
+    pub(crate) header_limit_bytes: usize,
+    /// Largest body of a quick check, in bytes.
     pub(crate) body_limit_bytes: usize,
+    /// Largest body of a job or order, in bytes.
+    pub(crate) job_body_limit_bytes: usize,
     next_request: AtomicU64,
 }
 
@@ -51,7 +57,7 @@
         control: control::Handle,
         snapshot: watch::Receiver<Arc<Snapshot>>,
         slices: u16,
-        body_limit_bytes: usize,
+        limits: &Limits,
     ) -> Self {
         let first = hash::of(format!("{entry}/{}", clock::wall().0)) >> 24 << 16;
         Self {
@@ -60,7 +66,9 @@
             control,
             snapshot,
             slices,
-            body_limit_bytes,
+            header_limit_bytes: limits.header.0 as usize,
+            body_limit_bytes: limits.body.0 as usize,
+            job_body_limit_bytes: limits.job_body.0 as usize,
             next_request: AtomicU64::new(first),
         }
     }
@@ -175,11 +183,11 @@
 
 /// Builds the callers' routes.
 pub(crate) fn router(front: Arc<Front>) -> Router {
-    let body_limit_bytes = front.body_limit_bytes;
+    let limit_bytes = front.job_body_limit_bytes;
     Router::new()
-        .route("/v1/check/{service}", any(check_root))
-        .route("/v1/check/{service}/", any(check_root))
-        .route("/v1/check/{service}/{*path}", any(check_path))
+        .route("/v1/check/{service}", any(check))
+        .route("/v1/check/{service}/", any(check))
+        .route("/v1/check/{service}/{*path}", any(check))
         .route(
             "/v1/jobs/{name}",
             post(jobs::submit).get(jobs::status).delete(jobs::cancel),
@@ -188,23 +196,17 @@
         .route("/v1/orders/{service}", post(jobs::order))
         .route("/v1/orders/{service}/{customer}/{key}", get(jobs::ask))
         .fallback(not_found)
-        .layer(DefaultBodyLimit::max(body_limit_bytes))
+        .layer(DefaultBodyLimit::max(limit_bytes))
+        .layer(from_fn_with_state(front.clone(), guard::guard))
         .with_state(front)
 }
 
-async fn check_root(
-    State(front): State<Arc<Front>>,
-    Path(service): Path<String>,
-    request: Request,
-) -> Response {
-    check::handle(front, &service, request).await
-}
-
-async fn check_path(
-    State(front): State<Arc<Front>>,
-    Path((service, _)): Path<(String, String)>,
-    request: Request,
-) -> Response {
+/// Serves a quick check. The service is taken from the path as it was sent:
+/// the rest is the endpoint's own and need not be UTF-8 when decoded.
+async fn check(State(front): State<Arc<Front>>, request: Request) -> Response {
+    let path = request.uri().path();
+    let rest = path.strip_prefix("/v1/check/").unwrap_or_default();
+    let service = rest.split('/').next().unwrap_or_default().to_owned();
     check::handle(front, &service, request).await
 }
 
--- /dev/null
+++ b/crates/filbertbend/src/serve/guard.rs
@@ -0,0 +1,87 @@
+//! What holds for every route of the callers' interface: the bound on headers
+//! and an outcome on every answer.
+
+use {
+    super::{
+        answer::{Answer, OUTCOME},
+        front::Front,
+    },
+    axum::{
+        body::to_bytes,
+        extract::{Request, State},
+        http::{header, HeaderMap, HeaderValue, StatusCode, Version},
+        middleware::Next,
+        response::{IntoResponse, Response},
+    },
+    http_body::Body,
+    std::sync::Arc,
+};
+
+/// Size of a body that the server skips by itself, in bytes; its first read
+/// buffer.
+const UNREAD_LIMIT_BYTES: u64 = 8192;
+/// Longest text of a rejection that is passed on, in bytes.
+const TEXT_LIMIT_BYTES: usize = 1024;
+/// What a header field takes beside its name and value, as HTTP/2 counts it.
+const FIELD_BYTES: usize = 32;
+
+/// Bounds the header and states the outcome of rejections by the router.
+pub(crate) async fn guard(
+    State(front): State<Arc<Front>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let limit = front.header_limit_bytes;
+    if header_bytes(request.headers()) > limit {
+        let message = format!("the header is over {limit} bytes");
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Answer::invalid(status, front.request(), message).into_response();
+    }
+    let closes = request.version() < Version::HTTP_2 && is_large(&request);
+    let mut response = next.run(request).await;
+    let is_stated = response.headers().contains_key(OUTCOME);
+    if response.status().is_client_error() && !is_stated {
+        response = stated(&front, response).await;
+    }
+    if closes
+        && response
+            .headers()
+            .get(OUTCOME)
+            .is_none_or(|outcome| outcome != "done")
+    {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Tells whether the server would close the connection if the body were left
+/// unread, so that the caller has to know before it sends another request.
+fn is_large(request: &Request) -> bool {
+    let size = request.body().size_hint();
+    size.upper().is_none_or(|bytes| bytes > UNREAD_LIMIT_BYTES)
+}
+
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES)
+        .sum()
+}
+
+/// Gives a rejection of the router the form of all other answers.
+async fn stated(front: &Front, response: Response) -> Response {
+    let (parts, body) = response.into_parts();
+    let text = to_bytes(body, TEXT_LIMIT_BYTES).await;
+    let text = text.unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
+    let message = match (text.trim(), parts.status) {
+        ("", status) => status.canonical_reason().unwrap_or_default(),
+        (text, _) => text,
+    };
+    let mut answer = Answer::invalid(parts.status, front.request(), message).into_response();
+    if let Some(allow) = parts.headers.get(header::ALLOW) {
+        answer.headers_mut().insert(header::ALLOW, allow.clone());
+    }
+    answer
+}
--- a/crates/filbertbend/src/serve/jobs.rs
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{Answer, OUTCOME},
+        answer::{Answer, OUTCOME, PENDING},
         front::{field, segment, Front, Terms},
     },
     axum::{
@@ -30,9 +30,6 @@
     ulid::Ulid,
 };
 
-/// Largest input of a job or order, in bytes; it becomes part of one store
-/// value of at most 1 MiB.
-const INPUT_LIMIT_BYTES: usize = 512 << 10;
 /// Most tasks of one job.
 const TASKS_LIMIT: u32 = 4096;
 /// How long a call waits for an owner when the caller states no deadline.
@@ -80,7 +77,6 @@
 ) -> Result<Response, Answer> {
     let declaration = declared(front, service, Kind::Job, request)?;
     let terms = Terms::read(headers, &declaration, &front.snapshot(), request)?;
-    check_input(&body, request)?;
     let tasks = query.tasks.unwrap_or(1);
     if !(1..=TASKS_LIMIT).contains(&tasks) {
         let message = format!("tasks must be from 1 to {TASKS_LIMIT}");
@@ -105,7 +101,7 @@
             let document = Json(json!({ "job": job, "request": request }));
             Ok(done(StatusCode::ACCEPTED, document))
         }
-        other => Err(failed(other, request)),
+        other => unsuccessful(other, request),
     }
 }
 
@@ -129,7 +125,6 @@
 ) -> Result<Response, Answer> {
     let declaration = declared(front, service, Kind::Order, request)?;
     let terms = Terms::read(headers, &declaration, &front.snapshot(), request)?;
-    check_input(&body, request)?;
     let key: id::Key = required(headers, "idempotency-key", request)?;
     let customer: id::Customer = required(headers, "x-customer", request)?;
     let sequence: u64 = required(headers, "x-sequence", request)?;
@@ -189,7 +184,7 @@
                 return Ok(done(StatusCode::OK, Json(status)));
             }
             job::Answer::Status(_) => tokio::time::sleep(WATCH_INTERVAL).await,
-            other => return Err(failed(other, request)),
+            other => return unsuccessful(other, request),
         }
     }
 }
@@ -204,7 +199,7 @@
     let job = segment(&job, request)?;
     let outputs = match front.job_call(Call::Result(job), job).await {
         job::Answer::Outputs(outputs) => outputs,
-        other => return Err(failed(other, request)),
+        other => return unsuccessful(other, request),
     };
     match (query.task, outputs.as_slice()) {
         (None, [output]) => Ok(output_response(output.clone())),
@@ -233,7 +228,7 @@
             let document = Json(json!({ "job": job, "phase": "cancelled" }));
             Ok(done(StatusCode::OK, document))
         }
-        other => Err(failed(other, request)),
+        other => unsuccessful(other, request),
     }
 }
 
@@ -261,18 +256,6 @@
     Err(Answer::invalid(StatusCode::NOT_FOUND, request, message))
 }
 
-fn check_input(body: &Bytes, request: id::Request) -> Result<(), Answer> {
-    if body.len() <= INPUT_LIMIT_BYTES {
-        return Ok(());
-    }
-    let message = format!("input of {} bytes is over {INPUT_LIMIT_BYTES}", body.len());
-    Err(Answer::invalid(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        request,
-        message,
-    ))
-}
-
 fn required<T>(headers: &HeaderMap, name: &'static str, request: id::Request) -> Result<T, Answer>
 where
     T: std::str::FromStr,
@@ -317,13 +300,18 @@
 fn recorded(answer: job::Answer, request: id::Request) -> Result<Response, Answer> {
     match answer {
         job::Answer::Output(output) => Ok(output_response(output)),
-        job::Answer::Pending(status) => Ok(pending(StatusCode::ACCEPTED, status)),
-        other => Err(failed(other, request)),
+        other => unsuccessful(other, request),
     }
 }
 
-fn pending(code: StatusCode, status: Status) -> Response {
-    (code, Json(status)).into_response()
+/// Answers that a job or order has not ended. This is not `done`, so that
+/// nobody takes an order for carried out that is still waiting.
+fn pending(status: Status) -> Response {
+    let mut response = (StatusCode::ACCEPTED, Json(status)).into_response();
+    response
+        .headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static(PENDING));
+    response
 }
 
 fn done(code: StatusCode, body: impl IntoResponse) -> Response {
@@ -359,24 +347,29 @@
 }
 
 /// Turns an answer that is no success into the caller's answer.
-fn failed(answer: job::Answer, request: id::Request) -> Answer {
+fn unsuccessful(answer: job::Answer, request: id::Request) -> Result<Response, Answer> {
     match answer {
-        job::Answer::Outcome(outcome) => Answer::new(outcome, request),
-        job::Answer::Pending(status) => Answer::invalid(
-            StatusCode::CONFLICT,
-            request,
-            format!(
-                "job {} is {}; it has no result yet",
-                status.job, status.phase
-            ),
-        ),
-        job::Answer::Status(status) => Answer::new(outcome_of(&status), request),
-        _ => Answer::invalid(
+        job::Answer::Pending(status) => Ok(pending(status)),
+        job::Answer::Outcome(outcome) => Err(Answer::new(outcome, request)),
+        job::Answer::Status(status) => Err(ended(&status, request)),
+        _ => Err(Answer::invalid(
             StatusCode::NOT_FOUND,
             request,
             "no such job or order, or its result is no longer kept",
-        ),
+        )),
+    }
+}
+
+/// Answers for a job that ended without an output.
+fn ended(status: &Status, request: id::Request) -> Answer {
+    let answer = Answer::new(outcome_of(status), request);
+    if status.phase != job::Phase::Failed {
+        return answer;
     }
+    let tries = status.trials.len();
+    answer.explained(format!(
+        "the job failed in {tries} tries; its status lists them"
+    ))
 }
 
 fn outcome_of(status: &Status) -> Outcome {
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod dial;
 mod exchange;
 mod front;
+mod guard;
 mod inspect;
 mod jobs;
 mod links;
@@ -146,7 +147,7 @@
         control.clone(),
         snapshots,
         settings.slices,
-        settings.limits.body.0 as usize,
+        &settings.limits,
     ));
     let router = operators::router(metrics, readiness).merge(inspect::router(front.clone()));
     tokio::spawn(http::serve(operators, router, OPERATOR_LIMITS, never));
--- a/crates/filbertbend/src/serve/upload.rs
+++ b/crates/filbertbend/src/serve/upload.rs
@@ -5,6 +5,7 @@
     filbertbend_protocol::message::Response,
     filbertbend_transport::{http::send_body, link::Sender},
     http_body::Body,
+    http_body_util::BodyExt,
     std::sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -27,10 +28,10 @@
     {
         let broke = Arc::new(AtomicBool::new(false));
         let flag = broke.clone();
+        // Set before the agent learns of it, because its answer may come at once.
+        let body = body.map_err(move |_| flag.store(true, Ordering::SeqCst));
         let task = tokio::spawn(async move {
-            if let Ok(false) = send_body(&mut sender, body).await {
-                flag.store(true, Ordering::SeqCst);
-            }
+            let _ = send_body(&mut sender, body).await;
         });
         Self {
             task: Some(task),
--- a/crates/filbertbend/src/serve/watched.rs
+++ b/crates/filbertbend/src/serve/watched.rs
@@ -11,17 +11,34 @@
 
 /// Calls a function once: with true when the body was complete, with false
 /// when it broke or was dropped before its end.
+///
+/// A server reads a body of stated length no further than that length, so the
+/// last byte counts as the end.
 pub(crate) struct Watched<B, F: FnOnce(bool)> {
     body: B,
+    /// Bytes that are still to come, if the length is known.
+    left: Option<u64>,
     ended: Option<F>,
 }
 
 impl<B, F: FnOnce(bool)> Watched<B, F> {
-    /// Watches `body`.
-    pub(crate) fn new(body: B, ended: F) -> Self {
-        Self {
+    /// Watches `body`, which has `length` bytes if that is known.
+    pub(crate) fn new(body: B, length: Option<u64>, ended: F) -> Self {
+        let mut watched = Self {
             body,
+            left: length,
             ended: Some(ended),
+        };
+        watched.count(0);
+        watched
+    }
+
+    fn count(&mut self, bytes: u64) {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(bytes);
+            if *left == 0 {
+                self.end(true);
+            }
         }
     }
 
@@ -48,7 +65,9 @@
         match &frame {
             None => self.end(true),
             Some(Err(_)) => self.end(false),
-            Some(Ok(_)) => {}
+            // Trailers are the last frame; a server may not ask for the end.
+            Some(Ok(frame)) if frame.is_trailers() => self.end(true),
+            Some(Ok(frame)) => self.count(frame.data_ref().map_or(0, Bytes::len) as u64),
         }
         Poll::Ready(frame)
     }
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -1,6 +1,7 @@
 //! An HTTP server with limits and a graceful end, for callers and operators.
 
 use {
+    crate::linger::Lingering,
     axum::Router,
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -10,13 +11,16 @@
     spdlog::prelude::*,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::TcpListener,
         sync::{watch, Semaphore},
     },
 };
 
 /// How long a caller may take to send a whole header.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// A header up to this many times the limit is still read, so that the router
+/// can refuse it with an explanation; a larger one gets a bare 431.
+const HEADROOM: usize = 2;
 /// How long to wait after a failed accept, which is mostly a lack of file
 /// descriptors that only time mends.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -46,7 +50,7 @@
             accepted = accept(&listener, &permits) => accepted,
             () = stopped(&mut stop) => break,
         };
-        let Some((stream, peer, permit)) = accepted else {
+        let Some((stream, peer)) = accepted else {
             continue;
         };
         let service = TowerToHyperService::new(router.clone());
@@ -58,7 +62,6 @@
             if let Err(error) = watched.await {
                 debug!("caller's connection broken", kv: { peer:, error: });
             }
-            drop(permit);
         });
     }
     drop(listener);
@@ -78,7 +81,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(limits.header_bytes.max(8192));
+        .max_buf_size(limits.header_bytes.max(8192) * HEADROOM);
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -90,14 +93,14 @@
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(Lingering, SocketAddr)> {
     let permit = permits.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((stream, peer)) => {
             // Without this, small answers wait for the peer's delayed
             // acknowledgement.
             let _ = stream.set_nodelay(true);
-            Some((stream, peer, permit))
+            Some((Lingering::new(stream, permit), peer))
         }
         Err(error) => {
             warn!("connection not accepted", kv: { error: });
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod http;
 pub mod keys;
+mod linger;
 pub mod log;
 pub mod operators;
 pub mod signal;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -47,11 +47,22 @@
 impl Client {
     /// Makes a caller of the entry at `address`.
     pub fn new(address: SocketAddr) -> Self {
+        Self::build(address, false)
+    }
+
+    /// Makes a caller that speaks HTTP/2 with prior knowledge.
+    pub fn http2(address: SocketAddr) -> Self {
+        Self::build(address, true)
+    }
+
+    fn build(address: SocketAddr, http2: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         Self {
             address,
-            pool: Pool::builder(TokioExecutor::new()).build(connector),
+            pool: Pool::builder(TokioExecutor::new())
+                .http2_only(http2)
+                .build(connector),
         }
     }
 
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -4,11 +4,12 @@
     axum::{
         body::{Body, Bytes},
         extract::{Path, Request, State},
-        http::{HeaderMap, StatusCode},
+        http::{header, HeaderMap, StatusCode},
         response::{IntoResponse, Response},
         routing::{any, get, post},
         Json, Router,
     },
+    futures_util::stream::unfold,
     http_body_util::BodyExt,
     serde_json::json,
     std::{
@@ -23,6 +24,9 @@
     tokio::net::TcpListener,
 };
 
+/// Size of a piece of a streamed answer.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// An order that the endpoint ran.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -86,6 +90,9 @@
             .route("/health", get(|| async { StatusCode::OK }))
             .route("/orders/{service}", post(order))
             .route("/echo", any(echo))
+            .route("/stream/{bytes}", get(stream))
+            .route("/broken/{bytes}", get(broken))
+            .route("/short/{bytes}", get(short))
             .fallback(check)
             .with_state(server.shared.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -151,11 +158,51 @@
     Json(answer).into_response()
 }
 
-/// Sends the request's body back as it arrives.
+/// Sends the request's body back as it arrives, with its trailers.
 async fn echo(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     let _slot = Slot::take(&shared);
     work(&shared).await;
-    Response::new(Body::new(request.into_body()))
+    let (parts, body) = request.into_parts();
+    let mut response = Response::new(body);
+    if let Some(names) = parts.headers.get(header::TRAILER) {
+        response
+            .headers_mut()
+            .insert(header::TRAILER, names.clone());
+    }
+    response
+}
+
+/// Answers with `bytes` bytes.
+async fn stream(State(shared): State<Arc<Shared>>, Path(bytes): Path<usize>) -> Response {
+    Response::new(content(&shared, bytes, false))
+}
+
+/// Breaks off after `bytes` bytes of an answer without a stated length.
+async fn broken(State(shared): State<Arc<Shared>>, Path(bytes): Path<usize>) -> Response {
+    Response::new(content(&shared, bytes, true))
+}
+
+/// States a length of `bytes` and breaks off half way.
+async fn short(State(shared): State<Arc<Shared>>, Path(bytes): Path<usize>) -> Response {
+    let mut response = Response::new(content(&shared, bytes / 2, true));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, bytes.into());
+    response
+}
+
+/// Makes a body whose request counts as running until the last byte is taken.
+fn content(shared: &Arc<Shared>, bytes: usize, breaks: bool) -> Body {
+    let start = (Slot::take(shared), bytes, breaks);
+    let chunks = unfold(start, |(slot, left, breaks)| async move {
+        if left == 0 {
+            let error = breaks.then(|| Err(io::Error::other("broken off")));
+            return error.map(|error| (error, (slot, 0, false)));
+        }
+        let size = left.min(CHUNK_BYTES);
+        Some((Ok(Bytes::from(vec![7; size])), (slot, left - size, breaks)))
+    });
+    Body::from_stream(chunks)
 }
 
 async fn order(
