--- a/crates/filbertbend/src/serve/answer.rs
+++ b/crates/filbertbend/src/serve/answer.rs
@@ -12,6 +12,8 @@
         unit::Millis,
     },
     serde::Serialize,
+    std::collections::{BTreeMap, BTreeSet},
+    strum::IntoEnumIterator,
 };
 
 /// The header that carries the outcome on every answer.
@@ -20,6 +22,16 @@
 /// What [`OUTCOME`] carries while a job or order has not ended.
 pub(crate) const PENDING: &str = "pending";
 
+/// The statuses of requests that are themselves wrong.
+const INVALID: [StatusCode; 6] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::NOT_FOUND,
+    StatusCode::METHOD_NOT_ALLOWED,
+    StatusCode::PAYLOAD_TOO_LARGE,
+    StatusCode::UNPROCESSABLE_ENTITY,
+    StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+];
+
 /// The JSON body of an answer without an endpoint's answer.
 #[derive(Debug, Serialize)]
 struct Document<'a> {
@@ -54,15 +66,21 @@
         }
     }
 
-    /// Makes the answer to a request that is itself wrong.
+    /// Makes the answer to a request that is itself wrong; a status that the
+    /// guide does not list becomes 400.
     pub(crate) fn invalid(
         status: StatusCode,
         request: impl ToString,
         message: impl Into<String>,
     ) -> Self {
+        let is_listed = INVALID.contains(&status);
         Self {
             outcome: Outcome::Invalid,
-            status,
+            status: if is_listed {
+                status
+            } else {
+                StatusCode::BAD_REQUEST
+            },
             request: request.to_string(),
             message: message.into(),
         }
@@ -74,6 +92,43 @@
     }
 }
 
+/// Returns every reason with the outcome and status of its answer; the guide
+/// lists them.
+pub fn reasons() -> impl Iterator<Item = (Reason, &'static str, u16)> {
+    Reason::iter().map(|reason| {
+        let outcome = Outcome::Refused {
+            reason,
+            retry_after_ms: Millis::ZERO,
+        };
+        let (status, _) = explain(&outcome);
+        (reason, name(&outcome), status.as_u16())
+    })
+}
+
+/// Returns the statuses of each outcome without an endpoint's answer; the
+/// guide lists them.
+pub fn statuses() -> BTreeMap<&'static str, BTreeSet<u16>> {
+    let mut statuses: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+    for (_, outcome, status) in reasons() {
+        statuses.entry(outcome).or_default().insert(status);
+    }
+    let others = [
+        Outcome::Unknown,
+        Outcome::Expired { ran: Ran::No },
+        Outcome::Expired { ran: Ran::Unknown },
+        Outcome::Cancelled,
+        Outcome::Invalid,
+    ];
+    for outcome in others {
+        let (status, _) = explain(&outcome);
+        let known = statuses.entry(name(&outcome)).or_default();
+        known.insert(status.as_u16());
+    }
+    let invalid = statuses.entry(name(&Outcome::Invalid)).or_default();
+    invalid.extend(INVALID.map(|status| status.as_u16()));
+    statuses
+}
+
 /// Returns the name of an outcome as it stands in headers, bodies and metrics.
 pub(crate) fn name(outcome: &Outcome) -> &'static str {
     match outcome {
--- a/crates/filbertbend/src/serve/front.rs
+++ b/crates/filbertbend/src/serve/front.rs
@@ -25,7 +25,8 @@
     tokio::{sync::watch, time::Instant},
 };
 
-/// Longest deadline that a caller may ask for.
+/// Longest deadline that a caller may ask for, unless the service's own is
+/// longer.
 const DEADLINE_LIMIT: Millis = Millis::from_secs(3600);
 
 /// What every handler shares.
@@ -130,7 +131,7 @@
                 let message = "x-deadline-ms must be at least 1";
                 return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
             }
-            Some(millis) => Millis(millis).min(DEADLINE_LIMIT),
+            Some(millis) => Millis(millis).min(DEADLINE_LIMIT.max(declaration.deadline)),
             None => declaration.deadline,
         };
         Ok(Self {
--- a/crates/filbertbend/src/serve/jobs.rs
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -98,7 +98,7 @@
         .await;
     match answer {
         job::Answer::Accepted(job) => {
-            let document = Json(json!({ "job": job, "request": request }));
+            let document = Json(json!({ "job": job, "request": request.to_string() }));
             Ok(done(StatusCode::ACCEPTED, document))
         }
         other => unsuccessful(other, request),
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -17,6 +17,8 @@
 mod upload;
 mod watched;
 
+pub use answer::{reasons, statuses};
+
 use {
     crate::settings::Settings,
     control::{Handle, Input, Thread},
--- a/crates/standin/tests/http.rs
+++ b/crates/standin/tests/http.rs
@@ -4,13 +4,16 @@
 //! Each test starts one platform and goes through several requests, because a
 //! platform takes about a second to start.
 
+mod support {
+    pub(crate) mod platform;
+}
+
 use {
     bytes::Bytes,
-    filbertbend::declaration,
     filbertbend_standin::{
         client::{Answer, Client},
         endpoint,
-        fleet::{wait_for, Fleet, Launcher, Plan},
+        fleet::wait_for,
     },
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -21,71 +24,20 @@
         Method, Request,
     },
     hyper_util::rt::TokioIo,
-    std::{
-        convert::Infallible, fs, future::Future, io, io::Write, net::SocketAddr, path::Path,
-        time::Duration,
+    std::{convert::Infallible, future::Future, io, net::SocketAddr, time::Duration},
+    support::platform::{
+        Platform, BODY_LIMIT_BYTES, HEADER_LIMIT_BYTES, JOB_BODY_LIMIT_BYTES, LIMIT,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpSocket, TcpStream},
-        process::Child,
     },
 };
 
-const LIMIT: Duration = Duration::from_secs(30);
-const HEADER_LIMIT_BYTES: usize = 16 << 10;
-const BODY_LIMIT_BYTES: usize = 8 << 20;
-const JOB_BODY_LIMIT_BYTES: usize = 64 << 10;
 /// The declared deadline of a check is too short for large bodies.
 const PATIENT: (&str, &str) = ("x-deadline-ms", "60000");
 
-struct Platform {
-    fleet: Fleet,
-    client: Client,
-    _processes: [Child; 2],
-}
-
 impl Platform {
-    /// Starts one entry and one agent with the services of an example.
-    async fn start() -> Self {
-        let plan = Plan {
-            data_centres: vec!["xela"],
-            entries: 1,
-            workers: 1,
-            services: vec!["spacing-check", "material-order"],
-            cores: 64,
-            memory_gib: 250,
-            slots: 4,
-            connections: 16,
-            service_time: Duration::ZERO,
-            slices: 2,
-            log_level: "debug",
-            launcher: Launcher::Binaries,
-        };
-        let fleet = Fleet::start(&plan).await.unwrap();
-        let mut settings = fs::OpenOptions::new()
-            .append(true)
-            .open(&fleet.entries[0].settings)
-            .unwrap();
-        writeln!(
-            settings,
-            "limits: {{ header: {HEADER_LIMIT_BYTES}B, body: {BODY_LIMIT_BYTES}B, \
-             job_body: {JOB_BODY_LIMIT_BYTES}B }}"
-        )
-        .unwrap();
-        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/cumbre-nevada");
-        fleet.configure(declaration::collect(folder).services.unwrap());
-        let processes = [fleet.spawn_entry(0).unwrap(), fleet.spawn_agent(0).unwrap()];
-        let platform = Self {
-            client: Client::new(fleet.entries[0].callers),
-            fleet,
-            _processes: processes,
-        };
-        let ready = platform.holds(|| async { platform.serves().await }).await;
-        assert!(ready, "{}", platform.fleet.log("entry-0"));
-        platform
-    }
-
     fn address(&self) -> SocketAddr {
         self.fleet.entries[0].callers
     }
@@ -104,12 +56,6 @@
             .await
     }
 
-    /// Tells whether a new request is answered.
-    async fn serves(&self) -> bool {
-        let answer = self.client.get("/v1/check/spacing-check/next").await;
-        answer.is_ok_and(|answer| answer.status == 200)
-    }
-
     async fn assert_serves(&self) {
         let answer = self.client.get("/v1/check/spacing-check/next").await;
         let is_served = answer.as_ref().is_ok_and(|answer| answer.status == 200);
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -5,7 +5,7 @@
 use {
     crate::unit::Millis,
     serde::{Deserialize, Serialize},
-    strum::{Display, EnumString, IntoStaticStr},
+    strum::{Display, EnumIter, EnumString, IntoStaticStr},
 };
 
 /// Why a request was refused before it ran.
@@ -14,6 +14,7 @@
     Copy,
     Debug,
     Display,
+    EnumIter,
     EnumString,
     Eq,
     Hash,
