--- a/crates/filbertbend/src/serve/answer.rs
+++ b/crates/filbertbend/src/serve/answer.rs
@@ -12,11 +12,26 @@
         unit::Millis,
     },
     serde::Serialize,
+    std::collections::{BTreeMap, BTreeSet},
+    strum::IntoEnumIterator,
 };
 
 /// The header that carries the outcome on every answer.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("x-filbertbend-outcome");
 
+/// What [`OUTCOME`] carries while a job or order has not ended.
+pub(crate) const PENDING: &str = "pending";
+
+/// The statuses of requests that are themselves wrong.
+const INVALID: [StatusCode; 6] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::NOT_FOUND,
+    StatusCode::METHOD_NOT_ALLOWED,
+    StatusCode::PAYLOAD_TOO_LARGE,
+    StatusCode::UNPROCESSABLE_ENTITY,
+    StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+];
+
 /// The JSON body of an answer without an endpoint's answer.
 #[derive(Debug, Serialize)]
 struct Document<'a> {
@@ -51,25 +66,74 @@
         }
     }
 
-    /// Makes the answer to a request that is itself wrong.
+    /// Makes the answer to a request that is itself wrong; a status that the
+    /// guide does not list becomes 400.
     pub(crate) fn invalid(
         status: StatusCode,
         request: impl ToString,
         message: impl Into<String>,
     ) -> Self {
+        let is_listed = INVALID.contains(&status);
         Self {
             outcome: Outcome::Invalid,
-            status,
+            status: if is_listed {
+                status
+            } else {
+                StatusCode::BAD_REQUEST
+            },
             request: request.to_string(),
             message: message.into(),
         }
     }
+
+    /// Replaces the message.
+    pub(crate) fn explained(self, message: String) -> Self {
+        Self { message, ..self }
+    }
+}
+
+/// Returns every reason with the outcome and status of its answer; the guide
+/// lists them.
+pub fn reasons() -> impl Iterator<Item = (Reason, &'static str, u16)> {
+    Reason::iter().map(|reason| {
+        let outcome = Outcome::Refused {
+            reason,
+            retry_after_ms: Millis::ZERO,
+        };
+        let (status, _) = explain(&outcome);
+        (reason, name(&outcome), status.as_u16())
+    })
+}
+
+/// Returns the statuses of each outcome without an endpoint's answer; the
+/// guide lists them.
+pub fn statuses() -> BTreeMap<&'static str, BTreeSet<u16>> {
+    let mut statuses: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+    for (_, outcome, status) in reasons() {
+        statuses.entry(outcome).or_default().insert(status);
+    }
+    let others = [
+        Outcome::Unknown,
+        Outcome::Expired { ran: Ran::No },
+        Outcome::Expired { ran: Ran::Unknown },
+        Outcome::Cancelled,
+        Outcome::Invalid,
+    ];
+    for outcome in others {
+        let (status, _) = explain(&outcome);
+        let known = statuses.entry(name(&outcome)).or_default();
+        known.insert(status.as_u16());
+    }
+    let invalid = statuses.entry(name(&Outcome::Invalid)).or_default();
+    invalid.extend(INVALID.map(|status| status.as_u16()));
+    statuses
 }
 
 /// Returns the name of an outcome as it stands in headers, bodies and metrics.
 pub(crate) fn name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Done => "done",
+        Outcome::Refused { reason, .. } if is_invalid(*reason) => "invalid",
         Outcome::Refused { .. } => "refused",
         Outcome::Unknown => "unknown",
         Outcome::Expired { .. } => "expired",
@@ -81,10 +145,7 @@
 fn explain(outcome: &Outcome) -> (StatusCode, &'static str) {
     match outcome {
         Outcome::Done => (StatusCode::OK, "the request is done"),
-        Outcome::Refused { reason, .. } => (
-            refusal_status(*reason),
-            "the request was refused and did not run",
-        ),
+        Outcome::Refused { reason, .. } => (refusal_status(*reason), refusal_message(*reason)),
         Outcome::Unknown => (
             StatusCode::BAD_GATEWAY,
             "the request may have run; ask again with the same key",
@@ -98,7 +159,27 @@
             "the deadline passed; the request may have run",
         ),
         Outcome::Cancelled => (StatusCode::CONFLICT, "the request was cancelled"),
-        Outcome::Invalid => (StatusCode::BAD_REQUEST, "the request is not valid"),
+        Outcome::Invalid => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the key or sequence number was used before for another request",
+        ),
+    }
+}
+
+/// Tells whether the request is itself wrong, so that no retry can help.
+fn is_invalid(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::KeyReused | Reason::TooLarge | Reason::UnknownService
+    )
+}
+
+fn refusal_message(reason: Reason) -> &'static str {
+    match reason {
+        Reason::KeyReused => "the idempotency key was used before with another body",
+        Reason::TooLarge => "a task of the service is larger than every worker",
+        Reason::UnknownService => "the service is not in the configuration in force",
+        _ => "the request was refused and did not run",
     }
 }
 
@@ -117,6 +198,7 @@
 impl IntoResponse for Answer {
     fn into_response(self) -> Response<Body> {
         let (reason, retry_after_ms) = match self.outcome {
+            Outcome::Refused { reason, .. } if is_invalid(reason) => (Some(reason), None),
             Outcome::Refused {
                 reason,
                 retry_after_ms,
@@ -124,7 +206,10 @@
             _ => (None, None),
         };
         let ran = match self.outcome {
-            Outcome::Unknown | Outcome::Expired { ran: Ran::Unknown } => Ran::Unknown,
+            // A cancelled job may have run for a while.
+            Outcome::Unknown | Outcome::Cancelled | Outcome::Expired { ran: Ran::Unknown } => {
+                Ran::Unknown
+            }
             _ => Ran::No,
         };
         let outcome = name(&self.outcome);
--- a/crates/filbertbend/src/serve/check.rs
+++ b/crates/filbertbend/src/serve/check.rs
@@ -12,7 +12,7 @@
     axum::{
         body::Body,
         extract::Request,
-        http::{header, request::Parts, HeaderValue, StatusCode},
+        http::{header, request::Parts, HeaderMap, HeaderValue, Method, StatusCode},
         response::{IntoResponse, Response},
     },
     filbertbend_coordination::routing,
@@ -62,7 +62,7 @@
     let observation = Observation::start(&declaration, &terms);
     let outcome = admitted(front, &declaration, &terms, &parts, body).await;
     match outcome {
-        Ok((reply, permit)) => Ok(reply.into_response(permit, observation)),
+        Ok((reply, permit)) => Ok(reply.into_response(&parts.method, permit, observation)),
         Err(outcome) => {
             observation.end(&outcome);
             if outcome == Outcome::Invalid {
@@ -76,7 +76,7 @@
 }
 
 fn check_length(parts: &Parts, limit: usize, id: id::Request) -> Result<(), Answer> {
-    match content_length(parts) {
+    match content_length(&parts.headers) {
         Some(length) if length > limit as u64 => Err(Answer::invalid(
             StatusCode::PAYLOAD_TOO_LARGE,
             id,
@@ -86,8 +86,8 @@
     }
 }
 
-fn content_length(parts: &Parts) -> Option<u64> {
-    let value = parts.headers.get(header::CONTENT_LENGTH)?;
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
 }
 
@@ -137,15 +137,21 @@
 }
 
 fn body_is_small(parts: &Parts) -> bool {
-    content_length(parts).is_some_and(|length| length <= REPLAY_LIMIT_BYTES)
+    content_length(&parts.headers).is_some_and(|length| length <= REPLAY_LIMIT_BYTES)
 }
 
 impl Reply {
-    fn into_response(self, permit: Permit, observation: Observation) -> Response {
+    fn into_response(self, method: &Method, permit: Permit, observation: Observation) -> Response {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = headers(&self.headers);
+        let length = match status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Some(0),
+            _ if method == Method::HEAD => Some(0),
+            _ => content_length(&headers),
+        };
         let mut attempt = self.attempt;
         let body = Body::new(receive_body(self.receiver, self.deadline));
-        let body = Body::new(Watched::new(body, move |complete| {
+        let body = Body::new(Watched::new(body, length, move |complete| {
             attempt.end(routing::End::Taken);
             if complete {
                 permit.complete();
@@ -154,7 +160,7 @@
         }));
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        *response.headers_mut() = headers(&self.headers);
+        *response.headers_mut() = headers;
         response
             .headers_mut()
             .insert(OUTCOME, HeaderValue::from_static("done"));
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod dial;
 mod exchange;
 mod front;
+mod guard;
 mod inspect;
 mod jobs;
 mod links;
@@ -16,6 +17,8 @@
 mod upload;
 mod watched;
 
+pub use answer::{reasons, statuses};
+
 use {
     crate::settings::Settings,
     control::{Handle, Input, Thread},
@@ -146,7 +149,7 @@
         control.clone(),
         snapshots,
         settings.slices,
-        settings.limits.body.0 as usize,
+        &settings.limits,
     ));
     let router = operators::router(metrics, readiness).merge(inspect::router(front.clone()));
     tokio::spawn(http::serve(operators, router, OPERATOR_LIMITS, never));
