Decide on admission by the queues that hold requests

The gate now keeps the set of queues that hold requests and the sum of shares, and forgets idle queues once a second.

Ruled out: ordered sets by tag (tags change with each dispatch of their queue, and few queues hold requests at a time except in a flood by all teams at once).

--- a/crates/bench/benches/flood.rs
+++ b/crates/bench/benches/flood.rs
@@ -8,7 +8,17 @@
         figure::Figure,
         traffic::{first_come, gated, Scenario, Source, Tally},
     },
-    filbertbend_state::service::Class,
+    filbertbend_coordination::{
+        admission::{Ask, Event, Gate},
+        routing::Supply,
+    },
+    filbertbend_state::{
+        id,
+        service::Class,
+        time::Instant,
+        unit::{Millis, Share, Slots},
+    },
+    std::time::Instant as Clock,
 };
 
 const LENGTH_MS: u64 = 30_000;
@@ -45,11 +55,7 @@
     good as f64 / (CAPACITY * LENGTH_MS as f64 / 1000.0)
 }
 
-struct Results {
-    figures: Vec<Figure>,
-}
-
-fn compare(name: &str, flooded: Class, calm: &[Tally], during: &[Tally]) -> Results {
+fn compare(name: &str, flooded: Class, calm: &[Tally], during: &[Tally]) -> Vec<Figure> {
     let mut figures = Vec::new();
     for (index, class) in CLASSES.into_iter().enumerate() {
         let prefix = format!("{name}.{flooded}-flood.{class}");
@@ -87,10 +93,62 @@
         "ratio",
         0.9,
     ));
-    Results { figures }
+    figures
+}
+
+/// Returns the mean processor time of the gate for one request that arrives,
+/// is dispatched and completes, with a queue for each of `teams` teams.
+fn gate_micros(teams: u64) -> f64 {
+    const REQUESTS: u64 = 100_000;
+    const IN_PROGRESS: u64 = 1000;
+    let service = id::Service::new("check").expect("the name is valid");
+    let supply = Supply {
+        slots: Slots(4000),
+        others: Slots(0),
+    };
+    let mut gate = Gate::new();
+    let mut actions = Vec::new();
+    let supplied = Event::Supplied {
+        entries: 1,
+        total: supply,
+        services: vec![(service.clone(), supply)],
+    };
+    gate.step(Instant(0), supplied, &mut actions);
+    let asks: Vec<Ask> = (0..teams)
+        .map(|team| Ask {
+            request: id::Request(0),
+            service: service.clone(),
+            class: CLASSES[team as usize % 3],
+            team: id::Team::new(format!("team-{team}")).expect("the name is valid"),
+            share: Share::new(1),
+            deadline: Instant(1_000_000),
+            run_time: Millis(50),
+        })
+        .collect();
+    let began = Clock::now();
+    for request in 0..REQUESTS {
+        let mut ask = asks[(request % teams) as usize].clone();
+        ask.request = id::Request(request);
+        let now = Instant(request / 10);
+        gate.step(now, Event::Arrived(ask), &mut actions);
+        if let Some(done) = request.checked_sub(IN_PROGRESS) {
+            gate.step(now, Event::Completed(id::Request(done)), &mut actions);
+        }
+        if request.is_multiple_of(100) {
+            gate.step(now, Event::Tick, &mut actions);
+        }
+        actions.clear();
+    }
+    began.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64
 }
 
 fn main() {
+    for teams in [10, 880] {
+        println!(
+            "gate: {:.2} us a request with {teams} teams",
+            gate_micros(teams)
+        );
+    }
     let calm = gated::run(&scenario(None));
     let calm_baseline = first_come::run(&scenario(None));
     for (index, class) in CLASSES.into_iter().enumerate() {
@@ -104,12 +162,12 @@
     for flooded in [Class::Batch, Class::Urgent] {
         let scenario = scenario(Some(flooded));
         let own = compare("flood", flooded, &calm, &gated::run(&scenario));
-        for figure in own.figures {
+        for figure in own {
             println!("{figure}");
         }
         let baseline = first_come::run(&scenario);
         let baseline = compare("first-come", flooded, &calm_baseline, &baseline);
-        for figure in baseline.figures {
+        for figure in baseline {
             println!(
                 "baseline {} {:.4} {}",
                 figure.name, figure.value, figure.unit
--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -20,12 +20,13 @@
         time::Instant,
         unit::{Millis, Share},
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 mod capacity;
 mod event;
 mod flow;
+mod order;
 
 pub use event::{queue_limit, Action, Ask, Event};
 
@@ -35,14 +36,13 @@
     flow::{Flow, Key, Waiting},
 };
 
-/// Part of the slots that borrowers leave free while another queue is below
-/// its guarantee, so that its next request need not wait for a completion.
-const RESERVE: f64 = 0.05;
 /// Queues beyond which teams without a share use one queue for each class and
 /// service. Callers name the team, so its values are not bounded otherwise.
 const QUEUES_LIMIT: usize = 1024;
 /// Time after which a queue without requests is forgotten.
 const IDLE_LIMIT_MS: Millis = Millis(10_000);
+/// Time between two searches for such queues.
+const CLEANING_INTERVAL_MS: Millis = Millis(1000);
 /// Time by whose worth of the capacity a queue may lag behind the fair order
 /// when it becomes busy again. A queue that uses less than its share thereby
 /// gets its bursts served before a flood.
@@ -66,12 +66,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     flows: BTreeMap<Key, Flow>,
+    /// The flows with requests queued. With 880 teams most have none, and
+    /// decisions look at these only.
+    waiting: BTreeSet<Key>,
+    /// The sum of all flows' shares, in thousandths.
+    shares: u64,
     queued: BTreeMap<id::Request, Key>,
     running: BTreeMap<id::Request, Running>,
     services: BTreeMap<id::Service, Capacity>,
     total: Capacity,
     /// The start tag of the request dispatched last.
     virtual_time: f64,
+    next_cleaning: Instant,
     leaving: bool,
 }
 
@@ -141,6 +147,7 @@
             since: now,
             predicted_ms,
         });
+        self.waiting.insert(key.clone());
         self.queued.insert(ask.request, key);
     }
 
@@ -190,6 +197,8 @@
     fn flow(&mut self, ask: &Ask, now: Instant) -> &mut Flow {
         let key = self.key(ask);
         let flow = self.flows.entry(key).or_default();
+        self.shares -= u64::from(flow.share.thousandths());
+        self.shares += u64::from(ask.share.thousandths());
         flow.share = ask.share;
         flow.arrived = now;
         flow
@@ -216,6 +225,7 @@
         self.total.reduce();
         let flow = self.flows.entry(ended.key.clone()).or_default();
         flow.queue.push_front(ended.waiting);
+        self.waiting.insert(ended.key.clone());
         self.queued.insert(request, ended.key);
     }
 
@@ -226,6 +236,9 @@
         if let Some(key) = self.queued.remove(&request) {
             if let Some(flow) = self.flows.get_mut(&key) {
                 flow.queue.retain(|waiting| waiting.request != request);
+                if flow.queue.is_empty() {
+                    self.waiting.remove(&key);
+                }
             }
         }
     }
@@ -256,12 +269,15 @@
 
     /// Refuses what has waited too long to be served, and forgets idle queues.
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for (key, flow) in &mut self.flows {
+        for key in std::mem::take(&mut self.waiting) {
             let mean_ms = self
                 .services
                 .get(&key.service)
                 .map_or(0.0, Capacity::mean_ms);
             let latest = now + Millis(mean_ms as u64);
+            let Some(flow) = self.flows.get_mut(&key) else {
+                continue;
+            };
             flow.queue.retain(|waiting| {
                 let in_time = waiting.deadline >= latest;
                 if !in_time {
@@ -270,9 +286,17 @@
                 }
                 in_time
             });
+            if !flow.queue.is_empty() {
+                self.waiting.insert(key);
+            }
+        }
+        if now >= self.next_cleaning {
+            self.next_cleaning = now + CLEANING_INTERVAL_MS;
+            self.flows
+                .retain(|_, flow| !flow.is_idle() || now.since(flow.arrived) < IDLE_LIMIT_MS);
+            let shares = self.flows.values().map(|flow| flow.share.thousandths());
+            self.shares = shares.map(u64::from).sum();
         }
-        self.flows
-            .retain(|_, flow| !flow.is_idle() || now.since(flow.arrived) < IDLE_LIMIT_MS);
     }
 
     fn dispatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -286,6 +310,9 @@
             let Some(waiting) = flow.queue.pop_front() else {
                 return;
             };
+            if flow.queue.is_empty() {
+                self.waiting.remove(&key);
+            }
             self.queued.remove(&waiting.request);
             let Some(capacity) = self.services.get_mut(&key.service) else {
                 return;
@@ -311,87 +338,4 @@
             self.running.insert(waiting.request, running);
         }
     }
-
-    /// Chooses the queue that gets the next slot.
-    fn next_flow(&self, now: Instant) -> Option<Key> {
-        let waits = |key: &Key, flow: &Flow| {
-            !flow.queue.is_empty()
-                && self
-                    .services
-                    .get(&key.service)
-                    .is_some_and(|capacity| capacity.has_room(now))
-        };
-        let behind = self
-            .flows
-            .iter()
-            .filter(|(key, flow)| waits(key, flow) && flow.tag < self.virtual_time)
-            .min_by(|(a, x), (b, y)| a.class.cmp(&b.class).then(x.tag.total_cmp(&y.tag)));
-        if let Some((key, _)) = behind {
-            return Some(key.clone());
-        }
-        let slots = f64::from(self.total.limit());
-        let reserve = self.reserve(slots, self.guarantee_scale());
-        if f64::from(self.total.running) >= slots - reserve {
-            return None;
-        }
-        self.flows
-            .iter()
-            .filter(|(key, flow)| waits(key, flow))
-            .min_by(|(_, x), (_, y)| x.tag.total_cmp(&y.tag))
-            .map(|(key, _)| key.clone())
-    }
-
-    /// Guarantees that add up to more than the capacity are scaled down to it.
-    fn guarantee_scale(&self) -> f64 {
-        let shares: f64 = self.flows.values().map(|flow| flow.share.fraction()).sum();
-        1.0 / shares.max(1.0)
-    }
-
-    /// Slots kept for queues that are in use and below their guarantee.
-    fn reserve(&self, slots: f64, scale: f64) -> f64 {
-        let unused: f64 = self
-            .flows
-            .values()
-            .map(|flow| (flow.guarantee(slots * scale) - f64::from(flow.running)).max(0.0))
-            .sum();
-        (slots * RESERVE).round().min(unused.ceil())
-    }
-
-    /// Returns how long the next request of a queue should wait by the number
-    /// of slots that it can count on, before the correction by actual waits.
-    fn predicted_wait_ms(&self, key: &Key) -> f64 {
-        let (Some(flow), Some(capacity)) = (self.flows.get(key), self.services.get(&key.service))
-        else {
-            return 0.0;
-        };
-        if flow.queue.is_empty() && self.total.running < self.total.limit() {
-            return 0.0;
-        }
-        let slots = self.expected_slots(key, flow).min(capacity.limit().into());
-        let queued = (flow.queue.len() + 1) as f64;
-        queued * capacity.mean_ms() / slots.max(1.0)
-    }
-
-    /// Returns the slots that a queue can count on: its guarantee, or what the
-    /// others leave if that is more. Others that have requests queued take
-    /// their part by weight; the rest keep what they use.
-    fn expected_slots(&self, key: &Key, flow: &Flow) -> f64 {
-        let slots = f64::from(self.total.limit());
-        let scale = self.guarantee_scale();
-        let waiting = |flow: &Flow| !flow.queue.is_empty();
-        let weights: f64 = self
-            .flows
-            .iter()
-            .filter(|(other, found)| *other == key || waiting(found))
-            .map(|(_, found)| found.weight())
-            .sum();
-        let used: f64 = self
-            .flows
-            .iter()
-            .filter(|(other, found)| *other != key && !waiting(found))
-            .map(|(_, found)| f64::from(found.running))
-            .sum();
-        let lent = (slots - used - self.reserve(slots, scale)).max(0.0) * flow.weight() / weights;
-        lent.max(flow.guarantee(slots * scale))
-    }
 }
