--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,8 +1,9 @@
 //! Pieces that the benches share.
 
-pub mod declare;
+pub mod capacity;
 pub mod figure;
 pub mod load;
 pub mod memory;
 pub mod role;
+pub mod slope;
 pub mod traffic;
