--- a/crates/filbertbend/src/lib.rs
+++ b/crates/filbertbend/src/lib.rs
@@ -5,4 +5,7 @@
     warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
 )]
 
+pub mod cli;
+pub mod declaration;
+pub mod serve;
 pub mod settings;
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -18,7 +18,7 @@
             atomic::{AtomicU32, AtomicU64, Ordering},
             Arc, Mutex, PoisonError,
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::net::TcpListener,
 };
@@ -30,6 +30,8 @@
     pub customer: Arc<str>,
     /// The idempotency key.
     pub key: Arc<str>,
+    /// When it ran.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -103,6 +105,11 @@
         self.shared.service_time_ms.store(time_ms, Ordering::SeqCst);
     }
 
+    /// Returns the requests that run at the moment.
+    pub fn running(&self) -> u32 {
+        self.shared.running.load(Ordering::SeqCst)
+    }
+
     /// Returns the most requests that ran at once.
     pub fn most_running(&self) -> u32 {
         self.shared.most_running.load(Ordering::SeqCst)
@@ -170,6 +177,7 @@
     let order = Order {
         customer: field("x-customer"),
         key: field("idempotency-key"),
+        at: Instant::now(),
     };
     work(&shared).await;
     let mut orders = shared.orders.lock().unwrap_or_else(PoisonError::into_inner);
