--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod figure;
+pub mod journal;
 pub mod load;
 pub mod memory;
 pub mod role;
