--- a/crates/coordination/src/retry/plan.rs
+++ b/crates/coordination/src/retry/plan.rs
@@ -196,6 +196,13 @@
         if self.remaining(now) == Millis::ZERO {
             return Next::Finish(self.expired());
         }
+        if reason == Reason::Leaving && !self.may_have_run {
+            // A leaving agent is known as such after its first refusal and gets
+            // no other request, so these retries cannot become a storm. Without
+            // them a graceful shutdown would turn admitted requests away.
+            self.tries = self.tries.saturating_sub(1);
+            return Next::Retry;
+        }
         if self.tries >= self.tries_limit || (self.may_have_run && !self.idempotent) {
             return self.unplaced(reason, retry_after);
         }
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -302,3 +302,24 @@
     assert!((93..=97).contains(&slow.0), "p95 is {slow}");
     assert_eq!(hedge.delay(&declaration(true)), Some(Millis(40)));
 }
+
+/// Guards against a graceful shutdown that turns admitted requests away: with
+/// 200 requests on their way to a leaving agent, the budget alone refused most.
+#[test]
+fn refusal_by_a_leaving_agent_needs_no_budget_and_counts_as_no_try() {
+    let mut plan = sent(false);
+    let leaving = End::Refused {
+        reason: Reason::Leaving,
+        retry_after: Millis(50),
+    };
+
+    for n in 1..=5 {
+        let next = plan.ended(Instant(1), &endpoint(n), leaving, &mut spent());
+        assert_eq!(next, Next::Retry);
+        plan.sent(endpoint(n + 1));
+    }
+
+    let next = plan.ended(Instant(1), &endpoint(6), refused(), &mut spent());
+    assert_eq!(next, refusal(Reason::RetryBudget, 1_000));
+    assert_eq!(plan.tried().len(), 6);
+}
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -9,7 +9,7 @@
         service::TowerToHyperService,
     },
     spdlog::prelude::*,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{watch, Semaphore},
@@ -25,6 +25,10 @@
 /// descriptors that only time mends.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a server that stops still accepts connections. Without it, those
+/// in the listener's queue are reset, and their requests get no answer.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Bounds on what one server takes from its callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -45,10 +49,11 @@
     let permits = Arc::new(Semaphore::new(limits.connections));
     let graceful = GracefulShutdown::new();
     let builder = builder(limits);
+    let mut lingered = pin!(lingered(&mut stop));
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &permits) => accepted,
-            () = stopped(&mut stop) => break,
+            () = &mut lingered => break,
         };
         let Some((stream, peer)) = accepted else {
             continue;
@@ -68,11 +73,13 @@
     graceful.shutdown().await;
 }
 
-/// Waits for the stop; a server whose stop cannot come any more runs on.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
+/// Waits for the stop, and for callers that connected before they learned of
+/// it. A server whose stop cannot come any more runs on.
+async fn lingered(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|stop| *stop).await.is_err() {
         std::future::pending().await
     }
+    tokio::time::sleep(LINGER).await;
 }
 
 fn builder(limits: Limits) -> Builder<TokioExecutor> {
