--- a/crates/filbertbend/src/serve/control.rs
+++ b/crates/filbertbend/src/serve/control.rs
@@ -8,7 +8,8 @@
         config::{follow, Follower},
         job,
         membership::{Beacon, BeaconAction, BeaconEvent, Connection, Load, Member, Pulse, State},
-        placement, store,
+        placement::{self, Peak},
+        store,
     },
     filbertbend_protocol::message::{Control, Forwarded, Stream},
     filbertbend_state::{
@@ -34,6 +35,9 @@
 
 /// How often the state machines are told that time has passed.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the directory and the gate are told that time has passed. Each
+/// time looks at every agent, and their timeouts are in seconds.
+const DESK_TICK: Millis = Millis(100);
 /// How long to wait before a call is tried again at the slice's owner.
 const CALL_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -86,6 +90,8 @@
         /// The load.
         load: Load,
     },
+    /// What an agent has seen kinds of tasks use.
+    Peaks(Vec<Peak>),
     /// A report of an agent.
     Report {
         /// The agent's worker.
@@ -287,6 +293,7 @@
     pub(crate) snapshot: watch::Sender<Arc<Snapshot>>,
     pub(crate) entries: HashMap<Connection, (Link, Outbox)>,
     pub(crate) slices: Slices,
+    pub(crate) next_desk_tick: Instant,
 }
 
 impl Thread {
@@ -308,7 +315,10 @@
     fn tick(&mut self, now: Instant) {
         self.follow(now, follow::Event::Tick);
         self.announce(now, BeaconEvent::Tick);
-        self.desk.tick();
+        if now >= self.next_desk_tick {
+            self.next_desk_tick = now + DESK_TICK;
+            self.desk.tick();
+        }
         self.slices.tick(now);
         self.list(now);
     }
@@ -369,6 +379,7 @@
         match input {
             Input::Agent { agent, state } => self.slices.agent(now, agent, state),
             Input::Load { worker, load } => self.slices.load(&worker, load),
+            Input::Peaks(peaks) => self.slices.observe(peaks),
             Input::Report {
                 worker,
                 slice,
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -30,7 +30,7 @@
         ownership::Registry,
     },
     filbertbend_process::{http, keys, operators, signal},
-    filbertbend_state::{config::Snapshot, hash, id, unit::Millis},
+    filbertbend_state::{config::Snapshot, hash, id, time::Instant, unit::Millis},
     filbertbend_transport::{
         clock,
         link::{self, Socket},
@@ -145,7 +145,7 @@
     let (_running, never) = watch::channel(false);
     let front = Arc::new(Front::new(
         settings.name.clone(),
-        desk,
+        desk.clone(),
         control.clone(),
         snapshots,
         settings.slices,
@@ -162,6 +162,7 @@
     let leaving = async {
         let _ = stop.wait_for(|stop| *stop).await;
         ready.send_replace(false);
+        desk.leave();
     };
     tokio::join!(server, leaving);
     let (left, leaving) = oneshot::channel();
@@ -239,5 +240,6 @@
         snapshot,
         entries: HashMap::new(),
         slices,
+        next_desk_tick: Instant::default(),
     }
 }
