--- a/crates/coordination/src/journal/compaction.rs
+++ b/crates/coordination/src/journal/compaction.rs
@@ -35,8 +35,6 @@
     manifest: Manifest,
     /// Segments that the manifest replaces.
     replaced: Vec<Arc<str>>,
-    /// `Epoch` entries that are too old to be kept.
-    expired: Vec<u64>,
 }
 
 enum Stage {
@@ -155,7 +153,6 @@
                 writes.push_back(Write::new(key, value, Expect::Absent));
             }
         }
-        let (fences, expired) = self.fences();
         let manifest = Manifest {
             slice: self.slice,
             epoch: self.epoch,
@@ -163,25 +160,20 @@
             nonce: port.nonce(),
             base,
             segments,
-            fences,
+            fences: self.fences(),
         };
         self.dirty = [false; 16];
-        let draft = Draft {
-            manifest,
-            replaced,
-            expired,
-        };
+        let draft = Draft { manifest, replaced };
         self.stage = Stage::Segments(writes, Box::new(draft));
         self.after_segment();
     }
 
-    /// Returns the `Epoch` entries to keep and those that are too old.
-    fn fences(&self) -> (Vec<u64>, Vec<u64>) {
+    /// Returns the `Epoch` entries to keep. The clean-up deletes older ones.
+    fn fences(&self) -> Vec<u64> {
         let old = self.manifest.iter().flat_map(|(m, _)| &m.fences).copied();
         let new = self.tail.iter().filter(|tail| tail.fence).map(|t| t.seq);
         let mut all: Vec<u64> = old.chain(new).collect();
-        let kept = all.split_off(all.len().saturating_sub(self.limits.fences));
-        (kept, all)
+        all.split_off(all.len().saturating_sub(self.limits.fences))
     }
 
     /// Goes on to the manifest when all segments are written.
@@ -346,9 +338,6 @@
         };
         let slice = self.slice;
         self.doomed.extend(draft.replaced);
-        let expired = draft.expired.into_iter();
-        self.doomed
-            .extend(expired.map(|seq| key::entry(slice, seq)));
         let below = self
             .tail
             .partition_point(|tail| tail.seq <= draft.manifest.base);
--- a/crates/coordination/tests/journal_compaction.rs
+++ b/crates/coordination/tests/journal_compaction.rs
@@ -275,3 +275,24 @@
     assert!(changed.len() <= 1 + small().compact_entries, "{changed:?}");
     assert!(changed.len() < 16, "{changed:?}");
 }
+
+/// Guards against `Epoch` entries that accumulate for ever.
+#[test]
+fn only_the_newest_epochs_are_kept() {
+    let mut store = Store::new();
+    let limits = Limits {
+        fences: 3,
+        ..small()
+    };
+    for seed in 1..=10 {
+        let mut owner = Owner::recovered_with(&mut store, "a", seed, limits);
+        let first = 100 * seed;
+        fill(&mut store, &mut owner, first..=first + 20);
+    }
+
+    let entries = store.memory.pairs(key::journal(SLICE)).len();
+
+    assert!(entries <= 3 + small().compact_entries, "{entries}");
+    let last = Owner::recovered_with(&mut store, "b", 99, limits);
+    assert_eq!(last.ids().len(), 210);
+}
--- a/crates/coordination/tests/ownership.rs
+++ b/crates/coordination/tests/ownership.rs
@@ -1,175 +1,19 @@
 //! Registration of entries and the division of the slices among them.
 
+#[path = "support/ownership.rs"]
+mod support;
+
 use {
     filbertbend_coordination::{
-        ownership::{
-            Action, Event, Registry, LEASE_TTL, OWNERSHIP_HORIZON, STABLE_SPAN, TICK_INTERVAL,
-        },
-        store::{Answer, Call, Expect, Lease, Ticket, Version},
-    },
-    filbertbend_standin::store::{
-        network::{Faults, Network},
-        Memory,
+        ownership::{Action, Event, LEASE_TTL, OWNERSHIP_HORIZON, STABLE_SPAN},
+        store::{Answer, Call, Expect, Lease, Version},
     },
-    filbertbend_state::{hash, id, time::Instant, unit::Millis},
+    filbertbend_standin::store::{network::Faults, Memory},
+    filbertbend_state::{id, time::Instant, unit::Millis},
     proptest::{prelude::*, test_runner::RngSeed},
-    rand_chacha::{rand_core::SeedableRng, ChaCha8Rng},
-    std::collections::BTreeSet,
+    support::{entry, settle, Manual, Rig, LATENCY_MS, SLICES},
 };
 
-const SLICES: u16 = 16;
-const LATENCY_MS: u64 = 4;
-
-fn rng(seed: u64) -> ChaCha8Rng {
-    ChaCha8Rng::seed_from_u64(seed)
-}
-
-fn entry(name: &str) -> id::Entry {
-    id::Entry::new(name).unwrap()
-}
-
-/// One entry with its reports, as (time, action).
-struct Node {
-    name: id::Entry,
-    registry: Registry,
-    reports: Vec<(Instant, Action)>,
-    frozen: bool,
-    held: Vec<(Ticket, Answer)>,
-    /// Whether it confirms its epoch and releases when asked.
-    obeys: bool,
-}
-
-struct Rig {
-    now: Instant,
-    network: Network<usize>,
-    nodes: Vec<Node>,
-}
-
-impl Rig {
-    fn new(names: &[&str]) -> Self {
-        let faults = Faults {
-            latency_ms: LATENCY_MS,
-            ..Faults::default()
-        };
-        let mut rig = Self {
-            now: Instant(1000),
-            network: Network::new(faults, rng(7)),
-            nodes: Vec::new(),
-        };
-        names.iter().for_each(|name| rig.join(name));
-        rig
-    }
-
-    /// Starts another entry.
-    fn join(&mut self, name: &str) {
-        let index = self.nodes.len();
-        let value = name.as_bytes().to_vec();
-        self.nodes.push(Node {
-            name: entry(name),
-            registry: Registry::new(entry(name), value, SLICES, rng(index as u64)),
-            reports: Vec::new(),
-            frozen: false,
-            held: Vec::new(),
-            obeys: true,
-        });
-        self.step(index, Event::Start);
-    }
-
-    fn step(&mut self, index: usize, event: Event) {
-        let mut events = vec![event];
-        while let Some(event) = events.pop() {
-            let node = &mut self.nodes[index];
-            let mut actions = Vec::new();
-            node.registry.step(self.now, event, &mut actions);
-            for action in actions {
-                match action {
-                    Action::Call { ticket, call } => {
-                        self.network.send(self.now, index, ticket, call);
-                        continue;
-                    }
-                    Action::Release(slice) if node.obeys => events.push(Event::Released(slice)),
-                    Action::Reclaimed(slice) if node.obeys => {
-                        let at = self.now;
-                        events.push(Event::Confirmed { slice, at });
-                    }
-                    _ => {}
-                }
-                node.reports.push((self.now, action));
-            }
-        }
-    }
-
-    /// Lets `span` pass; each millisecond is a step.
-    fn pass(&mut self, span: Millis) {
-        let end = self.now + span;
-        while self.now < end {
-            self.now = self.now + Millis(1);
-            while let Some((index, ticket, answer)) = self.network.receive(self.now) {
-                if self.nodes[index].frozen {
-                    self.nodes[index].held.push((ticket, answer));
-                } else {
-                    self.step(index, Event::Answer { ticket, answer });
-                }
-            }
-            if self.now.0.is_multiple_of(TICK_INTERVAL.0) {
-                for index in 0..self.nodes.len() {
-                    if !self.nodes[index].frozen {
-                        self.step(index, Event::Tick);
-                    }
-                }
-            }
-            self.check_grants();
-        }
-    }
-
-    /// At no time may two entries give first grants in one slice.
-    fn check_grants(&self) {
-        for slice in slices() {
-            let nodes = self.nodes.iter();
-            let allowed = nodes.filter(|n| n.registry.may_grant_first(self.now, slice));
-            assert!(allowed.count() <= 1, "slice {slice} at {}", self.now);
-        }
-    }
-
-    fn thaw(&mut self, index: usize) {
-        self.nodes[index].frozen = false;
-        for (ticket, answer) in std::mem::take(&mut self.nodes[index].held) {
-            self.step(index, Event::Answer { ticket, answer });
-        }
-    }
-
-    fn owned(&self, index: usize) -> BTreeSet<id::Slice> {
-        let registry = &self.nodes[index].registry;
-        slices().filter(|slice| registry.owns(*slice)).collect()
-    }
-
-    /// Returns the slices that belong to entry `index` among all `live` ones.
-    fn share(&self, index: usize, live: &[usize]) -> BTreeSet<id::Slice> {
-        let weight = |index: usize, slice| hash::weight(self.nodes[index].name.as_str(), slice);
-        let best = |slice| live.iter().copied().max_by_key(|i| weight(*i, slice));
-        slices()
-            .filter(|slice| best(*slice) == Some(index))
-            .collect()
-    }
-
-    fn count(&self, index: usize, pick: impl Fn(&Action) -> bool) -> usize {
-        let reports = self.nodes[index].reports.iter();
-        reports.filter(|(_, action)| pick(action)).count()
-    }
-
-    fn forget_reports(&mut self) {
-        self.nodes.iter_mut().for_each(|n| n.reports.clear());
-    }
-}
-
-fn slices() -> impl Iterator<Item = id::Slice> {
-    (0..SLICES).map(id::Slice)
-}
-
-fn settle() -> Millis {
-    Millis::from_secs(60)
-}
-
 #[test]
 fn a_single_entry_owns_everything_and_is_listed() {
     let mut rig = Rig::new(&["a"]);
@@ -339,74 +183,6 @@
     assert_eq!(rig.count(1, |action| matches!(action, Action::Lost(_))), 0);
 }
 
-/// A registry whose calls the test answers by hand.
-struct Manual {
-    now: Instant,
-    registry: Registry,
-    calls: Vec<(Ticket, Call)>,
-    reports: Vec<Action>,
-}
-
-impl Manual {
-    fn new() -> Self {
-        let registry = Registry::new(entry("a"), Vec::new(), 1, rng(3));
-        Self {
-            now: Instant(1000),
-            registry,
-            calls: Vec::new(),
-            reports: Vec::new(),
-        }
-    }
-
-    fn step(&mut self, now: Instant, event: Event) {
-        let mut actions = Vec::new();
-        self.registry.step(now, event, &mut actions);
-        for action in actions {
-            match action {
-                Action::Call { ticket, call } => self.calls.push((ticket, call)),
-                report => self.reports.push(report),
-            }
-        }
-    }
-
-    fn answer(&mut self, ticket: Ticket, answer: Answer) {
-        self.step(self.now, Event::Answer { ticket, answer });
-    }
-
-    /// Lets `span` pass and the store answer all calls but those that `hold`
-    /// picks.
-    fn run(&mut self, store: &mut Memory, span: Millis, hold: impl Fn(&Call) -> bool) {
-        let end = self.now + span;
-        while self.now < end {
-            self.now = self.now + Millis(1);
-            for (ticket, call) in std::mem::take(&mut self.calls) {
-                if hold(&call) {
-                    self.calls.push((ticket, call));
-                } else {
-                    let answer = store.call(self.now, call);
-                    self.answer(ticket, answer);
-                }
-            }
-            self.step(self.now, Event::Tick);
-        }
-    }
-
-    /// Runs until the slice is claimed in the store; the answer is left out.
-    fn run_until_claim(&mut self, store: &mut Memory) -> Ticket {
-        let claims = |call: &Call| matches!(call, Call::Put { key, .. } if key.ends_with("/owner"));
-        self.step(self.now, Event::Start);
-        self.run(store, Millis(5000), claims);
-        let (ticket, claim) = self.take(claims).unwrap();
-        store.call(self.now, claim);
-        ticket
-    }
-
-    fn take(&mut self, pick: impl Fn(&Call) -> bool) -> Option<(Ticket, Call)> {
-        let found = self.calls.iter().position(|(_, call)| pick(call))?;
-        Some(self.calls.remove(found))
-    }
-}
-
 /// Guards against counting the lease from when the answer arrived: the store
 /// counts it from when the call did, which may be much earlier.
 #[test]
