Shorten the lease of a start command so a restarted agent knows its room

An agent restarted while a start command of its former process was still on its way took new work into that room. It also waited for a whole lease, 15 s, before it answered Withdraw or Adopt.

Change: a start command carries a lease of 1 s (start_window) and the whole lease follows at once as an extension, so a start that is older than 1 s is refused by the worker. A new agent holds batch starts back for 1 s and then carries them out; Withdraw of unknown attempts and Adopt wait for 1 s instead of 15 s. If the extension overtakes the start, it is sent again when the worker says that the task runs.

Ruled out: refusing or leaving batch starts unanswered for that time (with 2 s and unanswered starts, job_and_order_run_through_separate_processes failed: its job of 2 s had expired); extending only when the worker says that the task runs (a task that is slow to start would be stopped).

The seeded test does not notice most single removals, because claims and the worker check again; the focused tests do.

--- a/crates/coordination/src/executor/command.rs
+++ b/crates/coordination/src/executor/command.rs
@@ -217,10 +217,15 @@
             self.send_order(attempt, work, live, actions);
         } else if self.reachable {
             record.phase = Phase::Running(live);
+            let start_end = lease_end.min(now + self.settings.start_window);
             actions.push(Action::Worker(worker::Command::Start {
                 attempt,
                 work,
                 size,
+                lease_end: start_end,
+            }));
+            actions.push(Action::Worker(worker::Command::Extend {
+                attempt,
                 lease_end,
             }));
         } else {
--- a/crates/coordination/src/executor/machine.rs
+++ b/crates/coordination/src/executor/machine.rs
@@ -9,7 +9,7 @@
         tombstone::Ledger,
         Action, Check, Event, Load, Settings, Task,
     },
-    crate::attempt::Attempt,
+    crate::attempt::{Attempt, Command, Work},
     filbertbend_state::{id, outcome::Reason, room::Room, time::Instant, unit::Millis},
     rand::RngExt,
     rand_chacha::ChaCha8Rng,
@@ -17,6 +17,9 @@
     std::collections::BTreeMap,
 };
 
+/// Starts that a new agent holds back; an owner repeats what is not answered.
+const DEFERRED_LIMIT: usize = 1024;
+
 /// The agent's last check and the life of every attempt beside it.
 pub struct Executor {
     pub(super) settings: Settings,
@@ -32,6 +35,8 @@
     pub(super) born: Option<Instant>,
     /// Adoptions that cannot be answered yet.
     pub(super) adoptions: BTreeMap<id::Slice, id::Epoch>,
+    /// Starts that arrived before the room was certainly known.
+    deferred: Vec<Event>,
     left_at: Option<Instant>,
 }
 
@@ -54,6 +59,7 @@
             reachable: false,
             born: None,
             adoptions: BTreeMap::new(),
+            deferred: Vec::new(),
             left_at: None,
         }
     }
@@ -67,7 +73,7 @@
             event => {
                 // The event first: after a freeze, a grant or an end that has
                 // waited meanwhile settles what would otherwise have expired.
-                self.handle(now, event, actions);
+                self.take(now, event, actions);
                 self.expire(now, actions);
                 self.answer_adoptions(now, actions);
             }
@@ -75,6 +81,21 @@
         self.finish_leaving(now, actions);
     }
 
+    /// Handles an event, or holds a batch start back until it is certain what
+    /// room a former process life has left.
+    fn take(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        if !self.is_starting() && self.is_settled(now) {
+            for deferred in std::mem::take(&mut self.deferred) {
+                self.handle(now, deferred, actions);
+            }
+            self.handle(now, event, actions);
+        } else if !is_batch_start(&event) {
+            self.handle(now, event, actions);
+        } else if self.deferred.len() < DEFERRED_LIMIT && !self.deferred.contains(&event) {
+            self.deferred.push(event);
+        }
+    }
+
     fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Command {
@@ -149,11 +170,11 @@
         matches!(self.life.state(), life::State::Draining {}) || self.is_stopped()
     }
 
-    /// Tells whether no command of a former process life can still reach the
-    /// worker: each carried a lease that has ended by now.
+    /// Tells whether no start of a former process life can still be carried
+    /// out: the lease that each carried has ended by now.
     pub(super) fn is_settled(&self, now: Instant) -> bool {
         self.born
-            .is_some_and(|born| now >= born + self.settings.lease)
+            .is_some_and(|born| now >= born + self.settings.start_window)
     }
 
     pub(super) fn free(&self) -> Room {
@@ -240,3 +261,16 @@
         }
     }
 }
+
+fn is_batch_start(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Command {
+            command: Command::Start {
+                work: Work::Batch { .. },
+                ..
+            },
+            ..
+        }
+    )
+}
--- a/crates/coordination/src/executor/mod.rs
+++ b/crates/coordination/src/executor/mod.rs
@@ -52,6 +52,11 @@
     pub slices: u16,
     /// The longest lease that a grant is used for.
     pub lease: Millis,
+    /// The lease that a start command carries; the whole lease follows at once
+    /// as an extension. A restarted agent waits for as long before it takes
+    /// batch work or promises anything, because a start of its former life may
+    /// be on its way, and is refused by the worker after that time.
+    pub start_window: Millis,
     /// How often an unanswered claim, renewal or stop is repeated.
     pub repeat: Millis,
     /// How long room is held for a claim that nobody answers.
@@ -83,6 +88,7 @@
             connections,
             slices,
             lease: Millis::from_secs(15),
+            start_window: Millis::from_secs(1),
             repeat: Millis::from_secs(1),
             claim_limit: Millis::from_secs(10),
             checkpoint_limit: Millis::from_secs(5),
--- a/crates/coordination/src/executor/report.rs
+++ b/crates/coordination/src/executor/report.rs
@@ -154,8 +154,8 @@
     }
 
     /// Answers the adoptions once the inventory is certainly complete: after
-    /// the worker's list was read and no start command of a former process life
-    /// can still reach the worker.
+    /// the worker's list was read and no start of a former process life can
+    /// still be carried out.
     pub(super) fn answer_adoptions(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.is_starting() || !self.is_settled(now) {
             return;
--- a/crates/coordination/src/executor/task.rs
+++ b/crates/coordination/src/executor/task.rs
@@ -87,10 +87,17 @@
     fn started(&mut self, now: Instant, attempt: Attempt, actions: &mut Vec<Action>) {
         match self.records.get_mut(&attempt).map(|found| &mut found.phase) {
             Some(Phase::Running(live)) => {
-                if !live.confirmed {
-                    live.since = now;
+                if live.confirmed {
+                    return;
                 }
+                live.since = now;
                 live.confirmed = true;
+                // Again, because the first extension may have overtaken the start.
+                let lease_end = live.lease_end;
+                actions.push(Action::Worker(worker::Command::Extend {
+                    attempt,
+                    lease_end,
+                }));
             }
             Some(Phase::Ended { .. }) => {}
             // A start command of a former process life has arrived late.
--- a/crates/coordination/tests/executor/main.rs
+++ b/crates/coordination/tests/executor/main.rs
@@ -3,4 +3,5 @@
 mod agent;
 mod leases;
 mod leaving;
+mod once;
 mod requests;
