--- a/crates/bench/src/capacity/processes.rs
+++ b/crates/bench/src/capacity/processes.rs
@@ -1,9 +1,10 @@
 //! What whole processes cost by the number of their peers.
 
 use {
-    crate::{declare, memory, slope::Series},
+    crate::{memory, slope::Series},
     filbertbend_standin::{
         client::Client,
+        declare,
         fleet::{wait_for, Fleet, Launcher, Plan},
     },
     filbertbend_state::service::{Class, Kind},
@@ -11,6 +12,9 @@
     tokio::process::Child,
 };
 
+/// How long the links are left to settle: each one first probes for the
+/// largest packet that its path carries, some 17 KB once in its life.
+const SETTLE: Duration = Duration::from_secs(10);
 /// How long a fleet is watched once all its members know each other.
 const SPAN: Duration = Duration::from_secs(10);
 /// How long the start may take.
@@ -51,6 +55,7 @@
         slices: 16,
         log_level: "warn",
         launcher: Launcher::OwnExecutable,
+        relays: false,
     }
 }
 
@@ -67,6 +72,7 @@
         let complete = wait_for(START_LIMIT, || knows_all(entry.operators, entries, agents));
         assert!(complete.await, "{}", fleet.log("entry-0"));
     }
+    tokio::time::sleep(SETTLE).await;
     let mut watch = Watch::start(&fleet, &entry_processes, &agent_processes).await;
     tokio::time::sleep(SPAN).await;
     watch
