--- a/crates/coordination/tests/owner_faults.rs
+++ b/crates/coordination/tests/owner_faults.rs
@@ -270,7 +270,7 @@
         let found = &mut self.entries[entry];
         for (number, machine) in self.machines.iter().enumerate() {
             let load = machine.executor.as_ref().map(Executor::load);
-            if let Some(load) = load.filter(|_| self.now.0 % 1000 == 0) {
+            if let Some(load) = load.filter(|_| self.now.0.is_multiple_of(1000)) {
                 let worker = worker_id(number);
                 found
                     .planner
@@ -377,13 +377,13 @@
                         attempt,
                         command,
                     };
-                    self.to_agent(entry, number, event);
+                    self.send_to_agent(entry, number, event);
                 }
                 Message::Adopt(entry, number) => {
                     let (from, epoch) = self.sender(entry);
                     let slice = id::Slice(0);
                     let event = executor::Event::Adopt { from, slice, epoch };
-                    self.to_agent(entry, number, event);
+                    self.send_to_agent(entry, number, event);
                 }
                 Message::Report(number, entry, attempt, report) => {
                     let worker = worker_id(number);
@@ -412,7 +412,7 @@
         (name(&format!("entry-{entry}")), self.entries[entry].epoch)
     }
 
-    fn to_agent(&mut self, entry: usize, number: usize, event: executor::Event) {
+    fn send_to_agent(&mut self, entry: usize, number: usize, event: executor::Event) {
         if self.entries[entry].cut_from != Some(number) {
             self.agent(number, event);
         }
