Derive the slice of a job in one place

Cause: entries hashed a job's text and agents its bytes. A restarted agent listed its running tasks under another slice, so the owner took them as not held and placed them again.

--- a/crates/coordination/src/executor/report.rs
+++ b/crates/coordination/src/executor/report.rs
@@ -180,6 +180,6 @@
 
     /// Returns the slice of a task found on the worker.
     pub(super) fn slice_of(&self, attempt: &Attempt) -> id::Slice {
-        hash::slice(attempt.task.job.0.to_bytes(), self.settings.slices)
+        hash::job_slice(attempt.task.job, self.settings.slices)
     }
 }
--- a/crates/filbertbend/src/serve/inspect.rs
+++ b/crates/filbertbend/src/serve/inspect.rs
@@ -88,7 +88,7 @@
 ) -> Result<Response, Answer> {
     let request = front.request();
     let job: id::Job = segment(&job, request)?;
-    let slice = hash::slice(job.to_string(), front.slices);
+    let slice = hash::job_slice(job, front.slices);
     match front.control.call(slice, Call::Status(job), WAIT).await {
         job::Answer::Status(status) => Ok(Json(status).into_response()),
         job::Answer::Outcome(outcome) => Err(Answer::new(outcome, request)),
--- a/crates/filbertbend/src/serve/jobs.rs
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -90,7 +90,7 @@
         tasks,
         ..spec(id, &declaration, &terms, body)
     };
-    let slice = hash::slice(id.to_string(), front.slices);
+    let slice = hash::job_slice(id, front.slices);
     let call = Call::Submit(spec);
     let answer = front
         .control
@@ -234,7 +234,7 @@
 
 impl Front {
     async fn job_call(&self, call: Call, job: id::Job) -> job::Answer {
-        let slice = hash::slice(job.to_string(), self.slices);
+        let slice = hash::job_slice(job, self.slices);
         self.control.call(slice, call, CALL_WAIT).await
     }
 }
--- a/crates/filbertbend/src/serve/slices.rs
+++ b/crates/filbertbend/src/serve/slices.rs
@@ -33,6 +33,8 @@
 
 /// How often owners and the registry are told that time has passed.
 const TICK: Millis = Millis(100);
+/// How long a slice with a damaged journal is left alone.
+const DAMAGED_PAUSE: Millis = Millis::from_secs(30);
 /// Decisions of the planner in one round, so that a long queue does not keep
 /// the control thread from its other work.
 const DECISIONS_LIMIT: usize = 256;
@@ -73,6 +75,8 @@
     next_record: u64,
     next_tick: Instant,
     left: Option<oneshot::Sender<()>>,
+    /// Slices that could not be recovered, and when to try again.
+    damaged: Vec<(Instant, id::Slice)>,
     listed: Vec<ownership::Member>,
     roster_changed: bool,
 }
@@ -106,6 +110,7 @@
             next_record: 0,
             next_tick: Instant::default(),
             left: None,
+            damaged: Vec::new(),
             listed: Vec::new(),
             roster_changed: false,
         }
@@ -308,12 +313,25 @@
             return self.decide(now);
         }
         self.next_tick = now + TICK;
+        self.retry_damaged(now);
         self.run(now, Event::Registry(ownership::Event::Tick));
         let wall = clock::wall();
         self.tell_owners(now, |_| owner::Event::Tick { wall });
         self.gauges();
     }
 
+    /// Lets the registry begin again with slices whose journal was damaged; an
+    /// operator may have mended the value meanwhile.
+    fn retry_damaged(&mut self, now: Instant) {
+        let (due, later) = self.damaged.iter().partition(|(at, _)| *at <= now);
+        self.damaged = later;
+        let due: Vec<(Instant, id::Slice)> = due;
+        for (_, slice) in due {
+            let event = ownership::Event::Fenced(slice);
+            self.events.push_back(Event::Registry(event));
+        }
+    }
+
     fn gauges(&self) {
         gauge!("filbertbend_slices_owned").set(self.slices.len() as f64);
         gauge!("filbertbend_tasks_waiting").set(self.planner.waiting() as f64);
@@ -518,12 +536,15 @@
             journal::Action::Lost { newer } => {
                 info!("slice lost", kv: { slice:, newer:? });
                 self.lose(now, slice);
-                let event = ownership::Event::Fenced(slice);
-                self.events.push_back(Event::Registry(event));
+                if newer.is_some() {
+                    let event = ownership::Event::Fenced(slice);
+                    self.events.push_back(Event::Registry(event));
+                }
             }
             journal::Action::Failed(error) => {
                 error!("slice not served: its journal is damaged", kv: { slice:, error: });
                 self.lose(now, slice);
+                self.damaged.push((now + DAMAGED_PAUSE, slice));
             }
         }
     }
--- a/crates/standin/tests/docs.rs
+++ b/crates/standin/tests/docs.rs
@@ -266,3 +266,32 @@
         }
     }
 }
+
+/// Guards against a page of proofs that names a test which does not exist.
+#[test]
+fn tests_named_by_the_promises_exist() {
+    let page = page("docs/promises.md");
+    let folders = ["coordination", "standin", "filbertbend"];
+    let mut named = 0;
+
+    for quoted in page.split('`').skip(1).step_by(2) {
+        let Some((file, test)) = quoted.split_once("::") else {
+            continue;
+        };
+        let sources = folders.iter().filter_map(|folder| {
+            let path = format!("crates/{folder}/tests/{file}.rs");
+            fs::read_to_string(root().join(path)).ok()
+        });
+        let sources: Vec<String> = sources.collect();
+        if sources.is_empty() {
+            // A path of the code, such as a module that a fault is put into.
+            continue;
+        }
+        let definition = format!("fn {test}(");
+        let found = sources.iter().any(|source| source.contains(&definition));
+        assert!(found, "{quoted}");
+        named += 1;
+    }
+
+    assert!(named > 100, "{named}");
+}
--- a/crates/standin/tests/failures.rs
+++ b/crates/standin/tests/failures.rs
@@ -278,6 +278,55 @@
     system.assert_no_overlap();
 }
 
+/// Guards against a second run of a task that goes on under the worker's lease
+/// while the agent beside it is replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_agent_leaves_its_tasks_running_once() {
+    let mut system = System::start(Plan::small()).await;
+    let client = system.client(0);
+    let mut jobs = Vec::new();
+    for number in 0..12 {
+        let key = format!("long-{number}");
+        let headers = [("idempotency-key", key.as_str())];
+        let body = r#"{"work_ms": 9000}"#;
+        let answer = client
+            .post("/v1/jobs/layout", &headers, body)
+            .await
+            .unwrap();
+        jobs.push(answer.json()["job"].as_str().unwrap().to_owned());
+    }
+    let started = || async {
+        let models = system.fleet.instances.iter();
+        let running = models.map(|instance| instance.worker.lock().trace().spans.len());
+        running.sum::<usize>() >= 12
+    };
+    assert!(wait_for(LIMIT, started).await);
+
+    for index in 0..system.agents.len() {
+        system.agents[index].kill().await.unwrap();
+        system.agents[index] = system.fleet.spawn_agent(index).unwrap();
+    }
+    for job in &jobs {
+        let status = client.get(format!("/v1/jobs/{job}?wait_ms=60000")).await;
+        assert_eq!(status.unwrap().json()["phase"], "done");
+    }
+
+    system.assert_no_overlap();
+    let models = system.fleet.instances.iter();
+    let spans = models.map(|instance| {
+        let model = instance.worker.lock();
+        let spans = &model.trace().spans;
+        let long = |job: &String| {
+            let of_job = spans
+                .iter()
+                .filter(|span| span.attempt.task.job.to_string() == *job);
+            of_job.count()
+        };
+        jobs.iter().map(long).sum::<usize>()
+    });
+    assert_eq!(spans.sum::<usize>(), 12, "a task was started again");
+}
+
 /// Guards against a link that has gone silent being used, or taken for a dead
 /// agent, while new links work.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/state/src/hash.rs
+++ b/crates/state/src/hash.rs
@@ -18,6 +18,12 @@
     id::Slice((of(bytes) % u64::from(slices.max(1))) as u16)
 }
 
+/// Returns the slice that owns `job`. Entries route by it, and agents derive
+/// the slice of a task that they find running from it, so both must agree.
+pub fn job_slice(job: id::Job, slices: u16) -> id::Slice {
+    slice(job.0.to_bytes(), slices)
+}
+
 /// Returns the weight of `member` for `slice` in rendezvous hashing; the
 /// member with the highest weight is the preferred one, so a change of members
 /// moves only the slices of the member that came or went.
