Keep a call waiting for the refusal of its order

The deadline of the call and that of the order come from the same wall-clock time, but are translated to the monotonic clock when the order arrives and when its record is durable. The owner's wall clock stands still between two ticks, so the order's deadline came up to a tick later, and the call was given up in between.

A call for an order that cannot have started now also waits if the order's own deadline comes within the grace of 500 ms. Taking the deadline from the first waiting call was ruled out: that call may be a repeat with a shorter deadline. A test with 15 ms between arrival and durability failed before and passes now.

--- a/crates/coordination/src/owner/order.rs
+++ b/crates/coordination/src/owner/order.rs
@@ -190,15 +190,20 @@
     }
 
     /// Answers the calls whose own deadline has passed while the order may
-    /// still run. Calls for an order that is being closed get a little longer,
-    /// because the record that settles their answer is being written.
+    /// still run. Calls for an order that is being closed, or that is about to
+    /// be closed at its own deadline, get a little longer, because the record
+    /// that settles their answer follows.
     pub(super) fn answer_late_waiters(&mut self, cx: &mut Cx<'_>, job: id::Job) {
+        let now = cx.now;
+        let may_run = self.order_may_run(job);
         let Some(open) = self.open.get_mut(&job) else {
             return;
         };
-        let closing = open.closing || open.ending.is_some();
+        let due_soon = open
+            .deadline
+            .is_some_and(|deadline| deadline <= now + CLOSE_GRACE);
+        let closing = open.closing || open.ending.is_some() || (due_soon && !may_run);
         let grace = if closing { CLOSE_GRACE } else { Millis::ZERO };
-        let now = cx.now;
         open.waiters.retain(|waiter| {
             let late = waiter
                 .deadline
--- a/crates/coordination/tests/owner_orders.rs
+++ b/crates/coordination/tests/owner_orders.rs
@@ -135,6 +135,29 @@
     assert!(fixture.started_on(attempt(3, 1)).is_some());
 }
 
+/// Guards against a caller that is told `unknown` a moment before the order is
+/// refused. The deadlines of the call and of the order are translated to the
+/// monotonic clock at different times, between which the wall clock is not
+/// read again.
+#[test]
+fn a_call_waits_for_the_refusal_of_its_order_at_the_same_deadline() {
+    let mut fixture = owner(2);
+    fixture.writes = Writes::Held;
+    let call = fixture.call(Call::Submit(order(2, 2, "k-2")));
+    fixture.now = fixture.now + Millis(15);
+    fixture.writes = Writes::AtOnce;
+    fixture.write();
+    fixture.pass(Millis(85));
+
+    fixture.pass(Millis::from_secs(31));
+
+    let refused = Outcome::Refused {
+        reason: Reason::SequenceGap,
+        retry_after_ms: Millis::ZERO,
+    };
+    assert_eq!(fixture.answer(call), Some(Answer::Outcome(refused)));
+}
+
 /// Guards against an order that runs twice because its agent was lost after
 /// the grant, and against a customer that is blocked for good.
 #[test]
