--- /dev/null
+++ b/crates/standin/tests/session/mod.rs
@@ -0,0 +1,821 @@
+//! Whole sessions in simulated time: entries, agents, workers, endpoints and
+//! the store. Messages take a fixed time and pass in order unless the script
+//! drops or holds one.
+
+#![allow(dead_code)]
+
+mod check;
+mod entry;
+mod node;
+
+use {
+    entry::{Entry, Event, Output, Source},
+    filbertbend_coordination::{
+        attempt::{Attempt, Command, End, Report},
+        executor::{self, Delivery},
+        job::{self, Answer, Call, Order, Spec},
+        membership::State,
+        owner, ownership,
+        placement::Agent,
+        store::{self, Answer as StoreAnswer, Ticket},
+    },
+    filbertbend_standin::store::network::{Faults, Network},
+    filbertbend_state::{
+        config::Snapshot,
+        hash, id,
+        room::Room,
+        service::{Class, Declaration, Kind, Retry},
+        time::Instant,
+        unit::{Accelerators, Bytes, Cores, Millis, Share, Slots},
+    },
+    node::Node,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, fmt::Write},
+};
+
+/// Time from one process to another.
+const LINK_MS: u64 = 2;
+/// Time that an endpoint takes for an order.
+const ORDER_MS: u64 = 50;
+/// Silence after which an agent is a suspect, and after which it is down.
+const SUSPECT_MS: u64 = 2000;
+const DOWN_MS: u64 = 5000;
+const TICK_MS: u64 = 100;
+const LOAD_INTERVAL_MS: u64 = 500;
+/// Time until a caller of the store learns that an answer is lost.
+const LOST_MS: u64 = 1000;
+
+/// What the script does to a message or store call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fate {
+    Pass,
+    Drop,
+    /// Arrives this many milliseconds later; other messages may overtake it.
+    Hold(u64),
+    /// A store call takes effect and its answer is lost.
+    LoseAnswer,
+}
+
+/// Decides about a message by its sender, receiver and text.
+pub(crate) type Rule = Box<dyn FnMut(Instant, &str, &str, &str) -> Fate>;
+
+#[derive(Clone)]
+pub(crate) struct Caller {
+    entry: id::Entry,
+    life: u64,
+    source: Source,
+}
+
+enum Packet {
+    ToAgent(id::Worker, executor::Event),
+    ToEntry(id::Entry, executor::Action, id::Worker),
+    Delivered(id::Worker, id::Incarnation, Attempt),
+    Lost(Caller, Ticket),
+}
+
+struct Seat {
+    life: u64,
+    entry: Entry,
+}
+
+/// A call, and its answer if there is one.
+pub(crate) struct Asked {
+    pub(crate) call: Call,
+    pub(crate) at: Instant,
+    pub(crate) answer: Option<(Instant, Answer)>,
+    name: String,
+    entry: Option<(id::Entry, u64)>,
+}
+
+pub(crate) struct Session {
+    pub(crate) now: Instant,
+    pub(crate) rule: Rule,
+    pub(crate) network: Network<Caller>,
+    pub(crate) asked: BTreeMap<u64, Asked>,
+    nodes: BTreeMap<id::Worker, Node>,
+    seats: BTreeMap<id::Entry, Seat>,
+    packets: BTreeMap<(Instant, u64), Packet>,
+    snapshot: Snapshot,
+    slices: u16,
+    lives: u64,
+    sent: u64,
+    next_spec: u64,
+    names: BTreeMap<String, String>,
+    answers: String,
+    messages: String,
+    stored: BTreeMap<(String, String), u64>,
+    counters: BTreeMap<String, u64>,
+}
+
+pub(crate) fn name<T: std::str::FromStr<Err = id::Error>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+pub(crate) fn room(cores: u64, gib: u64) -> Room {
+    Room {
+        cores: Cores(cores * 1000),
+        memory: Bytes(gib << 30),
+        accelerators: Accelerators(0),
+    }
+}
+
+/// A worker of `size` with its agent and endpoint, in `data_centre`.
+pub(crate) fn agent(worker: &str, data_centre: &str, services: &[&str], size: Room) -> Agent {
+    Agent {
+        worker: name(worker),
+        endpoint: name(&format!("{worker}-endpoint")),
+        incarnation: id::Incarnation(0),
+        data_centre: name(data_centre),
+        rack: name(&format!("{data_centre}-rack")),
+        services: services.iter().map(|service| name(service)).collect(),
+        slots: Slots(8),
+        room: size,
+    }
+}
+
+/// A job service that guarantees `quota` to `team`.
+pub(crate) fn service(service: &str, team: &str, quota: Room) -> Declaration {
+    Declaration {
+        name: name(service),
+        team: name(team),
+        kind: Kind::Job,
+        class: Class::Batch,
+        idempotent: true,
+        deadline: Millis::from_secs(60),
+        size: room(1, 1),
+        run_time: Millis::from_secs(60),
+        share: Share::NONE,
+        quota,
+        retry: Retry {
+            tries: 1,
+            hedge: false,
+        },
+        data_centres: Vec::new(),
+    }
+}
+
+impl Session {
+    /// Starts the agents; entries are started by the script.
+    pub(crate) fn new(slices: u16, agents: Vec<Agent>, services: Vec<Declaration>) -> Self {
+        let faults = Faults {
+            latency_ms: 2 * LINK_MS,
+            ..Faults::default()
+        };
+        let mut session = Self {
+            now: Instant(1),
+            rule: Box::new(|_, _, _, _| Fate::Pass),
+            network: Network::new(faults, ChaCha8Rng::seed_from_u64(1)),
+            asked: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            packets: BTreeMap::new(),
+            snapshot: Snapshot {
+                revision: id::Revision(1),
+                services,
+                drains: Vec::new(),
+            },
+            slices,
+            lives: 0,
+            sent: 0,
+            next_spec: 0,
+            names: BTreeMap::new(),
+            answers: String::new(),
+            messages: String::new(),
+            stored: BTreeMap::new(),
+            counters: BTreeMap::new(),
+        };
+        for agent in agents {
+            let worker = agent.worker.clone();
+            let node = Node::new(session.now, agent, slices);
+            session.nodes.insert(worker.clone(), node);
+            session.start_agent(worker.as_str());
+        }
+        session
+    }
+
+    pub(crate) fn start_agent(&mut self, worker: &str) {
+        let worker: id::Worker = name(worker);
+        let now = self.now;
+        let actions = self.node(&worker).start(now);
+        let incarnation = self.node(&worker).agent.incarnation;
+        self.say(&format!("{worker}: agent starts, life {incarnation}"));
+        self.act_on_agent(&worker, actions);
+    }
+
+    pub(crate) fn kill_agent(&mut self, worker: &str) {
+        let now = self.now;
+        self.say(&format!("{worker}: agent dies"));
+        self.node(&name(worker)).kill(now);
+    }
+
+    pub(crate) fn has_agent(&mut self, worker: &str) -> bool {
+        self.node(&name(worker)).executor.is_some()
+    }
+
+    pub(crate) fn has_entry(&self, entry: &str) -> bool {
+        self.seats.contains_key(&name::<id::Entry>(entry))
+    }
+
+    fn node(&mut self, worker: &id::Worker) -> &mut Node {
+        self.nodes.get_mut(worker).unwrap()
+    }
+
+    pub(crate) fn start_entry(&mut self, entry: &str, data_centre: &str) {
+        let id: id::Entry = name(entry);
+        self.lives += 1;
+        self.say(&format!("{entry}: starts"));
+        let mut made = Entry::new(id.clone(), self.lives, name(data_centre), self.slices);
+        made.configure(&self.snapshot);
+        made.run(self.now, Event::Registry(ownership::Event::Start));
+        let seat = Seat {
+            life: self.lives,
+            entry: made,
+        };
+        self.seats.insert(id.clone(), seat);
+        self.flush(&id);
+    }
+
+    pub(crate) fn leave_entry(&mut self, entry: &str) {
+        self.say(&format!("{entry}: told to leave"));
+        let now = self.now;
+        self.with(&name(entry), |entry| {
+            entry.run(now, Event::Registry(ownership::Event::Leave))
+        });
+    }
+
+    /// Ends an entry process; callers that wait lose their connections.
+    pub(crate) fn kill_entry(&mut self, entry: &str) {
+        self.end_entry(&name(entry), "dies");
+    }
+
+    fn end_entry(&mut self, entry: &id::Entry, how: &str) {
+        self.say(&format!("{entry}: {how}"));
+        let Some(seat) = self.seats.remove(entry) else {
+            return;
+        };
+        let mut lost = String::new();
+        for asked in self.asked.values_mut() {
+            if asked.answer.is_none() && asked.entry.as_ref() == Some(&(entry.clone(), seat.life)) {
+                asked.entry = None;
+                writeln!(lost, "{} {}: connection lost", time(self.now), asked.name).unwrap();
+            }
+        }
+        self.answers += &lost;
+    }
+
+    fn with(&mut self, entry: &id::Entry, step: impl FnOnce(&mut Entry)) {
+        if let Some(seat) = self.seats.get_mut(entry) {
+            step(&mut seat.entry);
+            self.flush(entry);
+        }
+    }
+
+    /// Makes a job; `body` is for the worker model.
+    pub(crate) fn job(
+        &mut self,
+        title: &str,
+        service: &str,
+        team: &str,
+        size: Room,
+        work_ms: u64,
+    ) -> Spec {
+        let id = id::Job(hash::ulid(format!("{title}/{}", self.next_spec)));
+        self.next_spec += 1;
+        self.names.insert(id.to_string(), title.to_owned());
+        Spec {
+            id,
+            service: name(service),
+            team: name(team),
+            class: Class::Batch,
+            size,
+            tasks: 1,
+            run_time: Millis(work_ms),
+            expires_at: None,
+            data_centres: Vec::new(),
+            body: format!("{{\"work_ms\":{work_ms},\"echo\":\"{title}\"}}").into_bytes(),
+            order: None,
+        }
+    }
+
+    pub(crate) fn order(
+        &mut self,
+        service: &str,
+        customer: &str,
+        sequence: u64,
+        key: &str,
+    ) -> Spec {
+        let spec = self.job(
+            &format!("{customer}/{key}"),
+            service,
+            "desk",
+            room(1, 1),
+            ORDER_MS,
+        );
+        Spec {
+            expires_at: Some(entry::wall(self.now) + Millis::from_secs(30)),
+            body: format!("{customer} orders {key}").into_bytes(),
+            order: Some(Order {
+                customer: name(customer),
+                sequence,
+                key: name(key),
+            }),
+            ..spec
+        }
+    }
+
+    pub(crate) fn submit(&mut self, spec: Spec) -> u64 {
+        let title = self.names[&spec.id.to_string()].clone();
+        self.call(&format!("submit {title}"), Call::Submit(spec))
+    }
+
+    /// Passes a call to the entry that serves its slice.
+    pub(crate) fn call(&mut self, title: &str, call: Call) -> u64 {
+        let number = self.asked.len() as u64 + 1;
+        let label = format!("call {number}");
+        writeln!(self.answers, "{} {label}: {title}", time(self.now)).unwrap();
+        let slice = match &call {
+            Call::Submit(Spec {
+                order: Some(order), ..
+            }) => hash::slice(order.customer.as_str(), self.slices),
+            Call::Order { customer, .. } => hash::slice(customer.as_str(), self.slices),
+            Call::Submit(Spec { id, .. })
+            | Call::Status(id)
+            | Call::Result(id)
+            | Call::Cancel(id) => hash::slice(id.0.to_bytes(), self.slices),
+        };
+        let serving = self.seats.iter().find(|(_, seat)| seat.entry.serves(slice));
+        let serving = serving.map(|(entry, seat)| (entry.clone(), seat.life));
+        let asked = Asked {
+            call: call.clone(),
+            at: self.now,
+            answer: None,
+            name: label.clone(),
+            entry: serving.clone(),
+        };
+        self.asked.insert(number, asked);
+        let Some((entry, _)) = serving else {
+            writeln!(self.answers, "{} {label}: no owner", time(self.now)).unwrap();
+            return number;
+        };
+        let event = owner::Event::Call {
+            reply: owner::Reply(number),
+            wall: entry::wall(self.now),
+            call,
+        };
+        let now = self.now;
+        self.with(&entry, |entry| entry.run(now, Event::Owner(slice, event)));
+        number
+    }
+
+    fn say(&mut self, text: &str) {
+        writeln!(self.messages, "{} {text}", time(self.now)).unwrap();
+    }
+
+    fn push(&mut self, after_ms: u64, packet: Packet) {
+        self.sent += 1;
+        self.packets
+            .insert((self.now + Millis(after_ms), self.sent), packet);
+    }
+
+    /// Sends a message between an entry and an agent.
+    fn send(&mut self, from: &str, to: &str, text: &str, packet: Packet) {
+        let fate = (self.rule)(self.now, from, to, text);
+        match fate {
+            Fate::Drop => self.say(&format!("{from} -> {to}: {text} (dropped)")),
+            Fate::Hold(ms) => {
+                self.say(&format!("{from} -> {to}: {text} (held for {ms} ms)"));
+                self.push(LINK_MS + ms, packet);
+            }
+            Fate::Pass | Fate::LoseAnswer => {
+                self.say(&format!("{from} -> {to}: {text}"));
+                self.push(LINK_MS, packet);
+            }
+        }
+    }
+
+    /// Carries out what an entry has asked for.
+    fn flush(&mut self, entry: &id::Entry) {
+        let Some(seat) = self.seats.get_mut(entry) else {
+            return;
+        };
+        let life = seat.life;
+        for output in std::mem::take(&mut seat.entry.outputs) {
+            match output {
+                Output::Store(source, ticket, call) => {
+                    let caller = Caller {
+                        entry: entry.clone(),
+                        life,
+                        source,
+                    };
+                    self.store(caller, ticket, call);
+                }
+                Output::Command(worker, slice, epoch, attempt, command) => {
+                    let text = format!("{} {attempt}", describe(&command));
+                    let event = executor::Event::Command {
+                        from: entry.clone(),
+                        slice,
+                        epoch,
+                        attempt,
+                        command,
+                    };
+                    let packet = Packet::ToAgent(worker.clone(), event);
+                    self.send(entry.as_str(), worker.as_str(), &text, packet);
+                }
+                Output::Adopt(worker, slice, epoch) => {
+                    let text = format!("adopt slice {slice} epoch {epoch}");
+                    let event = executor::Event::Adopt {
+                        from: entry.clone(),
+                        slice,
+                        epoch,
+                    };
+                    let packet = Packet::ToAgent(worker.clone(), event);
+                    self.send(entry.as_str(), worker.as_str(), &text, packet);
+                }
+                Output::Answer(number, answer) => self.answered(number, answer),
+                Output::Count(counter) => {
+                    *self.counters.entry(counter.to_string()).or_default() += 1
+                }
+                Output::Note(text) => self.say(&format!("{entry}: {text}")),
+                Output::Left => self.end_entry(entry, "has left"),
+            }
+        }
+    }
+
+    fn answered(&mut self, number: u64, answer: Answer) {
+        writeln!(
+            self.answers,
+            "{} call {number}: {}",
+            time(self.now),
+            show(&answer)
+        )
+        .unwrap();
+        let asked = self.asked.get_mut(&number).unwrap();
+        assert!(asked.answer.is_none(), "call {number} is answered twice");
+        asked.answer = Some((self.now, answer));
+    }
+
+    fn store(&mut self, caller: Caller, ticket: Ticket, call: store::Call) {
+        let text = describe_call(&call);
+        let fate = (self.rule)(self.now, caller.entry.as_str(), "store", &text);
+        *self
+            .stored
+            .entry((caller.entry.to_string(), text.clone()))
+            .or_default() += 1;
+        match fate {
+            Fate::Pass | Fate::Hold(_) => return self.network.send(self.now, caller, ticket, call),
+            Fate::LoseAnswer => {
+                self.network.memory.call(self.now, call);
+            }
+            Fate::Drop => {}
+        }
+        let what = if fate == Fate::Drop { "call" } else { "answer" };
+        self.say(&format!("{} -> store: {text} ({what} lost)", caller.entry));
+        self.push(LOST_MS, Packet::Lost(caller, ticket));
+    }
+
+    fn act_on_agent(&mut self, worker: &id::Worker, actions: Vec<executor::Action>) {
+        use executor::Action;
+        for action in actions {
+            match &action {
+                Action::Report {
+                    to,
+                    attempt,
+                    report,
+                    ..
+                } => {
+                    let (to, text) = (to.clone(), format!("{} {attempt}", describe_report(report)));
+                    let packet = Packet::ToEntry(to.clone(), action, worker.clone());
+                    self.send(worker.as_str(), to.as_str(), &text, packet);
+                }
+                Action::Inventory {
+                    to,
+                    slice,
+                    attempts,
+                    ..
+                } => {
+                    let held: Vec<_> = attempts
+                        .iter()
+                        .map(|(attempt, phase)| format!(" {attempt} {phase:?}"))
+                        .collect();
+                    let (to, text) = (
+                        to.clone(),
+                        format!("inventory slice {slice}:{}", held.concat()),
+                    );
+                    let packet = Packet::ToEntry(to.clone(), action, worker.clone());
+                    self.send(worker.as_str(), to.as_str(), &text, packet);
+                }
+                Action::SendOrder {
+                    attempt,
+                    work,
+                    send_by,
+                } => {
+                    let (attempt, now) = (*attempt, self.now);
+                    if self.node(worker).run_order(now, work.clone(), *send_by) {
+                        self.say(&format!("{worker}: endpoint runs {attempt}"));
+                        let life = self.node(worker).agent.incarnation;
+                        self.push(ORDER_MS, Packet::Delivered(worker.clone(), life, attempt));
+                    } else {
+                        let delivery = Delivery::NotSent;
+                        self.step_agent(worker, executor::Event::Order { attempt, delivery });
+                    }
+                }
+                other => self.say(&format!("{worker}: {other:?}")),
+            }
+        }
+    }
+
+    fn step_agent(&mut self, worker: &id::Worker, event: executor::Event) {
+        let now = self.now;
+        let mut actions = self.node(worker).step(now, event);
+        actions.extend(self.node(worker).poll(now));
+        self.act_on_agent(worker, actions);
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        let now = self.now;
+        match packet {
+            Packet::ToAgent(worker, event) => self.step_agent(&worker, event),
+            Packet::ToEntry(
+                to,
+                executor::Action::Report {
+                    slice,
+                    attempt,
+                    report,
+                    ..
+                },
+                worker,
+            ) => {
+                let event = owner::Event::Report {
+                    worker,
+                    attempt,
+                    report,
+                };
+                self.with(&to, |entry| entry.run(now, Event::Owner(slice, event)));
+            }
+            Packet::ToEntry(
+                to,
+                executor::Action::Inventory {
+                    slice,
+                    epoch,
+                    attempts,
+                    ..
+                },
+                worker,
+            ) => {
+                self.with(&to, |entry| {
+                    entry.inventory(now, worker, slice, epoch, attempts)
+                });
+            }
+            Packet::ToEntry(..) => {}
+            Packet::Delivered(worker, life, attempt) => {
+                if self.node(&worker).agent.incarnation == life {
+                    let output = filbertbend_coordination::attempt::Output {
+                        status: 200,
+                        content_type: "text/plain".into(),
+                        body: format!("done at {worker}").into_bytes(),
+                    };
+                    let delivery = Delivery::Answered(output);
+                    self.step_agent(&worker, executor::Event::Order { attempt, delivery });
+                }
+            }
+            Packet::Lost(caller, ticket) => self.answer_store(caller, ticket, StoreAnswer::Lost),
+        }
+    }
+
+    fn answer_store(&mut self, caller: Caller, ticket: Ticket, answer: StoreAnswer) {
+        let now = self.now;
+        if self
+            .seats
+            .get(&caller.entry)
+            .is_some_and(|seat| seat.life == caller.life)
+        {
+            self.with(&caller.entry, |entry| {
+                entry.stored(now, caller.source, ticket, answer)
+            });
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn pass(&mut self, ms: u64) {
+        let end = self.now + Millis(ms);
+        while self.now < end {
+            let tick = Instant((self.now.0 / TICK_MS + 1) * TICK_MS);
+            let packet = self.packets.keys().next().map(|(at, _)| *at);
+            let wakes = self.seats.values().filter_map(|seat| seat.entry.wake());
+            let due = self.nodes.values().filter_map(|node| node.model.next_due());
+            let next = wakes.chain(due).chain(packet).chain(self.network.next_at());
+            let next = next.fold(tick.min(end), Instant::min);
+            self.now = next.max(Instant(self.now.0 + 1));
+            self.turn(self.now == tick);
+        }
+    }
+
+    fn turn(&mut self, tick: bool) {
+        let now = self.now;
+        while let Some((caller, ticket, answer)) = self.network.receive(now) {
+            self.answer_store(caller, ticket, answer);
+        }
+        while let Some(first) = self
+            .packets
+            .first_entry()
+            .filter(|first| first.key().0 <= now)
+        {
+            let packet = first.remove();
+            self.deliver(packet);
+        }
+        let workers: Vec<_> = self.nodes.keys().cloned().collect();
+        let entries: Vec<_> = self.seats.keys().cloned().collect();
+        for worker in &workers {
+            let actions = self.node(worker).poll(now);
+            self.act_on_agent(worker, actions);
+            if tick {
+                self.step_agent(worker, executor::Event::Tick);
+            }
+        }
+        for entry in &entries {
+            self.with(entry, |entry| entry.wake_journals(now));
+            if tick {
+                self.watch_agents(entry, &workers);
+                self.with(entry, |entry| entry.tick(now));
+            }
+        }
+    }
+
+    /// Tells an entry how the agents are.
+    fn watch_agents(&mut self, entry: &id::Entry, workers: &[id::Worker]) {
+        let now = self.now;
+        for worker in workers {
+            let node = self.node(worker);
+            let agent = node.agent.clone();
+            let load = node.executor.as_ref().map(executor::Executor::load);
+            let silent = node.dead_since.map_or(0, |since| now.since(since).0);
+            let state = match silent {
+                DOWN_MS.. => State::Down,
+                SUSPECT_MS.. => State::Suspect,
+                _ => State::Alive,
+            };
+            self.with(entry, |entry| {
+                entry.agent(now, &agent, state);
+                if let Some(load) = load.filter(|_| now.0.is_multiple_of(LOAD_INTERVAL_MS)) {
+                    entry
+                        .planner
+                        .load(worker, load.free, load.slots, load.leaving);
+                }
+            });
+        }
+    }
+
+    /// Checks the session and returns everything that happened in it.
+    pub(crate) fn finish(self) -> String {
+        let faults = self.faults();
+        assert!(faults.is_empty(), "{}", faults.join("\n"));
+        self.render()
+    }
+
+    /// Returns everything that must not have happened.
+    pub(crate) fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        check::spans(self.nodes.values(), &mut faults);
+        check::orders(self.nodes.values(), &self.asked, &mut faults);
+        check::not_run(self.nodes.values(), &self.asked, &mut faults);
+        faults.iter().map(|fault| self.rename(fault)).collect()
+    }
+
+    /// Replaces the ids of jobs by their titles.
+    fn rename(&self, text: &str) -> String {
+        let rename = |text: String, (id, title): (&String, &String)| text.replace(id, title);
+        self.names.iter().fold(text.to_owned(), rename)
+    }
+
+    fn render(&self) -> String {
+        let mut text = format!(
+            "== answers\n{}\n== messages\n{}",
+            self.answers, self.messages
+        );
+        text += "\n== runs on workers\n";
+        for node in self.nodes.values() {
+            for span in &node.model.trace().spans {
+                let to = span.to.map_or_else(|| "still runs".to_owned(), time);
+                writeln!(
+                    text,
+                    "{} {} to {to}: {}",
+                    span.worker,
+                    time(span.from),
+                    span.attempt
+                )
+                .unwrap();
+            }
+        }
+        text += "\n== orders at endpoints\n";
+        for run in self.nodes.values().flat_map(|node| &node.runs) {
+            writeln!(
+                text,
+                "{} {}: {}/{}",
+                run.worker,
+                time(run.at),
+                run.customer,
+                run.key
+            )
+            .unwrap();
+        }
+        text += "\n== store calls\n";
+        for ((entry, call), count) in &self.stored {
+            writeln!(text, "{entry} {count:>4} {call}").unwrap();
+        }
+        text += "\n== counters\n";
+        for (counter, count) in &self.counters {
+            writeln!(text, "{counter} {count}").unwrap();
+        }
+        self.rename(&text)
+    }
+}
+
+pub(crate) fn time(at: Instant) -> String {
+    format!("{:>3}.{:03}", at.0 / 1000, at.0 % 1000)
+}
+
+fn describe(command: &Command) -> String {
+    use filbertbend_coordination::attempt::Work;
+    match command {
+        Command::Start {
+            work:
+                Work::Batch {
+                    resume: Some(resume),
+                    ..
+                },
+            ..
+        } => format!("start from checkpoint {resume}"),
+        Command::Grant { lease, .. } => format!("grant {} ms", lease.0),
+        other => other.name().to_owned(),
+    }
+}
+
+fn describe_report(report: &Report) -> String {
+    match report {
+        Report::Refused { reason } => format!("refused ({reason})"),
+        Report::Checkpointed { number } => format!("checkpointed {number}"),
+        Report::Stopped {
+            checkpoint: Some(number),
+        } => format!("stopped with checkpoint {number}"),
+        Report::Ended(End::Completed(_)) => "completed".to_owned(),
+        Report::Ended(End::Failed(reason)) => format!("failed ({reason})"),
+        Report::Ended(End::Unknown) => "ended unknown".to_owned(),
+        other => other.name().to_owned(),
+    }
+}
+
+pub(crate) fn describe_call(call: &store::Call) -> String {
+    use store::Call;
+    match call {
+        Call::Get { key } => format!("get {key}"),
+        Call::Put { key, .. } => format!("put {key}"),
+        Call::Delete { key, .. } => format!("delete {key}"),
+        Call::List { prefix, .. } => format!("list {prefix}"),
+        Call::Grant { .. } => "grant lease".to_owned(),
+        Call::Renew { .. } => "renew lease".to_owned(),
+        Call::Revoke { .. } => "revoke lease".to_owned(),
+        Call::Watch { prefix, .. } => format!("watch {prefix}"),
+    }
+}
+
+fn show(answer: &Answer) -> String {
+    let text = |output: &filbertbend_coordination::attempt::Output| {
+        format!(
+            "{} {}",
+            output.status,
+            String::from_utf8_lossy(&output.body)
+        )
+    };
+    match answer {
+        Answer::Accepted(job) => format!("accepted {job}"),
+        Answer::Status(status) => format!("status {}", show_status(status)),
+        Answer::Pending(status) => format!("pending {}", show_status(status)),
+        Answer::Outputs(outputs) => format!(
+            "outputs {}",
+            outputs.iter().map(text).collect::<Vec<_>>().join(", ")
+        ),
+        Answer::Output(output) => format!("output {}", text(output)),
+        Answer::NotFound => "not found".to_owned(),
+        Answer::Outcome(outcome) => format!("{outcome:?}"),
+    }
+}
+
+fn show_status(status: &job::Status) -> String {
+    let mut text = format!(
+        "{} {}/{} tasks",
+        status.phase, status.tasks_done, status.tasks
+    );
+    if let Some(reason) = &status.reason {
+        write!(text, " ({reason})").unwrap();
+    }
+    for trial in &status.trials {
+        write!(
+            text,
+            "; {}#{} on {}: {}",
+            trial.index, trial.number, trial.worker, trial.state
+        )
+        .unwrap();
+    }
+    text
+}
