--- /dev/null
+++ b/crates/protocol/tests/hostile.rs
@@ -0,0 +1,134 @@
+//! Tests of frames that are truncated, changed or made up.
+
+use {
+    filbertbend_coordination::{
+        attempt::{Attempt, Command, Work},
+        membership::{Heartbeat, Load},
+    },
+    filbertbend_protocol::{
+        message::{Body, Control, Forwarded, Response, Stream},
+        wire::{self, Header, FRAME_LIMIT_BYTES, HEADER_BYTES},
+    },
+    filbertbend_state::{id, room::Room, unit::Slots},
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    ulid::Ulid,
+};
+
+/// The same cases in every run.
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::with_cases(1024)
+    }
+}
+
+fn command(body: Vec<u8>) -> Control {
+    Control::Command {
+        slice: id::Slice(3),
+        epoch: id::Epoch(7),
+        attempt: Attempt {
+            task: id::Task {
+                job: id::Job(Ulid(1)),
+                index: 2,
+            },
+            number: id::Attempt(4),
+        },
+        command: Command::Start {
+            size: Room::NONE,
+            work: Work::Batch {
+                service: "layout".parse().unwrap(),
+                body,
+                resume: Some(id::Checkpoint(9)),
+            },
+        },
+    }
+}
+
+fn body(frame: &[u8]) -> &[u8] {
+    &frame[HEADER_BYTES..]
+}
+
+/// Tells whether `bytes` are exactly one message of any kind.
+fn decodes(bytes: &[u8]) -> [bool; 5] {
+    [
+        wire::decode::<Control>(bytes).is_ok(),
+        wire::decode::<Stream>(bytes).is_ok(),
+        wire::decode::<Response>(bytes).is_ok(),
+        wire::decode::<Body>(bytes).is_ok(),
+        wire::decode::<Forwarded>(bytes).is_ok(),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a panic, or memory taken on the word of a peer.
+    #[test]
+    fn arbitrary_bytes_are_refused_or_read(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decodes(&bytes);
+    }
+
+    /// Guards against a message that is taken as whole when its end is missing.
+    #[test]
+    fn truncated_message_is_refused(
+        input in proptest::collection::vec(any::<u8>(), 0..64),
+        cut in 1_usize..32,
+    ) {
+        let frame = wire::encode(&command(input)).unwrap();
+        let whole = body(&frame);
+        let cut = cut.min(whole.len());
+
+        let result = wire::decode::<Control>(&whole[..whole.len() - cut]);
+
+        prop_assert!(result.is_err());
+    }
+
+    /// Guards against bytes after a message that nobody reads.
+    #[test]
+    fn trailing_bytes_are_refused(extra in proptest::collection::vec(any::<u8>(), 1..16)) {
+        let frame = wire::encode(&command(Vec::new())).unwrap();
+        let mut longer = body(&frame).to_vec();
+        longer.extend(extra);
+
+        let result = wire::decode::<Control>(&longer);
+
+        prop_assert!(result.is_err());
+    }
+
+    /// Guards against a heartbeat that reads back as another one.
+    #[test]
+    fn heartbeat_reads_back(sequence in any::<u64>(), slots in any::<u32>(), leaving in any::<bool>()) {
+        let heartbeat = Heartbeat {
+            sequence,
+            load: Load {
+                slots_used: Slots(slots),
+                leaving,
+                ..Load::default()
+            },
+            ..Heartbeat::default()
+        };
+        let message = Control::Heartbeat(heartbeat);
+
+        let frame = wire::encode(&message).unwrap();
+
+        prop_assert_eq!(wire::decode::<Control>(body(&frame)).unwrap(), message);
+    }
+
+    /// Guards against a frame of another version, or a length that would take
+    /// any amount of memory, being read on.
+    #[test]
+    fn hostile_header_is_refused(length in any::<u32>(), version in any::<u8>()) {
+        let mut bytes = [0; HEADER_BYTES];
+        bytes[..4].copy_from_slice(&length.to_be_bytes());
+        bytes[4] = version;
+
+        let header = Header::decode(bytes);
+
+        let valid = version == wire::VERSION && length as usize <= FRAME_LIMIT_BYTES;
+        prop_assert_eq!(header.is_ok(), valid);
+    }
+}
