Make the join of an entry's machines a machine of its own

Change: coordination::slices holds the join without I/O; the entry only carries its actions out. Behaviour is meant to be the same, apart from log texts.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod probation;
 pub mod retry;
 pub mod routing;
+pub mod slices;
 pub mod store;
 pub mod worker;
--- a/crates/filbertbend/src/serve/control.rs
+++ b/crates/filbertbend/src/serve/control.rs
@@ -9,7 +9,7 @@
         job,
         membership::{Beacon, BeaconAction, BeaconEvent, Connection, Load, Member, Pulse, State},
         placement::{self, Peak},
-        store,
+        slices, store,
     },
     filbertbend_protocol::message::{Control, Forwarded, Stream},
     filbertbend_state::{
@@ -46,14 +46,8 @@
 pub(crate) enum Source {
     /// The follower of the configuration.
     Follower,
-    /// The registry of this entry.
-    Registry,
-    /// The journal of a slice.
-    Journal(id::Slice),
-    /// The owner of a slice, writing a chunk of a result.
-    Chunk(id::Slice),
-    /// The owner of a slice, reading a chunk of a result.
-    Fetch(id::Slice),
+    /// The slices of this entry.
+    Slices(slices::Source),
 }
 
 /// Something that the other threads tell the control thread.
@@ -345,10 +339,12 @@
                 answer,
             } => self.follow(now, follow::Event::Answer(ticket, answer)),
             Input::Stored {
-                source,
+                source: Source::Slices(source),
                 ticket,
                 answer,
-            } => self.slices.stored(now, source, ticket, answer),
+            } => self.slices.step(now, |slices, clock, actions| {
+                slices.stored(clock, source, ticket, answer, actions);
+            }),
             Input::Opened {
                 connection,
                 link,
@@ -376,35 +372,39 @@
     }
 
     fn take_from_agent(&mut self, now: Instant, input: Input) {
-        match input {
-            Input::Agent { agent, state } => self.slices.agent(now, agent, state),
-            Input::Load { worker, load } => self.slices.load(&worker, load),
-            Input::Peaks(peaks) => self.slices.observe(peaks),
+        self.slices.step(now, |slices, clock, actions| match input {
+            Input::Agent { agent, state } => slices.agent(clock, agent, state, actions),
+            Input::Load { worker, load } => slices.load(&worker, load),
+            Input::Peaks(peaks) => slices.observe(peaks),
             Input::Report {
                 worker,
                 slice,
                 attempt,
                 report,
-            } => self.slices.report(now, worker, slice, attempt, report),
+            } => slices.report(clock, worker, slice, attempt, report, actions),
             Input::Inventory {
                 worker,
                 slice,
                 epoch,
                 attempts,
-            } => self.slices.inventory(now, worker, slice, epoch, attempts),
+            } => slices.inventory(clock, worker, slice, epoch, attempts, actions),
             _ => {}
-        }
+        });
     }
 
     fn status(&self, now: Instant) -> Status {
-        let store_silent_ms = self.slices.stalled().map(|since| now.since(since));
+        let store_silent_ms = self
+            .slices
+            .machine()
+            .stalled()
+            .map(|since| now.since(since));
         Status {
-            entry: self.slices.entry().clone(),
+            entry: self.slices.machine().entry().clone(),
             revision: self.follower.revision(),
-            slices: self.slices.owned(),
-            tasks_waiting: self.slices.tasks_waiting(),
+            slices: self.slices.machine().owned(),
+            tasks_waiting: self.slices.machine().planner().waiting(),
             store_silent_ms,
-            entries: self.slices.entries(),
+            entries: self.slices.machine().entries(),
             agents: self.desk.inspect(now),
         }
     }
@@ -417,11 +417,12 @@
         call: job::Call,
         reply: oneshot::Sender<Routed>,
     ) {
-        if self.slices.serves(slice) {
+        if self.slices.machine().serves(slice) {
             return self.slices.call(now, slice, call, reply);
         }
         let link = self
             .slices
+            .machine()
             .elsewhere(slice)
             .and_then(|entry| self.beacon.entry_connection(entry))
             .and_then(|connection| self.entries.get(&connection))
@@ -450,7 +451,8 @@
         info!("configuration in force", kv: { revision = revision.0 });
         gauge!("filbertbend_config_revision").set(revision.0 as f64);
         self.snapshot.send_replace(snapshot.clone());
-        self.slices.configure(&snapshot);
+        self.slices
+            .step(now, |slices, _, _| slices.configure(&snapshot));
         self.desk.configure(snapshot);
         self.announce(now, BeaconEvent::Configured(revision));
     }
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -28,6 +28,8 @@
         config::Follower,
         membership::{self, Beacon, Member},
         ownership::Registry,
+        placement::{self, Planner},
+        slices as machines,
     },
     filbertbend_process::{http, keys, operators, signal},
     filbertbend_state::{config::Snapshot, hash, id, time::Instant, unit::Millis},
@@ -213,15 +215,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let value = postcard::to_stdvec(&own).unwrap_or_default();
     let registry_rng = ChaCha8Rng::from_rng(&mut rng);
-    let slices = Slices::new(slices::Parts {
+    let machine = machines::Slices::new(machines::Parts {
         entry: own.entry.clone(),
         registry: Registry::new(own.entry.clone(), value, settings.slices, registry_rng),
-        planner: slices::planner(own.data_centre.clone(), REMOTE_COST, settings.slices),
+        planner: planner(settings),
         writes_per_s: settings.store.writes_per_second,
-        desk: desk.clone(),
-        calls: calls.clone(),
         rng,
     });
+    let slices = Slices::new(machine, desk.clone(), calls.clone());
     Thread {
         follower: Follower::new(seed),
         beacon: Beacon::new(membership::Settings {
@@ -243,3 +244,12 @@
         next_desk_tick: Instant::default(),
     }
 }
+
+fn planner(settings: &Settings) -> Planner {
+    Planner::new(placement::Settings {
+        local: settings.data_centre.clone(),
+        remote_cost: REMOTE_COST,
+        slices_owned: 0,
+        slices: settings.slices,
+    })
+}
--- a/crates/filbertbend/src/serve/store.rs
+++ b/crates/filbertbend/src/serve/store.rs
@@ -2,7 +2,10 @@
 
 use {
     super::control::{Handle, Input, Source},
-    filbertbend_coordination::store::{Answer, Call, Expect, Ticket},
+    filbertbend_coordination::{
+        slices,
+        store::{Answer, Call, Expect, Ticket},
+    },
     filbertbend_state::id,
     filbertbend_transport::store::{Client, Http},
     metrics::counter,
@@ -68,7 +71,7 @@
                 answer = calls.carry_out(call.clone()).await;
             }
             calls.control.post(Input::Stored {
-                source: Source::Chunk(slice),
+                source: Source::Slices(slices::Source::Chunk(slice)),
                 ticket,
                 answer,
             });
