Record two operators who publish across a store outage

Cause: the tests of the publisher check outcomes under random faults; none shows the calls, outcomes and audit trail of one whole case to a reader.

Change: a driver for Publisher machines over the simulated store, and one session. Two operators publish at once; the store fails for 20 s while both compare-and-swaps are on their way; afterwards both publish again and race. The driver checks that revisions rise by one, that a change answered as published is in the trail once, and that the trail holds nothing that was answered as not in force.

Ruled out: joining the publishers to the session with entries. Entries only follow the manifest, and following is tested elsewhere.

--- a/crates/standin/tests/session.rs
+++ b/crates/standin/tests/session.rs
@@ -6,9 +6,13 @@
 mod driver;
 
 use {
-    driver::{agent, name, room, service, Fate, Session},
-    filbertbend_coordination::{job::Call, placement::Agent},
-    filbertbend_state::service::Declaration,
+    driver::{agent, name, room, service, Fate, Operators, Session},
+    filbertbend_coordination::{
+        config::{Intent, Request},
+        job::Call,
+        placement::Agent,
+    },
+    filbertbend_state::{service::Declaration, time::Wall},
 };
 
 /// Agents that have just started answer no adoption for one lease; entries are
@@ -17,6 +21,9 @@
 /// Time in which entries divide the slices among themselves.
 const ENTRIES_SETTLE_MS: u64 = 6000;
 
+/// From the start of a publish until its compare-and-swap is on its way.
+const OUTAGE_AFTER_MS: u64 = 13;
+
 /// Two entries with four slices, ready for calls.
 fn deployment(
     entries: [(&str, &str); 2],
@@ -197,6 +204,41 @@
     insta::assert_snapshot!(session.finish());
 }
 
+/// Guards against a publish that is lost, doubled or misreported when two
+/// operators race each other and the store fails between their calls.
+#[test]
+fn two_operators_publish_across_a_store_outage() {
+    let request = |author: &str, services: Vec<Declaration>| Request {
+        intent: Intent::Services(services),
+        author: author.into(),
+        at: Wall(1_800_000_000_000),
+        expected: None,
+    };
+    let layout = |cores| service("layout", "drawing", room(cores, 250));
+    let orders = |cores| service("material-orders", "desk", room(cores, 16));
+    let mut operators = Operators::new();
+    operators.publish(request("marta", vec![layout(64), orders(8)]));
+    operators.pass(1000);
+    // The store fails while both compare-and-swaps are on their way.
+    let marta = request("marta", vec![layout(48), orders(8)]);
+    let ilse = request("ilse", vec![layout(64), orders(16)]);
+    let first = operators.publish(marta.clone());
+    let second = operators.publish(ilse.clone());
+    operators.pass(OUTAGE_AFTER_MS);
+    operators.set_down(true);
+    operators.pass(20_000);
+    operators.set_down(false);
+    operators.pass(60_000);
+    assert!(operators.outcome(first).is_some() && operators.outcome(second).is_some());
+    // Both try again at once: one wins and the other is told by whom.
+    operators.publish(marta);
+    operators.publish(ilse.clone());
+    operators.pass(5000);
+    operators.publish(ilse);
+    operators.pass(5000);
+    insta::assert_snapshot!(operators.finish());
+}
+
 /// Guards against a rolling replacement that stops tasks, loses orders or
 /// leaves a slice without an owner.
 #[test]
--- a/crates/standin/tests/session/mod.rs
+++ b/crates/standin/tests/session/mod.rs
@@ -7,6 +7,9 @@
 mod check;
 mod entry;
 mod node;
+mod operators;
+
+pub(crate) use operators::Operators;
 
 use {
     entry::{Entry, Event, Output, Source},
