Describe metrics, upgrades and alarms on the operators' page

Cause: the page stopped at the commands. Operators could not look up a metric, an alarm or what a failure looks like, and no test kept metric names on the page and in the code together.

Change: the page lists every metric with its labels, unit and meaning, the values of the event label, queries for what users measure, how to replace one process at a time, what to do for each alarm, and what each failure looks like from outside. A test compares names and types of metrics in the sources of all crates with the table and with every name used in the page's queries, in both directions; another compares the event label with the counters (Counter derives EnumIter for it).

Ruled out: reading the names from a running process, because a counter appears there only with its first event.

The queries were not run in a Prometheus server.

--- a/crates/coordination/src/owner/event.rs
+++ b/crates/coordination/src/owner/event.rs
@@ -119,7 +119,17 @@
 
 /// Things that an owner counts.
 #[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, strum::Display, strum::IntoStaticStr,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    strum::Display,
+    strum::EnumIter,
+    strum::IntoStaticStr,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum Counter {
--- a/crates/filbertbend/tests/operators_page.rs
+++ b/crates/filbertbend/tests/operators_page.rs
@@ -10,9 +10,14 @@
         declaration,
         settings::{self, Settings},
     },
+    filbertbend_coordination::owner::Counter,
     filbertbend_yaml::Source,
     serde_json::{json, Value},
-    std::{fs, path::Path},
+    std::{
+        collections::BTreeSet,
+        fs,
+        path::{Path, PathBuf},
+    },
     strum::IntoEnumIterator,
     support::page::{code, keys, leaves, set, table},
 };
@@ -28,6 +33,82 @@
     declaration::read([source]).unwrap().remove(0)
 }
 
+/// Returns every source file of the workspace's crates.
+fn sources() -> Vec<PathBuf> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let crates = fs::read_dir(crates).unwrap();
+    let mut folders: Vec<_> = crates
+        .map(|entry| entry.unwrap().path().join("src"))
+        .filter(|folder| folder.is_dir())
+        .collect();
+    let mut files = Vec::new();
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                files.push(path);
+            }
+        }
+    }
+    files
+}
+
+/// Returns the quoted names of metrics that a text records.
+fn metrics(text: &str) -> Vec<(&'static str, String)> {
+    let mut found = Vec::new();
+    for kind in ["counter", "gauge", "histogram"] {
+        for call in text.split(&format!("{kind}!(")).skip(1) {
+            let name = call.trim_start().strip_prefix('"');
+            // Anything but a literal would be a name that this test misses.
+            let name = name.expect("the name of a metric is a literal");
+            found.push((kind, name.split('"').next().unwrap().to_owned()));
+        }
+    }
+    found
+}
+
+#[test]
+fn metrics_are_documented() {
+    // Guards against a metric that operators cannot look up, and against a
+    // query or alarm on one that does not exist.
+    let rows = table("## Metrics");
+    let documented: BTreeSet<(String, String)> = rows
+        .iter()
+        .map(|row| (row[2].clone(), code(&row[0]).unwrap().to_owned()))
+        .collect();
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators.md");
+    let page = fs::read_to_string(page).unwrap();
+
+    let recorded: BTreeSet<(String, String)> = sources()
+        .into_iter()
+        .flat_map(|path| metrics(&fs::read_to_string(path).unwrap()))
+        .map(|(kind, name)| (kind.to_owned(), name))
+        .collect();
+    let used = page.split("filbertbend_").skip(1).map(|rest| {
+        let end = rest.find(|c: char| !c.is_ascii_lowercase() && c != '_');
+        let name = &rest[..end.unwrap_or(rest.len())];
+        format!("filbertbend_{}", name.trim_end_matches("_bucket"))
+    });
+    let names: BTreeSet<String> = recorded.iter().map(|(_, name)| name.clone()).collect();
+
+    assert_eq!(documented, recorded);
+    assert_eq!(rows.len(), recorded.len());
+    assert_eq!(used.collect::<BTreeSet<_>>(), names);
+}
+
+#[test]
+fn job_events_are_documented() {
+    // Guards against a value of the label that operators cannot look up.
+    let rows = table("The values of `event` in `filbertbend_job_events_total`:");
+    let documented: BTreeSet<String> = keys(&rows).into_iter().collect();
+
+    let recorded = Counter::iter().map(|event| <&str>::from(event).to_owned());
+
+    assert_eq!(documented, recorded.collect::<BTreeSet<_>>());
+}
+
 #[test]
 fn settings_of_an_entry_are_documented_with_their_defaults() {
     // Guards against a key or a default that the page lacks or has wrong.
