--- a/crates/coordination/src/slices/event.rs
+++ b/crates/coordination/src/slices/event.rs
@@ -5,7 +5,7 @@
         attempt::{self, Attempt},
         job, journal, owner, ownership, store,
     },
-    filbertbend_state::{id, time::Instant},
+    filbertbend_state::{id, time::Instant, unit::Millis},
     std::{fmt, sync::Arc},
 };
 
@@ -108,6 +108,8 @@
         epoch: id::Epoch,
         /// Jobs and orders that are remembered.
         jobs: usize,
+        /// How long leases of the former owner may last.
+        hold: Millis,
     },
     /// The entry has handed a slice over.
     Released(id::Slice),
@@ -155,9 +157,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Claimed(slice) => write!(f, "slice {slice} claimed"),
-            Self::Owned { slice, epoch, jobs } => {
-                write!(f, "slice {slice} owned, epoch {epoch}, {jobs} jobs")
-            }
+            Self::Owned {
+                slice,
+                epoch,
+                jobs,
+                hold,
+            } => write!(
+                f,
+                "slice {slice} owned, epoch {epoch}, {jobs} jobs, former leases end in {hold}"
+            ),
             Self::Released(slice) => write!(f, "slice {slice} released"),
             Self::Lost(slice) => write!(f, "slice {slice} lost to another entry"),
             Self::Damaged { slice, error } => write!(f, "slice {slice} not served: {error}"),
--- a/crates/coordination/src/slices/join.rs
+++ b/crates/coordination/src/slices/join.rs
@@ -255,8 +255,17 @@
             return;
         };
         let image = held.journal.image().cloned().unwrap_or_default();
-        let jobs = image.jobs().count();
-        actions.push(Action::Note(Note::Owned { slice, epoch, jobs }));
+        let hold = match predecessor {
+            Predecessor::None => Millis::ZERO,
+            Predecessor::Released { leases_end_in } => leases_end_in,
+            Predecessor::Vanished => OWNERSHIP_HORIZON,
+        };
+        actions.push(Action::Note(Note::Owned {
+            slice,
+            epoch,
+            jobs: image.jobs().count(),
+            hold,
+        }));
         held.epoch = epoch;
         held.authority = authority(&self.registry, slice);
         let recovery = Recovery {
@@ -265,11 +274,7 @@
             wall: clock.wall,
             authority: held.authority,
             claimed_at: held.claimed_at,
-            hold: match predecessor {
-                Predecessor::None => Millis::ZERO,
-                Predecessor::Released { leases_end_in } => leases_end_in,
-                Predecessor::Vanished => OWNERSHIP_HORIZON,
-            },
+            hold,
         };
         let mut asked = Vec::new();
         let owner = Owner::recover(clock.now, recovery, &mut self.planner, &mut asked);
