Let deadlines pass in the sessions with random faults

Change: deadlines are drawn between 1 and 30 s. Expired calls with "ran: unknown" are counted as unknown in the totals.

Ruled out: shorter deadlines only. Orders would seldom outlive their entry.

--- a/crates/standin/tests/session.rs
+++ b/crates/standin/tests/session.rs
@@ -12,7 +12,11 @@
         job::{Answer, Call, Spec},
         placement::Agent,
     },
-    filbertbend_state::{outcome::Outcome, service::Declaration, time::Wall},
+    filbertbend_state::{
+        outcome::{Outcome, Ran},
+        service::Declaration,
+        time::Wall,
+    },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{cell::Cell, rc::Rc},
@@ -340,7 +344,10 @@
         if rng.random_bool(0.3) {
             let index = rng.random_range(0..customers.len());
             let key = format!("order-{}", next[index]);
-            let spec = session.order("bundle-orders", customers[index], next[index], &key);
+            let mut spec = session.order("bundle-orders", customers[index], next[index], &key);
+            // Some deadlines pass while the order waits or runs.
+            let sooner_ms = rng.random_range(0..29_000);
+            spec.expires_at = spec.expires_at.map(|at| Wall(at.0 - sooner_ms));
             next[index] += 1;
             session.submit(spec.clone());
             sent.push(spec);
@@ -419,7 +426,9 @@
         match asked.answer.as_ref().map(|(_, answer)| answer) {
             Some(Answer::Output(_)) => totals.outputs += 1,
             Some(Answer::Outputs(_)) => totals.results += 1,
-            Some(Answer::Outcome(Outcome::Unknown)) => totals.unknown += 1,
+            Some(Answer::Outcome(Outcome::Unknown | Outcome::Expired { ran: Ran::Unknown })) => {
+                totals.unknown += 1;
+            }
             Some(Answer::Outcome(Outcome::Cancelled)) => totals.cancelled += 1,
             Some(Answer::Outcome(_)) => totals.not_run += 1,
             Some(_) => {}
