Add the failures bench

Change: 2 entries and 4 agents behind relays take checks at half of their slots' capacity (400/s) with orders and jobs, while agents and entries are killed, frozen, cut off, left without a store and replaced. The load is in steady.rs: callers follow /readyz as a balancer does and back off after a refusal that did not run. Each phase prints a row and figures.

Ruled out: retries every 20 ms in the caller; in a trial they kept the system refusing from the first failure to the end.

A new entry is ready before it has a configuration and answered 404 in a trial.

--- a/crates/bench/benches/failures.rs
+++ b/crates/bench/benches/failures.rs
@@ -1,3 +1,332 @@
-//! To be written.
+//! Kills, freezes, silent links, a store outage and a rolling replacement under
+//! a steady load, with every process of the system on loopback.
 
-fn main() {}
+use {
+    filbertbend_bench::{
+        figure::Figure,
+        role,
+        steady::{quantile_ms, recovery_s, Load, Span, ON_KILLED_ENTRY},
+    },
+    filbertbend_standin::{
+        client::Client,
+        declare,
+        fleet::{wait_for, Fleet, Launcher, Plan},
+        store, worker,
+    },
+    filbertbend_state::{
+        service::{Class, Kind},
+        unit::Millis,
+    },
+    rustix::process::{kill_process, Pid, Signal},
+    std::{collections::BTreeMap, io, sync::Arc, time::Duration},
+    tokio::{
+        process::Child,
+        time::{sleep, timeout, Instant},
+    },
+};
+
+const ENTRIES: usize = 2;
+const AGENTS: usize = 4;
+const SLOTS: u32 = 8;
+const SERVICE_TIME: Duration = Duration::from_millis(40);
+const FREEZE: Duration = Duration::from_secs(6);
+const OUTAGE: Duration = Duration::from_secs(10);
+const LIMIT: Duration = Duration::from_secs(20);
+const WHOLE_LIMIT: Duration = Duration::from_secs(175);
+const PHASES: [&str; 8] = [
+    "calm",
+    "kill-agent",
+    "kill-entry",
+    "freeze-agent",
+    "freeze-entry",
+    "silent-links",
+    "store-outage",
+    "rolling",
+];
+
+/// The running system.
+struct System {
+    fleet: Fleet,
+    entries: Vec<Child>,
+    agents: Vec<Child>,
+    load: Arc<Load>,
+}
+
+fn signal(child: &Child, signal: Signal) {
+    let id = child.id().and_then(|id| Pid::from_raw(id as i32));
+    kill_process(id.expect("the process runs"), signal).expect("the process takes signals");
+}
+
+impl System {
+    async fn start() -> Self {
+        let plan = Plan {
+            entries: ENTRIES,
+            workers: AGENTS,
+            slots: SLOTS,
+            service_time: SERVICE_TIME,
+            log_level: "info",
+            launcher: Launcher::OwnExecutable,
+            relays: true,
+            ..Plan::small()
+        };
+        let fleet = Fleet::start(&plan).await.expect("the fleet starts");
+        let mut check = declare::service("spacing-check", Kind::Check, Class::Interactive);
+        check.deadline = Millis::from_secs(10);
+        let mut order = declare::service("material-order", Kind::Order, Class::Interactive);
+        order.deadline = Millis::from_secs(40);
+        let job = declare::service("layout", Kind::Job, Class::Batch);
+        fleet.configure([check, order, job]);
+        let entry = |index| fleet.spawn_entry(index).expect("the entry starts");
+        let agent = |index| fleet.spawn_agent(index).expect("the agent starts");
+        let addresses = fleet.entries.iter();
+        let load = Load::new(addresses.map(|entry| (entry.callers, entry.operators)));
+        Self {
+            entries: (0..ENTRIES).map(entry).collect(),
+            agents: (0..AGENTS).map(agent).collect(),
+            load,
+            fleet,
+        }
+    }
+
+    /// Waits until every entry is ready and sees every agent.
+    async fn whole(&self) {
+        for (index, entry) in self.fleet.entries.iter().enumerate() {
+            let operators = Client::new(entry.operators);
+            let whole = wait_for(LIMIT, || async {
+                let status = timeout(LIMIT, operators.get("/v1/status")).await;
+                let status = status.map(|answer| answer.map(|answer| answer.json()));
+                let Ok(Ok(status)) = status else { return false };
+                let agents = status["agents"].as_array().into_iter().flatten();
+                let alive = agents.filter(|agent| agent["state"] == "alive").count();
+                alive == AGENTS && self.load.ready(index)
+            });
+            if !whole.await {
+                println!("entry {index} does not see every agent after {LIMIT:?}");
+            }
+        }
+    }
+
+    fn overlaps(&self) -> usize {
+        let instances = self.fleet.instances.iter();
+        let models: Vec<_> = instances.map(|instance| instance.worker.lock()).collect();
+        worker::overlaps(models.iter().flat_map(|model| &model.trace().spans)).len()
+    }
+
+    async fn fail(&mut self, phase: &str) {
+        match phase {
+            "kill-agent" => {
+                self.agents[0].kill().await.expect("the agent is killed");
+                sleep(Duration::from_secs(5)).await;
+                self.agents[0] = self.fleet.spawn_agent(0).expect("the agent starts");
+            }
+            "kill-entry" => {
+                // Until it has ended, so that what is sent in between counts
+                // as sent to the killed process.
+                self.load.set_killed(0, Instant::now() + LIMIT);
+                self.entries[0].kill().await.expect("the entry is killed");
+                self.load.set_killed(0, Instant::now());
+                sleep(Duration::from_secs(6)).await;
+                self.entries[0] = self.fleet.spawn_entry(0).expect("the entry starts");
+            }
+            "freeze-agent" => freeze(&self.agents[1]).await,
+            "freeze-entry" => freeze(&self.entries[1]).await,
+            "silent-links" => self
+                .fleet
+                .relays
+                .iter()
+                .for_each(|relay| relay.forget_flows()),
+            "store-outage" => {
+                let down = store::Faults {
+                    down: true,
+                    ..store::Faults::default()
+                };
+                self.fleet.store.set_faults(down);
+                sleep(OUTAGE).await;
+                self.fleet.store.set_faults(store::Faults::default());
+            }
+            "rolling" => {
+                for index in 0..AGENTS {
+                    replace(&format!("agent {index}"), &mut self.agents[index], || {
+                        self.fleet.spawn_agent(index)
+                    })
+                    .await;
+                    self.whole().await;
+                }
+                for index in 0..ENTRIES {
+                    replace(&format!("entry {index}"), &mut self.entries[index], || {
+                        self.fleet.spawn_entry(index)
+                    })
+                    .await;
+                    sleep(Duration::from_millis(750)).await;
+                    self.whole().await;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn freeze(child: &Child) {
+    signal(child, Signal::STOP);
+    sleep(FREEZE).await;
+    signal(child, Signal::CONT);
+}
+
+async fn replace(name: &str, child: &mut Child, spawn: impl Fn() -> io::Result<Child>) {
+    signal(child, Signal::TERM);
+    let status = timeout(LIMIT, child.wait()).await;
+    if !matches!(status, Ok(Ok(status)) if status.success()) {
+        println!("{name} did not end well after SIGTERM: {status:?}");
+    }
+    *child = spawn().expect("the process starts");
+}
+
+/// Prints the row of a phase and returns its figures.
+fn report(system: &System, spans: &[(Span, usize)], phase: usize, jobs_lost: usize) -> Vec<Figure> {
+    let name = PHASES[phase];
+    let record = system.load.record();
+    let (span, overlaps) = spans[phase];
+    let calm_ms = quantile_ms(&record.checks, spans[0].0, 0.99);
+    let p99_ms = quantile_ms(&record.checks, span, 0.99);
+    let recovery = recovery_s(&record.checks, span, 1.2 * calm_ms);
+    let within = |due: &Instant| (span.from..span.to).contains(due);
+    let checks: Vec<_> = record.checks.iter().filter(|c| within(&c.due)).collect();
+    let right = checks.iter().filter(|check| check.fault.is_none());
+    let first = right.map(|check| check.ended - span.from).min();
+    let mut faults: BTreeMap<&str, usize> = BTreeMap::new();
+    for fault in checks.iter().filter_map(|check| check.fault.as_deref()) {
+        *faults.entry(fault).or_default() += 1;
+    }
+    // What was on a killed process may fail, with a true outcome.
+    let on_agent = match name {
+        "kill-agent" => faults.get("502 unknown - ran=unknown").copied(),
+        _ => None,
+    };
+    let on_agent = on_agent.unwrap_or_default().min(SLOTS as usize);
+    let excused = on_agent + faults.get(ON_KILLED_ENTRY).copied().unwrap_or_default();
+    // Refused until its deadline: it counts as endless in the p99, but the
+    // caller knows that it did not run.
+    let refusals = faults
+        .iter()
+        .filter(|(fault, _)| fault.starts_with("refused "));
+    let refused: usize = refusals.map(|(_, count)| count).sum();
+    let lost = faults.values().sum::<usize>() - excused - refused;
+
+    let instances = system.fleet.instances.iter();
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for order in instances.flat_map(|instance| instance.endpoint.orders()) {
+        *runs.entry(order.key.to_string()).or_default() += 1;
+    }
+    let orders: Vec<_> = record
+        .orders
+        .iter()
+        .filter(|(_, o)| o.phase == phase)
+        .collect();
+    let times = |key: &String| runs.get(key).copied().unwrap_or_default();
+    let doubled = orders.iter().filter(|(key, _)| times(key) > 1).count();
+    let unknown = orders
+        .iter()
+        .filter(|(_, o)| o.outcome.starts_with("unknown"));
+    let unknown = unknown.count();
+    // An outcome is true if the order ran when it is said to be done, and did
+    // not run when it is said not to have run.
+    let untrue = orders.iter().filter(|(key, order)| {
+        let not_run = order.outcome.ends_with("ran=no");
+        (order.outcome == "done" && times(key) == 0) || (not_run && times(key) > 0)
+    });
+    let unsettled = orders
+        .iter()
+        .filter(|(_, order)| order.outcome != "done" && !order.outcome.ends_with("ran=no"));
+    for (_, order) in orders.iter().filter(|(_, order)| order.outcome != "done") {
+        *faults.entry(order.outcome.as_str()).or_default() += 1;
+    }
+    // An order on a killed agent may have run, and says so.
+    let excused_orders = match name {
+        "kill-agent" => unknown.min(SLOTS as usize),
+        _ => 0,
+    };
+    let orders_lost = untrue.count() + unsettled.count() - excused_orders;
+    let after = orders
+        .iter()
+        .filter(|(_, o)| o.began >= span.from && o.outcome == "done");
+    let first_order = after.map(|(_, order)| order.ended - span.from).min();
+    let overlaps = overlaps - phase.checked_sub(1).map_or(0, |before| spans[before].1);
+
+    let ms =
+        |time: Option<Duration>| time.map_or(f64::INFINITY, |time| time.as_secs_f64() * 1000.0);
+    println!(
+        "{name:13} {:>6} {:>9.0} {:>9.0} {p99_ms:>9.1} {recovery:>7.1} {lost:>5} {excused:>7} {refused:>7} \
+         {:>6} {doubled:>4} {orders_lost:>4} {unknown:>4} {overlaps:>5} {jobs_lost:>5}  {faults:?}",
+        checks.len(),
+        ms(first),
+        ms(first_order),
+        orders.len(),
+    );
+    let zero = |what: &str, count: usize| {
+        Figure::at_most(
+            format!("failures.{name}.{what}"),
+            count as f64,
+            "count",
+            0.0,
+        )
+    };
+    let mut figures = vec![
+        zero("requests_lost", lost),
+        zero("orders_doubled", doubled),
+        zero("orders_lost", orders_lost),
+        zero("tasks_doubled", overlaps),
+        zero("jobs_lost", jobs_lost),
+    ];
+    if phase > 0 {
+        let name = |what| format!("failures.{name}.{what}");
+        let first_s = ms(first) / 1000.0;
+        figures.insert(0, Figure::at_most(name("first_answer"), first_s, "s", 5.0));
+        figures.insert(1, Figure::at_most(name("p99_recovery"), recovery, "s", 5.0));
+    }
+    figures
+}
+
+async fn measure() -> Vec<Figure> {
+    let mut system = System::start().await;
+    system.load.watch();
+    system.whole().await;
+    let capacity = f64::from(SLOTS) * AGENTS as f64 / SERVICE_TIME.as_secs_f64();
+    let mut callers = system.load.start(capacity / 2.0);
+    sleep(Duration::from_secs(5)).await;
+    let mut spans = Vec::new();
+    for (phase, name) in PHASES.iter().enumerate() {
+        system.load.set_phase(phase);
+        let from = Instant::now();
+        system.fail(name).await;
+        sleep(Duration::from_secs(6)).await;
+        system.whole().await;
+        spans.push((
+            Span {
+                from,
+                to: Instant::now(),
+            },
+            system.overlaps(),
+        ));
+    }
+    system.load.stop();
+    while callers.join_next().await.is_some() {}
+    let jobs_lost = system.load.jobs_lost().await;
+    println!(
+        "{:13} {:>6} {:>9} {:>9} {:>9} {:>7} {:>5} {:>7} {:>7} {:>6} {:>4} {:>4} {:>4} {:>5} {:>5}  faults",
+        "phase", "checks", "first ms", "order ms", "p99 ms", "back s", "lost", "excused", "refused",
+        "orders", "dbl", "lost", "unkn", "tasks", "jobs"
+    );
+    let phases = 0..PHASES.len();
+    let jobs_lost = |phase| jobs_lost.get(&phase).copied().unwrap_or_default();
+    let figures = phases.flat_map(|phase| report(&system, &spans, phase, jobs_lost(phase)));
+    figures.collect()
+}
+
+fn main() {
+    role::run_if_asked();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let figures = runtime.block_on(async { timeout(WHOLE_LIMIT, measure()).await });
+    for figure in figures.expect("the bench ends within its limit") {
+        println!("{figure}");
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod memory;
 pub mod role;
 pub mod slope;
+pub mod steady;
 pub mod traffic;
--- /dev/null
+++ b/crates/bench/src/steady.rs
@@ -0,0 +1,408 @@
+//! A steady load of checks, orders and jobs through several entries, and what
+//! its callers saw.
+//!
+//! Callers choose an entry as the platform's load balancer does: by readiness,
+//! asked four times a second. A caller sends a refused request that did not run
+//! again, later each time and not before the stated wait, and counts its latency from when the request was due.
+
+use {
+    filbertbend_standin::{
+        client::{Answer, Client},
+        fleet::wait_for,
+    },
+    hyper::Method,
+    hyper_util::client::legacy::Error as ClientError,
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
+            Arc, Mutex, MutexGuard, PoisonError,
+        },
+        time::Duration,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{sleep, sleep_until, timeout, Instant},
+    },
+};
+
+const CALLERS: usize = 16;
+const CUSTOMERS: usize = 8;
+const SUBMITTERS: usize = 4;
+const ORDER_PACE: Duration = Duration::from_millis(250);
+const JOB_PACE: Duration = Duration::from_millis(500);
+const CHECK_DEADLINE: Duration = Duration::from_secs(10);
+/// Later than the deadline, so that a check without an outcome is told apart.
+const CHECK_LIMIT: Duration = Duration::from_secs(12);
+const BACKOFF_MIN: Duration = Duration::from_millis(20);
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+const ORDER_LIMIT: Duration = Duration::from_secs(30);
+const RESULT_LIMIT: Duration = Duration::from_secs(20);
+
+/// The fault of a check that was on a killed entry.
+pub const ON_KILLED_ENTRY: &str = "on killed entry";
+
+/// One check as its caller saw it.
+pub struct Check {
+    /// When it was due.
+    pub due: Instant,
+    /// When it had an outcome.
+    pub ended: Instant,
+    /// How it ended, if not with its right answer.
+    pub fault: Option<String>,
+}
+
+/// One order, and what its caller learned of it.
+pub struct Order {
+    /// The phase that it began in.
+    pub phase: usize,
+    /// When it was first sent.
+    pub began: Instant,
+    /// When it had an outcome.
+    pub ended: Instant,
+    /// `done`, or the last outcome and `ran` before the caller gave up.
+    pub outcome: String,
+}
+
+/// What the callers saw.
+#[derive(Default)]
+pub struct Record {
+    /// The checks.
+    pub checks: Vec<Check>,
+    /// The orders by their key.
+    pub orders: BTreeMap<String, Order>,
+    /// Accepted jobs with the phase that they were submitted in.
+    pub jobs: Vec<(usize, String)>,
+}
+
+/// A load on several entries, with what its callers share.
+pub struct Load {
+    callers: Vec<Client>,
+    operators: Vec<Client>,
+    ready: Vec<AtomicBool>,
+    turn: AtomicUsize,
+    phase: AtomicUsize,
+    stopped: AtomicBool,
+    /// Until when requests sent to an entry count as sent to a killed one.
+    killed: Mutex<Vec<Option<Instant>>>,
+    record: Mutex<Record>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Tells whether a request that failed never reached a process.
+fn not_connected(error: &io::Error) -> bool {
+    let inner = error.get_ref().and_then(|inner| inner.downcast_ref());
+    inner.is_some_and(ClientError::is_connect)
+}
+
+/// Returns the outcome and whether the caller was told that it ran.
+fn told(answer: &Answer) -> String {
+    let body = answer.json();
+    let field = |name: &str| body[name].as_str().unwrap_or("-").to_owned();
+    let (reason, ran) = (field("reason"), field("ran"));
+    format!("{} {reason} ran={ran}", answer.outcome())
+}
+
+fn not_run(answer: &Answer) -> bool {
+    answer.outcome() == "refused" && answer.json()["ran"] == "no"
+}
+
+impl Load {
+    /// Makes a load on entries at these addresses for callers and operators.
+    pub fn new(entries: impl IntoIterator<Item = (SocketAddr, SocketAddr)>) -> Arc<Self> {
+        let clients = entries
+            .into_iter()
+            .map(|(callers, operators)| (Client::new(callers), Client::new(operators)));
+        let (callers, operators): (Vec<_>, Vec<_>) = clients.unzip();
+        Arc::new(Self {
+            ready: callers.iter().map(|_| AtomicBool::new(false)).collect(),
+            turn: AtomicUsize::new(0),
+            phase: AtomicUsize::new(0),
+            stopped: AtomicBool::new(false),
+            killed: Mutex::new(vec![None; callers.len()]),
+            record: Mutex::default(),
+            callers,
+            operators,
+        })
+    }
+
+    /// Starts to watch the entries for readiness.
+    pub fn watch(self: &Arc<Self>) {
+        for index in 0..self.operators.len() {
+            tokio::spawn(watch(self.clone(), index));
+        }
+    }
+
+    /// Starts the callers, which send `rate_per_s` checks and end after
+    /// [`Load::stop`] once everything sent has an outcome.
+    pub fn start(self: &Arc<Self>, rate_per_s: f64) -> JoinSet<()> {
+        let pace = Duration::from_secs_f64(CALLERS as f64 / rate_per_s);
+        let mut callers = JoinSet::new();
+        for index in 0..CALLERS {
+            callers.spawn(self.clone().send_checks(index, pace));
+        }
+        for index in 0..CUSTOMERS {
+            callers.spawn(self.clone().send_orders(index));
+        }
+        for index in 0..SUBMITTERS {
+            callers.spawn(self.clone().send_jobs(index));
+        }
+        callers
+    }
+
+    /// Ends the load.
+    pub fn stop(&self) {
+        self.stopped.store(true, SeqCst);
+    }
+
+    /// Sets the phase that orders and jobs begin in from now on.
+    pub fn set_phase(&self, phase: usize) {
+        self.phase.store(phase, SeqCst);
+    }
+
+    /// States until when what is sent to an entry is sent to a killed process.
+    pub fn set_killed(&self, entry: usize, until: Instant) {
+        lock(&self.killed)[entry] = Some(until);
+    }
+
+    /// Tells whether the balancer sends requests to an entry.
+    pub fn ready(&self, entry: usize) -> bool {
+        self.ready[entry].load(SeqCst)
+    }
+
+    /// Returns what the callers saw.
+    pub fn record(&self) -> MutexGuard<'_, Record> {
+        lock(&self.record)
+    }
+
+    /// Chooses the next ready entry.
+    fn entry(&self) -> usize {
+        let turn = self.turn.fetch_add(1, SeqCst);
+        let count = self.callers.len();
+        let entries = (0..count).map(|offset| (turn + offset) % count);
+        let mut ready = entries.filter(|index| self.ready(*index));
+        ready.next().unwrap_or(turn % count)
+    }
+
+    fn stopped(&self) -> bool {
+        self.stopped.load(SeqCst)
+    }
+
+    /// Sends one check until it has an outcome; `None` if that is its answer.
+    async fn check(&self, number: usize) -> Option<String> {
+        let path = format!("/v1/check/spacing-check/roof?number={number}");
+        let expected = format!("/roof?number={number}");
+        let deadline = Instant::now() + CHECK_DEADLINE;
+        let mut pause = BACKOFF_MIN;
+        let mut refusal = "not connected".to_owned();
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Some(format!("refused {refusal}"));
+            }
+            let (entry, began) = (self.entry(), Instant::now());
+            let left_ms = left.as_millis().to_string();
+            let headers = [("x-deadline-ms", left_ms.as_str())];
+            let client = &self.callers[entry];
+            match client.send(Method::GET, &path, &headers, "").await {
+                Ok(answer) if answer.status == 200 => {
+                    let right = answer.json()["path"] == expected.as_str();
+                    return (!right).then(|| "wrong".to_owned());
+                }
+                Ok(answer) if not_run(&answer) => {
+                    let body = answer.json();
+                    refusal = body["reason"].as_str().unwrap_or_default().to_owned();
+                    let stated_ms = body["retry_after_ms"].as_u64().unwrap_or_default();
+                    pause = pause.max(Duration::from_millis(stated_ms));
+                }
+                Ok(answer) => {
+                    let status = answer.status.as_u16();
+                    return Some(format!("{status} {}", told(&answer)));
+                }
+                Err(error) if not_connected(&error) => {}
+                Err(_) => {
+                    let killed = lock(&self.killed)[entry].is_some_and(|killed| began <= killed);
+                    let fault = if killed { ON_KILLED_ENTRY } else { "broken" };
+                    return Some(fault.to_owned());
+                }
+            }
+            sleep(pause.min(left)).await;
+            pause = (pause * 2).min(BACKOFF_MAX);
+        }
+    }
+
+    async fn send_checks(self: Arc<Self>, caller: usize, pace: Duration) {
+        let mut due = Instant::now() + pace.mul_f64(caller as f64 / CALLERS as f64);
+        let mut checks = JoinSet::new();
+        for number in (caller..).step_by(CALLERS) {
+            sleep_until(due).await;
+            if self.stopped() {
+                break;
+            }
+            let load = self.clone();
+            checks.spawn(async move {
+                let fault = timeout(CHECK_LIMIT, load.check(number)).await;
+                let fault = fault.unwrap_or_else(|_| Some("no answer".to_owned()));
+                let ended = Instant::now();
+                lock(&load.record).checks.push(Check { due, ended, fault });
+            });
+            while checks.try_join_next().is_some() {}
+            due += pace;
+        }
+        while checks.join_next().await.is_some() {}
+    }
+
+    /// Sends an order until an outcome is known that asking again keeps.
+    async fn order(&self, customer: &str, sequence: usize) -> String {
+        let (key, sequence) = (format!("{customer}-{sequence}"), sequence.to_string());
+        let headers = [
+            ("idempotency-key", key.as_str()),
+            ("x-customer", customer),
+            ("x-sequence", sequence.as_str()),
+            ("x-deadline-ms", "8000"),
+        ];
+        let end = Instant::now() + ORDER_LIMIT;
+        let mut last = "no answer".to_owned();
+        while Instant::now() < end {
+            let client = &self.callers[self.entry()];
+            let call = client.post("/v1/orders/material-order", &headers, "brackets");
+            match timeout(CHECK_LIMIT, call).await {
+                Ok(Ok(answer)) if answer.status == 200 => return "done".to_owned(),
+                Ok(Ok(answer)) => last = told(&answer),
+                _ => {}
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        last
+    }
+
+    async fn send_orders(self: Arc<Self>, customer: usize) {
+        let customer = format!("finca-{customer}");
+        for sequence in 1.. {
+            if self.stopped() {
+                break;
+            }
+            let (phase, began) = (self.phase.load(SeqCst), Instant::now());
+            let outcome = self.order(&customer, sequence).await;
+            let order = Order {
+                phase,
+                began,
+                ended: Instant::now(),
+                outcome,
+            };
+            let key = format!("{customer}-{sequence}");
+            lock(&self.record).orders.insert(key, order);
+            sleep_until(began + ORDER_PACE).await;
+        }
+    }
+
+    async fn send_jobs(self: Arc<Self>, submitter: usize) {
+        for number in 0.. {
+            if self.stopped() {
+                break;
+            }
+            let (phase, began) = (self.phase.load(SeqCst), Instant::now());
+            let key = format!("job-{submitter}-{number}");
+            let headers = [
+                ("idempotency-key", key.as_str()),
+                ("x-deadline-ms", "60000"),
+            ];
+            wait_for(ORDER_LIMIT, || async {
+                let client = &self.callers[self.entry()];
+                let call = client.post("/v1/jobs/layout", &headers, r#"{"work_ms": 1000}"#);
+                let Ok(Ok(answer)) = timeout(CHECK_LIMIT, call).await else {
+                    return false;
+                };
+                let job = answer.json()["job"].as_str().map(str::to_owned);
+                let accepted = job.filter(|_| answer.status == 202);
+                let added = accepted.map(|job| lock(&self.record).jobs.push((phase, job)));
+                added.is_some()
+            })
+            .await;
+            sleep_until(began + JOB_PACE).await;
+        }
+    }
+
+    /// Returns the accepted jobs of each phase that have no result.
+    pub async fn jobs_lost(&self) -> BTreeMap<usize, usize> {
+        let mut lost = BTreeMap::new();
+        let jobs = lock(&self.record).jobs.clone();
+        let end = Instant::now() + RESULT_LIMIT;
+        for (phase, job) in jobs {
+            let path = format!("/v1/jobs/{job}/result");
+            let left = end.saturating_duration_since(Instant::now());
+            let done = wait_for(left.max(Duration::from_millis(40)), || async {
+                let answer = timeout(RESULT_LIMIT, self.callers[self.entry()].get(&path)).await;
+                matches!(answer, Ok(Ok(answer)) if answer.status == 200)
+            });
+            *lost.entry(phase).or_default() += usize::from(!done.await);
+        }
+        lost
+    }
+}
+
+/// Asks one entry again and again whether it is ready, as a balancer does.
+async fn watch(load: Arc<Load>, index: usize) {
+    loop {
+        let asked = load.operators[index].get("/readyz");
+        let answer = timeout(Duration::from_millis(500), asked).await;
+        let ready = matches!(answer, Ok(Ok(answer)) if answer.status == 200);
+        load.ready[index].store(ready, SeqCst);
+        sleep(Duration::from_millis(250)).await;
+    }
+}
+
+/// The span of one phase, whose failure begins with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Span {
+    /// When it begins.
+    pub from: Instant,
+    /// When it ends.
+    pub to: Instant,
+}
+
+/// Returns a quantile of the checks due in a span, in milliseconds; a check
+/// that failed counts as endless.
+pub fn quantile_ms(checks: &[Check], span: Span, quantile: f64) -> f64 {
+    let due = checks
+        .iter()
+        .filter(|check| (span.from..span.to).contains(&check.due));
+    let mut latencies: Vec<f64> = due
+        .map(|check| match check.fault {
+            None => (check.ended - check.due).as_secs_f64() * 1000.0,
+            Some(_) => f64::INFINITY,
+        })
+        .collect();
+    latencies.sort_by(f64::total_cmp);
+    let rank = (quantile * latencies.len() as f64) as usize;
+    latencies.get(rank).copied().unwrap_or(f64::INFINITY)
+}
+
+/// Returns the longest time that the p99 over one second stayed above `bound`
+/// before it was back within it for a whole further second.
+pub fn recovery_s(checks: &[Check], span: Span, bound_ms: f64) -> f64 {
+    const STEP: Duration = Duration::from_millis(100);
+    const STEPS_WITHIN: usize = 10;
+    let starts = (0..).map(|step| span.from + STEP * step);
+    let starts = starts.take_while(|start| *start + Duration::from_secs(1) <= span.to);
+    let (mut longest, mut above, mut within) = (0, 0, STEPS_WITHIN);
+    for from in starts {
+        let to = from + Duration::from_secs(1);
+        if quantile_ms(checks, Span { from, to }, 0.99) > bound_ms {
+            above += 1 + if above > 0 { within } else { 0 };
+            within = 0;
+        } else {
+            within += 1;
+        }
+        longest = longest.max(above);
+        if within >= STEPS_WITHIN {
+            above = 0;
+        }
+    }
+    STEP.as_secs_f64() * longest as f64
+}
