Be ready only once a configuration is in force

Change: readiness waits for the first configuration; requests before it are refused with 503 as not run. After: the new test passes; it was not run against the former code.

--- a/crates/coordination/src/owner/event.rs
+++ b/crates/coordination/src/owner/event.rs
@@ -143,7 +143,8 @@
     Failed,
     /// Attempts refused by agents.
     Refused,
-    /// Attempts abandoned before their grant.
+    /// Attempts that ended without an output on request: abandoned before their
+    /// grant, withdrawn, or stopped.
     Abandoned,
     /// Leases that expired.
     LeaseExpired,
--- a/crates/filbertbend/src/serve/front.rs
+++ b/crates/filbertbend/src/serve/front.rs
@@ -13,7 +13,13 @@
         routing::{any, get, post},
         Router,
     },
-    filbertbend_state::{config::Snapshot, hash, id, service::Declaration, unit::Millis},
+    filbertbend_state::{
+        config::Snapshot,
+        hash, id,
+        outcome::{Outcome, Reason},
+        service::Declaration,
+        unit::Millis,
+    },
     filbertbend_transport::clock,
     std::{
         str::FromStr,
@@ -99,6 +105,14 @@
         };
         let service = id::Service::from_str(name).map_err(|_| unknown())?;
         let snapshot = self.snapshot.borrow();
+        if snapshot.revision == id::Revision(0) {
+            // Not that the service is unknown: no configuration has come yet.
+            let outcome = Outcome::Refused {
+                reason: Reason::NoEndpoint,
+                retry_after_ms: Millis::from_secs(1),
+            };
+            return Err(Answer::new(outcome, request));
+        }
         snapshot.service(&service).cloned().ok_or_else(unknown)
     }
 }
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -131,6 +131,7 @@
     let socket = Socket::listen(settings.addresses.processes, &identity.borrow())?;
     let (control, inbox) = Handle::channel();
     let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+    let configured = snapshots.clone();
     let own = member(&settings);
     let desk = Arc::new(Desk::new(own.clone(), seed(&own), control.clone()));
     let thread = thread(&settings, &control, &desk, identity, own.clone(), snapshot);
@@ -143,7 +144,7 @@
         connections: Arc::new(AtomicU64::new(FIRST_ACCEPTED)),
     };
     tokio::spawn(acceptor.run(socket.clone()));
-    let (ready, readiness) = watch::channel(true);
+    let (ready, readiness) = watch::channel(false);
     let (_running, never) = watch::channel(false);
     let front = Arc::new(Front::new(
         settings.name.clone(),
@@ -162,6 +163,10 @@
     info!("entry started", kv: { entry: = settings.name });
     let server = http::serve(callers, front::router(front), limits, stop.clone());
     let leaving = async {
+        tokio::select! {
+            () = get_ready(configured, &ready) => {}
+            _ = stop.wait_for(|stop| *stop) => {}
+        }
         let _ = stop.wait_for(|stop| *stop).await;
         ready.send_replace(false);
         desk.leave();
@@ -177,6 +182,15 @@
     Ok(())
 }
 
+/// Tells the balancer that requests may come once a configuration is in force;
+/// before that no service is known, and every request would be refused.
+async fn get_ready(mut configured: watch::Receiver<Arc<Snapshot>>, ready: &watch::Sender<bool>) {
+    let in_force = configured.wait_for(|snapshot| snapshot.revision > id::Revision(0));
+    if in_force.await.is_ok() {
+        ready.send_replace(true);
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -134,3 +134,35 @@
         .collect();
     assert_eq!(keys.len(), 3, "{keys:?}");
 }
+
+/// Guards against an entry that takes requests before it has a configuration
+/// and answers that their service does not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_without_a_configuration_is_not_ready() {
+    let fleet = Fleet::start(&plan()).await.unwrap();
+    let _entry = fleet.spawn_entry(0).unwrap();
+    let operators = Client::new(fleet.entries[0].operators);
+    let alive = wait_for(START_LIMIT, || async {
+        let answer = operators.get("/healthz").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    assert!(alive.await);
+
+    let before = operators.get("/readyz").await.unwrap();
+    let client = Client::new(fleet.entries[0].callers);
+    let refused = client.get("/v1/check/spacing-check/").await.unwrap();
+    fleet.configure([declare::service(
+        "spacing-check",
+        Kind::Check,
+        Class::Interactive,
+    )]);
+    let ready = wait_for(START_LIMIT, || async {
+        let answer = operators.get("/readyz").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+
+    assert!(ready.await);
+    assert_eq!(before.status, 503);
+    assert_eq!(refused.status, 503, "{}", refused.json());
+    assert_eq!(refused.json()["ran"], "no");
+}
