Give a try up only on lasting silence

Cause: a try counted as lost as soon as its agent used a newer link, although agents keep the old one open until its requests have ended, and as soon as an entry resumed from a freeze with its old view of the agents. Change: a replaced link counts as silent after 1 s, and a process whose check comes 1 s late does not trust its view for 1.5 s. Ruled out: waiting longer for a silent agent, which would delay the recovery from a kill.

--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -114,6 +114,16 @@
     }))
 }
 
+/// Why no answer may come on the link of a try.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Silence {
+    /// The agent has not been heard from.
+    Agent,
+    /// The agent uses a newer link. The old one may have gone silent, or only
+    /// have been slow.
+    Link,
+}
+
 /// A request on its way to one endpoint.
 pub(crate) struct Try {
     endpoint: id::Endpoint,
@@ -140,14 +150,15 @@
         clock::monotonic().since(self.started)
     }
 
-    /// Tells whether nothing may be heard on the link any more: the agent is
-    /// silent, or has dialled a new link because this one was.
-    pub(crate) fn is_lost(&self) -> bool {
+    /// Tells what speaks against an answer on the link.
+    pub(crate) fn silence(&self) -> Option<Silence> {
         let now = clock::monotonic();
         let state = self.desk.lock();
-        state.directory.agent(&self.endpoint).is_none_or(|agent| {
-            agent.connection() != Some(self.connection) || agent.state(now) != Liveness::Alive
-        })
+        let agent = state.directory.agent(&self.endpoint);
+        let Some(agent) = agent.filter(|agent| agent.state(now) == Liveness::Alive) else {
+            return Some(Silence::Agent);
+        };
+        (agent.connection() != Some(self.connection)).then_some(Silence::Link)
     }
 
     /// Frees the request's place at the endpoint.
--- a/crates/filbertbend/src/serve/exchange.rs
+++ b/crates/filbertbend/src/serve/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        desk::Try,
+        desk::{Silence, Try},
         front::{Front, Terms},
         upload::Upload,
     },
@@ -32,6 +32,13 @@
 
 /// How often a try looks whether its link has gone silent.
 const SILENCE_CHECK: Duration = Duration::from_millis(250);
+/// A check that comes this late means that the process was frozen.
+const FROZEN_AFTER: Duration = Duration::from_secs(1);
+/// How long the view of agents is not trusted after a freeze; each of them is
+/// heard from again within a heartbeat interval.
+const VIEW_GRACE: Duration = Duration::from_millis(1500);
+/// How long an answer may still come on a link after the agent has replaced it.
+const REPLACED_GRACE: Duration = Duration::from_secs(1);
 /// When a retry is worthwhile after a stream could not be opened.
 const RETRY_AFTER: Millis = Millis(250);
 
@@ -246,21 +253,40 @@
     where
         B: HttpBody<Data = Bytes, Error: Send> + Send + Unpin + 'static,
     {
-        let silent = async {
-            while !attempt.is_lost() {
-                sleep(SILENCE_CHECK).await;
-            }
-        };
         // A request that must not run twice gains nothing from giving up
         // before its deadline.
         let result = tokio::select! {
             result = ask(self.head, &attempt, body) => result,
-            () = silent, if self.idempotent => Err(retry::End::Timeout.into()),
+            () = silent(&attempt), if self.idempotent => Err(retry::End::Timeout.into()),
         };
         Ended { attempt, result }
     }
 }
 
+/// Returns once no answer is to be expected on the link of a try.
+async fn silent(attempt: &Try) {
+    let mut checked = Instant::now();
+    let mut trusted_from = checked;
+    let mut replaced_since = None;
+    loop {
+        sleep(SILENCE_CHECK).await;
+        let now = Instant::now();
+        if now - checked > FROZEN_AFTER {
+            trusted_from = now + VIEW_GRACE;
+        }
+        checked = now;
+        match attempt.silence() {
+            Some(Silence::Agent) if now >= trusted_from => return,
+            Some(Silence::Link) => {
+                if now - *replaced_since.get_or_insert(now) >= REPLACED_GRACE {
+                    return;
+                }
+            }
+            _ => replaced_since = None,
+        }
+    }
+}
+
 fn head(exchange: &Exchange<'_>) -> Request {
     let uri = &exchange.parts.uri;
     let prefix = format!("/v1/check/{}", exchange.declaration.name);
