Use replaced keys for links that an entry accepts

Change: the socket takes them; a test replaces the authority under a running entry and starts an agent with the new keys. It was not run against the former code. The relay passes packets on in order while no delay is asked for; a task for each packet reordered them, which QUIC takes for losses.

--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -129,6 +129,7 @@
     let callers = listen(settings.addresses.callers).await?;
     let operators = listen(settings.addresses.operators).await?;
     let socket = Socket::listen(settings.addresses.processes, &identity.borrow())?;
+    tokio::spawn(follow_keys(identity.clone(), socket.clone()));
     let (control, inbox) = Handle::channel();
     let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     let configured = snapshots.clone();
@@ -182,6 +183,14 @@
     Ok(())
 }
 
+/// Accepts new links with new keys; links that are open keep theirs.
+async fn follow_keys(mut identity: watch::Receiver<Arc<tls::Identity>>, mut socket: Socket) {
+    while identity.changed().await.is_ok() {
+        let newest = identity.borrow_and_update().clone();
+        socket.reload(&newest);
+    }
+}
+
 /// Tells the balancer that requests may come once a configuration is in force;
 /// before that no service is known, and every request would be refused.
 async fn get_ready(mut configured: watch::Receiver<Arc<Snapshot>>, ready: &watch::Sender<bool>) {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -104,6 +104,12 @@
             let Some((upstream, delay)) = self.flow(client).await else {
                 continue;
             };
+            if delay.is_zero() {
+                // Tasks of their own would reorder packets, which the peers
+                // take for losses.
+                let _ = upstream.send(&packet[..length]).await;
+                continue;
+            }
             let data = packet[..length].to_vec();
             tokio::spawn(async move {
                 tokio::time::sleep(delay).await;
@@ -144,6 +150,10 @@
                 }
                 faults.delay
             };
+            if delay.is_zero() {
+                let _ = self.socket.send_to(&packet[..length], client).await;
+                continue;
+            }
             let data = packet[..length].to_vec();
             let socket = self.socket.clone();
             tokio::spawn(async move {
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -5,6 +5,7 @@
         client::Client,
         declare,
         fleet::{wait_for, Fleet, Launcher, Plan},
+        keys,
     },
     filbertbend_state::service::{Class, Kind},
     std::time::Duration,
@@ -142,11 +143,7 @@
     let fleet = Fleet::start(&plan()).await.unwrap();
     let _entry = fleet.spawn_entry(0).unwrap();
     let operators = Client::new(fleet.entries[0].operators);
-    let alive = wait_for(START_LIMIT, || async {
-        let answer = operators.get("/healthz").await;
-        answer.is_ok_and(|answer| answer.status == 200)
-    });
-    assert!(alive.await);
+    assert!(ready_at(&operators, "/healthz").await);
 
     let before = operators.get("/readyz").await.unwrap();
     let client = Client::new(fleet.entries[0].callers);
@@ -156,13 +153,44 @@
         Kind::Check,
         Class::Interactive,
     )]);
-    let ready = wait_for(START_LIMIT, || async {
-        let answer = operators.get("/readyz").await;
-        answer.is_ok_and(|answer| answer.status == 200)
-    });
 
-    assert!(ready.await);
+    assert!(ready_at(&operators, "/readyz").await);
     assert_eq!(before.status, 503);
     assert_eq!(refused.status, 503, "{}", refused.json());
     assert_eq!(refused.json()["ran"], "no");
 }
+
+/// Guards against an entry that goes on with keys that have been replaced, so
+/// that processes with the new ones cannot reach it.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_keys_are_used_without_a_restart() {
+    let fleet = Fleet::start(&plan()).await.unwrap();
+    fleet.configure([declare::service(
+        "spacing-check",
+        Kind::Check,
+        Class::Interactive,
+    )]);
+    let _entry = fleet.spawn_entry(0).unwrap();
+    let operators = Client::new(fleet.entries[0].operators);
+    assert!(ready_at(&operators, "/readyz").await);
+
+    let authority = keys::Authority::create(fleet.folder.path()).unwrap();
+    authority.issue().unwrap();
+    let reloaded = wait_for(START_LIMIT, || async {
+        fleet.log("entry-0").contains("keys reloaded")
+    });
+    assert!(reloaded.await, "{}", fleet.log("entry-0"));
+    let _agent = fleet.spawn_agent(0).unwrap();
+
+    let client = Client::new(fleet.entries[0].callers);
+    let served = ready(&client, "/v1/check/spacing-check/").await;
+    assert!(served, "{}", fleet.log("runner-0"));
+}
+
+async fn ready_at(client: &Client, path: &str) -> bool {
+    wait_for(START_LIMIT, || async {
+        let answer = client.get(path).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await
+}
