--- a/crates/filbertbend/src/serve/exchange.rs
+++ b/crates/filbertbend/src/serve/exchange.rs
@@ -115,11 +115,12 @@
         let Ok(ended) = asked else {
             return Err(self.plan.expired());
         };
-        match self.settle(ended) {
-            Ok(reply) => Ok(reply),
-            Err(Next::Finish(outcome)) => Err(outcome),
-            Err(_) => Err(Outcome::Unknown),
-        }
+        self.settle(ended).map_err(|next| match next {
+            Next::Finish(outcome) => outcome,
+            // Another try would be allowed, but the body has gone: the request
+            // is refused if no try can have run it, and unknown otherwise.
+            _ => self.finished(self.plan.unplaced(Reason::NoRoom, RETRY_AFTER)),
+        })
     }
 
     /// Tries endpoints until one answers or no other try is allowed.
