Give each submission of an order an id of its own

Cause: the entry derived an order's id from its key, so an order that was refused or had expired as not run met its own closed record when it was sent again: 422 invalid. Change: a new id for each submission; the owner finds an earlier one by key. Ruled out: replacing the closed record, whose attempt numbers agents remember as tombstones.

--- a/crates/filbertbend/src/serve/jobs.rs
+++ b/crates/filbertbend/src/serve/jobs.rs
@@ -132,7 +132,9 @@
         let message = "x-sequence counts from 1";
         return Err(Answer::invalid(StatusCode::BAD_REQUEST, request, message));
     }
-    let id = job_id(format!("order/{service}/{customer}/{key}"));
+    // A new id for each submission: the owner finds an earlier one by its key,
+    // and a refused order may be submitted again.
+    let id = new_job_id(front, request);
     let slice = hash::slice(customer.as_str(), front.slices);
     let left = terms.left();
     let margin = ORDER_MARGIN.min(Millis(left.0 / 4));
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -194,3 +194,44 @@
     })
     .await
 }
+
+/// Guards against an order whose key cannot be used again after it was refused
+/// as not run, which would hold up all later orders of its customer.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_order_lands_when_its_key_is_sent_again() {
+    let fleet = Fleet::start(&plan()).await.unwrap();
+    fleet.configure([declare::service(
+        "material-order",
+        Kind::Order,
+        Class::Interactive,
+    )]);
+    let _entries = [fleet.spawn_entry(0).unwrap(), fleet.spawn_entry(1).unwrap()];
+    let _agents = [0, 1, 2].map(|index| fleet.spawn_agent(index).unwrap());
+    let client = Client::new(fleet.entries[0].callers);
+    let order = |sequence: &'static str, deadline_ms: &'static str| {
+        let key = format!("brackets-{sequence}");
+        let client = client.clone();
+        async move {
+            let headers = [
+                ("idempotency-key", key.as_str()),
+                ("x-customer", "finca-7"),
+                ("x-sequence", sequence),
+                ("x-deadline-ms", deadline_ms),
+            ];
+            client
+                .post("/v1/orders/material-order", &headers, "2")
+                .await
+        }
+    };
+    let first_is_missed = wait_for(START_LIMIT, || async {
+        let answer = order("2", "2000").await;
+        answer.is_ok_and(|answer| answer.json()["reason"] == "sequence-gap")
+    });
+    assert!(first_is_missed.await, "{}", fleet.log("entry-0"));
+
+    let first = order("1", "10000").await.unwrap();
+    let second = order("2", "10000").await.unwrap();
+
+    assert_eq!(first.status, 200, "{}", first.json());
+    assert_eq!(second.status, 200, "{}", second.json());
+}
