Count the requests that wait when weighing a remote endpoint

Cause: while all local endpoints were full, each request expected the next slot for itself and did not cross the link. At 400 checks a second over two entries and four agents (32 slots, 40 ms) one entry's single local agent was at its limit, an idle agent in another data centre got no request, and every return to the queue paused and narrowed the gate. Change: the wait for a full local endpoint grows with the requests that wait. Ruled out: a lower cost of the link, which would send requests across it without need. The new test fails without the factor by its construction: the wait is then that of the test before it.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -117,6 +117,7 @@
     settings: Settings,
     rng: ChaCha8Rng,
     counters: BTreeMap<id::Endpoint, Counter>,
+    waiting: u32,
 }
 
 impl Router {
@@ -126,9 +127,16 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             counters: BTreeMap::new(),
+            waiting: 0,
         }
     }
 
+    /// Takes note of how many requests wait for a turn. While local endpoints
+    /// are full, the wait for one of their slots grows with each of them.
+    pub fn set_waiting(&mut self, waiting: u32) {
+        self.waiting = waiting;
+    }
+
     /// Chooses an endpoint and counts the request there.
     ///
     /// # Errors
@@ -367,7 +375,8 @@
         let near = self.draw(&local.free);
         let local_wait_ms = match near {
             Some(near) => near.wait_ms,
-            None if local.takes_work => local.full_wait_ms,
+            // Each request that waits takes one of the slots that come free.
+            None if local.takes_work => local.full_wait_ms * (1.0 + f64::from(self.waiting)),
             None => f64::INFINITY,
         };
         if local_wait_ms <= remote.least_wait_ms() {
--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -446,6 +446,19 @@
     assert_eq!(picked(&mut router(1), &fleet), names(&["e2"]));
 }
 
+/// Guards against a queue before full local endpoints while others are idle:
+/// a wait that each of several requests expects for itself alone is too short.
+#[test]
+fn requests_that_wait_for_full_local_endpoints_make_the_link_worth_it() {
+    let mut fleet = fleet(&[("e1", "xela"), ("e2", "toto")]);
+    fleet.report("e1", NOW, load(8, 0));
+    let mut router = router(1);
+
+    router.set_waiting(20);
+
+    assert_eq!(picked(&mut router, &fleet), names(&["e2"]));
+}
+
 /// Guards against refusing when only the local data centre is lost, and
 /// against leaving the data centres that the operators allow.
 #[test]
--- a/crates/filbertbend/src/serve/desk.rs
+++ b/crates/filbertbend/src/serve/desk.rs
@@ -262,6 +262,8 @@
         let now = clock::monotonic();
         let mut state = self.lock();
         let state = &mut *state;
+        let waiting = u32::try_from(state.gate.queued()).unwrap_or(u32::MAX);
+        state.router.set_waiting(waiting);
         let ask = Ask {
             declaration,
             tried: plan.tried(),
