--- /dev/null
+++ b/crates/dispatch/src/agent.rs
@@ -0,0 +1,308 @@
+//! The agent's process: the link to the leader and the calls of the worker
+//! around its state machine.
+
+use {
+    crate::{
+        entry::decode_leader,
+        key,
+        observe::Observer,
+        port::{Store, Worker},
+    },
+    filbertbend_state::{time::Instant, unit::Millis},
+    filbertbend_transport::{
+        clock,
+        link::{self, Socket},
+        tls::Identity,
+    },
+    filbertbend_workload::{
+        agent::{Action, Agent, Answer, Call, Event},
+        id::Node,
+        message::{Request, Response},
+        worker::Profile,
+    },
+    metrics::counter,
+    spdlog::prelude::*,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::{mpsc, watch, Semaphore},
+        time::{interval, sleep, timeout, MissedTickBehavior},
+    },
+};
+
+/// Messages that may wait for the state machine.
+const INBOX_LIMIT: usize = 1024;
+/// How long one watch of the leader's key waits.
+const WATCH_WAIT: Millis = Millis(10_000);
+/// How often the state machine looks at the time.
+const TICK: Duration = Duration::from_millis(100);
+/// A leader that says nothing for this long is taken as gone. Leases are
+/// renewed once a second, so it says something at least that often.
+const SILENCE: Duration = Duration::from_millis(1600);
+/// How long to wait before the leader is looked for again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Orders that are with the worker at once, besides the one look.
+const ORDER_LIMIT: usize = 4;
+
+/// What the process is told.
+#[derive(Debug)]
+enum Input {
+    Event(Event),
+    Opened(mpsc::Sender<Request>),
+    Closed,
+}
+
+/// The way to the state machine.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    inbox: mpsc::Sender<Input>,
+}
+
+impl Handle {
+    /// Passes a heartbeat of the worker on.
+    pub async fn heartbeat(&self, profile: Profile) {
+        // Fails only when the process ends.
+        let _ = self
+            .inbox
+            .send(Input::Event(Event::Heartbeat(profile)))
+            .await;
+    }
+}
+
+/// Starts the agent on `node`.
+pub fn start<S: Store, W: Worker>(
+    store: S,
+    worker: W,
+    node: Node,
+    identity: Identity,
+    stop: watch::Receiver<bool>,
+) -> Handle {
+    let (inbox, inputs) = mpsc::channel(INBOX_LIMIT);
+    let handle = Handle {
+        inbox: inbox.clone(),
+    };
+    let observer = Observer::start(store, key::LEADER, WATCH_WAIT);
+    tokio::task::spawn_local(follow_leader(
+        observer,
+        node.clone(),
+        identity,
+        inbox.clone(),
+    ));
+    let driver = Driver {
+        agent: Agent::default(),
+        worker,
+        node,
+        inbox,
+        outbox: None,
+        orders: Rc::new(Semaphore::new(ORDER_LIMIT)),
+    };
+    tokio::task::spawn_local(driver.run(inputs, stop));
+    handle
+}
+
+struct Driver<W> {
+    agent: Agent,
+    worker: W,
+    node: Node,
+    inbox: mpsc::Sender<Input>,
+    outbox: Option<mpsc::Sender<Request>>,
+    orders: Rc<Semaphore>,
+}
+
+impl<W: Worker> Driver<W> {
+    async fn run(mut self, mut inputs: mpsc::Receiver<Input>, mut stop: watch::Receiver<bool>) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.input(input),
+                    None => return,
+                },
+                _ = tick.tick() => self.step(Event::Tick),
+                _ = stop.wait_for(|stop| *stop) => return,
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.step(event),
+            Input::Opened(outbox) => {
+                self.outbox = Some(outbox);
+                self.step(Event::Connected);
+            }
+            Input::Closed => {
+                self.outbox = None;
+                self.step(Event::Disconnected);
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.agent.step(clock::monotonic(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Hello => self.send(Request::Agent(self.node.clone())),
+                Action::Send(report) => self.send(Request::Report(Box::new(report))),
+                Action::Call(call) => self.call(call),
+            }
+        }
+    }
+
+    /// Leaves a message for the leader. A link that is too far behind is given
+    /// up, since a session must not miss a report.
+    fn send(&mut self, request: Request) {
+        let full = match &self.outbox {
+            Some(outbox) => outbox.try_send(request).is_err(),
+            None => return,
+        };
+        if full {
+            warn!("link to the leader too far behind");
+            self.outbox = None;
+            self.step(Event::Disconnected);
+        }
+    }
+
+    fn call(&self, call: Call) {
+        let Some(profile) = self.agent.profile().cloned() else {
+            return;
+        };
+        let worker = self.worker.clone();
+        let inbox = self.inbox.clone();
+        let orders = self.orders.clone();
+        tokio::task::spawn_local(async move {
+            let permit = match &call {
+                Call::Look { .. } => None,
+                // The semaphore is never closed.
+                _ => orders.acquire().await.ok(),
+            };
+            let sent = clock::monotonic();
+            let answer = worker.call(&profile, &call).await;
+            drop(permit);
+            record(&call, &answer, sent);
+            let event = Event::Answered { call, sent, answer };
+            // Fails only when the process ends.
+            let _ = inbox.send(Input::Event(event)).await;
+        });
+    }
+}
+
+fn record(call: &Call, answer: &Answer, sent: Instant) {
+    let ms = clock::monotonic().since(sent).0;
+    let answer = match answer {
+        Answer::Lists(_) | Answer::Done => "done".to_owned(),
+        Answer::Refused(refusal) => refusal.to_string(),
+        Answer::Lost => "lost".to_owned(),
+    };
+    match call {
+        Call::Look { .. } => {
+            if answer != "done" {
+                counter!("filbertbend_looks_failed_total").increment(1);
+                info!("look failed", kv: { answer: = answer.as_str(), ms });
+            }
+        }
+        Call::Start { start, fence, .. } => {
+            info!("start", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, answer: = answer.as_str(), ms });
+        }
+        Call::Stop { task, run, fence } => {
+            info!("stop", kv: { job: = task.job, task:, run = run.0, fence = fence.0, answer: = answer.as_str(), ms });
+        }
+        Call::Pace { change, .. } => {
+            debug!("pace", kv: { job: = change.task.job, task: = change.task, run = change.run.0, percent = change.percent, answer: = answer.as_str(), ms });
+        }
+    }
+}
+
+/// Keeps a link to whoever leads.
+async fn follow_leader(
+    mut observer: Observer,
+    node: Node,
+    identity: Identity,
+    inbox: mpsc::Sender<Input>,
+) {
+    let mut hint: Option<SocketAddr> = None;
+    loop {
+        let known = decode_leader(&observer).map(|leader| leader.address);
+        let Some(address) = hint.take().or(known) else {
+            let _ = timeout(RETRY_DELAY, observer.changed()).await;
+            continue;
+        };
+        let served = tokio::select! {
+            served = serve(address, &node, &identity, &inbox) => served,
+            () = moved(&mut observer, address) => Ok(None),
+        };
+        // Fails only when the process ends.
+        let _ = inbox.send(Input::Closed).await;
+        match served {
+            Ok(found) => hint = found.filter(|found| *found != address),
+            Err(error) => info!("link to the leader lost", kv: { address:, error: }),
+        }
+        observer.poke();
+        sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Returns once another entry leads.
+async fn moved(observer: &mut Observer, address: SocketAddr) {
+    loop {
+        observer.changed().await;
+        let leader = decode_leader(observer);
+        if leader.is_some_and(|leader| leader.address != address) {
+            return;
+        }
+    }
+}
+
+/// Serves one link until it breaks, goes silent, or the peer names another
+/// leader.
+async fn serve(
+    address: SocketAddr,
+    node: &Node,
+    identity: &Identity,
+    inbox: &mpsc::Sender<Input>,
+) -> Result<Option<SocketAddr>, link::Error> {
+    let socket = Socket::dialler(identity)?;
+    let link = socket.dial(address).await?;
+    let (mut sender, mut receiver) = link.open().await?;
+    let (outbox, mut queue) = mpsc::channel::<Request>(INBOX_LIMIT);
+    // Fails only when the process ends.
+    let _ = inbox.send(Input::Opened(outbox)).await;
+    let sending = async {
+        while let Some(request) = queue.recv().await {
+            sender.send(&request).await?;
+        }
+        Ok::<(), link::Error>(())
+    };
+    let receiving = async {
+        loop {
+            let Ok(received) = timeout(SILENCE, receiver.receive::<Response>()).await else {
+                info!("leader silent", kv: { address: });
+                return Ok(None);
+            };
+            let event = match received? {
+                Some(Response::Welcome {
+                    epoch,
+                    fence,
+                    profile,
+                }) => {
+                    info!("session open", kv: { address:, epoch = epoch.0, fence = fence.0 });
+                    Event::Welcome(epoch, fence, profile)
+                }
+                Some(Response::Orders(orders)) => Event::Orders(orders),
+                Some(Response::Elsewhere(leader)) => return Ok(leader),
+                Some(Response::Pong | Response::Answer(..)) => continue,
+                None => return Ok(None),
+            };
+            // Fails only when the process ends.
+            let _ = inbox.send(Input::Event(event)).await;
+        }
+    };
+    debug!("linked", kv: { address:, node: });
+    let result = tokio::select! {
+        result = sending => result.map(|()| None),
+        result = receiving => result,
+    };
+    link.close();
+    result
+}
--- /dev/null
+++ b/crates/dispatch/src/entry.rs
@@ -0,0 +1,522 @@
+//! An entry: takes jobs in for callers, and leads when no other entry does.
+
+use {
+    crate::{
+        journal::encode,
+        key,
+        observe::Observer,
+        port::{Commit, Failure, Revision, Store, Transaction},
+        term::{self, Claimant, Driver, Ended, Input},
+    },
+    filbertbend_state::unit::Millis,
+    filbertbend_transport::{
+        clock,
+        link::{self, Link, Receiver, Sender, Socket},
+        tls::Identity,
+    },
+    filbertbend_workload::{
+        catalog::Catalog,
+        id::{self, Job, Node},
+        job, lead,
+        message::{Question, Reply, Request, Response},
+        planner::Settings,
+        record::{Leader, Progress, State},
+    },
+    metrics::counter,
+    spdlog::prelude::*,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// Messages that may wait for the planner.
+const INBOX_LIMIT: usize = 4096;
+/// Messages that may wait for one link.
+const OUTBOX_LIMIT: usize = 512;
+/// How long the leader may take to answer a question of another entry.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long one watch of the leader's key waits.
+const WATCH_WAIT: Millis = Millis(2000);
+/// How long to wait before a call that the store refused is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(80);
+/// How often a job whose write was refused is offered to the store.
+const SUBMIT_TRIES: usize = 6;
+
+/// The way to the term in progress, if this entry leads.
+#[derive(Debug, Default)]
+pub(crate) struct Inbox {
+    sender: RefCell<Option<mpsc::Sender<Input>>>,
+}
+
+impl Inbox {
+    /// Passes an input on; it is dropped if no term is in progress.
+    pub(crate) async fn send(&self, input: Input) {
+        let sender = self.sender.borrow().clone();
+        if let Some(sender) = sender {
+            // Fails only if the term has just ended.
+            let _ = sender.send(input).await;
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        self.sender.borrow().is_some()
+    }
+}
+
+/// What became of a job that a caller handed in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Submission {
+    /// It is stored.
+    Accepted,
+    /// It is certainly not stored.
+    Refused(Arc<str>),
+    /// It may be stored, now or later.
+    Unknown(Arc<str>),
+}
+
+/// What became of a cancellation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Cancellation {
+    /// It is stored.
+    Accepted,
+    /// There is no such job.
+    NoJob,
+    /// It may be stored, now or later.
+    Unknown(Arc<str>),
+}
+
+/// The settings of an entry.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The entry's name.
+    pub node: Arc<str>,
+    /// Where agents and other entries reach it.
+    pub address: SocketAddr,
+    /// The planner's settings.
+    pub planner: Settings,
+}
+
+/// An entry's state, shared by all its tasks.
+pub struct Entry<S> {
+    store: S,
+    setup: Setup,
+    identity: Identity,
+    catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    leader: Observer,
+    inbox: Rc<Inbox>,
+    remote: RefCell<Option<Remote>>,
+    links: Cell<u64>,
+    reachable: Cell<bool>,
+}
+
+/// A link to the entry that leads.
+#[derive(Clone)]
+struct Remote {
+    address: SocketAddr,
+    questions: mpsc::Sender<(Question, oneshot::Sender<Reply>)>,
+}
+
+impl<S: Store> Entry<S> {
+    /// Makes an entry and starts to accept links.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(
+        store: S,
+        setup: Setup,
+        identity: Identity,
+        catalog: watch::Receiver<Option<Arc<Catalog>>>,
+        stop: watch::Receiver<bool>,
+    ) -> Result<Rc<Self>, link::Error> {
+        let socket = Socket::listen(setup.address, &identity)?;
+        let leader = Observer::start(store.clone(), key::LEADER, WATCH_WAIT);
+        let entry = Rc::new(Self {
+            store,
+            setup,
+            identity,
+            catalog,
+            leader,
+            inbox: Rc::default(),
+            remote: RefCell::default(),
+            links: Cell::new(0),
+            reachable: Cell::new(true),
+        });
+        tokio::task::spawn_local(entry.clone().accept(socket));
+        tokio::task::spawn_local(entry.clone().lead(stop));
+        Ok(entry)
+    }
+
+    /// Tells whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.borrow().is_some() && self.reachable.get()
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Stores a job. The same job may be handed in again at any entry.
+    pub async fn submit(&self, id: Job, job: &job::Job) -> Submission {
+        let transaction = Transaction {
+            expect: vec![(key::job(id), Revision(0))],
+            set: vec![(key::job(id), encode(job), None)],
+            remove: Vec::new(),
+        };
+        let mut uncertain = false;
+        let mut last: Arc<str> = "no answer".into();
+        for _ in 0..SUBMIT_TRIES {
+            match self.store.commit(&transaction).await {
+                Ok(Commit::Done(_)) => {
+                    self.reachable.set(true);
+                    return Submission::Accepted;
+                }
+                // It was stored before, by this call or an earlier one.
+                Ok(Commit::Conflict(_)) => return Submission::Accepted,
+                Ok(Commit::LeaseGone) => last = "lease".into(),
+                Err(Failure::Refused(error)) => last = error,
+                Err(error) => {
+                    uncertain = true;
+                    last = error.to_string().into();
+                    break;
+                }
+            }
+            sleep(RETRY_DELAY).await;
+        }
+        self.reachable.set(false);
+        if uncertain {
+            match self.store.commit(&transaction).await {
+                Ok(Commit::Done(_) | Commit::Conflict(_)) => {
+                    self.reachable.set(true);
+                    return Submission::Accepted;
+                }
+                _ => return Submission::Unknown(last),
+            }
+        }
+        Submission::Refused(last)
+    }
+
+    /// Stores the cancellation of a job.
+    pub async fn cancel(&self, id: Job) -> Cancellation {
+        let mut last: Arc<str> = "no answer".into();
+        for _ in 0..SUBMIT_TRIES {
+            let found = match self.store.get(&key::job(id)).await {
+                Ok(Some(item)) => item,
+                Ok(None) => return Cancellation::NoJob,
+                Err(error) => {
+                    last = error.to_string().into();
+                    sleep(RETRY_DELAY).await;
+                    continue;
+                }
+            };
+            let transaction = Transaction {
+                expect: vec![(key::job(id), found.revision)],
+                set: vec![(key::stop(id), Vec::new(), None)],
+                remove: Vec::new(),
+            };
+            match self.store.commit(&transaction).await {
+                Ok(Commit::Done(_)) => return Cancellation::Accepted,
+                Ok(_) => return Cancellation::NoJob,
+                Err(error) => last = error.to_string().into(),
+            }
+            sleep(RETRY_DELAY).await;
+        }
+        Cancellation::Unknown(last)
+    }
+
+    /// Returns the state of a job, or `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// Returns why neither the leader nor the store could tell.
+    pub async fn state(&self, id: Job) -> Result<Option<State>, Failure> {
+        if let Some(Reply::State(Some(state))) = self.ask(Question::State(id)).await {
+            return Ok(Some(state));
+        }
+        // The leader may not have seen the job yet, or there is none.
+        if self.store.get(&key::job(id)).await?.is_none() {
+            return Ok(None);
+        }
+        let Some(item) = self.store.get(&key::progress(id)).await? else {
+            return Ok(Some(State::Queued));
+        };
+        let progress: Progress = postcard::from_bytes(&item.value).map_err(|error| {
+            error!("progress cannot be read", kv: { job: = id, error: });
+            Failure::Lost("progress cannot be read".into())
+        })?;
+        Ok(Some(progress.state))
+    }
+
+    /// Returns how many jobs of a queue have not begun, if the leader can tell.
+    pub async fn pending(&self, queue: &Arc<str>) -> Option<u64> {
+        match self.ask(Question::Pending(queue.clone())).await? {
+            Reply::Pending(count) => Some(count),
+            _ => None,
+        }
+    }
+
+    async fn ask(&self, question: Question) -> Option<Reply> {
+        let (sender, receiver) = oneshot::channel();
+        if self.inbox.is_open() {
+            self.inbox.send(Input::Ask(question, sender)).await;
+        } else {
+            let remote = self.remote()?;
+            remote.questions.send((question, sender)).await.ok()?;
+        }
+        match timeout(ASK_TIMEOUT, receiver).await {
+            Ok(Ok(reply)) => Some(reply),
+            _ => {
+                counter!("filbertbend_leader_silent_total").increment(1);
+                self.remote.replace(None);
+                None
+            }
+        }
+    }
+
+    /// Returns the link to the leader, opening one if needed.
+    fn remote(&self) -> Option<Remote> {
+        let leader = decode_leader(&self.leader)?;
+        if *leader.node == *self.setup.node {
+            return None;
+        }
+        let known = self.remote.borrow().clone();
+        if let Some(remote) = known {
+            if remote.address == leader.address && !remote.questions.is_closed() {
+                return Some(remote);
+            }
+        }
+        let (questions, queue) = mpsc::channel(OUTBOX_LIMIT);
+        let node = Node(self.setup.node.clone());
+        let identity = self.identity.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = ask_remote(identity, node, leader.address, queue).await {
+                info!("link to the leader lost", kv: { address: = leader.address, error: });
+            }
+        });
+        let remote = Remote {
+            address: leader.address,
+            questions,
+        };
+        self.remote.replace(Some(remote.clone()));
+        Some(remote)
+    }
+
+    /// Claims the leadership whenever it is vacant.
+    async fn lead(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
+        let mut leader = self.leader.clone();
+        let rank = xxhash_rust::xxh3::xxh3_64(self.setup.node.as_bytes());
+        leader.read().await;
+        loop {
+            if *stop.borrow() {
+                return;
+            }
+            match decode_leader(&leader) {
+                Some(found) if *found.node != *self.setup.node => {
+                    tokio::select! {
+                        () = leader.changed() => {}
+                        _ = stop.wait_for(|stop| *stop) => return,
+                    }
+                    continue;
+                }
+                // The key of an earlier life or claim of this entry goes when
+                // its lease does.
+                Some(_) => sleep(RETRY_DELAY).await,
+                None => {
+                    sleep(lead::claim_delay(rank).duration()).await;
+                    self.serve_term(&stop).await;
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+            leader.poke();
+            let _ = timeout(ASK_TIMEOUT, leader.changed()).await;
+        }
+    }
+
+    async fn serve_term(self: &Rc<Self>, stop: &watch::Receiver<bool>) {
+        let claimant = Claimant {
+            node: self.setup.node.clone(),
+            address: self.setup.address,
+            settings: self.setup.planner.clone(),
+        };
+        let claim = match term::claim(&self.store, &claimant).await {
+            Ok(Some(claim)) => claim,
+            Ok(None) => return,
+            Err(error) => {
+                info!("leadership not claimed", kv: { error: });
+                return;
+            }
+        };
+        let (sender, inputs) = mpsc::channel(INBOX_LIMIT);
+        self.inbox.sender.replace(Some(sender));
+        let driver = Driver::new(self.store.clone(), claimant, claim, self.inbox.clone());
+        let ended = driver.run(inputs, self.catalog.clone(), stop.clone()).await;
+        self.inbox.sender.replace(None);
+        counter!("filbertbend_terms_ended_total", "reason" => ended.to_string()).increment(1);
+        if ended == Ended::Deposed {
+            self.leader.poke();
+        }
+    }
+
+    async fn accept(self: Rc<Self>, socket: Socket) {
+        while let Some(handshake) = socket.accept().await {
+            let entry = self.clone();
+            tokio::task::spawn_local(async move {
+                let link = match handshake.complete().await {
+                    Ok(link) => link,
+                    Err(error) => return info!("link refused", kv: { error: }),
+                };
+                let peer = link.peer();
+                if let Err(error) = entry.serve_link(link).await {
+                    debug!("link ended", kv: { peer:, error: });
+                }
+            });
+        }
+    }
+
+    async fn serve_link(&self, link: Link) -> Result<(), link::Error> {
+        let (mut sender, mut receiver) = link.accept().await?;
+        let Some(first) = receiver.receive::<Request>().await? else {
+            return Ok(());
+        };
+        if !self.inbox.is_open() {
+            let leader = decode_leader(&self.leader).map(|leader| leader.address);
+            sender.send(&Response::Elsewhere(leader)).await?;
+            sender.finish();
+            sender.stopped().await;
+            return Ok(());
+        }
+        let (outbox, mut queue) = mpsc::channel::<Response>(OUTBOX_LIMIT);
+        let number = id::Link(self.links.replace(self.links.get() + 1));
+        let agent = matches!(first, Request::Agent(_));
+        if let Request::Agent(node) = &first {
+            let opened = Input::Opened(number, node.clone(), outbox.clone());
+            self.inbox.send(opened).await;
+        }
+        let result = tokio::select! {
+            result = send_all(&mut queue, &mut sender) => result,
+            result = self.receive_all(number, &mut receiver, outbox) => result,
+            // The term that the session belongs to has ended.
+            () = self.term_ended() => Ok(()),
+        };
+        if agent {
+            self.inbox.send(Input::Closed(number)).await;
+        }
+        link.close();
+        result
+    }
+
+    async fn term_ended(&self) {
+        let sender = self.inbox.sender.borrow().clone();
+        if let Some(sender) = sender {
+            sender.closed().await;
+        }
+    }
+
+    async fn receive_all(
+        &self,
+        number: id::Link,
+        receiver: &mut Receiver,
+        outbox: mpsc::Sender<Response>,
+    ) -> Result<(), link::Error> {
+        while let Some(request) = receiver.receive::<Request>().await? {
+            match request {
+                Request::Agent(node) => self.inbox.send(Input::Again(number, node)).await,
+                Request::Report(report) => {
+                    self.inbox.send(Input::Report(number, report)).await;
+                }
+                Request::Ask(ticket, question) => {
+                    let (reply, answer) = oneshot::channel();
+                    self.inbox.send(Input::Ask(question, reply)).await;
+                    let answer = answer.await.unwrap_or(Reply::NotReady);
+                    // A link that is gone needs no answer.
+                    let _ = outbox.send(Response::Answer(ticket, answer)).await;
+                }
+                Request::Ping => {
+                    let _ = outbox.send(Response::Pong).await;
+                }
+                Request::Entry(_) => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn send_all(
+    queue: &mut mpsc::Receiver<Response>,
+    sender: &mut Sender,
+) -> Result<(), link::Error> {
+    while let Some(response) = queue.recv().await {
+        sender.send(&response).await?;
+    }
+    Ok(())
+}
+
+/// Returns who leads, as far as the store's key tells.
+pub(crate) fn decode_leader(observer: &Observer) -> Option<Leader> {
+    let item = observer.item()?;
+    match postcard::from_bytes(&item.value) {
+        Ok(leader) => Some(leader),
+        Err(error) => {
+            error!("leader's key cannot be read", kv: { error: });
+            None
+        }
+    }
+}
+
+/// Passes questions to the leader until the link breaks or goes silent.
+async fn ask_remote(
+    identity: Identity,
+    node: Node,
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<(Question, oneshot::Sender<Reply>)>,
+) -> Result<(), link::Error> {
+    let socket = Socket::dialler(&identity)?;
+    let link = socket.dial(address).await?;
+    let (mut sender, mut receiver) = link.open().await?;
+    sender.send(&Request::Entry(node)).await?;
+    let waiting = RefCell::new(std::collections::BTreeMap::new());
+    let asking = async {
+        let mut ticket = 0;
+        while let Some((question, reply)) = queue.recv().await {
+            ticket += 1;
+            waiting.borrow_mut().insert(ticket, reply);
+            sender.send(&Request::Ask(ticket, question)).await?;
+        }
+        Ok(())
+    };
+    let answering = async {
+        while let Some(response) = receiver.receive::<Response>().await? {
+            match response {
+                Response::Answer(ticket, reply) => {
+                    if let Some(waiting) = waiting.borrow_mut().remove(&ticket) {
+                        // The asker may have given up meanwhile.
+                        let _ = waiting.send(reply);
+                    }
+                }
+                Response::Elsewhere(_) => return Ok(()),
+                Response::Pong | Response::Welcome { .. } | Response::Orders(_) => {}
+            }
+        }
+        Ok(())
+    };
+    let result = tokio::select! {
+        result = asking => result,
+        result = answering => result,
+    };
+    link.close();
+    result
+}
+
+/// Returns the time now, for an accepted job.
+pub fn accepted_now() -> filbertbend_state::time::Wall {
+    clock::wall()
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,21 @@
+//! Runs the decisions about jobs in processes: the links between them, the
+//! calls of the store and of workers around the state machines of
+//! [`filbertbend_workload`].
+//!
+//! Everything here runs on one thread. The platform is reached through the
+//! traits in [`port`]. See `docs/platform.md`.
+
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
+)]
+
+pub mod agent;
+pub mod entry;
+pub mod follow;
+pub mod journal;
+pub mod key;
+pub mod link_key;
+pub mod observe;
+pub mod port;
+pub mod term;
--- /dev/null
+++ b/crates/dispatch/src/link_key.rs
@@ -0,0 +1,87 @@
+//! The key that all processes of one deployment share.
+//!
+//! The platform hands no keys out. The first process to start writes a new
+//! authority, certificate and key into the store, and every process reads them
+//! there, so whoever can read the deployment's store belongs to it.
+
+use {
+    crate::{
+        key::LINK_KEY,
+        port::{Commit, Revision, Store, Transaction},
+    },
+    filbertbend_transport::tls::{Identity, SERVER_NAME},
+    rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair},
+    serde::{Deserialize, Serialize},
+    spdlog::prelude::*,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// How long a process waits before it asks an unavailable store again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+#[derive(Serialize, Deserialize)]
+struct Bundle {
+    certificate: String,
+    key: String,
+    authority: String,
+}
+
+/// Reads the shared key, making it if there is none. Waits for the store.
+pub async fn obtain(store: &impl Store) -> Identity {
+    loop {
+        match attempt(store).await {
+            Ok(identity) => return identity,
+            Err(error) => warn!("link key not available", kv: { error: = error.as_str() }),
+        }
+        sleep(RETRY_DELAY).await;
+    }
+}
+
+async fn attempt(store: &impl Store) -> Result<Identity, String> {
+    let found = store
+        .get(LINK_KEY)
+        .await
+        .map_err(|error| error.to_string())?;
+    let Some(item) = found else {
+        create(store).await?;
+        return Err("made just now".to_owned());
+    };
+    let bundle: Bundle = postcard::from_bytes(&item.value).map_err(|error| error.to_string())?;
+    Identity::from_pem(&bundle.certificate, &bundle.key, &bundle.authority)
+        .map_err(|error| error.to_string())
+}
+
+/// Writes a new key unless another process has written one.
+async fn create(store: &impl Store) -> Result<(), String> {
+    let bundle = generate().map_err(|error| error.to_string())?;
+    let value = postcard::to_stdvec(&bundle).map_err(|error| error.to_string())?;
+    let transaction = Transaction {
+        expect: vec![(LINK_KEY.into(), Revision(0))],
+        set: vec![(LINK_KEY.into(), value, None)],
+        remove: Vec::new(),
+    };
+    match store.commit(&transaction).await {
+        Ok(Commit::Done(_)) => info!("link key made"),
+        Ok(_) => {}
+        Err(error) => return Err(error.to_string()),
+    }
+    Ok(())
+}
+
+fn generate() -> Result<Bundle, rcgen::Error> {
+    let authority_key = KeyPair::generate()?;
+    let mut params = CertificateParams::new(Vec::new())?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let authority = params.self_signed(&authority_key)?.pem();
+    let issuer = Issuer::new(params, authority_key);
+    let key = KeyPair::generate()?;
+    let certificate = CertificateParams::new(vec![SERVER_NAME.to_owned()])?
+        .signed_by(&key, &issuer)?
+        .pem();
+    Ok(Bundle {
+        certificate,
+        key: key.serialize_pem(),
+        authority,
+    })
+}
--- a/crates/process/src/log.rs
+++ b/crates/process/src/log.rs
@@ -1,7 +1,9 @@
 //! Structured logs, one JSON object a line.
 
+pub use filbertbend_yaml::Level;
+
 use {
-    filbertbend_yaml::{Level, Log},
+    filbertbend_yaml::Log,
     spdlog::{
         formatter::JsonFormatter,
         sink::{FileSink, Sink, StdStream, StdStreamSink},
@@ -41,6 +43,25 @@
     Ok(())
 }
 
+/// Makes the logger of a process that writes to standard output.
+///
+/// # Errors
+///
+/// Returns an error if the logger cannot be made.
+pub fn to_stdout(level: Level) -> spdlog::Result<()> {
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build()?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(filter(level))
+        .flush_level_filter(LevelFilter::All)
+        .build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
 fn filter(level: Level) -> LevelFilter {
     let level = match level {
         Level::Error => spdlog::Level::Error,
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -88,6 +88,25 @@
         Self::new(chain, key, roots)
     }
 
+    /// Reads a certificate, its key and its authority from PEM text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if one cannot be read or they do not fit together.
+    pub fn from_pem(certificate: &str, key: &str, authority: &str) -> Result<Self, Error> {
+        let read = |text: &str| -> Result<Vec<CertificateDer<'static>>, Error> {
+            CertificateDer::pem_slice_iter(text.as_bytes())
+                .map(|found| found.map_err(mismatch))
+                .collect()
+        };
+        let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).map_err(mismatch)?;
+        let mut roots = RootCertStore::empty();
+        for root in read(authority)? {
+            roots.add(root).map_err(mismatch)?;
+        }
+        Self::new(read(certificate)?, key, roots)
+    }
+
     fn new(
         chain: Vec<CertificateDer<'static>>,
         key: PrivateKeyDer<'static>,
--- /dev/null
+++ b/crates/workload/src/agent.rs
@@ -0,0 +1,650 @@
+//! The agent beside a worker: carries the leader's orders out, renews the
+//! worker's lease as far as the leader grants it, and reports what became of
+//! everything.
+//!
+//! A session begins with the leader's welcome, which brings a fence. Once the
+//! worker has taken the fence, orders of earlier sessions have no effect any
+//! more, also those that are still on their way, and the worker's list tells
+//! what is there. A start without an answer may still take effect later, so it
+//! is either found on a later list or ruled out by a stop.
+
+use {
+    crate::{
+        id::{Epoch, Fence, Run, Sequence, Task},
+        message::{Inventory, Orders, Outcome, Report, Role, Start, Verdict},
+        pace::{Change, Pace},
+        worker::{End, Profile, Running},
+    },
+    filbertbend_state::{time::Instant, unit::Millis},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// Ends that a worker lists at most at a time; a list of this length may go on.
+const END_PAGE: usize = 500;
+/// How long one look at the worker waits for an end. The figures of services
+/// cover half a second.
+const LOOK_WAIT: Millis = Millis(500);
+/// How often the lease is renewed; several tries fit into it.
+const RENEW_INTERVAL: Millis = Millis(1000);
+/// A start is only sent while at least this much of the lease is left.
+const LEASE_MARGIN: Millis = Millis(300);
+/// How long the agent waits before it tries an order again without an answer.
+const RETRY_DELAY: Millis = Millis(100);
+
+/// A call of the worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Extends the lease, lets ends up to `settled` be forgotten, and returns
+    /// both lists after an end or `wait`.
+    Look {
+        /// The session's fence.
+        fence: Fence,
+        /// The lease's end on the worker's clock.
+        deadline: Option<u64>,
+        /// Ends that may be forgotten.
+        settled: Sequence,
+        /// How long to wait for an end.
+        wait: Millis,
+    },
+    /// Starts a task.
+    Start {
+        /// The session's fence.
+        fence: Fence,
+        /// The lease's end on the worker's clock.
+        deadline: u64,
+        /// The order.
+        start: Start,
+    },
+    /// Stops a run, or rules it out.
+    Stop {
+        /// The session's fence.
+        fence: Fence,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+    },
+    /// Holds a filler back.
+    Pace {
+        /// The session's fence.
+        fence: Fence,
+        /// The change.
+        change: Change,
+    },
+}
+
+/// How a call of the worker ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The lists.
+    Lists(Lists),
+    /// It was done.
+    Done,
+    /// It was not done and never will be.
+    Refused(Refusal),
+    /// Unknown: it may have been done, or be done later.
+    Lost,
+}
+
+/// Why a worker refused a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// It has seen a higher fence.
+    Fence,
+    /// It has seen a later run.
+    Old,
+    /// The lease had passed.
+    Late,
+    /// There is no room.
+    NoRoom,
+    /// It is not well.
+    Unhealthy,
+    /// It is another life.
+    WrongLife,
+    /// It cannot read the order.
+    Invalid,
+}
+
+/// What a worker lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lists {
+    /// When its life began.
+    pub born: Option<u64>,
+    /// Its clock.
+    pub clock: u64,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and may not be forgotten yet.
+    pub ends: Vec<End>,
+}
+
+/// What the agent is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The worker has described itself.
+    Heartbeat(Profile),
+    /// A link to the leader is open.
+    Connected,
+    /// The leader has opened the session.
+    Welcome(Epoch, Fence, Option<Profile>),
+    /// The leader gives orders.
+    Orders(Orders),
+    /// The link is gone.
+    Disconnected,
+    /// A call has ended; `sent` is when it was made.
+    Answered {
+        /// The call.
+        call: Call,
+        /// When it was made.
+        sent: Instant,
+        /// How it ended.
+        answer: Answer,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the agent asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Opens a session, on the link that is open.
+    Hello,
+    /// A message to the leader.
+    Send(Report),
+    /// A call of the worker; answered by [`Event::Answered`].
+    Call(Call),
+}
+
+/// What is known of a run that has no certain state on the worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Doubt {
+    /// A start is on its way.
+    Starting,
+    /// A start had no answer, at this time.
+    Unanswered(Instant),
+    /// A stop is on its way, or will be repeated at this time.
+    Stopping { again: Option<Instant> },
+    /// A stop was answered, at this time.
+    Stopped(Instant),
+}
+
+#[derive(Debug)]
+struct Session {
+    fence: Fence,
+    inventoried: bool,
+    /// The newest end that was reported.
+    reported: Sequence,
+    settled: Sequence,
+    looking: bool,
+    look_at: Instant,
+}
+
+/// The agent's state.
+#[derive(Debug, Default)]
+pub struct Agent {
+    profile: Option<Profile>,
+    /// Another life that has announced itself, until a list tells which one
+    /// there is.
+    candidate: Option<Profile>,
+    profile_reported: bool,
+    connected: bool,
+    session: Option<Session>,
+    /// The worker's clock, and ours when its answer had arrived.
+    clock: Option<(Instant, u64)>,
+    lease_until: Option<Instant>,
+    renewals: VecDeque<(u64, Instant)>,
+    renewal: u64,
+    renewed: Option<Instant>,
+    doubts: BTreeMap<(Task, Run), Doubt>,
+    roles: BTreeMap<(Task, Run), Role>,
+    saved: BTreeMap<(Task, Run), Arc<str>>,
+    running: Vec<Running>,
+    pace: Pace,
+    report: Report,
+}
+
+impl Agent {
+    /// Returns how many runs the worker listed last, and how many orders have
+    /// no certain outcome.
+    pub fn size(&self) -> (usize, usize) {
+        (self.running.len(), self.doubts.len())
+    }
+
+    /// Returns the worker's description.
+    pub fn profile(&self) -> Option<&Profile> {
+        self.profile.as_ref()
+    }
+
+    /// Takes one event and appends what is to be done to `actions`.
+    pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Heartbeat(profile) => self.heartbeat(profile, actions),
+            Event::Connected => {
+                self.connected = true;
+                self.renew_session(actions);
+            }
+            Event::Welcome(_, fence, profile) => self.welcome(now, fence, profile),
+            Event::Orders(orders) => self.orders(now, orders, actions),
+            Event::Disconnected => {
+                self.connected = false;
+                self.end_session();
+            }
+            Event::Answered { call, sent, answer } => {
+                self.answered(now, call, sent, answer, actions);
+            }
+            Event::Tick => {}
+        }
+        self.renew(now);
+        self.look(now, actions);
+        self.repeat_stops(now, actions);
+        if self.session.is_some() && !self.report.is_empty() {
+            actions.push(Action::Send(std::mem::take(&mut self.report)));
+        }
+    }
+
+    fn end_session(&mut self) {
+        self.session = None;
+        self.report = Report::default();
+        self.renewals.clear();
+        self.renewed = None;
+        self.doubts.clear();
+    }
+
+    /// Asks for a session of its own for the worker's present life.
+    fn renew_session(&mut self, actions: &mut Vec<Action>) {
+        self.end_session();
+        if self.connected {
+            actions.push(Action::Hello);
+        }
+    }
+
+    fn heartbeat(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        match &self.profile {
+            Some(known) if known.life == profile.life => {
+                if *known != profile {
+                    self.profile = Some(profile);
+                    self.profile_reported = false;
+                }
+                self.report_profile();
+            }
+            Some(known) if self.session.is_some() && profile.life.born < known.life.born => {
+                // It may be a late message of an earlier life.
+                self.candidate = Some(profile);
+            }
+            _ => self.begin_life(profile, actions),
+        }
+    }
+
+    fn begin_life(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        self.profile = Some(profile);
+        self.candidate = None;
+        self.clock = None;
+        self.lease_until = None;
+        self.roles.clear();
+        self.saved.clear();
+        self.running.clear();
+        self.pace = Pace::default();
+        self.renew_session(actions);
+    }
+
+    fn report_profile(&mut self) {
+        let inventoried = self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.inventoried);
+        if inventoried && !self.profile_reported {
+            self.report.profile.clone_from(&self.profile);
+            self.profile_reported = true;
+        }
+    }
+
+    fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
+        if self.profile.is_none() {
+            self.profile = profile;
+        }
+        self.session = Some(Session {
+            fence,
+            inventoried: false,
+            reported: Sequence(0),
+            settled: Sequence(0),
+            looking: false,
+            look_at: now,
+        });
+        self.profile_reported = false;
+    }
+
+    /// Returns the lease's end on the worker's clock.
+    fn deadline(&self, now: Instant) -> Option<u64> {
+        let until = self.lease_until.filter(|until| *until > now)?;
+        let (read, clock) = self.clock?;
+        Some(clock + until.since(read).0)
+    }
+
+    fn renew(&mut self, now: Instant) {
+        let due = self
+            .renewed
+            .is_none_or(|renewed| now >= renewed + RENEW_INTERVAL);
+        if due && self.session.is_some() {
+            self.renewal += 1;
+            self.renewed = Some(now);
+            self.renewals.push_back((self.renewal, now));
+            self.report.renew = Some(self.renewal);
+        }
+    }
+
+    fn look(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let deadline = self.deadline(now);
+        if self.profile.is_none() {
+            return;
+        }
+        let Some(session) = &mut self.session else {
+            return;
+        };
+        if session.looking || now < session.look_at {
+            return;
+        }
+        session.looking = true;
+        // The first look takes the fence and tells what is there, at once.
+        let wait = if session.inventoried {
+            LOOK_WAIT
+        } else {
+            Millis::ZERO
+        };
+        actions.push(Action::Call(Call::Look {
+            fence: session.fence,
+            deadline,
+            settled: session.settled,
+            wait,
+        }));
+    }
+
+    fn orders(&mut self, now: Instant, orders: Orders, actions: &mut Vec<Action>) {
+        let Some(session) = &mut self.session else {
+            return;
+        };
+        if let Some(settled) = orders.settled {
+            session.settled = session.settled.max(settled);
+        }
+        if let Some((request, lease)) = orders.lease {
+            while let Some((number, asked)) = self.renewals.pop_front() {
+                if number == request {
+                    self.lease_until = self.lease_until.max(Some(asked + lease));
+                    break;
+                }
+            }
+        }
+        for (task, run, role) in orders.roles {
+            self.roles.insert((task, run), role);
+        }
+        for start in orders.starts {
+            self.start(now, start, actions);
+        }
+        for (task, run) in orders.stops {
+            self.stop(task, run, actions);
+        }
+    }
+
+    fn start(&mut self, now: Instant, start: Start, actions: &mut Vec<Action>) {
+        let (task, run) = (start.task, start.run);
+        let leased = self
+            .lease_until
+            .is_some_and(|until| until > now + LEASE_MARGIN);
+        let draining = self.profile.as_ref().is_none_or(|profile| profile.draining);
+        let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
+            return self.outcome(task, run, Verdict::Withdrawn);
+        };
+        if !leased || draining {
+            return self.outcome(task, run, Verdict::Withdrawn);
+        }
+        self.doubts.insert((task, run), Doubt::Starting);
+        self.roles.insert((task, run), start.role.clone());
+        actions.push(Action::Call(Call::Start {
+            fence: session.fence,
+            deadline,
+            start,
+        }));
+    }
+
+    fn stop(&mut self, task: Task, run: Run, actions: &mut Vec<Action>) {
+        let Some(session) = &self.session else {
+            return;
+        };
+        self.doubts
+            .insert((task, run), Doubt::Stopping { again: None });
+        actions.push(Action::Call(Call::Stop {
+            fence: session.fence,
+            task,
+            run,
+        }));
+    }
+
+    fn repeat_stops(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due: Vec<(Task, Run)> = self
+            .doubts
+            .iter()
+            .filter(|(_, doubt)| {
+                matches!(doubt, Doubt::Stopping { again: Some(again) } if now >= *again)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for (task, run) in due {
+            self.stop(task, run, actions);
+        }
+    }
+
+    fn outcome(&mut self, task: Task, run: Run, verdict: Verdict) {
+        self.report.outcomes.push(Outcome { task, run, verdict });
+    }
+
+    fn answered(
+        &mut self,
+        now: Instant,
+        call: Call,
+        sent: Instant,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let fence = match &call {
+            Call::Look { fence, .. }
+            | Call::Start { fence, .. }
+            | Call::Stop { fence, .. }
+            | Call::Pace { fence, .. } => *fence,
+        };
+        let current = self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.fence == fence);
+        if !current {
+            return;
+        }
+        if let Answer::Refused(Refusal::Fence | Refusal::WrongLife) = answer {
+            // A later session exists, or a later life.
+            return self.lose_session(now, answer == Answer::Refused(Refusal::WrongLife), actions);
+        }
+        match call {
+            Call::Look { .. } => self.looked(now, sent, answer, actions),
+            Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
+            Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
+            Call::Pace { change, .. } => {
+                if answer == Answer::Lost {
+                    self.pace.failed(change.task, change.run);
+                }
+            }
+        }
+    }
+
+    fn lose_session(&mut self, now: Instant, reborn: bool, actions: &mut Vec<Action>) {
+        if reborn {
+            match self.candidate.take() {
+                Some(candidate) => return self.begin_life(candidate, actions),
+                None => self.profile = None,
+            }
+        }
+        if let Some(session) = &mut self.session {
+            // Without this a worker that refuses is asked without a pause.
+            session.look_at = now + RETRY_DELAY;
+        }
+        self.renew_session(actions);
+    }
+
+    fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
+        if self.doubts.get(&(task, run)) != Some(&Doubt::Starting) {
+            // A stop was ordered meanwhile, which settles it.
+            return;
+        }
+        let verdict = match answer {
+            Answer::Lost => {
+                self.doubts.insert((task, run), Doubt::Unanswered(now));
+                return;
+            }
+            Answer::Done | Answer::Lists(_) => Verdict::Started,
+            Answer::Refused(Refusal::NoRoom) => Verdict::NoRoom,
+            Answer::Refused(Refusal::Old) => Verdict::Old,
+            Answer::Refused(Refusal::Unhealthy) => Verdict::Unhealthy,
+            Answer::Refused(Refusal::Invalid) => Verdict::Invalid,
+            Answer::Refused(_) => Verdict::Withdrawn,
+        };
+        self.doubts.remove(&(task, run));
+        if verdict == Verdict::Started {
+            self.pace.started(task, run);
+        }
+        self.outcome(task, run, verdict);
+    }
+
+    fn stop_answered(&mut self, now: Instant, task: Task, run: Run, answer: &Answer) {
+        if !matches!(self.doubts.get(&(task, run)), Some(Doubt::Stopping { .. })) {
+            return;
+        }
+        let doubt = if *answer == Answer::Done {
+            Doubt::Stopped(now)
+        } else {
+            Doubt::Stopping {
+                again: Some(now + RETRY_DELAY),
+            }
+        };
+        self.doubts.insert((task, run), doubt);
+    }
+
+    fn looked(&mut self, now: Instant, sent: Instant, answer: Answer, actions: &mut Vec<Action>) {
+        if let Some(session) = &mut self.session {
+            session.looking = false;
+        }
+        let Answer::Lists(lists) = answer else {
+            if let Some(session) = &mut self.session {
+                session.look_at = now + RETRY_DELAY;
+            }
+            return;
+        };
+        if self.is_other_life(&lists) {
+            return self.lose_session(now, true, actions);
+        }
+        // A reading that is taken as late as possible makes a lease end early.
+        self.clock = Some((now, lists.clock));
+        self.take_ends(&lists);
+        self.take_inventory(&lists);
+        self.resolve(sent, &lists.running, actions);
+        self.take_saved(&lists.running);
+        self.hold_back(now, &lists.running, actions);
+        self.running = lists.running;
+    }
+
+    fn is_other_life(&self, lists: &Lists) -> bool {
+        let born = self.profile.as_ref().map(|profile| profile.life.born);
+        lists.born.is_some() && born.is_some() && lists.born != born
+    }
+
+    fn take_ends(&mut self, lists: &Lists) {
+        let Some(session) = &mut self.session else {
+            return;
+        };
+        for end in &lists.ends {
+            if end.sequence > session.reported {
+                session.reported = end.sequence;
+                let key = (end.task, end.run);
+                self.doubts.remove(&key);
+                self.roles.remove(&key);
+                self.saved.remove(&key);
+                self.report.ends.push(end.clone());
+            }
+        }
+    }
+
+    fn take_inventory(&mut self, lists: &Lists) {
+        let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
+            return;
+        };
+        if session.inventoried || lists.ends.len() >= END_PAGE {
+            return;
+        }
+        session.inventoried = true;
+        self.report.inventory = Some(Inventory {
+            life: profile.life.clone(),
+            running: lists.running.clone(),
+        });
+        self.report_profile();
+    }
+
+    /// Settles the orders whose outcome was not certain. Only a list that was
+    /// asked for after the order tells anything.
+    fn resolve(&mut self, sent: Instant, running: &[Running], actions: &mut Vec<Action>) {
+        let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
+        let doubts: Vec<((Task, Run), Doubt)> = self
+            .doubts
+            .iter()
+            .map(|(key, doubt)| (*key, *doubt))
+            .collect();
+        for (key, doubt) in doubts {
+            match doubt {
+                Doubt::Unanswered(at) if sent >= at => {
+                    if listed(&key) {
+                        self.doubts.remove(&key);
+                        self.outcome(key.0, key.1, Verdict::Started);
+                    } else {
+                        self.stop(key.0, key.1, actions);
+                    }
+                }
+                Doubt::Stopped(at) if sent >= at && !listed(&key) => {
+                    self.doubts.remove(&key);
+                    self.roles.remove(&key);
+                    self.outcome(key.0, key.1, Verdict::Withdrawn);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn take_saved(&mut self, running: &[Running]) {
+        for row in running {
+            let Some(saved) = &row.saved else { continue };
+            let key = (row.task, row.run);
+            if self.saved.get(&key) != Some(saved) {
+                self.saved.insert(key, saved.clone());
+                self.report.saved.push((row.task, row.run, saved.clone()));
+            }
+        }
+    }
+
+    fn hold_back(&mut self, now: Instant, running: &[Running], actions: &mut Vec<Action>) {
+        let Some(session) = &self.session else {
+            return;
+        };
+        for change in self.pace.update(now, running, &self.roles) {
+            actions.push(Action::Call(Call::Pace {
+                fence: session.fence,
+                change,
+            }));
+        }
+        if self.pace.is_crowded(now) {
+            let crowded = running.iter().find(|row| {
+                self.roles
+                    .get(&(row.task, row.run))
+                    .is_some_and(|role| role.latency_target.is_some())
+            });
+            self.report.crowded.extend(crowded.map(|row| row.task));
+        }
+    }
+}
--- /dev/null
+++ b/crates/workload/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions about jobs of many tasks on pools of workers, as pure state
+//! machines: events and a clock in, actions out.
+//!
+//! [`planner::Planner`] runs in the one entry that leads and decides which
+//! worker runs which task. [`agent::Agent`] runs beside each worker, carries
+//! the planner's orders out and reports what became of them. [`lead::Lead`]
+//! decides which entry leads. See `docs/platform.md`.
+
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
+)]
+
+pub mod agent;
+pub mod catalog;
+pub mod id;
+pub mod job;
+pub mod lead;
+pub mod message;
+pub mod pace;
+pub mod planner;
+pub mod record;
+pub mod worker;
--- /dev/null
+++ b/crates/workload/src/planner/fleet.rs
@@ -0,0 +1,388 @@
+//! The workers, the sessions with their agents, and what is reserved on each.
+
+use {
+    crate::{
+        id::{Fence, Job, Life, Link, Node, Run, Sequence, Task},
+        message::{Orders, Role, Start},
+        worker::Profile,
+    },
+    filbertbend_state::{
+        room::Room,
+        time::Instant,
+        unit::{Cores, Millis},
+    },
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// What a run takes from its worker.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Reservation {
+    pub(super) room: Room,
+    /// The cores that a filler would use if they were free.
+    pub(super) filling: Cores,
+    pub(super) serving: bool,
+    pub(super) priority: u8,
+}
+
+/// A worker's record of late failures and successes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Standing {
+    /// Failures since the last success.
+    pub(super) strikes: u32,
+    pub(super) last_strike: Instant,
+}
+
+/// Strikes after which a worker gets one task at a time.
+const STRIKE_LIMIT: u32 = 3;
+/// How long strikes count without another one.
+const STRIKE_TIME: Millis = Millis(6000);
+
+/// One worker and the session with its agent.
+#[derive(Clone, Debug)]
+pub(super) struct Worker {
+    pub(super) link: Option<Link>,
+    pub(super) fence: Fence,
+    pub(super) profile: Option<Profile>,
+    /// The life that the inventory of this session came from.
+    pub(super) life: Option<Life>,
+    /// The life that is in the store.
+    pub(super) recorded: Option<Life>,
+    pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
+    pub(super) used: Room,
+    pub(super) filling: Cores,
+    /// When everything on it has certainly ended unless it is renewed.
+    pub(super) lease_until: Option<Instant>,
+    pub(super) heard: Instant,
+    /// When it leaves, if it has said so.
+    pub(super) leaves_at: Option<Instant>,
+    pub(super) standing: Standing,
+    /// Serving tasks are too slow there although fillers are held back.
+    pub(super) crowded_until: Instant,
+    orders: Orders,
+    /// Ends that were taken in and are not durable yet.
+    unsettled: VecDeque<(Sequence, Job, u64)>,
+    seen: Sequence,
+    settled: Sequence,
+}
+
+impl Worker {
+    fn new(now: Instant) -> Self {
+        Self {
+            link: None,
+            fence: Fence::default(),
+            profile: None,
+            life: None,
+            recorded: None,
+            reservations: BTreeMap::new(),
+            used: Room::NONE,
+            filling: Cores::ZERO,
+            lease_until: None,
+            heard: now,
+            leaves_at: None,
+            standing: Standing::default(),
+            crowded_until: Instant::default(),
+            orders: Orders::default(),
+            unsettled: VecDeque::new(),
+            seen: Sequence(0),
+            settled: Sequence(0),
+        }
+    }
+
+    /// Tells whether it may be given tasks.
+    pub(super) fn is_usable(&self, now: Instant, silence: Millis) -> bool {
+        self.link.is_some()
+            && now < self.heard + silence
+            && self.life.is_some()
+            && self.recorded == self.life
+            && self.lease_until.is_some_and(|until| now < until)
+            && self.profile.as_ref().is_some_and(|profile| {
+                !profile.draining && Some(&profile.life) == self.life.as_ref()
+            })
+    }
+
+    /// Tells whether so much has failed there that it only gets trials.
+    pub(super) fn is_on_probation(&self, now: Instant) -> bool {
+        self.standing.strikes >= STRIKE_LIMIT && now < self.standing.last_strike + STRIKE_TIME
+    }
+
+    /// Returns the room that is left.
+    pub(super) fn free(&self) -> Room {
+        self.profile
+            .as_ref()
+            .map_or(Room::NONE, |profile| profile.room - self.used)
+    }
+
+    fn reserve(&mut self, task: Task, run: Run, reservation: Reservation) {
+        self.used += reservation.room;
+        self.filling += reservation.filling;
+        self.reservations.insert((task, run), reservation);
+    }
+
+    fn release(&mut self, task: Task, run: Run) -> bool {
+        let Some(reservation) = self.reservations.remove(&(task, run)) else {
+            return false;
+        };
+        self.used -= reservation.room;
+        self.filling -= reservation.filling;
+        true
+    }
+
+    /// Takes note of an end; returns whether it is new in this session.
+    pub(super) fn see(&mut self, sequence: Sequence) -> bool {
+        let new = sequence > self.seen;
+        self.seen = self.seen.max(sequence);
+        new
+    }
+
+    /// Keeps an end from being forgotten until the job's version is durable.
+    pub(super) fn hold_end(&mut self, sequence: Sequence, job: Job, version: u64) {
+        self.unsettled.push_back((sequence, job, version));
+    }
+
+    /// Tells the agent about a run that it may not have started itself.
+    pub(super) fn describe(&mut self, task: Task, run: Run, role: Role) {
+        self.orders.roles.push((task, run, role));
+    }
+
+    pub(super) fn lease(&mut self, request: u64, lease: Millis, until: Instant) {
+        self.orders.lease = Some((request, lease));
+        self.lease_until = self.lease_until.max(Some(until));
+    }
+}
+
+/// All workers by the node of their agents.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    workers: BTreeMap<Node, Worker>,
+    links: HashMap<Link, Node>,
+    /// Workers that a former leader gave orders to and that have not reported.
+    expected: BTreeMap<Node, Life>,
+}
+
+impl Fleet {
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&Node, &Worker)> {
+        self.workers.iter()
+    }
+
+    pub(super) fn get(&self, node: &Node) -> Option<&Worker> {
+        self.workers.get(node)
+    }
+
+    pub(super) fn get_mut(&mut self, node: &Node) -> Option<&mut Worker> {
+        self.workers.get_mut(node)
+    }
+
+    /// Returns the node of a session.
+    pub(super) fn node(&self, link: Link) -> Option<Node> {
+        self.links.get(&link).cloned()
+    }
+
+    /// Returns how many workers may be given tasks.
+    pub(super) fn usable(&self, now: Instant, silence: Millis) -> usize {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_usable(now, silence))
+            .count()
+    }
+
+    /// Notes a worker that a former leader gave orders to.
+    pub(super) fn expect(&mut self, node: Node, life: Life) {
+        self.expected.insert(node, life);
+    }
+
+    /// Lists workers that are about to leave.
+    pub(super) fn leaving(&self) -> Vec<Node> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| worker.leaves_at.is_some())
+            .map(|(node, _)| node.clone())
+            .collect()
+    }
+
+    /// Returns how many expected workers have not reported.
+    pub(super) fn missing(&self) -> usize {
+        self.expected.len()
+    }
+
+    /// Opens a session, which replaces an earlier one with the same agent.
+    pub(super) fn open(&mut self, link: Link, node: Node, fence: Fence, now: Instant) {
+        let worker = self
+            .workers
+            .entry(node.clone())
+            .or_insert_with(|| Worker::new(now));
+        if let Some(former) = worker.link.replace(link) {
+            self.links.remove(&former);
+        }
+        worker.fence = fence;
+        worker.heard = now;
+        worker.life = None;
+        worker.orders = Orders::default();
+        worker.unsettled.clear();
+        worker.seen = Sequence(0);
+        worker.settled = Sequence(0);
+        self.links.insert(link, node);
+    }
+
+    /// Ends a session.
+    pub(super) fn close(&mut self, link: Link) {
+        if let Some(node) = self.links.remove(&link) {
+            if let Some(worker) = self.workers.get_mut(&node) {
+                if worker.link == Some(link) {
+                    worker.link = None;
+                }
+            }
+        }
+    }
+
+    /// Notes that a worker's whole list has arrived in this session.
+    pub(super) fn inventoried(&mut self, node: &Node, life: &Life) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.life = Some(life.clone());
+        }
+        if let Some(expected) = self.expected.remove(node) {
+            if expected == *life {
+                if let Some(worker) = self.workers.get_mut(node) {
+                    worker.recorded = Some(expected);
+                }
+            }
+        }
+    }
+
+    /// Lists the lives that are in use and not in the store.
+    pub(super) fn unrecorded(&self) -> Vec<(Node, Life)> {
+        self.workers
+            .iter()
+            .filter_map(|(node, worker)| {
+                let life = worker.life.as_ref()?;
+                (worker.recorded.as_ref() != Some(life)).then(|| (node.clone(), life.clone()))
+            })
+            .collect()
+    }
+
+    /// Notes that a life is in the store.
+    pub(super) fn recorded(&mut self, node: &Node, life: &Life) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.recorded = Some(life.clone());
+        }
+    }
+
+    /// Reserves room for a run that is already there.
+    pub(super) fn adopt(&mut self, node: &Node, task: Task, run: Run, reservation: Reservation) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.reserve(task, run, reservation);
+        }
+    }
+
+    /// Reserves room and orders a start.
+    pub(super) fn start(&mut self, node: &Node, start: Start, reservation: Reservation) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.reserve(start.task, start.run, reservation);
+            worker.orders.starts.push(start);
+        }
+    }
+
+    /// Orders a stop; the room stays reserved until the end is reported.
+    /// Returns whether the order is new.
+    pub(super) fn stop(&mut self, node: &Node, task: Task, run: Run) -> bool {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return false;
+        };
+        if worker.orders.stops.contains(&(task, run)) {
+            return false;
+        }
+        worker.orders.stops.push((task, run));
+        true
+    }
+
+    /// Frees the room of a run that has ended.
+    pub(super) fn release(&mut self, node: &Node, task: Task, run: Run) -> bool {
+        self.workers
+            .get_mut(node)
+            .is_some_and(|worker| worker.release(task, run))
+    }
+
+    /// Frees all room on a worker and returns what was there.
+    pub(super) fn clear(&mut self, node: &Node) -> Vec<(Task, Run)> {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return Vec::new();
+        };
+        worker.used = Room::NONE;
+        worker.filling = Cores::ZERO;
+        worker.orders.starts.clear();
+        worker.orders.stops.clear();
+        std::mem::take(&mut worker.reservations)
+            .into_keys()
+            .collect()
+    }
+
+    /// Lists workers whose leases have passed and that still hold runs.
+    pub(super) fn lapsed(&self, now: Instant) -> Vec<Node> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| {
+                !worker.reservations.is_empty()
+                    && worker.lease_until.is_some_and(|until| now >= until)
+            })
+            .map(|(node, _)| node.clone())
+            .collect()
+    }
+
+    /// Drops workers that have not been heard from for long and hold nothing.
+    pub(super) fn forget(&mut self, now: Instant, after: Millis) -> Vec<Node> {
+        let gone: Vec<Node> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.link.is_none()
+                    && worker.reservations.is_empty()
+                    && now >= worker.heard + after
+                    && worker.lease_until.is_none_or(|until| now >= until)
+            })
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in &gone {
+            self.workers.remove(node);
+        }
+        gone
+    }
+
+    /// Lets agents forget the ends whose consequences are durable.
+    pub(super) fn settle_ends(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
+        for worker in self.workers.values_mut() {
+            let mut settled = None;
+            while let Some((sequence, job, version)) = worker.unsettled.front() {
+                if !is_durable(*job, *version) {
+                    break;
+                }
+                settled = Some(*sequence);
+                worker.unsettled.pop_front();
+            }
+            if let Some(settled) = settled.filter(|settled| *settled > worker.settled) {
+                worker.settled = settled;
+                worker.orders.settled = Some(settled);
+            }
+        }
+    }
+
+    /// Returns the orders that have gathered, for each session.
+    pub(super) fn take_orders(&mut self) -> Vec<(Link, Orders)> {
+        let mut taken = Vec::new();
+        for worker in self.workers.values_mut() {
+            if worker.orders.is_empty() {
+                continue;
+            }
+            if let Some(link) = worker.link {
+                taken.push((link, std::mem::take(&mut worker.orders)));
+            }
+        }
+        taken
+    }
+}
+
+/// Returns the rack and kind labels of a worker.
+pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
+    profile.labels.contains(label)
+}
--- /dev/null
+++ b/crates/workload/src/planner/ledger.rs
@@ -0,0 +1,429 @@
+//! Jobs, their occurrences, steps and tasks, and where each task runs.
+
+use {
+    crate::{
+        id::{Job, Node, Run, Task},
+        job::{self, Step},
+        record::{Mark, Occurrence as SavedOccurrence, Progress, State},
+    },
+    filbertbend_state::{
+        time::{Instant, Wall},
+        unit::Millis,
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// One run of a task that has not certainly ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Copy {
+    pub(super) node: Node,
+    pub(super) run: Run,
+    pub(super) since: Instant,
+    /// Whether the worker is known to have taken it.
+    pub(super) started: bool,
+    pub(super) stopping: bool,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Entry {
+    pub(super) done: bool,
+    pub(super) failures: u32,
+    pub(super) failed_run: Run,
+    /// The last run that was used.
+    pub(super) run: Run,
+    pub(super) saved: Option<Arc<str>>,
+    pub(super) copies: Vec<Copy>,
+    /// Since when it could have run.
+    pub(super) ready_since: Option<Instant>,
+    /// Where it failed last.
+    pub(super) avoid: Option<Node>,
+}
+
+impl Entry {
+    /// Tells whether a run may be started.
+    pub(super) fn is_startable(&self) -> bool {
+        !self.done && self.copies.is_empty()
+    }
+}
+
+/// The tasks of one step of one occurrence.
+#[derive(Clone, Debug)]
+pub(super) struct StepEntry {
+    pub(super) tasks: Vec<Entry>,
+    pub(super) left: usize,
+    pub(super) open: bool,
+}
+
+/// One occurrence of a job.
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    pub(super) steps: Vec<StepEntry>,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub(super) struct JobEntry {
+    pub(super) job: Arc<job::Job>,
+    pub(super) state: State,
+    /// The state that callers are told.
+    pub(super) shown: State,
+    /// Whether a former leader may have started tasks that are not known here.
+    pub(super) inherited: bool,
+    /// Counts changes that must be durable.
+    pub(super) version: u64,
+    /// The newest version that is durable.
+    pub(super) committed: u64,
+    pub(super) ended_at: Option<Instant>,
+    pub(super) ended: Option<Wall>,
+    pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// All occurrences below this one have completed.
+    pub(super) completed: u32,
+    /// The first occurrence that has not been opened.
+    next: u32,
+}
+
+impl Occurrence {
+    fn new(job: &job::Job) -> Self {
+        let steps = job
+            .steps
+            .iter()
+            .map(|step| StepEntry {
+                tasks: vec![Entry::default(); step.tasks.into()],
+                left: step.tasks.into(),
+                open: false,
+            })
+            .collect();
+        Self { steps }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Opens the steps whose earlier steps have completed.
+    fn open_steps(&mut self, job: &job::Job, now: Instant) {
+        for (index, step) in job.steps.iter().enumerate() {
+            let ready = !self.steps[index].open
+                && step
+                    .after
+                    .iter()
+                    .all(|earlier| self.steps[usize::from(*earlier)].left == 0);
+            if ready {
+                self.steps[index].open = true;
+                for task in &mut self.steps[index].tasks {
+                    task.ready_since = Some(now);
+                }
+            }
+        }
+    }
+}
+
+impl JobEntry {
+    fn new(job: Arc<job::Job>, inherited: bool) -> Self {
+        Self {
+            job,
+            state: State::Queued,
+            shown: State::Queued,
+            inherited,
+            version: 0,
+            committed: 0,
+            ended_at: None,
+            ended: None,
+            occurrences: BTreeMap::new(),
+            completed: 0,
+            next: 0,
+        }
+    }
+
+    /// Takes over what a former leader made durable.
+    pub(super) fn restore(&mut self, now: Instant, progress: &Progress) {
+        self.state = progress.state;
+        self.shown = progress.state;
+        self.completed = progress.completed;
+        self.next = progress.completed;
+        self.ended = progress.ended;
+        self.ended_at = progress.state.is_final().then_some(now);
+        if progress.state.is_final() {
+            return;
+        }
+        for saved in &progress.occurrences {
+            let mut occurrence = Occurrence::new(&self.job);
+            for (step, bits) in occurrence.steps.iter_mut().zip(&saved.done) {
+                for (index, task) in step.tasks.iter_mut().enumerate() {
+                    let word = bits.get(index / 64).copied().unwrap_or(0);
+                    task.done = word >> (index % 64) & 1 == 1;
+                }
+                step.left = step.tasks.iter().filter(|task| !task.done).count();
+            }
+            for mark in &saved.marks {
+                let step = occurrence.steps.get_mut(usize::from(mark.step));
+                let task = step.and_then(|step| step.tasks.get_mut(usize::from(mark.index)));
+                if let Some(task) = task {
+                    task.failures = mark.failures;
+                    task.failed_run = mark.failed_run;
+                    task.run = mark.failed_run;
+                    task.saved.clone_from(&mark.saved);
+                }
+            }
+            self.next = self.next.max(saved.number + 1);
+            self.occurrences.insert(saved.number, occurrence);
+        }
+    }
+
+    /// Returns what must be durable of the job.
+    pub(super) fn progress(&self) -> Progress {
+        let occurrences = if self.state.is_final() {
+            Vec::new()
+        } else {
+            self.occurrences
+                .iter()
+                .map(|(number, occurrence)| save(*number, occurrence))
+                .collect()
+        };
+        Progress {
+            state: self.state,
+            ended: self.ended,
+            occurrences,
+            completed: self.completed,
+        }
+    }
+
+    /// Opens occurrences that are due and steps whose turn has come.
+    pub(super) fn open_due(&mut self, now: Instant, wall: Wall) {
+        if self.state.is_final() {
+            return;
+        }
+        while self.next < self.job.occurrences() {
+            let due = self
+                .job
+                .timing
+                .map_or(Wall(0), |timing| timing.due(self.next));
+            if wall < due {
+                break;
+            }
+            let occurrence = Occurrence::new(&self.job);
+            self.occurrences.entry(self.next).or_insert(occurrence);
+            self.next += 1;
+        }
+        for occurrence in self.occurrences.values_mut() {
+            occurrence.open_steps(&self.job, now);
+        }
+        let complete = |occurrence: &Occurrence| occurrence.is_complete();
+        while self.occurrences.get(&self.completed).is_some_and(complete) {
+            self.occurrences.remove(&self.completed);
+            self.completed += 1;
+        }
+    }
+
+    /// Tells whether every occurrence has completed.
+    pub(super) fn is_complete(&self) -> bool {
+        self.completed >= self.job.occurrences()
+    }
+
+    /// Brings the job to a final state.
+    pub(super) fn finish(&mut self, state: State, now: Instant, wall: Wall) {
+        self.state = state;
+        self.ended_at = Some(now);
+        self.ended = Some(wall);
+        self.version += 1;
+    }
+
+    /// Lists every step with whether one of its tasks may be started.
+    pub(super) fn startable(&self) -> Vec<(u32, u16, bool)> {
+        let is_final = self.state.is_final();
+        self.occurrences
+            .iter()
+            .flat_map(|(number, occurrence)| {
+                occurrence
+                    .steps
+                    .iter()
+                    .enumerate()
+                    .map(move |(index, step)| {
+                        let startable =
+                            !is_final && step.open && step.tasks.iter().any(Entry::is_startable);
+                        (*number, index as u16, startable)
+                    })
+            })
+            .collect()
+    }
+
+    /// Lists all runs that have not certainly ended.
+    pub(super) fn copies(&self, job: Job) -> Vec<(Task, Copy)> {
+        let mut found = Vec::new();
+        for (number, occurrence) in &self.occurrences {
+            for (step, entry) in occurrence.steps.iter().enumerate() {
+                for (index, task) in entry.tasks.iter().enumerate() {
+                    let name = Task {
+                        job,
+                        occurrence: *number,
+                        step: step as u16,
+                        index: index as u16,
+                    };
+                    found.extend(task.copies.iter().map(|copy| (name, copy.clone())));
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns a step's description.
+    pub(super) fn step(&self, step: u16) -> Option<&Step> {
+        self.job.steps.get(usize::from(step))
+    }
+
+    /// Returns a task.
+    pub(super) fn task(&self, task: Task) -> Option<&Entry> {
+        self.occurrences
+            .get(&task.occurrence)?
+            .steps
+            .get(usize::from(task.step))?
+            .tasks
+            .get(usize::from(task.index))
+    }
+
+    /// Lists the tasks that an end of `task` concerns: all of a gang.
+    pub(super) fn members(&self, task: Task, gang: bool) -> Vec<Task> {
+        if !gang {
+            return vec![task];
+        }
+        let count = self.step(task.step).map_or(0, |step| step.tasks);
+        (0..count).map(|index| Task { index, ..task }).collect()
+    }
+
+    /// Returns a task.
+    pub(super) fn task_mut(&mut self, task: Task) -> Option<&mut Entry> {
+        self.occurrences
+            .get_mut(&task.occurrence)?
+            .steps
+            .get_mut(usize::from(task.step))?
+            .tasks
+            .get_mut(usize::from(task.index))
+    }
+
+    /// Notes that a task has completed.
+    pub(super) fn complete(&mut self, task: Task) {
+        let step = self
+            .occurrences
+            .get_mut(&task.occurrence)
+            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)));
+        if let Some(step) = step {
+            step.left = step.tasks.iter().filter(|task| !task.done).count();
+        }
+    }
+}
+
+fn save(number: u32, occurrence: &Occurrence) -> SavedOccurrence {
+    let mut marks = Vec::new();
+    let mut done = Vec::new();
+    for (step, entry) in occurrence.steps.iter().enumerate() {
+        let mut bits = vec![0_u64; entry.tasks.len().div_ceil(64)];
+        for (index, task) in entry.tasks.iter().enumerate() {
+            if task.done {
+                bits[index / 64] |= 1 << (index % 64);
+            } else if task.failures > 0 || task.saved.is_some() {
+                marks.push(Mark {
+                    step: step as u16,
+                    index: index as u16,
+                    failures: task.failures,
+                    failed_run: task.failed_run,
+                    saved: task.saved.clone(),
+                });
+            }
+        }
+        done.push(bits);
+    }
+    SavedOccurrence {
+        number,
+        done,
+        marks,
+    }
+}
+
+/// All jobs of a leader.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    jobs: BTreeMap<Job, JobEntry>,
+}
+
+impl Ledger {
+    /// Adds a job; returns whether it is new.
+    pub(super) fn insert(&mut self, id: Job, job: Arc<job::Job>, inherited: bool) -> bool {
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        self.jobs.insert(id, JobEntry::new(job, inherited));
+        true
+    }
+
+    pub(super) fn get(&self, id: Job) -> Option<&JobEntry> {
+        self.jobs.get(&id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: Job) -> Option<&mut JobEntry> {
+        self.jobs.get_mut(&id)
+    }
+
+    pub(super) fn remove(&mut self, id: Job) {
+        self.jobs.remove(&id);
+    }
+
+    pub(super) fn ids(&self) -> Vec<Job> {
+        self.jobs.keys().copied().collect()
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    pub(super) fn pending(&self, queue: &str) -> u64 {
+        let pending =
+            |entry: &&JobEntry| &*entry.job.queue == queue && entry.shown == State::Queued;
+        self.jobs.values().filter(pending).count() as u64
+    }
+
+    /// Returns how many jobs have not ended.
+    pub(super) fn live(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|entry| !entry.state.is_final())
+            .count()
+    }
+
+    /// Lists the jobs that wait for the time of an occurrence.
+    pub(super) fn timed(&self) -> Vec<Job> {
+        self.jobs
+            .iter()
+            .filter(|(_, entry)| !entry.state.is_final() && entry.next < entry.job.occurrences())
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Lists the jobs that ended more than `keep` ago.
+    pub(super) fn expired(&self, now: Instant, keep: Millis) -> Vec<Job> {
+        self.jobs
+            .iter()
+            .filter(|(_, entry)| entry.ended_at.is_some_and(|ended| now >= ended + keep))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    pub(super) fn task_mut(&mut self, task: Task) -> Option<&mut Entry> {
+        self.jobs.get_mut(&task.job)?.task_mut(task)
+    }
+
+    pub(super) fn copy_mut(&mut self, task: Task, run: Run) -> Option<&mut Copy> {
+        self.task_mut(task)?
+            .copies
+            .iter_mut()
+            .find(|copy| copy.run == run)
+    }
+
+    /// Removes a run that has certainly ended.
+    pub(super) fn drop_copy(&mut self, task: Task, run: Run, now: Instant) {
+        if let Some(entry) = self.task_mut(task) {
+            let before = entry.copies.len();
+            entry.copies.retain(|copy| copy.run != run);
+            if entry.copies.len() < before {
+                entry.ready_since = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/workload/src/planner/mod.rs
@@ -0,0 +1,555 @@
+//! The leader's decisions: which worker runs which task, and what becomes of
+//! jobs.
+//!
+//! - `ledger` holds jobs, their occurrences, steps and tasks.
+//! - `fleet` holds the workers and what is reserved on each.
+//! - `report` takes in what agents report.
+//! - `place` chooses workers.
+//! - `persist` makes progress durable before it is acted on.
+//!
+//! A task is started again only when its former run has certainly ended: the
+//! worker listed its end, began another life, certified that the start will
+//! never take effect, or its lease, as counted here, has passed. After a change
+//! of leader, tasks of jobs that the former leader may have started wait until
+//! every worker has reported or the former leader's last lease has passed.
+
+mod fleet;
+mod ledger;
+mod persist;
+mod place;
+mod report;
+
+use {
+    crate::{
+        catalog::Catalog,
+        id::{Epoch, Fence, Job, Link, Node, Run, Task},
+        job, lead,
+        message::{Question, Reply, Report, Response},
+        record::{self, Progress, State},
+        worker::How,
+    },
+    filbertbend_state::{
+        time::{Instant, Wall},
+        unit::Millis,
+    },
+    fleet::Fleet,
+    ledger::Ledger,
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+pub use persist::{Batch, Write};
+
+/// How much slower a worker's clock may run than ours, in percent, from the
+/// platform's description.
+const CLOCK_SLACK_PERCENT: u64 = 2;
+/// What is added to a lease for delays between reading a clock and using it.
+const LEASE_SLACK: Millis = Millis(200);
+
+/// Times and limits of a [`Planner`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The lease of everything on a worker.
+    pub lease: Millis,
+    /// How long an agent may be silent before it gets no new tasks.
+    pub silence: Millis,
+    /// How long a job stays known after its end.
+    pub keep: Millis,
+    /// How long a worker without lease is remembered.
+    pub forget: Millis,
+}
+
+impl Settings {
+    /// Returns how long after a grant a lease has certainly passed.
+    pub fn lease_bound(&self) -> Millis {
+        self.lease + Millis(self.lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
+    }
+}
+
+/// What the planner is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A configuration is in force.
+    Configured(Arc<Catalog>),
+    /// A job was read back from the store when the term began.
+    Recovered(Job, Arc<job::Job>, Progress),
+    /// A worker was read back from the store when the term began.
+    Expected(Node, record::Worker),
+    /// Everything has been read back.
+    Loaded,
+    /// A job was accepted during the term.
+    Submitted(Job, Arc<job::Job>),
+    /// The caller has cancelled a job.
+    Cancelled(Job),
+    /// An agent has opened a session.
+    Opened(Link, Node),
+    /// An agent reports.
+    Report(Link, Box<Report>),
+    /// A session has ended.
+    Closed(Link),
+    /// A batch is durable.
+    Persisted(u64),
+    /// The process is ending: whatever has gathered is to be made durable.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the planner asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// A message to an agent.
+    Send(Link, Response),
+    /// Makes changes durable, all or none; answered by [`Event::Persisted`].
+    Persist(Batch),
+    /// A decision for the log.
+    Decided(Decision),
+}
+
+/// A decision, with what it was based on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A task was placed.
+    Placed {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Where.
+        node: Node,
+        /// How long it was ready before.
+        waited: Millis,
+        /// Whether it resumes from a checkpoint.
+        resumed: bool,
+    },
+    /// A run was told to stop.
+    Stopped {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Where.
+        node: Node,
+        /// Why.
+        reason: Reason,
+    },
+    /// A run has ended.
+    Ended {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Where.
+        node: Node,
+        /// How.
+        how: How,
+        /// How often the task has failed by now.
+        failures: u32,
+    },
+    /// A run is given up without an end from the worker.
+    Lost {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Where.
+        node: Node,
+        /// Why.
+        reason: Reason,
+    },
+    /// A job has changed its state.
+    Job {
+        /// The job.
+        job: Job,
+        /// The state.
+        state: State,
+    },
+    /// A worker can be used.
+    Joined {
+        /// Its agent's node.
+        node: Node,
+        /// Its life.
+        life: crate::id::Life,
+        /// The session's fence.
+        fence: Fence,
+        /// How many runs were adopted.
+        adopted: usize,
+    },
+    /// Tasks that a former leader may have started are started from now on.
+    Settled {
+        /// How many expected workers have not reported.
+        missing: usize,
+    },
+}
+
+/// Why a run is stopped or given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// Its job has ended or is unknown.
+    NotWanted,
+    /// Another copy has completed or is newer.
+    Duplicate,
+    /// More urgent work needs the room.
+    Preempted,
+    /// The worker is about to leave.
+    Draining,
+    /// It makes no progress.
+    Stalled,
+    /// It slows a service down even when held back.
+    Crowding,
+    /// The worker has begun another life.
+    Reborn,
+    /// The worker's lease has passed.
+    LeasePassed,
+    /// The worker refused the start.
+    Refused,
+    /// The worker's list does not hold it.
+    Missing,
+}
+
+/// The decisions of one term of leadership.
+#[derive(Debug)]
+pub struct Planner {
+    settings: Settings,
+    epoch: Epoch,
+    catalog: Arc<Catalog>,
+    ledger: Ledger,
+    fleet: Fleet,
+    persist: persist::Queue,
+    sessions: u64,
+    /// Sessions that agents asked for before everything had been read back.
+    early: Vec<(Link, Node)>,
+    loaded: bool,
+    /// Whether every run of a former leader is known or has certainly ended.
+    settled: bool,
+    settle_by: Instant,
+    /// Steps with tasks that may be started, in order of urgency.
+    ready: BTreeSet<Rank>,
+    now: Instant,
+    wall: Wall,
+}
+
+/// The order in which steps get room.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    priority: u8,
+    accepted: Wall,
+    job: Job,
+    occurrence: u32,
+    step: u16,
+}
+
+impl Planner {
+    /// Makes the planner of a term that began at `now`.
+    pub fn new(settings: Settings, epoch: Epoch, now: Instant) -> Self {
+        let settle_by = now + lead::HORIZON + settings.lease_bound();
+        Self {
+            settings,
+            epoch,
+            catalog: Arc::default(),
+            ledger: Ledger::default(),
+            fleet: Fleet::default(),
+            persist: persist::Queue::default(),
+            sessions: 0,
+            early: Vec::new(),
+            loaded: false,
+            settled: false,
+            settle_by,
+            ready: BTreeSet::new(),
+            now,
+            wall: Wall::default(),
+        }
+    }
+
+    /// Takes one event and appends what is to be done to `actions`. `until` is
+    /// how long the leadership certainly lasts; no lease goes beyond it.
+    pub fn step(
+        &mut self,
+        now: Instant,
+        wall: Wall,
+        until: Instant,
+        event: Event,
+        actions: &mut Vec<Action>,
+    ) {
+        self.now = now;
+        self.wall = wall;
+        match event {
+            Event::Configured(catalog) => self.configure(catalog, actions),
+            Event::Recovered(id, job, progress) => self.recover(id, job, progress),
+            Event::Expected(node, worker) => self.fleet.expect(node, worker.life),
+            Event::Loaded => self.load(actions),
+            Event::Submitted(id, job) => self.submit(id, job, actions),
+            Event::Cancelled(id) => self.cancel(id, actions),
+            Event::Opened(link, node) => self.open(link, node, actions),
+            Event::Report(link, report) => self.report(until, link, *report, actions),
+            Event::Closed(link) => {
+                self.early.retain(|(early, _)| *early != link);
+                self.fleet.close(link);
+            }
+            Event::Persisted(number) => self.persisted(number),
+            Event::Leave => self.persist.hurry(),
+            Event::Tick => self.tick(actions),
+        }
+        if self.loaded && now < until {
+            self.settle(actions);
+            self.place(actions);
+        }
+        self.flush(actions);
+    }
+
+    /// Tells whether everything that has happened is durable.
+    pub fn is_durable(&self) -> bool {
+        self.persist.is_idle()
+    }
+
+    /// Answers a question for a caller.
+    pub fn answer(&self, question: &Question) -> Reply {
+        if !self.loaded {
+            return Reply::NotReady;
+        }
+        match question {
+            Question::State(id) => Reply::State(self.ledger.get(*id).map(|entry| entry.shown)),
+            Question::Pending(queue) => Reply::Pending(self.ledger.pending(queue)),
+        }
+    }
+
+    /// Returns how many jobs have not ended, and how many workers are in use.
+    pub fn size(&self) -> (usize, usize) {
+        (
+            self.ledger.live(),
+            self.fleet.usable(self.now, self.settings.silence),
+        )
+    }
+
+    fn configure(&mut self, catalog: Arc<Catalog>, actions: &mut Vec<Action>) {
+        if catalog.version < self.catalog.version {
+            return;
+        }
+        self.catalog = catalog;
+        self.ready.clear();
+        for id in self.ledger.ids() {
+            self.refresh(id, actions);
+        }
+    }
+
+    fn submit(&mut self, id: Job, job: Arc<job::Job>, actions: &mut Vec<Action>) {
+        if self.ledger.insert(id, job, false) {
+            self.refresh(id, actions);
+        }
+    }
+
+    fn recover(&mut self, id: Job, job: Arc<job::Job>, progress: Progress) {
+        if self.ledger.insert(id, job, true) {
+            if let Some(entry) = self.ledger.get_mut(id) {
+                entry.restore(self.now, &progress);
+            }
+            self.refresh(id, &mut Vec::new());
+        }
+    }
+
+    fn cancel(&mut self, id: Job, actions: &mut Vec<Action>) {
+        let Some(entry) = self.ledger.get_mut(id) else {
+            return;
+        };
+        if !entry.state.is_final() {
+            self.end_job(id, State::Cancelled, actions);
+        }
+    }
+
+    /// Brings a job to a final state and stops what still runs of it.
+    fn end_job(&mut self, id: Job, state: State, actions: &mut Vec<Action>) {
+        let Some(entry) = self.ledger.get_mut(id) else {
+            return;
+        };
+        entry.finish(state, self.now, self.wall);
+        if state == State::Cancelled {
+            // The cancellation is durable already; other final states are
+            // shown once they are.
+            entry.shown = state;
+        }
+        actions.push(Action::Decided(Decision::Job { job: id, state }));
+        let copies = entry.copies(id);
+        for (task, copy) in copies {
+            self.stop(task, copy.run, &copy.node, Reason::NotWanted, actions);
+        }
+        self.persist.touch(self.now, id, true);
+        self.refresh(id, actions);
+    }
+
+    /// Orders a run to stop.
+    fn stop(
+        &mut self,
+        task: Task,
+        run: Run,
+        node: &Node,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.fleet.stop(node, task, run) {
+            if let Some(copy) = self.ledger.copy_mut(task, run) {
+                copy.stopping = true;
+            }
+            actions.push(Action::Decided(Decision::Stopped {
+                task,
+                run,
+                node: node.clone(),
+                reason,
+            }));
+        }
+    }
+
+    /// Brings the list of ready steps up to date with a job.
+    fn refresh(&mut self, id: Job, actions: &mut Vec<Action>) {
+        let Some(entry) = self.ledger.get_mut(id) else {
+            return;
+        };
+        entry.open_due(self.now, self.wall);
+        let priority = terms(&self.catalog, &entry.job).priority;
+        let accepted = entry.job.accepted;
+        for (occurrence, step, startable) in entry.startable() {
+            let rank = Rank {
+                priority,
+                accepted,
+                job: id,
+                occurrence,
+                step,
+            };
+            if startable {
+                self.ready.insert(rank);
+            } else {
+                self.ready.remove(&rank);
+            }
+        }
+        if entry.is_complete() && !entry.state.is_final() {
+            self.end_job(id, State::Complete, actions);
+        }
+    }
+
+    /// Ends the wait for runs of a former leader once nothing can be left.
+    fn settle(&mut self, actions: &mut Vec<Action>) {
+        if self.settled {
+            return;
+        }
+        let missing = self.fleet.missing();
+        if missing == 0 || self.now >= self.settle_by {
+            self.settled = true;
+            actions.push(Action::Decided(Decision::Settled { missing }));
+        }
+    }
+
+    fn tick(&mut self, actions: &mut Vec<Action>) {
+        for node in self.fleet.lapsed(self.now) {
+            self.abandon(&node, Reason::LeasePassed, actions);
+        }
+        for node in self.fleet.leaving() {
+            self.evacuate(&node, actions);
+        }
+        let forgotten = self.fleet.forget(self.now, self.settings.forget);
+        self.persist.remove_workers(forgotten);
+        for id in self.ledger.timed() {
+            self.refresh(id, actions);
+        }
+        for id in self.ledger.expired(self.now, self.settings.keep) {
+            self.ledger.remove(id);
+            self.persist.remove_job(id);
+        }
+    }
+
+    /// Gives up every run on a worker, all of which have certainly ended.
+    fn abandon(&mut self, node: &Node, reason: Reason, actions: &mut Vec<Action>) {
+        for (task, run) in self.fleet.clear(node) {
+            self.ledger.drop_copy(task, run, self.now);
+            actions.push(Action::Decided(Decision::Lost {
+                task,
+                run,
+                node: node.clone(),
+                reason,
+            }));
+            self.refresh(task.job, actions);
+        }
+    }
+
+    /// Returns the number of a task's next run, above those of earlier terms.
+    fn next_run(&self, last: Run) -> Run {
+        Run(last.0.max((self.epoch.0 - 1) << RUN_BITS) + 1)
+    }
+
+    /// Begins to decide, once everything has been read back.
+    fn load(&mut self, actions: &mut Vec<Action>) {
+        self.loaded = true;
+        for (link, node) in std::mem::take(&mut self.early) {
+            self.open(link, node, actions);
+        }
+    }
+
+    /// Opens a session. Before everything has been read back its reports would
+    /// be about jobs that are not known yet.
+    fn open(&mut self, link: Link, node: Node, actions: &mut Vec<Action>) {
+        if !self.loaded {
+            self.early.push((link, node));
+            return;
+        }
+        self.sessions += 1;
+        let fence = Fence::new(self.epoch, self.sessions);
+        self.fleet.open(link, node.clone(), fence, self.now);
+        let welcome = Response::Welcome {
+            epoch: self.epoch,
+            fence,
+            profile: self
+                .fleet
+                .get(&node)
+                .and_then(|worker| worker.profile.clone()),
+        };
+        actions.push(Action::Send(link, welcome));
+    }
+
+    /// Sends the orders that have gathered, and starts the next batch.
+    fn flush(&mut self, actions: &mut Vec<Action>) {
+        let ledger = &self.ledger;
+        self.fleet.settle_ends(|id, version| {
+            ledger
+                .get(id)
+                .is_none_or(|entry| entry.committed >= version)
+        });
+        for (link, orders) in self.fleet.take_orders() {
+            actions.push(Action::Send(link, Response::Orders(orders)));
+        }
+        if let Some(batch) = self.persist.next(self.now, &self.ledger, &self.fleet) {
+            actions.push(Action::Persist(batch));
+        }
+    }
+
+    fn persisted(&mut self, number: u64) {
+        let Some(flight) = self.persist.land(number) else {
+            return;
+        };
+        for (id, version) in &flight.jobs {
+            if let Some(entry) = self.ledger.get_mut(*id) {
+                entry.committed = (*version).max(entry.committed);
+                if entry.committed == entry.version {
+                    entry.shown = entry.state;
+                }
+            }
+        }
+        for (node, life) in &flight.workers {
+            self.fleet.recorded(node, life);
+        }
+    }
+}
+
+/// Returns the terms of a job: those in force for its queue, or those that it
+/// was accepted under if the queue is gone.
+fn terms(catalog: &Catalog, job: &job::Job) -> job::Terms {
+    match catalog.queues.get(&job.queue) {
+        Some(queue) => job::Terms {
+            pool: queue.pool.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts,
+        },
+        None => job.terms.clone(),
+    }
+}
+
+/// Runs of one task that one term may start: the run holds the term above this
+/// many bits.
+const RUN_BITS: u32 = 16;
--- /dev/null
+++ b/crates/workload/src/planner/report.rs
@@ -0,0 +1,460 @@
+//! What agents report, and what follows from it.
+
+use {
+    super::{fleet::Reservation, ledger::Copy, terms, Action, Decision, Instant, Planner, Reason},
+    crate::{
+        id::{Link, Node, Run, Task},
+        message::{Inventory, Outcome, Report, Role, Verdict},
+        record::State,
+        worker::{End, How, Profile, Running},
+    },
+    filbertbend_state::{room::Room, unit::Cores, unit::Millis},
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// How long before a worker leaves its tasks are stopped, so that they save
+/// what they have done: a stop takes up to 200 ms on the platform, and its end
+/// has to be seen.
+const EVACUATION_TIME: Millis = Millis(1200);
+/// How long a worker whose services are crowded gets no more fillers.
+const CROWDED_TIME: Millis = Millis(4000);
+
+impl Planner {
+    pub(super) fn report(
+        &mut self,
+        until: Instant,
+        link: Link,
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(node) = self.fleet.node(link) else {
+            return;
+        };
+        if let Some(worker) = self.fleet.get_mut(&node) {
+            worker.heard = self.now;
+        }
+        if let Some(profile) = report.profile {
+            self.profile(&node, profile, actions);
+        }
+        for outcome in report.outcomes {
+            self.outcome(&node, &outcome, actions);
+        }
+        for end in report.ends {
+            self.end(&node, end, actions);
+        }
+        if let Some(inventory) = report.inventory {
+            self.inventory(&node, &inventory, actions);
+        }
+        for (task, run, saved) in report.saved {
+            self.saved(task, run, saved);
+        }
+        for task in report.crowded {
+            self.crowded(&node, task, actions);
+        }
+        if let Some(request) = report.renew {
+            self.renew(until, &node, request);
+        }
+    }
+
+    fn renew(&mut self, until: Instant, node: &Node, request: u64) {
+        let lease = self.settings.lease.min(until.since(self.now));
+        let bound = self.now + self.settings.lease_bound();
+        if let Some(worker) = self.fleet.get_mut(node) {
+            if lease > Millis::ZERO {
+                worker.lease(request, lease, bound);
+            }
+        }
+    }
+
+    fn profile(&mut self, node: &Node, profile: Profile, actions: &mut Vec<Action>) {
+        let Some(worker) = self.fleet.get_mut(node) else {
+            return;
+        };
+        worker.leaves_at = match (profile.draining, profile.remaining_ms) {
+            (true, remaining) => Some(self.now + Millis(remaining.unwrap_or(0))),
+            (false, _) => None,
+        };
+        worker.profile = Some(profile);
+        self.evacuate(node, actions);
+    }
+
+    /// Stops the tasks of a worker that is about to leave: lasting ones at
+    /// once, since they would be cut off anyway, and those that keep their
+    /// progress shortly before the end.
+    pub(super) fn evacuate(&mut self, node: &Node, actions: &mut Vec<Action>) {
+        let Some(worker) = self.fleet.get(node) else {
+            return;
+        };
+        let Some(leaves_at) = worker.leaves_at else {
+            return;
+        };
+        let last_call = self.now + EVACUATION_TIME >= leaves_at;
+        let runs: Vec<(Task, Run)> = worker.reservations.keys().copied().collect();
+        for (task, run) in runs {
+            let Some(step) = self
+                .ledger
+                .get(task.job)
+                .and_then(|entry| entry.step(task.step))
+            else {
+                continue;
+            };
+            let due = step.style.lasting || (last_call && step.checkpoints);
+            let stopping = self
+                .ledger
+                .copy_mut(task, run)
+                .is_none_or(|copy| copy.stopping);
+            if due && !stopping {
+                self.stop(task, run, node, Reason::Draining, actions);
+            }
+        }
+    }
+
+    fn outcome(&mut self, node: &Node, outcome: &Outcome, actions: &mut Vec<Action>) {
+        let Outcome { task, run, verdict } = *outcome;
+        if verdict == Verdict::Started {
+            if let Some(copy) = self.ledger.copy_mut(task, run) {
+                copy.started = true;
+            }
+            if let Some(entry) = self.ledger.get_mut(task.job) {
+                if entry.state == State::Queued {
+                    entry.state = State::Running;
+                    entry.shown = State::Running;
+                }
+            }
+            return;
+        }
+        if !self.fleet.release(node, task, run) {
+            return;
+        }
+        self.ledger.drop_copy(task, run, self.now);
+        if let Some(entry) = self.ledger.task_mut(task) {
+            entry.avoid = Some(node.clone());
+        }
+        if verdict == Verdict::Unhealthy {
+            self.strike(node);
+        }
+        if verdict == Verdict::Invalid {
+            self.fail(node, task, run, actions);
+        }
+        actions.push(Action::Decided(Decision::Lost {
+            task,
+            run,
+            node: node.clone(),
+            reason: Reason::Refused,
+        }));
+        self.refresh(task.job, actions);
+    }
+
+    fn strike(&mut self, node: &Node) {
+        let now = self.now;
+        if let Some(worker) = self.fleet.get_mut(node) {
+            worker.standing.strikes += 1;
+            worker.standing.last_strike = now;
+        }
+    }
+
+    /// Takes one end in. It may come again in a later session, and from a life
+    /// that a former leader gave orders to.
+    fn end(&mut self, node: &Node, end: End, actions: &mut Vec<Action>) {
+        let is_new = self
+            .fleet
+            .get_mut(node)
+            .is_some_and(|worker| worker.see(end.sequence));
+        if !is_new {
+            return;
+        }
+        let End {
+            sequence,
+            task,
+            run,
+            how,
+            saved,
+        } = end;
+        self.fleet.release(node, task, run);
+        if self.take_end(node, task, run, how, saved, actions) {
+            self.ledger.drop_copy(task, run, self.now);
+            self.refresh(task.job, actions);
+        }
+        let version = self.ledger.get(task.job).map_or(0, |entry| entry.version);
+        if let Some(worker) = self.fleet.get_mut(node) {
+            worker.hold_end(sequence, task.job, version);
+        }
+    }
+
+    /// Applies an end to its task; returns whether the job is still in
+    /// progress.
+    fn take_end(
+        &mut self,
+        node: &Node,
+        task: Task,
+        run: Run,
+        how: How,
+        saved: Option<Arc<str>>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(entry) = self.ledger.get_mut(task.job) else {
+            return false;
+        };
+        if entry.state.is_final() {
+            self.ledger.drop_copy(task, run, self.now);
+            return false;
+        }
+        let Some(step) = entry.step(task.step) else {
+            return false;
+        };
+        let (lasting, gang) = (step.style.lasting, step.style.gang);
+        match how {
+            How::Done if !lasting => self.done(node, task, run, gang, actions),
+            How::Failed if !lasting => {
+                self.strike(node);
+                self.fail(node, task, run, actions);
+            }
+            How::Failed => self.strike(node),
+            _ => {}
+        }
+        if how != How::Done {
+            if let Some(saved) = saved {
+                self.keep_saved(task, gang, saved);
+            }
+        }
+        let failures = self.ledger.task_mut(task).map_or(0, |entry| entry.failures);
+        actions.push(Action::Decided(Decision::Ended {
+            task,
+            run,
+            node: node.clone(),
+            how,
+            failures,
+        }));
+        true
+    }
+
+    fn done(&mut self, node: &Node, task: Task, run: Run, gang: bool, actions: &mut Vec<Action>) {
+        if let Some(worker) = self.fleet.get_mut(node) {
+            worker.standing.strikes = 0;
+        }
+        let Some(entry) = self.ledger.get_mut(task.job) else {
+            return;
+        };
+        let mut duplicates = Vec::new();
+        for member in entry.members(task, gang) {
+            if let Some(found) = entry.task_mut(member) {
+                found.done = true;
+                found.saved = None;
+                let others = found.copies.iter().filter(|copy| copy.run != run);
+                duplicates.extend(others.map(|copy| (member, copy.run, copy.node.clone())));
+            }
+        }
+        entry.complete(task);
+        entry.version += 1;
+        self.persist.touch(self.now, task.job, false);
+        for (member, run, node) in duplicates {
+            self.stop(member, run, &node, Reason::Duplicate, actions);
+        }
+    }
+
+    /// Counts a failure, once for each run.
+    fn fail(&mut self, node: &Node, task: Task, run: Run, actions: &mut Vec<Action>) {
+        let Some(entry) = self.ledger.get_mut(task.job) else {
+            return;
+        };
+        let attempts = terms(&self.catalog, &entry.job).attempts;
+        let gang = entry.step(task.step).is_some_and(|step| step.style.gang);
+        let Some(found) = entry.task_mut(task) else {
+            return;
+        };
+        if run <= found.failed_run {
+            return;
+        }
+        found.failures += 1;
+        found.failed_run = run;
+        found.avoid = Some(node.clone());
+        let failures: u32 = entry
+            .members(task, gang)
+            .into_iter()
+            .filter_map(|member| entry.task_mut(member).map(|found| found.failures))
+            .sum();
+        entry.version += 1;
+        self.persist.touch(self.now, task.job, false);
+        if failures >= attempts.max(1) {
+            self.end_job(task.job, State::Failed, actions);
+        }
+    }
+
+    fn saved(&mut self, task: Task, run: Run, saved: Arc<str>) {
+        let known = self.ledger.copy_mut(task, run).is_some();
+        let gang = self
+            .ledger
+            .get(task.job)
+            .and_then(|entry| entry.step(task.step))
+            .is_some_and(|step| step.style.gang);
+        if !known {
+            return;
+        }
+        if let Some(entry) = self.ledger.get_mut(task.job) {
+            for member in entry.members(task, gang) {
+                if let Some(found) = entry.task_mut(member) {
+                    found.saved = Some(saved.clone());
+                }
+            }
+        }
+    }
+
+    /// Keeps the checkpoint of a run that has ended, durably.
+    fn keep_saved(&mut self, task: Task, gang: bool, saved: Arc<str>) {
+        let Some(entry) = self.ledger.get_mut(task.job) else {
+            return;
+        };
+        for member in entry.members(task, gang) {
+            if let Some(found) = entry.task_mut(member).filter(|found| !found.done) {
+                found.saved = Some(saved.clone());
+            }
+        }
+        entry.version += 1;
+        self.persist.touch(self.now, task.job, false);
+    }
+
+    /// Compares everything on a worker with what is known of it. Orders of
+    /// earlier sessions have no effect any more, so what is not listed is not
+    /// there.
+    fn inventory(&mut self, node: &Node, inventory: &Inventory, actions: &mut Vec<Action>) {
+        let bound = self.now + self.settings.lease_bound();
+        self.fleet.inventoried(node, &inventory.life);
+        let Some(worker) = self.fleet.get_mut(node) else {
+            return;
+        };
+        worker.lease_until = worker.lease_until.max(Some(bound));
+        let fence = worker.fence;
+        let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
+        let mut adopted = 0;
+        let mut listed = BTreeSet::new();
+        for row in &inventory.running {
+            listed.insert((row.task, row.run));
+            if known.contains(&(row.task, row.run)) {
+                if let Some(copy) = self.ledger.copy_mut(row.task, row.run) {
+                    copy.started = true;
+                }
+            } else {
+                adopted += usize::from(self.adopt(node, row, actions));
+            }
+            let role = self
+                .ledger
+                .get(row.task.job)
+                .and_then(|entry| entry.step(row.task.step))
+                .map(Role::of);
+            if let (Some(role), Some(worker)) = (role, self.fleet.get_mut(node)) {
+                worker.describe(row.task, row.run, role);
+            }
+        }
+        for (task, run) in known.difference(&listed) {
+            self.fleet.release(node, *task, *run);
+            self.ledger.drop_copy(*task, *run, self.now);
+            actions.push(Action::Decided(Decision::Lost {
+                task: *task,
+                run: *run,
+                node: node.clone(),
+                reason: Reason::Missing,
+            }));
+            self.refresh(task.job, actions);
+        }
+        actions.push(Action::Decided(Decision::Joined {
+            node: node.clone(),
+            life: inventory.life.clone(),
+            fence,
+            adopted,
+        }));
+    }
+
+    /// Takes over a run that a former leader started, or stops it if it is not
+    /// wanted. Its room counts until its end either way.
+    fn adopt(&mut self, node: &Node, row: &Running, actions: &mut Vec<Action>) -> bool {
+        let reservation = self.reservation(row.task).unwrap_or_else(|| {
+            let whole = self
+                .fleet
+                .get(node)
+                .and_then(|worker| worker.profile.as_ref());
+            Reservation {
+                room: whole.map_or(Room::NONE, |profile| profile.room),
+                filling: Cores::ZERO,
+                serving: false,
+                priority: u8::MAX,
+            }
+        });
+        self.fleet.adopt(node, row.task, row.run, reservation);
+        let wanted = self.ledger.get(row.task.job).is_some_and(|entry| {
+            !entry.state.is_final()
+                && entry
+                    .task(row.task)
+                    .is_some_and(|task| !task.done && task.copies.is_empty())
+        });
+        if !wanted {
+            self.stop(row.task, row.run, node, Reason::NotWanted, actions);
+            return false;
+        }
+        let now = self.now;
+        if let Some(task) = self.ledger.task_mut(row.task) {
+            task.run = task.run.max(row.run);
+            if row.saved.is_some() {
+                task.saved.clone_from(&row.saved);
+            }
+            task.copies.push(Copy {
+                node: node.clone(),
+                run: row.run,
+                since: now,
+                started: true,
+                stopping: false,
+            });
+        }
+        if let Some(entry) = self.ledger.get_mut(row.task.job) {
+            if entry.state == State::Queued {
+                entry.state = State::Running;
+                entry.shown = State::Running;
+            }
+        }
+        self.refresh(row.task.job, actions);
+        true
+    }
+
+    /// Returns what a task of a known job takes from a worker.
+    pub(super) fn reservation(&self, task: Task) -> Option<Reservation> {
+        let entry = self.ledger.get(task.job)?;
+        let step = entry.step(task.step)?;
+        let filling = if step.style.filler {
+            step.room.cores
+        } else {
+            Cores::ZERO
+        };
+        Some(Reservation {
+            room: step.reserved(),
+            filling,
+            serving: step.latency_target.is_some(),
+            priority: terms(&self.catalog, &entry.job).priority,
+        })
+    }
+
+    /// Takes the largest filler away from a worker whose services are too slow
+    /// although all fillers there are held back.
+    fn crowded(&mut self, node: &Node, task: Task, actions: &mut Vec<Action>) {
+        let until = self.now + CROWDED_TIME;
+        let Some(worker) = self.fleet.get_mut(node) else {
+            return;
+        };
+        worker.crowded_until = until;
+        let fillers = worker
+            .reservations
+            .iter()
+            .filter(|(_, reservation)| reservation.filling > Cores::ZERO);
+        let largest = fillers
+            .max_by_key(|(_, reservation)| reservation.filling)
+            .map(|((task, run), _)| (*task, *run));
+        let Some((filler, run)) = largest.filter(|(filler, _)| *filler != task) else {
+            return;
+        };
+        let stopping = self
+            .ledger
+            .copy_mut(filler, run)
+            .is_none_or(|copy| copy.stopping);
+        if !stopping {
+            self.stop(filler, run, node, Reason::Crowding, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/workload/src/worker.rs
@@ -0,0 +1,77 @@
+//! What a worker says of itself.
+
+use {
+    crate::id::{Life, Run, Sequence, Task},
+    filbertbend_state::room::Room,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+    strum::{Display, EnumString},
+};
+
+/// A worker's description of itself, repeated with every heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Profile {
+    /// Its life.
+    pub life: Life,
+    /// The pool that it belongs to.
+    pub pool: Arc<str>,
+    /// The data centre that it is in.
+    pub data_centre: Arc<str>,
+    /// Its room.
+    pub room: Room,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// The least time that is left before it leaves, if it is about to.
+    pub remaining_ms: Option<u64>,
+}
+
+/// One task on a worker's list of running tasks.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// The task.
+    pub task: Task,
+    /// Its run.
+    pub run: Run,
+    /// The newest checkpoint.
+    pub saved: Option<Arc<str>>,
+    /// How much of its work is done; for a lasting task whether it is at work.
+    pub percent: u8,
+    /// Over the last half second: the tail latency in milliseconds of a task
+    /// that serves, the thousandths of a core in use otherwise.
+    pub figure: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum How {
+    /// It completed.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// The worker's lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the other members of its gang.
+    Alone,
+}
+
+/// One entry of a worker's list of ends.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    /// Its number within the worker's life.
+    pub sequence: Sequence,
+    /// The task.
+    pub task: Task,
+    /// The run that ended.
+    pub run: Run,
+    /// How it ended.
+    pub how: How,
+    /// The newest checkpoint.
+    pub saved: Option<Arc<str>>,
+}
--- /dev/null
+++ b/crates/workload/tests/planner.rs
@@ -0,0 +1,203 @@
+//! The leader's decisions: starts, ends, lost workers and changes of leader.
+
+mod support;
+
+use {
+    filbertbend_state::unit::Millis,
+    filbertbend_workload::{
+        id::{Job, Link, Run, Sequence},
+        message::{Question, Reply},
+        planner::Event,
+        record::{Progress, State},
+        worker::How,
+    },
+    std::sync::Arc,
+    support::{catalog, end, expected, job, node, progress, running, step, task, World},
+};
+
+/// Guards against ends that are taken for those of unknown jobs, and runs that
+/// are stopped, because agents report before a new leader has read the jobs
+/// back.
+#[test]
+fn agents_wait_until_a_new_leader_has_read_everything_back() {
+    let mut world = World::new(2);
+    world.step(Event::Configured(Arc::new(catalog(0, 2))));
+    world.step(expected(0));
+
+    world.step(Event::Opened(Link(0), node(0)));
+    assert!(
+        world.welcomed.is_empty(),
+        "welcomed before the jobs are known"
+    );
+    let job = job(vec![step(2)]);
+    world.step(Event::Recovered(Job(7), job, Progress::default()));
+    world.step(Event::Loaded);
+    assert_eq!(world.welcomed, [Link(0)]);
+    let done = end(1, task(7, 0, 0), Run(1), How::Done);
+    world.inventory(0, vec![running(task(7, 0, 1), Run(1))], vec![done]);
+    world.pass(Millis(300), &[0]);
+    let batches = world.commit();
+
+    assert!(world.stops(0).is_empty());
+    let progress = progress(&batches, 7).expect("the end is made durable");
+    assert_eq!(progress.occurrences[0].done[0], [1]);
+}
+
+/// Guards against an end that the worker forgets before its consequence is
+/// durable.
+#[test]
+fn ends_are_settled_only_once_they_are_durable() {
+    let mut world = World::with_workers(1);
+    world.submit(1, job(vec![step(2)]));
+    let starts = world.starts(0);
+    world.started(0, &starts[0]);
+
+    world.end(0, 1, &starts[0], How::Done);
+    world.pass(Millis(300), &[0]);
+    assert_eq!(world.settled(0), None);
+    world.commit();
+    world.step(Event::Tick);
+
+    assert_eq!(world.settled(0), Some(Sequence(1)));
+}
+
+/// Guards against a step that begins before the one that it follows has
+/// completed, and a job that is shown as complete before that is durable.
+#[test]
+fn steps_follow_one_another_and_completion_is_durable_first() {
+    let mut world = World::with_workers(1);
+    let mut second = step(1);
+    second.after = vec![0];
+    world.submit(1, job(vec![step(2), second]));
+    let first = world.starts(0);
+    assert_eq!(first.len(), 2);
+
+    world.end(0, 1, &first[0], How::Done);
+    assert!(world.starts(0).is_empty());
+    world.end(0, 2, &first[1], How::Done);
+    let second = world.starts(0);
+    assert_eq!(second.len(), 1);
+    world.commit();
+    world.end(0, 3, &second[0], How::Done);
+
+    let question = Question::State(Job(1));
+    assert_ne!(
+        world.planner.answer(&question),
+        Reply::State(Some(State::Complete))
+    );
+    world.commit();
+    assert_eq!(
+        world.planner.answer(&question),
+        Reply::State(Some(State::Complete))
+    );
+}
+
+/// Guards against a task that runs twice at the same time because its worker
+/// was cut off and its lease had not passed.
+#[test]
+fn tasks_of_a_silent_worker_wait_for_its_lease() {
+    let mut world = World::with_workers(2);
+    world.submit(1, job(vec![step(1)]));
+    let (busy, start) = world.all_starts().remove(0);
+    world.started(busy, &start);
+    let other = 1 - busy;
+
+    world.step(Event::Closed(Link(busy)));
+    world.pass(Millis(5900), &[other]);
+    assert!(world.all_starts().is_empty());
+    world.pass(Millis(700), &[other]);
+
+    let (found, again) = world.all_starts().remove(0);
+    assert_eq!(found, other);
+    assert!(again.run > start.run);
+}
+
+/// Guards against tasks that a former leader may have started on a worker that
+/// has not reported to the new one yet.
+#[test]
+fn inherited_tasks_wait_for_every_expected_worker() {
+    let mut world = World::new(2);
+    world.step(Event::Configured(Arc::new(catalog(0, 2))));
+    world.step(expected(0));
+    world.step(expected(1));
+    world.step(Event::Recovered(
+        Job(1),
+        job(vec![step(1)]),
+        Progress::default(),
+    ));
+    world.step(Event::Loaded);
+
+    world.join(0, Vec::new());
+    world.pass(Millis(1000), &[0]);
+    assert!(world.all_starts().is_empty());
+    world.submit(2, job(vec![step(1)]));
+    assert_eq!(world.all_starts().len(), 1, "a new job need not wait");
+    world.join(1, vec![running(task(1, 0, 0), Run(1))]);
+    world.pass(Millis(1000), &[0, 1]);
+
+    assert!(world.all_starts().is_empty(), "the task runs already");
+}
+
+/// Guards against a failure that counts twice because its end was listed again
+/// to the next leader.
+#[test]
+fn a_failure_counts_once_across_leaders() {
+    let mut world = World::with_workers(1);
+    world.submit(1, job(vec![step(1)]));
+    let start = world.starts(0).remove(0);
+    world.end(0, 1, &start, How::Failed);
+    world.pass(Millis(300), &[0]);
+    let durable = progress(&world.commit(), 1).expect("the failure is made durable");
+
+    let mut next = World::new(2);
+    next.step(Event::Configured(Arc::new(catalog(0, 2))));
+    next.step(expected(0));
+    next.step(Event::Recovered(Job(1), job(vec![step(1)]), durable));
+    next.step(Event::Loaded);
+    next.step(Event::Opened(Link(0), node(0)));
+    next.inventory(
+        0,
+        Vec::new(),
+        vec![end(1, start.task, start.run, How::Failed)],
+    );
+    next.commit();
+    next.pass(Millis(300), &[0]);
+
+    assert_eq!(next.starts(0).len(), 1, "one attempt is left");
+}
+
+/// Guards against work on a job whose cancellation is durable.
+#[test]
+fn cancelled_jobs_are_stopped_and_not_started_again() {
+    let mut world = World::with_workers(1);
+    world.submit(1, job(vec![step(1)]));
+    let start = world.starts(0).remove(0);
+    world.started(0, &start);
+
+    world.step(Event::Cancelled(Job(1)));
+    assert_eq!(world.stops(0), [(start.task, start.run)]);
+    world.end(0, 1, &start, How::Stopped);
+    world.pass(Millis(1000), &[0]);
+
+    assert!(world.starts(0).is_empty());
+    let state = world.planner.answer(&Question::State(Job(1)));
+    assert_eq!(state, Reply::State(Some(State::Cancelled)));
+}
+
+/// Guards against more work on a worker than it has room for, also while a run
+/// there is being stopped.
+#[test]
+fn room_is_taken_until_the_end_is_listed() {
+    let mut world = World::with_workers(1);
+    world.submit(1, job(vec![step(8)]));
+    let starts = world.starts(0);
+    assert_eq!(starts.len(), 8);
+    world.submit(2, job(vec![step(1)]));
+    assert!(world.starts(0).is_empty());
+
+    world.step(Event::Cancelled(Job(1)));
+    assert!(world.starts(0).is_empty());
+    world.end(0, 1, &starts[0], How::Stopped);
+
+    assert_eq!(world.starts(0).len(), 1);
+}
--- /dev/null
+++ b/crates/workload/tests/support/mod.rs
@@ -0,0 +1,312 @@
+//! A planner with a scripted clock, and agents as their reports.
+
+use {
+    filbertbend_state::{
+        room::Room,
+        time::{Instant, Wall},
+        unit::{Accelerators, Bytes, Cores, Millis},
+    },
+    filbertbend_workload::{
+        catalog::{Catalog, Pool, Queue},
+        id::{Epoch, Job, Life, Link, Node, Run, Sequence, Task},
+        job::{self, Step, Terms},
+        message::{Inventory, Orders, Outcome, Report, Response, Start, Verdict},
+        planner::{Action, Batch, Decision, Event, Planner, Settings, Write},
+        record::{self, Progress},
+        worker::{End, How, Profile, Running},
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+pub(crate) const QUEUE: &str = "checks";
+pub(crate) const POOL: &str = "pool";
+
+pub(crate) fn settings() -> Settings {
+    Settings {
+        lease: Millis(6000),
+        silence: Millis(2200),
+        keep: Millis(120_000),
+        forget: Millis(12_000),
+    }
+}
+
+pub(crate) fn catalog(priority: u8, attempts: u32) -> Catalog {
+    let queue = Queue {
+        name: QUEUE.into(),
+        host: "host".into(),
+        prefix: "/p/".into(),
+        pool: POOL.into(),
+        priority,
+        attempts,
+        timeout: Millis(3000),
+        stretch: 1.5,
+        slack: Millis(300),
+    };
+    Catalog {
+        version: 1,
+        queues: [(queue.name.clone(), queue)].into(),
+        pools: [(POOL.into(), Pool::default())].into(),
+        ..Catalog::default()
+    }
+}
+
+pub(crate) fn room(cores: u64, gib: u64) -> Room {
+    Room {
+        cores: Cores(cores * 1000),
+        memory: Bytes(gib << 30),
+        accelerators: Accelerators(0),
+    }
+}
+
+pub(crate) fn step(tasks: u16) -> Step {
+    Step {
+        tasks,
+        room: room(1, 1),
+        estimate: Millis(1000),
+        ..Step::default()
+    }
+}
+
+pub(crate) fn job(steps: Vec<Step>) -> Arc<job::Job> {
+    Arc::new(job::Job {
+        queue: QUEUE.into(),
+        terms: Terms {
+            pool: POOL.into(),
+            priority: 0,
+            attempts: 2,
+        },
+        spec: "work".into(),
+        steps,
+        accepted: Wall(0),
+        timing: None,
+    })
+}
+
+pub(crate) fn life(node: u64) -> Life {
+    Life {
+        worker: format!("w-{node}").into(),
+        born: 1,
+    }
+}
+
+pub(crate) fn profile(node: u64) -> Profile {
+    Profile {
+        life: life(node),
+        pool: POOL.into(),
+        data_centre: "xela".into(),
+        room: room(8, 32),
+        labels: vec!["a".into(), format!("r-{node}").into()],
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+pub(crate) fn node(number: u64) -> Node {
+    Node(format!("side-{number}").into())
+}
+
+/// A planner under test, with everything it has asked for.
+pub(crate) struct World {
+    pub(crate) planner: Planner,
+    pub(crate) now: Instant,
+    pub(crate) until: Instant,
+    pub(crate) orders: BTreeMap<Link, Orders>,
+    pub(crate) welcomed: Vec<Link>,
+    pub(crate) decisions: Vec<Decision>,
+    pub(crate) batches: Vec<Batch>,
+}
+
+impl World {
+    /// Makes a planner that has not read anything back.
+    pub(crate) fn new(epoch: u64) -> Self {
+        let now = Instant(1_000_000);
+        Self {
+            planner: Planner::new(settings(), Epoch(epoch), now),
+            now,
+            until: now + Millis(1_000_000),
+            orders: BTreeMap::new(),
+            welcomed: Vec::new(),
+            decisions: Vec::new(),
+            batches: Vec::new(),
+        }
+    }
+
+    /// Makes a planner of the first term with `workers` idle workers.
+    pub(crate) fn with_workers(workers: u64) -> Self {
+        let mut world = Self::new(1);
+        world.step(Event::Configured(Arc::new(catalog(0, 2))));
+        world.step(Event::Loaded);
+        for number in 0..workers {
+            world.join(number, Vec::new());
+        }
+        world
+    }
+
+    pub(crate) fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        let wall = Wall(self.now.0);
+        self.planner
+            .step(self.now, wall, self.until, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send(link, Response::Orders(orders)) => self.keep(link, orders),
+                Action::Send(link, Response::Welcome { .. }) => self.welcomed.push(link),
+                Action::Send(..) => {}
+                Action::Persist(batch) => self.batches.push(batch),
+                Action::Decided(decision) => self.decisions.push(decision),
+            }
+        }
+    }
+
+    fn keep(&mut self, link: Link, orders: Orders) {
+        let kept = self.orders.entry(link).or_default();
+        kept.starts.extend(orders.starts);
+        kept.stops.extend(orders.stops);
+        kept.settled = kept.settled.max(orders.settled);
+        kept.lease = orders.lease.or(kept.lease);
+    }
+
+    /// Opens a session and reports an inventory and a need for a lease.
+    pub(crate) fn join(&mut self, number: u64, running: Vec<Running>) {
+        self.step(Event::Opened(Link(number), node(number)));
+        self.inventory(number, running, Vec::new());
+        self.commit();
+    }
+
+    pub(crate) fn inventory(&mut self, number: u64, running: Vec<Running>, ends: Vec<End>) {
+        let report = Report {
+            profile: Some(profile(number)),
+            inventory: Some(Inventory {
+                life: life(number),
+                running,
+            }),
+            ends,
+            renew: Some(1),
+            ..Report::default()
+        };
+        self.step(Event::Report(Link(number), Box::new(report)));
+    }
+
+    /// Makes every batch durable, also those that follow.
+    pub(crate) fn commit(&mut self) -> Vec<Batch> {
+        let mut all = Vec::new();
+        while let Some(batch) = self.batches.pop() {
+            self.step(Event::Persisted(batch.number));
+            all.push(batch);
+        }
+        all
+    }
+
+    /// Lets time pass, with heartbeats of the workers that are still there.
+    pub(crate) fn pass(&mut self, span: Millis, alive: &[u64]) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Millis(100).min(end.since(self.now));
+            for number in alive {
+                let report = Report {
+                    renew: Some(2),
+                    ..Report::default()
+                };
+                self.step(Event::Report(Link(*number), Box::new(report)));
+            }
+            self.step(Event::Tick);
+        }
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, job: Arc<job::Job>) {
+        self.step(Event::Submitted(Job(id), job));
+    }
+
+    /// Returns the starts that a worker has been ordered since the last call.
+    pub(crate) fn starts(&mut self, number: u64) -> Vec<Start> {
+        let orders = self.orders.entry(Link(number)).or_default();
+        std::mem::take(&mut orders.starts)
+    }
+
+    /// Returns all starts with the workers that they went to.
+    pub(crate) fn all_starts(&mut self) -> Vec<(u64, Start)> {
+        let links: Vec<Link> = self.orders.keys().copied().collect();
+        links
+            .into_iter()
+            .flat_map(|link| {
+                let starts = self.starts(link.0);
+                starts.into_iter().map(move |start| (link.0, start))
+            })
+            .collect()
+    }
+
+    pub(crate) fn stops(&mut self, number: u64) -> Vec<(Task, Run)> {
+        let orders = self.orders.entry(Link(number)).or_default();
+        std::mem::take(&mut orders.stops)
+    }
+
+    pub(crate) fn settled(&self, number: u64) -> Option<Sequence> {
+        self.orders.get(&Link(number))?.settled
+    }
+
+    pub(crate) fn started(&mut self, number: u64, start: &Start) {
+        let outcome = Outcome {
+            task: start.task,
+            run: start.run,
+            verdict: Verdict::Started,
+        };
+        let report = Report {
+            outcomes: vec![outcome],
+            ..Report::default()
+        };
+        self.step(Event::Report(Link(number), Box::new(report)));
+    }
+
+    pub(crate) fn end(&mut self, number: u64, sequence: u64, start: &Start, how: How) {
+        let report = Report {
+            ends: vec![end(sequence, start.task, start.run, how)],
+            ..Report::default()
+        };
+        self.step(Event::Report(Link(number), Box::new(report)));
+    }
+}
+
+pub(crate) fn end(sequence: u64, task: Task, run: Run, how: How) -> End {
+    End {
+        sequence: Sequence(sequence),
+        task,
+        run,
+        how,
+        saved: None,
+    }
+}
+
+pub(crate) fn running(task: Task, run: Run) -> Running {
+    Running {
+        task,
+        run,
+        saved: None,
+        percent: 0,
+        figure: 0,
+    }
+}
+
+pub(crate) fn task(job: u64, step: u16, index: u16) -> Task {
+    Task {
+        job: Job(job),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+/// Returns the newest progress of a job in a series of batches.
+pub(crate) fn progress(batches: &[Batch], id: u64) -> Option<Progress> {
+    batches
+        .iter()
+        .flat_map(|batch| &batch.writes)
+        .filter_map(|write| match write {
+            Write::Progress(job, progress) if *job == Job(id) => Some(progress.clone()),
+            _ => None,
+        })
+        .next_back()
+}
+
+pub(crate) fn expected(number: u64) -> Event {
+    Event::Expected(node(number), record::Worker { life: life(number) })
+}
