--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -34,7 +34,7 @@
 /// How long one watch of the leader's key waits.
 const WATCH_WAIT: Millis = Millis(10_000);
 /// How often the state machine looks at the time.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(30);
 /// A leader that says nothing for this long is taken as gone. Leases are
 /// renewed once a second, so it says something at least that often.
 const SILENCE: Duration = Duration::from_millis(1600);
--- a/crates/workload/src/agent.rs
+++ b/crates/workload/src/agent.rs
@@ -27,6 +27,9 @@
 /// How long one look at the worker waits for an end. The figures of services
 /// cover half a second.
 const LOOK_WAIT: Millis = Millis(500);
+/// How long the agent waits between looks while ends are listed that may not
+/// be forgotten yet.
+const PENDING_DELAY: Millis = Millis(30);
 /// How often the lease is renewed; several tries fit into it.
 const RENEW_INTERVAL: Millis = Millis(1000);
 /// A start is only sent while at least this much of the lease is left.
@@ -539,6 +542,10 @@
             }
             return;
         };
+        if let Some(session) = self.session.as_mut().filter(|_| !lists.ends.is_empty()) {
+            // While ends may not be forgotten yet, the worker does not wait.
+            session.look_at = now + PENDING_DELAY;
+        }
         if self.is_other_life(&lists) {
             return self.lose_session(now, true, actions);
         }
@@ -632,7 +639,12 @@
         let Some(session) = &self.session else {
             return;
         };
-        for change in self.pace.update(now, running, &self.roles) {
+        let before = self.pace.percent();
+        let changes = self.pace.update(now, running, &self.roles);
+        if self.pace.percent() != before {
+            self.report.pace = Some(self.pace.percent());
+        }
+        for change in changes {
             actions.push(Action::Call(Call::Pace {
                 fence: session.fence,
                 change,
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -87,6 +87,8 @@
     /// Serving tasks whose latency is over the target while all fillers beside
     /// them are held back.
     pub crowded: Vec<Task>,
+    /// The share that fillers are held to, in percent, if it has changed.
+    pub pace: Option<u8>,
     /// Asks for a lease; the number names the request.
     pub renew: Option<u64>,
 }
--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -84,11 +84,7 @@
             })
             .collect();
         self.adjust(now, pressure, !fillers.is_empty());
-        let percent = if self.level < FLOOR_PERCENT {
-            0
-        } else {
-            self.level.round() as u8
-        };
+        let percent = self.percent();
         let mut changes = Vec::new();
         let mut applied = BTreeMap::new();
         for row in fillers {
@@ -117,6 +113,15 @@
         self.applied.remove(&(task, run));
     }
 
+    /// Returns the share that fillers are held to, in percent.
+    pub fn percent(&self) -> u8 {
+        if self.level < FLOOR_PERCENT {
+            0
+        } else {
+            self.level.round() as u8
+        }
+    }
+
     /// Tells whether services have been over their targets for long although
     /// every filler is held back.
     pub fn is_crowded(&self, now: Instant) -> bool {
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -35,6 +35,9 @@
     pub(super) last_strike: Instant,
 }
 
+/// The part of its reserved cores that a service leaves unused on average; it
+/// reserves for its peak, and the platform's services run at half of that.
+const UNUSED_PART: f64 = 0.5;
 /// Strikes after which a worker gets one task at a time.
 const STRIKE_LIMIT: u32 = 3;
 /// How long strikes count without another one.
@@ -59,6 +62,8 @@
     /// When it leaves, if it has said so.
     pub(super) leaves_at: Option<Instant>,
     pub(super) standing: Standing,
+    /// The share that its fillers are held to, in percent.
+    pub(super) pace: u8,
     /// Serving tasks are too slow there although fillers are held back.
     pub(super) crowded_until: Instant,
     orders: Orders,
@@ -83,6 +88,7 @@
             heard: now,
             leaves_at: None,
             standing: Standing::default(),
+            pace: 100,
             crowded_until: Instant::default(),
             orders: Orders::default(),
             unsettled: VecDeque::new(),
@@ -108,6 +114,20 @@
         self.standing.strikes >= STRIKE_LIMIT && now < self.standing.last_strike + STRIKE_TIME
     }
 
+    /// Returns the cores that fillers can expect: those that nobody reserves
+    /// and those that services reserve and do not use, less what the fillers
+    /// that are there would take.
+    pub(super) fn idle_cores(&self) -> f64 {
+        let serving: u64 = self
+            .reservations
+            .values()
+            .filter(|reservation| reservation.serving)
+            .map(|reservation| reservation.room.cores.0)
+            .sum();
+        let unused = serving as f64 * UNUSED_PART;
+        self.free().cores.0 as f64 + unused - self.filling.0 as f64
+    }
+
     /// Returns the room that is left.
     pub(super) fn free(&self) -> Room {
         self.profile
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -24,8 +24,6 @@
 /// What another task of the same lasting step on the worker costs against free
 /// room, so that one loss takes few of them.
 const SPREAD_COST: f64 = 0.5;
-/// What a task that serves users costs a filler against free room.
-const SERVING_COST: f64 = 0.1;
 
 /// What a task asks of a worker.
 struct Ask<'a> {
@@ -218,12 +216,12 @@
             .is_some_and(|rack| profile.labels.contains(rack));
         let mut rating = if on_rack { RACK_WORTH } else { 0.0 };
         if ask.step.style.filler {
-            let left = free.cores.0 as f64 - worker.filling.0 as f64;
+            let left = worker.idle_cores();
             let need = ask.step.room.cores.0.max(1) as f64;
             if left < need * FILLER_PART || self.now < worker.crowded_until {
                 return None;
             }
-            rating += left / whole - SERVING_COST * worker.serving() as f64;
+            rating += left / whole * f64::from(worker.pace) / 100.0;
         } else {
             let left = (free.cores - ask.step.room.cores).0 as f64;
             rating += left / whole;
@@ -369,13 +367,3 @@
         free.fits(&need).then_some(victims)
     }
 }
-
-impl Worker {
-    /// Returns how many tasks there serve users.
-    fn serving(&self) -> usize {
-        self.reservations
-            .values()
-            .filter(|reservation| reservation.serving)
-            .count()
-    }
-}
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -51,6 +51,9 @@
         for task in report.crowded {
             self.crowded(&node, task, actions);
         }
+        if let (Some(pace), Some(worker)) = (report.pace, self.fleet.get_mut(&node)) {
+            worker.pace = pace;
+        }
         if let Some(request) = report.renew {
             self.renew(until, &node, request);
         }
