--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -114,6 +114,13 @@
         self.standing.strikes >= STRIKE_LIMIT && now < self.standing.last_strike + STRIKE_TIME
     }
 
+    /// Tells whether a task there serves users.
+    pub(super) fn serves(&self) -> bool {
+        self.reservations
+            .values()
+            .any(|reservation| reservation.serving)
+    }
+
     /// Returns the cores that fillers can expect: those that nobody reserves
     /// and those that services reserve and do not use, less what the fillers
     /// that are there would take.
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -22,8 +22,11 @@
 /// room: work takes half as long again elsewhere.
 const RACK_WORTH: f64 = 10.0;
 /// What another task of the same lasting step on the worker costs against free
-/// room, so that one loss takes few of them.
-const SPREAD_COST: f64 = 0.5;
+/// room, so that one loss does not take them all.
+const MATE_COST: f64 = 0.1;
+/// What it is worth to a filler to be on a worker without services, and to
+/// others to leave such a worker to fillers.
+const UNDISTURBED_WORTH: f64 = 1.0;
 
 /// What a task asks of a worker.
 struct Ask<'a> {
@@ -222,12 +225,21 @@
                 return None;
             }
             rating += left / whole * f64::from(worker.pace) / 100.0;
-        } else {
-            let left = (free.cores - ask.step.room.cores).0 as f64;
-            rating += left / whole;
+            if !worker.serves() {
+                rating += UNDISTURBED_WORTH;
+            }
+            return Some(rating);
         }
+        let left = (free.cores - ask.step.room.cores).0 as f64 / whole;
         if ask.step.style.lasting {
-            rating -= SPREAD_COST * mates as f64;
+            // Services are kept together, so that fillers find workers where
+            // they disturb nobody.
+            rating -= left + MATE_COST * mates as f64;
+        } else {
+            rating += left;
+        }
+        if worker.serves() {
+            rating += UNDISTURBED_WORTH;
         }
         Some(rating)
     }
