--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -7,7 +7,7 @@
         record::State,
         worker::{End, Profile, Running},
     },
-    filbertbend_state::unit::Millis,
+    filbertbend_state::unit::{Cores, Millis},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
 };
@@ -183,6 +183,8 @@
     pub latency_target: Option<Millis>,
     /// Whether it may be slowed down for the others.
     pub filler: bool,
+    /// The cores that it asks for.
+    pub cores: Cores,
 }
 
 impl Role {
@@ -192,6 +194,7 @@
             image: step.image.clone(),
             latency_target: step.latency_target,
             filler: step.style.filler,
+            cores: step.room.cores,
         }
     }
 }
