--- a/crates/workload/src/agent.rs
+++ b/crates/workload/src/agent.rs
@@ -336,6 +336,9 @@
             self.renewed = Some(now);
             self.renewals.push_back((self.renewal, now));
             self.report.renew = Some(self.renewal);
+            self.report.slacks = self.pace.slacks();
+            self.report.learned = self.pace.news();
+            self.report.starved = self.pace.starved(now);
         }
     }
 
@@ -380,6 +383,9 @@
                 }
             }
         }
+        for weight in &orders.learned {
+            self.pace.merge(weight);
+        }
         for (task, run, role) in orders.roles {
             self.roles.insert((task, run), role);
         }
@@ -639,24 +645,11 @@
         let Some(session) = &self.session else {
             return;
         };
-        let before = self.pace.percent();
-        let changes = self.pace.update(now, running, &self.roles);
-        if self.pace.percent() != before {
-            self.report.pace = Some(self.pace.percent());
-        }
-        for change in changes {
+        for change in self.pace.update(now, running, &self.roles) {
             actions.push(Action::Call(Call::Pace {
                 fence: session.fence,
                 change,
             }));
         }
-        if self.pace.is_crowded(now) {
-            let crowded = running.iter().find(|row| {
-                self.roles
-                    .get(&(row.task, row.run))
-                    .is_some_and(|role| role.latency_target.is_some())
-            });
-            self.report.crowded.extend(crowded.map(|row| row.task));
-        }
     }
 }
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod agent;
 pub mod catalog;
 pub mod id;
+pub mod interference;
 pub mod job;
 pub mod lead;
 pub mod message;
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         id::{Epoch, Fence, Job, Life, Node, Run, Sequence, Task},
+        interference::{Slack, Weight},
         job,
         record::State,
         worker::{End, Profile, Running},
@@ -84,11 +85,13 @@
     pub ends: Vec<End>,
     /// New checkpoints.
     pub saved: Vec<(Task, Run, Arc<str>)>,
-    /// Serving tasks whose latency is over the target while all fillers beside
-    /// them are held back.
-    pub crowded: Vec<Task>,
-    /// The share that fillers are held to, in percent, if it has changed.
-    pub pace: Option<u8>,
+    /// Fillers that have been held back entirely for long.
+    pub starved: Vec<Task>,
+    /// What has been learned about interference.
+    pub learned: Vec<Weight>,
+    /// What fillers may add, for each image of a service there; with every
+    /// request for a lease.
+    pub slacks: Vec<Slack>,
     /// Asks for a lease; the number names the request.
     pub renew: Option<u64>,
 }
@@ -148,6 +151,8 @@
     pub stops: Vec<(Task, Run)>,
     /// Ends up to this one are durable and may be forgotten.
     pub settled: Option<Sequence>,
+    /// What other agents have learned about interference.
+    pub learned: Vec<Weight>,
     /// The lease that was asked for: the request and the time from then on.
     pub lease: Option<(u64, Millis)>,
 }
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         id::{Fence, Job, Life, Link, Node, Run, Sequence, Task},
+        interference::{Model, Slack, Weight},
         message::{Orders, Role, Start},
         worker::Profile,
     },
@@ -24,6 +25,7 @@
     /// The cores that a filler would use if they were free.
     pub(super) filling: Cores,
     pub(super) serving: bool,
+    pub(super) image: Arc<str>,
     pub(super) priority: u8,
 }
 
@@ -38,6 +40,8 @@
 /// The part of its reserved cores that a service leaves unused on average; it
 /// reserves for its peak, and the platform's services run at half of that.
 const UNUSED_PART: f64 = 0.5;
+/// What fillers may add to a service whose latency is not known yet.
+const UNKNOWN_SLACK: f64 = 0.2;
 /// Strikes after which a worker gets one task at a time.
 const STRIKE_LIMIT: u32 = 3;
 /// How long strikes count without another one.
@@ -62,10 +66,8 @@
     /// When it leaves, if it has said so.
     pub(super) leaves_at: Option<Instant>,
     pub(super) standing: Standing,
-    /// The share that its fillers are held to, in percent.
-    pub(super) pace: u8,
-    /// Serving tasks are too slow there although fillers are held back.
-    pub(super) crowded_until: Instant,
+    /// What fillers may add, for each image of a service there.
+    pub(super) slacks: Vec<Slack>,
     orders: Orders,
     /// Ends that were taken in and are not durable yet.
     unsettled: VecDeque<(Sequence, Job, u64)>,
@@ -88,8 +90,7 @@
             heard: now,
             leaves_at: None,
             standing: Standing::default(),
-            pace: 100,
-            crowded_until: Instant::default(),
+            slacks: Vec::new(),
             orders: Orders::default(),
             unsettled: VecDeque::new(),
             seen: Sequence(0),
@@ -121,6 +122,34 @@
             .any(|reservation| reservation.serving)
     }
 
+    /// Returns the part of a filler that the services there leave room for,
+    /// above 1 if there is more, and infinity if there is no service.
+    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: f64) -> f64 {
+        let fillers: Vec<&Reservation> = self
+            .reservations
+            .values()
+            .filter(|reservation| reservation.filling > Cores::ZERO)
+            .collect();
+        let left = |service: &Arc<str>| {
+            let slack = self
+                .slacks
+                .iter()
+                .find(|slack| slack.service == *service)
+                .map_or(UNKNOWN_SLACK, |slack| f64::from(slack.value));
+            let taken: f64 = fillers
+                .iter()
+                .map(|other| model.cost(service, &other.image, cores_of(other.filling)))
+                .sum();
+            let cost = model.cost(service, image, cores);
+            (slack - taken) / cost.max(f64::EPSILON)
+        };
+        self.reservations
+            .values()
+            .filter(|reservation| reservation.serving)
+            .map(|reservation| left(&reservation.image))
+            .fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns the cores that fillers can expect: those that nobody reserves
     /// and those that services reserve and do not use, less what the fillers
     /// that are there would take.
@@ -169,6 +198,11 @@
         self.unsettled.push_back((sequence, job, version));
     }
 
+    /// Tells the agent what others have learned.
+    pub(super) fn teach(&mut self, weights: Vec<Weight>) {
+        self.orders.learned.extend(weights);
+    }
+
     /// Tells the agent about a run that it may not have started itself.
     pub(super) fn describe(&mut self, task: Task, run: Run, role: Role) {
         self.orders.roles.push((task, run, role));
@@ -376,6 +410,16 @@
         gone
     }
 
+    /// Tells all agents what has been learned.
+    pub(super) fn teach(&mut self, weights: &[Weight]) {
+        if weights.is_empty() {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            worker.teach(weights.to_vec());
+        }
+    }
+
     /// Lets agents forget the ends whose consequences are durable.
     pub(super) fn settle_ends(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
         for worker in self.workers.values_mut() {
@@ -409,6 +453,10 @@
     }
 }
 
+fn cores_of(cores: Cores) -> f64 {
+    cores.0 as f64 / 1000.0
+}
+
 /// Returns the rack and kind labels of a worker.
 pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
     profile.labels.contains(label)
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -23,6 +23,7 @@
     crate::{
         catalog::Catalog,
         id::{Epoch, Fence, Job, Link, Node, Run, Task},
+        interference::Model,
         job, lead,
         message::{Question, Reply, Report, Response},
         record::{self, Progress, State},
@@ -215,6 +216,7 @@
     catalog: Arc<Catalog>,
     ledger: Ledger,
     fleet: Fleet,
+    model: Model,
     persist: persist::Queue,
     sessions: u64,
     /// Sessions that agents asked for before everything had been read back.
@@ -249,6 +251,7 @@
             catalog: Arc::default(),
             ledger: Ledger::default(),
             fleet: Fleet::default(),
+            model: Model::default(),
             persist: persist::Queue::default(),
             sessions: 0,
             early: Vec::new(),
@@ -438,6 +441,7 @@
     }
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
+        self.fleet.teach(&self.model.news());
         for node in self.fleet.lapsed(self.now) {
             self.abandon(&node, Reason::LeasePassed, actions);
         }
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -18,14 +18,17 @@
 /// The part of its cores that a filler must find free to be placed. With less
 /// it would mostly hold memory and disturb others.
 const FILLER_PART: f64 = 0.5;
+/// The part of a filler that the services beside it must leave room for.
+const TOLERANCE_PART: f64 = 0.6;
+/// Tolerance above this is worth no more; a worker without services has it.
+const TOLERANCE_LIMIT: f64 = 4.0;
 /// What the rack of the data, or of the other tasks, is worth against free
 /// room: work takes half as long again elsewhere.
 const RACK_WORTH: f64 = 10.0;
 /// What another task of the same lasting step on the worker costs against free
 /// room, so that one loss does not take them all.
 const MATE_COST: f64 = 0.1;
-/// What it is worth to a filler to be on a worker without services, and to
-/// others to leave such a worker to fillers.
+/// What it is worth to leave a worker without services to fillers.
 const UNDISTURBED_WORTH: f64 = 1.0;
 
 /// What a task asks of a worker.
@@ -188,7 +191,7 @@
     }
 
     /// Returns the best worker for a task, if any has room.
-    fn choose(&self, task: Task) -> Option<Node> {
+    pub(super) fn choose(&self, task: Task) -> Option<Node> {
         let ask = self.ask(task)?;
         let best = |avoiding: bool| {
             self.fleet
@@ -221,14 +224,12 @@
         if ask.step.style.filler {
             let left = worker.idle_cores();
             let need = ask.step.room.cores.0.max(1) as f64;
-            if left < need * FILLER_PART || self.now < worker.crowded_until {
+            let image = ask.step.image.clone().unwrap_or_default();
+            let tolerance = worker.tolerance(&self.model, &image, need / 1000.0);
+            if left < need * FILLER_PART || tolerance < TOLERANCE_PART {
                 return None;
             }
-            rating += left / whole * f64::from(worker.pace) / 100.0;
-            if !worker.serves() {
-                rating += UNDISTURBED_WORTH;
-            }
-            return Some(rating);
+            return Some(rating + left / whole + tolerance.min(TOLERANCE_LIMIT));
         }
         let left = (free.cores - ask.step.room.cores).0 as f64 / whole;
         if ask.step.style.lasting {
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -16,8 +16,6 @@
 /// what they have done: a stop takes up to 200 ms on the platform, and its end
 /// has to be seen.
 const EVACUATION_TIME: Millis = Millis(1200);
-/// How long a worker whose services are crowded gets no more fillers.
-const CROWDED_TIME: Millis = Millis(4000);
 
 impl Planner {
     pub(super) fn report(
@@ -48,13 +46,16 @@
         for (task, run, saved) in report.saved {
             self.saved(task, run, saved);
         }
-        for task in report.crowded {
-            self.crowded(&node, task, actions);
+        for weight in &report.learned {
+            self.model.merge(weight);
         }
-        if let (Some(pace), Some(worker)) = (report.pace, self.fleet.get_mut(&node)) {
-            worker.pace = pace;
+        for task in report.starved {
+            self.starved(&node, task, actions);
         }
         if let Some(request) = report.renew {
+            if let Some(worker) = self.fleet.get_mut(&node) {
+                worker.slacks = report.slacks;
+            }
             self.renew(until, &node, request);
         }
     }
@@ -379,6 +380,7 @@
                 room: whole.map_or(Room::NONE, |profile| profile.room),
                 filling: Cores::ZERO,
                 serving: false,
+                image: Arc::default(),
                 priority: u8::MAX,
             }
         });
@@ -430,34 +432,27 @@
             room: step.reserved(),
             filling,
             serving: step.latency_target.is_some(),
+            image: step.image.clone().unwrap_or_default(),
             priority: terms(&self.catalog, &entry.job).priority,
         })
     }
 
-    /// Takes the largest filler away from a worker whose services are too slow
-    /// although all fillers there are held back.
-    fn crowded(&mut self, node: &Node, task: Task, actions: &mut Vec<Action>) {
-        let until = self.now + CROWDED_TIME;
-        let Some(worker) = self.fleet.get_mut(node) else {
+    /// Moves a filler that its agent holds back entirely, if another worker can
+    /// take it.
+    fn starved(&mut self, node: &Node, task: Task, actions: &mut Vec<Action>) {
+        let Some(entry) = self.ledger.task_mut(task) else {
             return;
         };
-        worker.crowded_until = until;
-        let fillers = worker
-            .reservations
-            .iter()
-            .filter(|(_, reservation)| reservation.filling > Cores::ZERO);
-        let largest = fillers
-            .max_by_key(|(_, reservation)| reservation.filling)
-            .map(|((task, run), _)| (*task, *run));
-        let Some((filler, run)) = largest.filter(|(filler, _)| *filler != task) else {
+        let Some(copy) = entry.copies.iter().find(|copy| copy.node == *node) else {
             return;
         };
-        let stopping = self
-            .ledger
-            .copy_mut(filler, run)
-            .is_none_or(|copy| copy.stopping);
-        if !stopping {
-            self.stop(filler, run, node, Reason::Crowding, actions);
+        let (run, stopping) = (copy.run, copy.stopping);
+        if stopping {
+            return;
+        }
+        entry.avoid = Some(node.clone());
+        if self.choose(task).is_some_and(|found| found != *node) {
+            self.stop(task, run, node, Reason::Crowding, actions);
         }
     }
 }
