--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -18,6 +18,8 @@
 const STEP_PERCENT: u8 = 8;
 /// Shares below this are not worth the disturbance, in percent.
 const LEAST_PERCENT: u8 = 5;
+/// What is left of the fillers' usage when a service is just over its target.
+const RELIEF_PART: f64 = 0.6;
 /// How long a filler may be held back entirely before it should go elsewhere.
 const STARVED_TIME: Millis = Millis(2000);
 
@@ -81,7 +83,7 @@
             self.read = Some(now);
             self.learn(running, roles, &fillers);
         }
-        let services = self.services(running, roles);
+        let services = self.services(running, roles, &fillers);
         let shares = self.plan(&services, &fillers);
         self.apply(now, &fillers, &shares)
     }
@@ -161,11 +163,21 @@
         &mut self,
         running: &[Running],
         roles: &BTreeMap<(Task, Run), Role>,
+        fillers: &[Filler],
     ) -> Vec<Service> {
         let services: Vec<Service> = serving(running, roles)
             .filter_map(|(row, image, target)| {
                 let level = self.levels.get(&(row.task, row.run))?;
-                let slack = self.model.planned(&image, target) - level;
+                let mut slack = self.model.planned(&image, target) - level;
+                if row.figure > target.0 {
+                    // Whatever the model says, what is there is too much.
+                    let added: f64 = fillers
+                        .iter()
+                        .map(|filler| self.model.cost(&image, &filler.image, filler.used))
+                        .sum();
+                    let over = row.figure as f64 / target.0.max(1) as f64;
+                    slack = slack.min(added * RELIEF_PART / over);
+                }
                 Some(Service { image, slack })
             })
             .collect();
