Make placements durable before they are ordered

Placements are now part of a job's progress, and a start is ordered once they are durable; only tasks on a worker that is missing wait for its lease.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -139,11 +139,9 @@
     let mut set = |key: Arc<str>, value: Vec<u8>| transaction.set.push((key, value, None));
     match write {
         Write::Progress(id, progress) => set(key::progress(*id), encode(progress)),
-        Write::Worker(node, worker) => set(key::worker(node), encode(worker)),
         Write::Forget(id) => {
             let keys = [key::job(*id), key::stop(*id), key::progress(*id)];
             transaction.remove.extend(keys);
         }
-        Write::Gone(node) => transaction.remove.push(key::worker(node)),
     }
 }
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -4,10 +4,7 @@
 //! [`INTAKE`], so that one watch tells it of new work and of a newer leader in
 //! the order in which they happened.
 
-use {
-    filbertbend_workload::id::{Job, Node},
-    std::sync::Arc,
-};
+use {filbertbend_workload::id::Job, std::sync::Arc};
 
 /// What a leader watches.
 pub const INTAKE: &str = "fb/in/";
@@ -19,8 +16,6 @@
 pub const LEADER: &str = "fb/leader";
 /// The progress of jobs.
 pub const PROGRESS: &str = "fb/run/";
-/// Workers that have been given orders.
-pub const WORKERS: &str = "fb/worker/";
 /// The keys of the links between the processes.
 pub const LINK_KEY: &str = "fb/link";
 
@@ -65,8 +60,3 @@
 pub fn progress(id: Job) -> Arc<str> {
     format!("{PROGRESS}{id}").into()
 }
-
-/// Returns the key of a worker.
-pub fn worker(node: &Node) -> Arc<str> {
-    format!("{WORKERS}{node}").into()
-}
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -16,7 +16,7 @@
         job, lead,
         message::{Question, Reply, Report, Response},
         planner::{Action, Batch, Decision, Event, Planner, Settings},
-        record::{self, Leader, Progress, Term},
+        record::{Leader, Progress, Term},
     },
     metrics::{counter, gauge},
     spdlog::prelude::*,
@@ -137,18 +137,15 @@
 struct Image {
     intake: Vec<Item>,
     progress: Vec<Item>,
-    workers: Vec<Item>,
     revision: Revision,
 }
 
 async fn read_back(store: &impl Store) -> Result<Image, Failure> {
     let (intake, revision) = store.list(key::INTAKE).await?;
     let (progress, _) = store.list(key::PROGRESS).await?;
-    let (workers, _) = store.list(key::WORKERS).await?;
     Ok(Image {
         intake,
         progress,
-        workers,
         revision,
     })
 }
@@ -347,16 +344,6 @@
     }
 
     fn load(&mut self, image: Image) {
-        for item in &image.workers {
-            let node = item
-                .key
-                .strip_prefix(key::WORKERS)
-                .map(|node| Node(node.into()));
-            match (node, postcard::from_bytes::<record::Worker>(&item.value)) {
-                (Some(node), Ok(worker)) => self.step(Event::Expected(node, worker)),
-                _ => warn!("worker record cannot be read", kv: { key: = &*item.key }),
-            }
-        }
         let mut progress: HashMap<Job, Progress> = HashMap::new();
         for item in &image.progress {
             let id = item
@@ -392,7 +379,7 @@
             self.step(Event::Cancelled(id));
         }
         self.step(Event::Loaded);
-        info!("state read back", kv: { epoch = self.epoch.0, items = jobs, workers = image.workers.len() });
+        info!("state read back", kv: { epoch = self.epoch.0, items = jobs });
     }
 
     /// Takes in what has changed; an answer of the watch that shows no other
@@ -611,6 +598,5 @@
         } => {
             info!("worker joined", kv: { node:, life:, fence = fence.0, adopted = *adopted });
         }
-        Decision::Settled { missing } => info!("settled", kv: { missing = *missing }),
     }
 }
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -42,6 +42,17 @@
 const UNUSED_PART: f64 = 0.5;
 /// What fillers may add to a service whose latency is not known yet.
 const UNKNOWN_SLACK: f64 = 0.2;
+/// What a stop comes to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stop {
+    /// The agent is told.
+    Ordered,
+    /// The agent is told already, or there is no such worker.
+    Repeated,
+    /// The start had not been ordered, so there is nothing to stop.
+    NeverOrdered,
+}
+
 /// Strikes after which a worker gets one task at a time.
 const STRIKE_LIMIT: u32 = 3;
 /// How long strikes count without another one.
@@ -55,8 +66,6 @@
     pub(super) profile: Option<Profile>,
     /// The life that the inventory of this session came from.
     pub(super) life: Option<Life>,
-    /// The life that is in the store.
-    pub(super) recorded: Option<Life>,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
     pub(super) used: Room,
     pub(super) filling: Cores,
@@ -69,6 +78,9 @@
     /// What fillers may add, for each image of a service there.
     pub(super) slacks: Vec<Slack>,
     orders: Orders,
+    /// Starts whose placement is not durable yet, with the job's version that
+    /// holds it.
+    held: Vec<(Start, u64)>,
     /// Ends that were taken in and are not durable yet.
     unsettled: VecDeque<(Sequence, Job, u64)>,
     seen: Sequence,
@@ -82,7 +94,6 @@
             fence: Fence::default(),
             profile: None,
             life: None,
-            recorded: None,
             reservations: BTreeMap::new(),
             used: Room::NONE,
             filling: Cores::ZERO,
@@ -92,6 +103,7 @@
             standing: Standing::default(),
             slacks: Vec::new(),
             orders: Orders::default(),
+            held: Vec::new(),
             unsettled: VecDeque::new(),
             seen: Sequence(0),
             settled: Sequence(0),
@@ -103,7 +115,6 @@
         self.link.is_some()
             && now < self.heard + silence
             && self.life.is_some()
-            && self.recorded == self.life
             && self.lease_until.is_some_and(|until| now < until)
             && self.profile.as_ref().is_some_and(|profile| {
                 !profile.draining && Some(&profile.life) == self.life.as_ref()
@@ -219,8 +230,6 @@
 pub(super) struct Fleet {
     workers: BTreeMap<Node, Worker>,
     links: HashMap<Link, Node>,
-    /// Workers that a former leader gave orders to and that have not reported.
-    expected: BTreeMap<Node, Life>,
 }
 
 impl Fleet {
@@ -249,11 +258,6 @@
             .count()
     }
 
-    /// Notes a worker that a former leader gave orders to.
-    pub(super) fn expect(&mut self, node: Node, life: Life) {
-        self.expected.insert(node, life);
-    }
-
     /// Lists workers that are about to leave.
     pub(super) fn leaving(&self) -> Vec<Node> {
         self.workers
@@ -263,11 +267,6 @@
             .collect()
     }
 
-    /// Returns how many expected workers have not reported.
-    pub(super) fn missing(&self) -> usize {
-        self.expected.len()
-    }
-
     /// Opens a session, which replaces an earlier one with the same agent.
     pub(super) fn open(&mut self, link: Link, node: Node, fence: Fence, now: Instant) {
         let worker = self
@@ -281,6 +280,7 @@
         worker.heard = now;
         worker.life = None;
         worker.orders = Orders::default();
+        worker.held.clear();
         worker.unsettled.clear();
         worker.seen = Sequence(0);
         worker.settled = Sequence(0);
@@ -303,31 +303,6 @@
         if let Some(worker) = self.workers.get_mut(node) {
             worker.life = Some(life.clone());
         }
-        if let Some(expected) = self.expected.remove(node) {
-            if expected == *life {
-                if let Some(worker) = self.workers.get_mut(node) {
-                    worker.recorded = Some(expected);
-                }
-            }
-        }
-    }
-
-    /// Lists the lives that are in use and not in the store.
-    pub(super) fn unrecorded(&self) -> Vec<(Node, Life)> {
-        self.workers
-            .iter()
-            .filter_map(|(node, worker)| {
-                let life = worker.life.as_ref()?;
-                (worker.recorded.as_ref() != Some(life)).then(|| (node.clone(), life.clone()))
-            })
-            .collect()
-    }
-
-    /// Notes that a life is in the store.
-    pub(super) fn recorded(&mut self, node: &Node, life: &Life) {
-        if let Some(worker) = self.workers.get_mut(node) {
-            worker.recorded = Some(life.clone());
-        }
     }
 
     /// Reserves room for a run that is already there.
@@ -337,25 +312,56 @@
         }
     }
 
-    /// Reserves room and orders a start.
-    pub(super) fn start(&mut self, node: &Node, start: Start, reservation: Reservation) {
+    /// Reserves room for a run and orders its start once `version` of its job
+    /// is durable.
+    pub(super) fn start(
+        &mut self,
+        node: &Node,
+        start: Start,
+        version: u64,
+        reservation: Reservation,
+    ) {
         if let Some(worker) = self.workers.get_mut(node) {
             worker.reserve(start.task, start.run, reservation);
-            worker.orders.starts.push(start);
+            worker.held.push((start, version));
         }
     }
 
+    /// Reserves room for a run that a former leader ordered on a worker that
+    /// may not have reported yet; it has certainly ended at `until`.
+    pub(super) fn presume(
+        &mut self,
+        now: Instant,
+        node: &Node,
+        (task, run): (Task, Run),
+        until: Instant,
+        reservation: Reservation,
+    ) {
+        let worker = self
+            .workers
+            .entry(node.clone())
+            .or_insert_with(|| Worker::new(now));
+        worker.lease_until = worker.lease_until.max(Some(until));
+        worker.reserve(task, run, reservation);
+    }
+
     /// Orders a stop; the room stays reserved until the end is reported.
-    /// Returns whether the order is new.
-    pub(super) fn stop(&mut self, node: &Node, task: Task, run: Run) -> bool {
+    pub(super) fn stop(&mut self, node: &Node, task: Task, run: Run) -> Stop {
         let Some(worker) = self.workers.get_mut(node) else {
-            return false;
+            return Stop::Repeated;
         };
         if worker.orders.stops.contains(&(task, run)) {
-            return false;
+            return Stop::Repeated;
+        }
+        let held = worker
+            .held
+            .extract_if(.., |(start, _)| (start.task, start.run) == (task, run));
+        if held.count() > 0 {
+            worker.release(task, run);
+            return Stop::NeverOrdered;
         }
         worker.orders.stops.push((task, run));
-        true
+        Stop::Ordered
     }
 
     /// Frees the room of a run that has ended.
@@ -372,6 +378,7 @@
         };
         worker.used = Room::NONE;
         worker.filling = Cores::ZERO;
+        worker.held.clear();
         worker.orders.starts.clear();
         worker.orders.stops.clear();
         std::mem::take(&mut worker.reservations)
@@ -392,22 +399,14 @@
     }
 
     /// Drops workers that have not been heard from for long and hold nothing.
-    pub(super) fn forget(&mut self, now: Instant, after: Millis) -> Vec<Node> {
-        let gone: Vec<Node> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.link.is_none()
-                    && worker.reservations.is_empty()
-                    && now >= worker.heard + after
-                    && worker.lease_until.is_none_or(|until| now >= until)
-            })
-            .map(|(node, _)| node.clone())
-            .collect();
-        for node in &gone {
-            self.workers.remove(node);
-        }
-        gone
+    pub(super) fn forget(&mut self, now: Instant, after: Millis) {
+        self.workers.retain(|_, worker| {
+            let gone = worker.link.is_none()
+                && worker.reservations.is_empty()
+                && now >= worker.heard + after
+                && worker.lease_until.is_none_or(|until| now >= until);
+            !gone
+        });
     }
 
     /// Tells all agents what has been learned.
@@ -420,9 +419,14 @@
         }
     }
 
-    /// Lets agents forget the ends whose consequences are durable.
-    pub(super) fn settle_ends(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
+    /// Orders the starts whose placement is durable, and lets agents forget the
+    /// ends whose consequences are.
+    pub(super) fn settle(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
         for worker in self.workers.values_mut() {
+            let ready = worker
+                .held
+                .extract_if(.., |(start, version)| is_durable(start.task.job, *version));
+            worker.orders.starts.extend(ready.map(|(start, _)| start));
             let mut settled = None;
             while let Some((sequence, job, version)) = worker.unsettled.front() {
                 if !is_durable(*job, *version) {
--- a/crates/workload/src/planner/ledger.rs
+++ b/crates/workload/src/planner/ledger.rs
@@ -68,8 +68,6 @@
     pub(super) state: State,
     /// The state that callers are told.
     pub(super) shown: State,
-    /// Whether a former leader may have started tasks that are not known here.
-    pub(super) inherited: bool,
     /// Counts changes that must be durable.
     pub(super) version: u64,
     /// The newest version that is durable.
@@ -120,12 +118,11 @@
 }
 
 impl JobEntry {
-    fn new(job: Arc<job::Job>, inherited: bool) -> Self {
+    fn new(job: Arc<job::Job>) -> Self {
         Self {
             job,
             state: State::Queued,
             shown: State::Queued,
-            inherited,
             version: 0,
             committed: 0,
             ended_at: None,
@@ -164,6 +161,16 @@
                     task.failed_run = mark.failed_run;
                     task.run = mark.failed_run;
                     task.saved.clone_from(&mark.saved);
+                    for (node, run) in &mark.runs {
+                        task.run = task.run.max(*run);
+                        task.copies.push(Copy {
+                            node: node.clone(),
+                            run: *run,
+                            since: now,
+                            started: true,
+                            stopping: false,
+                        });
+                    }
                 }
             }
             self.next = self.next.max(saved.number + 1);
@@ -321,13 +328,18 @@
         for (index, task) in entry.tasks.iter().enumerate() {
             if task.done {
                 bits[index / 64] |= 1 << (index % 64);
-            } else if task.failures > 0 || task.saved.is_some() {
+            } else if task.failures > 0 || task.saved.is_some() || !task.copies.is_empty() {
                 marks.push(Mark {
                     step: step as u16,
                     index: index as u16,
                     failures: task.failures,
                     failed_run: task.failed_run,
                     saved: task.saved.clone(),
+                    runs: task
+                        .copies
+                        .iter()
+                        .map(|copy| (copy.node.clone(), copy.run))
+                        .collect(),
                 });
             }
         }
@@ -348,11 +360,11 @@
 
 impl Ledger {
     /// Adds a job; returns whether it is new.
-    pub(super) fn insert(&mut self, id: Job, job: Arc<job::Job>, inherited: bool) -> bool {
+    pub(super) fn insert(&mut self, id: Job, job: Arc<job::Job>) -> bool {
         if self.jobs.contains_key(&id) {
             return false;
         }
-        self.jobs.insert(id, JobEntry::new(job, inherited));
+        self.jobs.insert(id, JobEntry::new(job));
         true
     }
 
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -9,9 +9,10 @@
 //!
 //! A task is started again only when its former run has certainly ended: the
 //! worker listed its end, began another life, certified that the start will
-//! never take effect, or its lease, as counted here, has passed. After a change
-//! of leader, tasks of jobs that the former leader may have started wait until
-//! every worker has reported or the former leader's last lease has passed.
+//! never take effect, or its lease, as counted here, has passed. A placement is
+//! durable before it is ordered. A new leader therefore knows which worker may
+//! run a task, and starts it elsewhere once that worker has reported otherwise
+//! or the last lease that a former leader can have granted has passed.
 
 mod fleet;
 mod ledger;
@@ -26,14 +27,14 @@
         interference::Model,
         job, lead,
         message::{Question, Reply, Report, Response},
-        record::{self, Progress, State},
+        record::{Progress, State},
         worker::How,
     },
     filbertbend_state::{
         time::{Instant, Wall},
         unit::Millis,
     },
-    fleet::Fleet,
+    fleet::{Fleet, Stop},
     ledger::Ledger,
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -73,8 +74,6 @@
     Configured(Arc<Catalog>),
     /// A job was read back from the store when the term began.
     Recovered(Job, Arc<job::Job>, Progress),
-    /// A worker was read back from the store when the term began.
-    Expected(Node, record::Worker),
     /// Everything has been read back.
     Loaded,
     /// A job was accepted during the term.
@@ -175,11 +174,6 @@
         /// How many runs were adopted.
         adopted: usize,
     },
-    /// Tasks that a former leader may have started are started from now on.
-    Settled {
-        /// How many expected workers have not reported.
-        missing: usize,
-    },
 }
 
 /// Why a run is stopped or given up.
@@ -222,9 +216,6 @@
     /// Sessions that agents asked for before everything had been read back.
     early: Vec<(Link, Node)>,
     loaded: bool,
-    /// Whether every run of a former leader is known or has certainly ended.
-    settled: bool,
-    settle_by: Instant,
     /// Steps with tasks that may be started, in order of urgency.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -244,7 +235,6 @@
 impl Planner {
     /// Makes the planner of a term that began at `now`.
     pub fn new(settings: Settings, epoch: Epoch, now: Instant) -> Self {
-        let settle_by = now + lead::HORIZON + settings.lease_bound();
         Self {
             settings,
             epoch,
@@ -256,8 +246,6 @@
             sessions: 0,
             early: Vec::new(),
             loaded: false,
-            settled: false,
-            settle_by,
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -279,7 +267,6 @@
         match event {
             Event::Configured(catalog) => self.configure(catalog, actions),
             Event::Recovered(id, job, progress) => self.recover(id, job, progress),
-            Event::Expected(node, worker) => self.fleet.expect(node, worker.life),
             Event::Loaded => self.load(actions),
             Event::Submitted(id, job) => self.submit(id, job, actions),
             Event::Cancelled(id) => self.cancel(id, actions),
@@ -294,7 +281,6 @@
             Event::Tick => self.tick(actions),
         }
         if self.loaded && now < until {
-            self.settle(actions);
             self.place(actions);
         }
         self.flush(actions);
@@ -336,18 +322,28 @@
     }
 
     fn submit(&mut self, id: Job, job: Arc<job::Job>, actions: &mut Vec<Action>) {
-        if self.ledger.insert(id, job, false) {
+        if self.ledger.insert(id, job) {
             self.refresh(id, actions);
         }
     }
 
     fn recover(&mut self, id: Job, job: Arc<job::Job>, progress: Progress) {
-        if self.ledger.insert(id, job, true) {
-            if let Some(entry) = self.ledger.get_mut(id) {
-                entry.restore(self.now, &progress);
+        if !self.ledger.insert(id, job) {
+            return;
+        }
+        let Some(entry) = self.ledger.get_mut(id) else {
+            return;
+        };
+        entry.restore(self.now, &progress);
+        let until = self.now + lead::HORIZON + self.settings.lease_bound();
+        for (task, copy) in entry.copies(id) {
+            if let Some(reservation) = self.reservation(task) {
+                let run = (task, copy.run);
+                self.fleet
+                    .presume(self.now, &copy.node, run, until, reservation);
             }
-            self.refresh(id, &mut Vec::new());
         }
+        self.refresh(id, &mut Vec::new());
     }
 
     fn cancel(&mut self, id: Job, actions: &mut Vec<Action>) {
@@ -388,17 +384,21 @@
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
-        if self.fleet.stop(node, task, run) {
-            if let Some(copy) = self.ledger.copy_mut(task, run) {
-                copy.stopping = true;
+        match self.fleet.stop(node, task, run) {
+            Stop::Repeated => return,
+            Stop::Ordered => {
+                if let Some(copy) = self.ledger.copy_mut(task, run) {
+                    copy.stopping = true;
+                }
             }
-            actions.push(Action::Decided(Decision::Stopped {
-                task,
-                run,
-                node: node.clone(),
-                reason,
-            }));
+            Stop::NeverOrdered => self.ledger.drop_copy(task, run, self.now),
         }
+        actions.push(Action::Decided(Decision::Stopped {
+            task,
+            run,
+            node: node.clone(),
+            reason,
+        }));
     }
 
     /// Brings the list of ready steps up to date with a job.
@@ -428,18 +428,6 @@
         }
     }
 
-    /// Ends the wait for runs of a former leader once nothing can be left.
-    fn settle(&mut self, actions: &mut Vec<Action>) {
-        if self.settled {
-            return;
-        }
-        let missing = self.fleet.missing();
-        if missing == 0 || self.now >= self.settle_by {
-            self.settled = true;
-            actions.push(Action::Decided(Decision::Settled { missing }));
-        }
-    }
-
     fn tick(&mut self, actions: &mut Vec<Action>) {
         self.fleet.teach(&self.model.news());
         for node in self.fleet.lapsed(self.now) {
@@ -448,14 +436,13 @@
         for node in self.fleet.leaving() {
             self.evacuate(&node, actions);
         }
-        let forgotten = self.fleet.forget(self.now, self.settings.forget);
-        self.persist.remove_workers(forgotten);
+        self.fleet.forget(self.now, self.settings.forget);
         for id in self.ledger.timed() {
             self.refresh(id, actions);
         }
         for id in self.ledger.expired(self.now, self.settings.keep) {
             self.ledger.remove(id);
-            self.persist.remove_job(id);
+            self.persist.remove_job(self.now, id);
         }
     }
 
@@ -509,8 +496,11 @@
 
     /// Sends the orders that have gathered, and starts the next batch.
     fn flush(&mut self, actions: &mut Vec<Action>) {
+        if let Some(batch) = self.persist.next(self.now, &self.ledger) {
+            actions.push(Action::Persist(batch));
+        }
         let ledger = &self.ledger;
-        self.fleet.settle_ends(|id, version| {
+        self.fleet.settle(|id, version| {
             ledger
                 .get(id)
                 .is_none_or(|entry| entry.committed >= version)
@@ -518,9 +508,6 @@
         for (link, orders) in self.fleet.take_orders() {
             actions.push(Action::Send(link, Response::Orders(orders)));
         }
-        if let Some(batch) = self.persist.next(self.now, &self.ledger, &self.fleet) {
-            actions.push(Action::Persist(batch));
-        }
     }
 
     fn persisted(&mut self, number: u64) {
@@ -535,9 +522,6 @@
                 }
             }
         }
-        for (node, life) in &flight.workers {
-            self.fleet.recorded(node, life);
-        }
     }
 }
 
--- a/crates/workload/src/planner/persist.rs
+++ b/crates/workload/src/planner/persist.rs
@@ -1,11 +1,8 @@
 //! Which changes are made durable together, and when.
 
 use {
-    super::{fleet::Fleet, ledger::Ledger},
-    crate::{
-        id::{Job, Life, Node},
-        record::{self, Progress},
-    },
+    super::ledger::Ledger,
+    crate::{id::Job, record::Progress},
     filbertbend_state::{time::Instant, unit::Millis},
     std::collections::BTreeSet,
 };
@@ -26,10 +23,6 @@
     Progress(Job, Progress),
     /// A job and its progress are no longer needed.
     Forget(Job),
-    /// A worker is given orders from now on.
-    Worker(Node, record::Worker),
-    /// A worker holds nothing and is not expected back.
-    Gone(Node),
 }
 
 /// Changes that become durable together.
@@ -46,7 +39,6 @@
 pub(super) struct Flight {
     number: u64,
     pub(super) jobs: Vec<(Job, u64)>,
-    pub(super) workers: Vec<(Node, Life)>,
 }
 
 /// What is to be written.
@@ -56,7 +48,6 @@
     urgent: bool,
     since: Option<Instant>,
     forgotten: BTreeSet<Job>,
-    gone: Vec<Node>,
     flight: Option<Flight>,
     number: u64,
 }
@@ -80,31 +71,22 @@
     }
 
     /// Removes a job for good.
-    pub(super) fn remove_job(&mut self, job: Job) {
+    pub(super) fn remove_job(&mut self, now: Instant, job: Job) {
+        self.since.get_or_insert(now);
         self.dirty.remove(&job);
         self.forgotten.insert(job);
     }
 
-    /// Removes workers for good.
-    pub(super) fn remove_workers(&mut self, nodes: Vec<Node>) {
-        self.gone.extend(nodes);
-    }
-
     /// Starts the next batch, if one is due and none is being written.
-    pub(super) fn next(&mut self, now: Instant, ledger: &Ledger, fleet: &Fleet) -> Option<Batch> {
+    pub(super) fn next(&mut self, now: Instant, ledger: &Ledger) -> Option<Batch> {
         if self.flight.is_some() {
             return None;
         }
-        let mut workers = fleet.unrecorded();
-        workers.truncate(BATCH_LIMIT);
         let gathered = self.since.is_some_and(|since| now >= since + GATHER_TIME);
-        if !self.urgent && !gathered && workers.is_empty() {
+        if !self.urgent && !gathered {
             return None;
         }
-        let mut writes: Vec<Write> = workers
-            .iter()
-            .map(|(node, life)| Write::Worker(node.clone(), record::Worker { life: life.clone() }))
-            .collect();
+        let mut writes = Vec::new();
         let mut jobs = Vec::new();
         while writes.len() < BATCH_LIMIT {
             let Some(id) = self.dirty.pop_first() else {
@@ -123,12 +105,7 @@
             writes.push(Write::Forget(id));
             left -= FORGET_KEYS;
         }
-        while left > 0 {
-            let Some(node) = self.gone.pop() else { break };
-            writes.push(Write::Gone(node));
-            left -= 1;
-        }
-        if self.dirty.is_empty() {
+        if self.dirty.is_empty() && self.forgotten.is_empty() {
             self.urgent = false;
             self.since = None;
         }
@@ -139,7 +116,6 @@
         self.flight = Some(Flight {
             number: self.number,
             jobs,
-            workers,
         });
         Some(Batch {
             number: self.number,
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -51,9 +51,6 @@
                 self.ready.remove(&rank);
                 continue;
             };
-            if entry.inherited && !self.settled {
-                continue;
-            }
             let gang = entry.step(rank.step).is_some_and(|step| step.style.gang);
             if gang {
                 self.place_gang(rank, actions);
@@ -297,7 +294,10 @@
             stopping: false,
         });
         let saved = found.saved.clone();
-        let waited = now.since(found.ready_since.unwrap_or(now));
+        let ready_since = found.ready_since;
+        entry.version += 1;
+        let version = entry.version;
+        let waited = now.since(ready_since.unwrap_or(now));
         actions.push(Action::Decided(Decision::Placed {
             task,
             run,
@@ -312,7 +312,8 @@
             saved,
             role,
         };
-        self.fleet.start(node, start, reservation);
+        self.fleet.start(node, start, version, reservation);
+        self.persist.touch(now, task.job, true);
     }
 
     /// Stops less urgent tasks on one worker so that a task of `rank` fits, if
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -326,7 +326,7 @@
         let Some(worker) = self.fleet.get_mut(node) else {
             return;
         };
-        worker.lease_until = worker.lease_until.max(Some(bound));
+        worker.lease_until = Some(bound);
         let fence = worker.fence;
         let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
         let mut adopted = 0;
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -1,7 +1,7 @@
 //! What must survive the loss of every process, as it is kept in the store.
 
 use {
-    crate::id::{Epoch, Life, Run},
+    crate::id::{Epoch, Node, Run},
     filbertbend_state::time::Wall,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
@@ -69,6 +69,9 @@
     pub failed_run: Run,
     /// The newest checkpoint.
     pub saved: Option<Arc<str>>,
+    /// Where it has been ordered to run and has not certainly ended. This is
+    /// durable before an order is given, so a new leader knows what may run.
+    pub runs: Vec<(Node, Run)>,
 }
 
 /// The entry that leads, as every process finds it in the store.
@@ -93,11 +96,3 @@
     /// Who wrote it.
     pub node: Arc<str>,
 }
-
-/// A worker that may run tasks. It is written before the first order to a life
-/// of a worker, so that a new leader knows whom it must hear from.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Worker {
-    /// The life that orders were given to.
-    pub life: Life,
-}
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -12,7 +12,7 @@
         worker::How,
     },
     std::sync::Arc,
-    support::{catalog, end, expected, job, node, progress, running, step, task, World},
+    support::{catalog, end, job, node, placed, progress, running, step, task, World},
 };
 
 /// Guards against ends that are taken for those of unknown jobs, and runs that
@@ -22,7 +22,6 @@
 fn agents_wait_until_a_new_leader_has_read_everything_back() {
     let mut world = World::new(2);
     world.step(Event::Configured(Arc::new(catalog(0, 2))));
-    world.step(expected(0));
 
     world.step(Event::Opened(Link(0), node(0)));
     assert!(
@@ -75,9 +74,9 @@
     world.end(0, 1, &first[0], How::Done);
     assert!(world.starts(0).is_empty());
     world.end(0, 2, &first[1], How::Done);
+    world.commit();
     let second = world.starts(0);
     assert_eq!(second.len(), 1);
-    world.commit();
     world.end(0, 3, &second[0], How::Done);
 
     let question = Question::State(Job(1));
@@ -106,36 +105,70 @@
     world.pass(Millis(5900), &[other]);
     assert!(world.all_starts().is_empty());
     world.pass(Millis(700), &[other]);
+    world.commit();
 
     let (found, again) = world.all_starts().remove(0);
     assert_eq!(found, other);
     assert!(again.run > start.run);
 }
 
-/// Guards against tasks that a former leader may have started on a worker that
-/// has not reported to the new one yet.
+/// Guards against an order whose placement a later leader would not know of.
+#[test]
+fn placements_are_durable_before_they_are_ordered() {
+    let mut world = World::with_workers(1);
+
+    world.step(Event::Submitted(Job(1), job(vec![step(1)])));
+    assert!(world.starts(0).is_empty());
+    let batches = world.commit();
+
+    let start = world.starts(0).remove(0);
+    let durable = progress(&batches, 1).expect("the placement is durable");
+    let runs = &durable.occurrences[0].marks[0].runs;
+    assert_eq!(*runs, [(node(0), start.run)]);
+}
+
+/// Guards against a task that runs twice because a former leader started it on
+/// a worker that has not reported to the new one, and against other tasks that
+/// wait for that worker.
 #[test]
-fn inherited_tasks_wait_for_every_expected_worker() {
+fn only_tasks_placed_on_a_missing_worker_wait_for_it() {
     let mut world = World::new(2);
     world.step(Event::Configured(Arc::new(catalog(0, 2))));
-    world.step(expected(0));
-    world.step(expected(1));
-    world.step(Event::Recovered(
-        Job(1),
-        job(vec![step(1)]),
-        Progress::default(),
-    ));
+    let one = || job(vec![step(1)]);
+    world.step(Event::Recovered(Job(1), one(), placed(1, Run(1))));
+    world.step(Event::Recovered(Job(2), one(), Progress::default()));
     world.step(Event::Loaded);
 
     world.join(0, Vec::new());
+    world.commit();
+    let starts = world.starts(0);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].task, task(2, 0, 0));
+    world.pass(Millis(14_000), &[0]);
+    world.commit();
+    assert!(world.starts(0).is_empty(), "its lease may not have passed");
     world.pass(Millis(1000), &[0]);
-    assert!(world.all_starts().is_empty());
-    world.submit(2, job(vec![step(1)]));
-    assert_eq!(world.all_starts().len(), 1, "a new job need not wait");
-    world.join(1, vec![running(task(1, 0, 0), Run(1))]);
-    world.pass(Millis(1000), &[0, 1]);
+    world.commit();
 
-    assert!(world.all_starts().is_empty(), "the task runs already");
+    assert_eq!(world.starts(0)[0].task, task(1, 0, 0));
+}
+
+/// Guards against a run that a new leader does not take over although its
+/// worker reports it.
+#[test]
+fn runs_of_a_former_leader_go_on() {
+    let mut world = World::new(2);
+    world.step(Event::Configured(Arc::new(catalog(0, 2))));
+    let one = job(vec![step(1)]);
+    world.step(Event::Recovered(Job(1), one, placed(0, Run(1))));
+    world.step(Event::Loaded);
+
+    world.join(0, vec![running(task(1, 0, 0), Run(1))]);
+    world.pass(Millis(20_000), &[0]);
+    world.commit();
+
+    assert!(world.starts(0).is_empty());
+    assert!(world.stops(0).is_empty());
 }
 
 /// Guards against a failure that counts twice because its end was listed again
@@ -151,7 +184,6 @@
 
     let mut next = World::new(2);
     next.step(Event::Configured(Arc::new(catalog(0, 2))));
-    next.step(expected(0));
     next.step(Event::Recovered(Job(1), job(vec![step(1)]), durable));
     next.step(Event::Loaded);
     next.step(Event::Opened(Link(0), node(0)));
@@ -162,6 +194,7 @@
     );
     next.commit();
     next.pass(Millis(300), &[0]);
+    next.commit();
 
     assert_eq!(next.starts(0).len(), 1, "one attempt is left");
 }
@@ -198,6 +231,7 @@
     world.step(Event::Cancelled(Job(1)));
     assert!(world.starts(0).is_empty());
     world.end(0, 1, &starts[0], How::Stopped);
+    world.commit();
 
     assert_eq!(world.starts(0).len(), 1);
 }
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -12,7 +12,7 @@
         job::{self, Step, Terms},
         message::{Inventory, Orders, Outcome, Report, Response, Start, Verdict},
         planner::{Action, Batch, Decision, Event, Planner, Settings, Write},
-        record::{self, Progress},
+        record::{Mark, Occurrence, Progress, State},
         worker::{End, How, Profile, Running},
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -215,6 +215,7 @@
 
     pub(crate) fn submit(&mut self, id: u64, job: Arc<job::Job>) {
         self.step(Event::Submitted(Job(id), job));
+        self.commit();
     }
 
     /// Returns the starts that a worker has been ordered since the last call.
@@ -295,6 +296,24 @@
     }
 }
 
+/// Returns the progress of a job of one task that runs on a worker.
+pub(crate) fn placed(number: u64, run: Run) -> Progress {
+    let mark = Mark {
+        runs: vec![(node(number), run)],
+        ..Mark::default()
+    };
+    let occurrence = Occurrence {
+        marks: vec![mark],
+        done: vec![vec![0]],
+        ..Occurrence::default()
+    };
+    Progress {
+        state: State::Running,
+        occurrences: vec![occurrence],
+        ..Progress::default()
+    }
+}
+
 /// Returns the newest progress of a job in a series of batches.
 pub(crate) fn progress(batches: &[Batch], id: u64) -> Option<Progress> {
     batches
@@ -306,7 +325,3 @@
         })
         .next_back()
 }
-
-pub(crate) fn expected(number: u64) -> Event {
-    Event::Expected(node(number), record::Worker { life: life(number) })
-}
