Look for places only after changes, and keep jobs going

It now looks after changes only, at most every 15 ms, and passes over steps that ask for as much as one that found nothing. After a change of leader, the worker that reported first got everything; placing waits for 250 ms.

--- a/crates/workload/src/planner/ledger.rs
+++ b/crates/workload/src/planner/ledger.rs
@@ -274,6 +274,15 @@
         found
     }
 
+    /// Tells whether nothing of the job runs.
+    pub(super) fn is_idle(&self) -> bool {
+        self.occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps)
+            .flat_map(|step| &step.tasks)
+            .all(|task| task.copies.is_empty())
+    }
+
     /// Returns a step's description.
     pub(super) fn step(&self, step: u16) -> Option<&Step> {
         self.job.steps.get(usize::from(step))
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -47,6 +47,11 @@
 /// What is added to a lease for delays between reading a clock and using it.
 const LEASE_SLACK: Millis = Millis(200);
 
+/// The least time between two looks for places.
+const PLACE_INTERVAL: Millis = Millis(15);
+/// How long a new leader waits for workers to report before it places anything.
+const JOIN_TIME: Millis = Millis(250);
+
 /// Times and limits of a [`Planner`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -216,6 +221,10 @@
     /// Sessions that agents asked for before everything had been read back.
     early: Vec<(Link, Node)>,
     loaded: bool,
+    /// Whether anything has happened that may let a step be placed.
+    changed: bool,
+    placed: Instant,
+    place_from: Instant,
     /// Steps with tasks that may be started, in order of urgency.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -246,6 +255,9 @@
             sessions: 0,
             early: Vec::new(),
             loaded: false,
+            changed: false,
+            placed: Instant::default(),
+            place_from: Instant::default(),
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -268,7 +280,10 @@
             Event::Configured(catalog) => self.configure(catalog, actions),
             Event::Recovered(id, job, progress) => self.recover(id, job, progress),
             Event::Loaded => self.load(actions),
-            Event::Submitted(id, job) => self.submit(id, job, actions),
+            Event::Submitted(id, job) => {
+                self.changed = true;
+                self.submit(id, job, actions);
+            }
             Event::Cancelled(id) => self.cancel(id, actions),
             Event::Opened(link, node) => self.open(link, node, actions),
             Event::Report(link, report) => self.report(until, link, *report, actions),
@@ -278,14 +293,32 @@
             }
             Event::Persisted(number) => self.persisted(number),
             Event::Leave => self.persist.hurry(),
-            Event::Tick => self.tick(actions),
+            Event::Tick => {
+                // Steps that have waited for long are placed less choosily.
+                self.changed = true;
+                self.tick(actions);
+            }
         }
-        if self.loaded && now < until {
+        if self.may_place(until) {
+            self.changed = false;
+            self.placed = now;
             self.place(actions);
         }
         self.flush(actions);
     }
 
+    /// Tells whether it is worth looking for places. Each look costs time for
+    /// every step that waits, so changes are gathered for a moment; and right
+    /// after a change of leader the workers that report first would get
+    /// everything.
+    fn may_place(&self, until: Instant) -> bool {
+        self.loaded
+            && self.changed
+            && self.now < until
+            && self.now >= self.placed + PLACE_INTERVAL
+            && self.now >= self.place_from
+    }
+
     /// Tells whether everything that has happened is durable.
     pub fn is_durable(&self) -> bool {
         self.persist.is_idle()
@@ -468,6 +501,9 @@
     /// Begins to decide, once everything has been read back.
     fn load(&mut self, actions: &mut Vec<Action>) {
         self.loaded = true;
+        if self.ledger.live() > 0 {
+            self.place_from = self.now + JOIN_TIME;
+        }
         for (link, node) in std::mem::take(&mut self.early) {
             self.open(link, node, actions);
         }
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -11,13 +11,16 @@
         job::Step,
         message::{Role, Start},
     },
-    filbertbend_state::room::Room,
-    std::collections::BTreeMap,
+    filbertbend_state::{room::Room, unit::Millis},
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// The part of its cores that a filler must find free to be placed. With less
 /// it would mostly hold memory and disturb others.
 const FILLER_PART: f64 = 0.5;
+/// How long a filler waits for a good place while nothing of its job runs. The
+/// platform's rules allow 3 s.
+const PATIENCE: Millis = Millis(1500);
 /// The part of a filler that the services beside it must leave room for.
 const TOLERANCE_PART: f64 = 0.6;
 /// Tolerance above this is worth no more; a worker without services has it.
@@ -31,6 +34,12 @@
 /// What it is worth to leave a worker without services to fillers.
 const UNDISTURBED_WORTH: f64 = 1.0;
 
+/// What found no worker in one look for places.
+#[derive(Default)]
+struct Unmet {
+    asks: Vec<(Arc<str>, Option<Arc<str>>, Room)>,
+}
+
 /// What a task asks of a worker.
 struct Ask<'a> {
     step: &'a Step,
@@ -38,14 +47,18 @@
     /// How many tasks of the step run on each worker.
     mates: BTreeMap<Node, usize>,
     /// The rack of the step's other tasks, where they should be together.
-    rack: Option<std::sync::Arc<str>>,
+    rack: Option<Arc<str>>,
     avoid: Option<Node>,
+    /// Whether nothing of the job runs and it has waited for long, so that a
+    /// bad place is better than none.
+    urgent: bool,
 }
 
 impl Planner {
     /// Places what can be placed, most urgent first.
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        let mut unmet = Unmet::default();
         for rank in ranks {
             let Some(entry) = self.ledger.get(rank.job) else {
                 self.ready.remove(&rank);
@@ -55,7 +68,7 @@
             if gang {
                 self.place_gang(rank, actions);
             } else {
-                self.place_step(rank, actions);
+                self.place_step(rank, &mut unmet, actions);
             }
         }
     }
@@ -83,12 +96,19 @@
             .unwrap_or_default()
     }
 
-    fn place_step(&mut self, rank: Rank, actions: &mut Vec<Action>) {
+    fn place_step(&mut self, rank: Rank, unmet: &mut Unmet, actions: &mut Vec<Action>) {
         let tasks = self.startable(rank);
         let total = tasks.len();
         let mut placed = 0;
+        if tasks
+            .first()
+            .is_some_and(|task| self.is_unmet(*task, unmet))
+        {
+            return;
+        }
         for task in tasks {
             let Some(node) = self.choose(task) else {
+                self.note_unmet(task, unmet);
                 break;
             };
             self.start(task, &node, None, actions);
@@ -101,6 +121,31 @@
         }
     }
 
+    /// Tells whether a task asks for as much as another one that found no
+    /// worker just now.
+    fn is_unmet(&self, task: Task, unmet: &Unmet) -> bool {
+        self.ask(task).is_some_and(|ask| {
+            !ask.urgent
+                && unmet.asks.iter().any(|(pool, image, room)| {
+                    **pool == *ask.pool
+                        && *image == ask.step.image
+                        && ask.step.room.cores >= room.cores
+                        && ask.step.room.memory >= room.memory
+                        && ask.step.room.accelerators >= room.accelerators
+                })
+        })
+    }
+
+    fn note_unmet(&self, task: Task, unmet: &mut Unmet) {
+        let Some(ask) = self.ask(task) else { return };
+        // What is asked for with further conditions says nothing about others.
+        let place = &ask.step.place;
+        if ask.avoid.is_none() && place.label.is_none() && place.most_per_worker.is_none() {
+            let found = (ask.pool.into(), ask.step.image.clone(), ask.step.room);
+            unmet.asks.push(found);
+        }
+    }
+
     /// Places all members of a gang, or none.
     fn place_gang(&mut self, rank: Rank, actions: &mut Vec<Action>) {
         let tasks = self.startable(rank);
@@ -178,12 +223,15 @@
         } else {
             step.place.data_rack.clone()
         };
+        let since = entry.task(task)?.ready_since.unwrap_or(self.now);
+        let urgent = self.now >= since + PATIENCE && entry.is_idle();
         Some(Ask {
             step,
             pool,
             mates,
             rack,
             avoid: entry.task(task)?.avoid.clone(),
+            urgent,
         })
     }
 
@@ -223,7 +271,8 @@
             let need = ask.step.room.cores.0.max(1) as f64;
             let image = ask.step.image.clone().unwrap_or_default();
             let tolerance = worker.tolerance(&self.model, &image, need / 1000.0);
-            if left < need * FILLER_PART || tolerance < TOLERANCE_PART {
+            let is_good = left >= need * FILLER_PART && tolerance >= TOLERANCE_PART;
+            if !is_good && !ask.urgent {
                 return None;
             }
             return Some(rating + left / whole + tolerance.min(TOLERANCE_LIMIT));
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -31,6 +31,11 @@
         if let Some(worker) = self.fleet.get_mut(&node) {
             worker.heard = self.now;
         }
+        self.changed |= report.profile.is_some()
+            || report.inventory.is_some()
+            || !report.outcomes.is_empty()
+            || !report.ends.is_empty()
+            || !report.slacks.is_empty();
         if let Some(profile) = report.profile {
             self.profile(&node, profile, actions);
         }
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -9,6 +9,7 @@
     filbertbend_workload::{
         catalog::{Catalog, Pool, Queue},
         id::{Epoch, Job, Life, Link, Node, Run, Sequence, Task},
+        interference::Slack,
         job::{self, Step, Terms},
         message::{Inventory, Orders, Outcome, Report, Response, Start, Verdict},
         planner::{Action, Batch, Decision, Event, Planner, Settings, Write},
@@ -114,6 +115,7 @@
     pub(crate) welcomed: Vec<Link>,
     pub(crate) decisions: Vec<Decision>,
     pub(crate) batches: Vec<Batch>,
+    slacks: Vec<Slack>,
 }
 
 impl World {
@@ -128,6 +130,7 @@
             welcomed: Vec::new(),
             decisions: Vec::new(),
             batches: Vec::new(),
+            slacks: Vec::new(),
         }
     }
 
@@ -187,8 +190,11 @@
         self.step(Event::Report(Link(number), Box::new(report)));
     }
 
-    /// Makes every batch durable, also those that follow.
+    /// Lets the planner look for places, and makes every batch durable, also
+    /// those that follow.
     pub(crate) fn commit(&mut self) -> Vec<Batch> {
+        self.now = self.now + Millis(20);
+        self.step(Event::Tick);
         let mut all = Vec::new();
         while let Some(batch) = self.batches.pop() {
             self.step(Event::Persisted(batch.number));
@@ -205,6 +211,7 @@
             for number in alive {
                 let report = Report {
                     renew: Some(2),
+                    slacks: self.slacks.clone(),
                     ..Report::default()
                 };
                 self.step(Event::Report(Link(*number), Box::new(report)));
@@ -213,6 +220,16 @@
         }
     }
 
+    pub(crate) fn slacks(&mut self, number: u64, slacks: Vec<Slack>) {
+        self.slacks.clone_from(&slacks);
+        let report = Report {
+            slacks,
+            renew: Some(3),
+            ..Report::default()
+        };
+        self.step(Event::Report(Link(number), Box::new(report)));
+    }
+
     pub(crate) fn submit(&mut self, id: u64, job: Arc<job::Job>) {
         self.step(Event::Submitted(Job(id), job));
         self.commit();
