--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -144,6 +144,7 @@
         for action in actions {
             match action {
                 Action::Hello => self.send(Request::Agent(self.node.clone())),
+                Action::Ping => self.send(Request::Ping),
                 Action::Send(report) => self.send(Request::Report(Box::new(report))),
                 Action::Call(call) => self.call(call),
             }
--- a/crates/workload/src/agent.rs
+++ b/crates/workload/src/agent.rs
@@ -32,6 +32,9 @@
 const PENDING_DELAY: Millis = Millis(30);
 /// How often the lease is renewed; several tries fit into it.
 const RENEW_INTERVAL: Millis = Millis(1000);
+/// The lease is only renewed while the worker's lists are at most this old: one
+/// look and some delay.
+const SIGHT_LIMIT: Millis = Millis(900);
 /// A start is only sent while at least this much of the lease is left.
 const LEASE_MARGIN: Millis = Millis(300);
 /// How long the agent waits before it tries an order again without an answer.
@@ -158,6 +161,8 @@
     Hello,
     /// A message to the leader.
     Send(Report),
+    /// A sign of life to the leader.
+    Ping,
     /// A call of the worker; answered by [`Event::Answered`].
     Call(Call),
 }
@@ -198,10 +203,13 @@
     session: Option<Session>,
     /// The worker's clock, and ours when its answer had arrived.
     clock: Option<(Instant, u64)>,
+    /// When the worker's lists were read last.
+    looked: Option<Instant>,
     lease_until: Option<Instant>,
     renewals: VecDeque<(u64, Instant)>,
     renewal: u64,
     renewed: Option<Instant>,
+    pinged: Option<Instant>,
     doubts: BTreeMap<(Task, Run), Doubt>,
     roles: BTreeMap<(Task, Run), Role>,
     saved: BTreeMap<(Task, Run), Arc<str>>,
@@ -241,7 +249,7 @@
             }
             Event::Tick => {}
         }
-        self.renew(now);
+        self.renew(now, actions);
         self.look(now, actions);
         self.repeat_stops(now, actions);
         if self.session.is_some() && !self.report.is_empty() {
@@ -254,6 +262,7 @@
         self.report = Report::default();
         self.renewals.clear();
         self.renewed = None;
+        self.pinged = None;
         self.doubts.clear();
     }
 
@@ -286,6 +295,7 @@
         self.profile = Some(profile);
         self.candidate = None;
         self.clock = None;
+        self.looked = None;
         self.lease_until = None;
         self.roles.clear();
         self.saved.clear();
@@ -327,11 +337,14 @@
         Some(clock + until.since(read).0)
     }
 
-    fn renew(&mut self, now: Instant) {
-        let due = self
-            .renewed
-            .is_none_or(|renewed| now >= renewed + RENEW_INTERVAL);
-        if due && self.session.is_some() {
+    /// Asks for a lease while the worker answers. It may be gone for good, and
+    /// a lease would keep its tasks from being started elsewhere.
+    fn renew(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = |last: Option<Instant>| last.is_none_or(|last| now >= last + RENEW_INTERVAL);
+        if self.session.is_none() || !due(self.renewed) {
+            return;
+        }
+        if self.looked.is_some_and(|looked| now < looked + SIGHT_LIMIT) {
             self.renewal += 1;
             self.renewed = Some(now);
             self.renewals.push_back((self.renewal, now));
@@ -339,6 +352,9 @@
             self.report.slacks = self.pace.slacks();
             self.report.learned = self.pace.news();
             self.report.starved = self.pace.starved(now);
+        } else if due(self.pinged) {
+            self.pinged = Some(now);
+            actions.push(Action::Ping);
         }
     }
 
@@ -557,6 +573,7 @@
         }
         // A reading that is taken as late as possible makes a lease end early.
         self.clock = Some((now, lists.clock));
+        self.looked = Some(now);
         self.take_ends(&lists);
         self.take_inventory(&lists);
         self.resolve(sent, &lists.running, actions);
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -339,9 +339,7 @@
         for row in &inventory.running {
             listed.insert((row.task, row.run));
             if known.contains(&(row.task, row.run)) {
-                if let Some(copy) = self.ledger.copy_mut(row.task, row.run) {
-                    copy.started = true;
-                }
+                self.confirm(node, row, actions);
             } else {
                 adopted += usize::from(self.adopt(node, row, actions));
             }
@@ -373,6 +371,25 @@
         }));
     }
 
+    /// Notes that a run is there. A stop that was ordered in an earlier session
+    /// may not have reached the agent.
+    fn confirm(&mut self, node: &Node, row: &Running, actions: &mut Vec<Action>) {
+        let is_final = self
+            .ledger
+            .get(row.task.job)
+            .is_none_or(|entry| entry.state.is_final());
+        let stopping = match self.ledger.copy_mut(row.task, row.run) {
+            Some(copy) => {
+                copy.started = true;
+                copy.stopping
+            }
+            None => true,
+        };
+        if is_final || stopping {
+            self.stop(row.task, row.run, node, Reason::NotWanted, actions);
+        }
+    }
+
     /// Takes over a run that a former leader started, or stops it if it is not
     /// wanted. Its room counts until its end either way.
     fn adopt(&mut self, node: &Node, row: &Running, actions: &mut Vec<Action>) -> bool {
--- /dev/null
+++ b/crates/workload/tests/agent.rs
@@ -0,0 +1,262 @@
+//! The agent beside a worker: sessions, leases, and orders without an answer.
+
+use {
+    filbertbend_state::{room::Room, time::Instant, unit::Millis},
+    filbertbend_workload::{
+        agent::{Action, Agent, Answer, Call, Event, Lists, Refusal},
+        id::{Epoch, Fence, Job, Life, Run, Task},
+        message::{Orders, Outcome, Report, Role, Start, Verdict},
+        worker::{Profile, Running},
+    },
+};
+
+const FENCE: Fence = Fence(7);
+
+fn profile(born: u64) -> Profile {
+    Profile {
+        life: Life {
+            worker: "w-1".into(),
+            born,
+        },
+        pool: "pool".into(),
+        data_centre: "xela".into(),
+        room: Room::NONE,
+        labels: Vec::new(),
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+fn task() -> Task {
+    Task {
+        job: Job(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn start() -> Start {
+    Start {
+        task: task(),
+        run: Run(1),
+        spec: "work".into(),
+        saved: None,
+        role: Role::default(),
+    }
+}
+
+fn lists(born: u64, running: Vec<Running>) -> Answer {
+    Answer::Lists(Lists {
+        born: Some(born),
+        clock: 50_000,
+        running,
+        ends: Vec::new(),
+    })
+}
+
+fn row() -> Running {
+    Running {
+        task: task(),
+        run: Run(1),
+        saved: None,
+        percent: 0,
+        figure: 0,
+    }
+}
+
+/// An agent under test, with everything it has asked for.
+struct World {
+    agent: Agent,
+    now: Instant,
+    calls: Vec<Call>,
+    reports: Vec<Report>,
+    hellos: usize,
+}
+
+impl World {
+    /// Makes an agent in a session with a lease.
+    fn new() -> Self {
+        let mut world = Self {
+            agent: Agent::default(),
+            now: Instant(10_000),
+            calls: Vec::new(),
+            reports: Vec::new(),
+            hellos: 0,
+        };
+        world.step(Event::Heartbeat(profile(1)));
+        world.step(Event::Connected);
+        world.step(Event::Welcome(Epoch(1), FENCE, None));
+        world.look(lists(1, Vec::new()));
+        world.step(Event::Tick);
+        world.grant();
+        world
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.agent.step(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Call(call) => self.calls.push(call),
+                Action::Send(report) => self.reports.push(report),
+                Action::Hello => self.hellos += 1,
+                Action::Ping => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Millis) {
+        self.now = self.now + span;
+        self.step(Event::Tick);
+    }
+
+    /// Answers the look that is waiting.
+    fn look(&mut self, answer: Answer) {
+        let sent = self.now;
+        let position = self
+            .calls
+            .iter()
+            .position(|call| matches!(call, Call::Look { .. }));
+        let call = self.calls.remove(position.expect("the agent looks"));
+        self.now = self.now + Millis(1);
+        self.step(Event::Answered { call, sent, answer });
+    }
+
+    fn grant(&mut self) {
+        let request = self
+            .reports
+            .iter()
+            .filter_map(|report| report.renew)
+            .next_back();
+        let orders = Orders {
+            lease: Some((request.expect("a lease is asked for"), Millis(6000))),
+            ..Orders::default()
+        };
+        self.step(Event::Orders(orders));
+    }
+
+    fn order(&mut self) -> Call {
+        let orders = Orders {
+            starts: vec![start()],
+            ..Orders::default()
+        };
+        self.step(Event::Orders(orders));
+        self.take(|call| matches!(call, Call::Start { .. }))
+            .expect("the start is sent")
+    }
+
+    fn take(&mut self, matches: impl Fn(&Call) -> bool) -> Option<Call> {
+        let position = self.calls.iter().position(matches)?;
+        Some(self.calls.remove(position))
+    }
+
+    fn answer(&mut self, call: Call, answer: Answer) {
+        let sent = self.now;
+        self.now = self.now + Millis(1);
+        self.step(Event::Answered { call, sent, answer });
+    }
+
+    fn outcomes(&mut self) -> Vec<Outcome> {
+        std::mem::take(&mut self.reports)
+            .into_iter()
+            .flat_map(|report| report.outcomes)
+            .collect()
+    }
+}
+
+/// Guards against a task that is started elsewhere although an order without an
+/// answer is carried out later.
+#[test]
+fn start_without_answer_is_ruled_out_before_it_counts_as_not_run() {
+    let mut world = World::new();
+    let call = world.order();
+
+    world.answer(call, Answer::Lost);
+    world.look(lists(1, Vec::new()));
+    assert!(
+        world.outcomes().is_empty(),
+        "the start may still take effect"
+    );
+    let stop = world.take(|call| matches!(call, Call::Stop { .. }));
+    world.answer(stop.expect("a stop rules it out"), Answer::Done);
+    world.look(lists(1, Vec::new()));
+
+    let outcomes = world.outcomes();
+    assert_eq!(outcomes.len(), 1, "{outcomes:?}");
+    assert_eq!(outcomes[0].verdict, Verdict::Withdrawn);
+}
+
+/// Guards against a run that is stopped although its start took effect.
+#[test]
+fn start_without_answer_that_is_listed_counts_as_started() {
+    let mut world = World::new();
+    let call = world.order();
+
+    world.answer(call, Answer::Lost);
+    world.look(lists(1, vec![row()]));
+
+    assert_eq!(world.outcomes()[0].verdict, Verdict::Started);
+    assert!(world
+        .take(|call| matches!(call, Call::Stop { .. }))
+        .is_none());
+}
+
+/// Guards against a worker that is gone for good while its agent lives: a lease
+/// would keep its tasks from being started elsewhere.
+#[test]
+fn lease_is_not_renewed_while_the_worker_does_not_answer() {
+    let mut world = World::new();
+    world.reports.clear();
+
+    for _ in 0..30 {
+        world.pass(Millis(100));
+        while let Some(call) = world.take(|call| matches!(call, Call::Look { .. })) {
+            world.answer(call, Answer::Lost);
+        }
+    }
+
+    let renewals = world.reports.iter().filter(|report| report.renew.is_some());
+    assert_eq!(renewals.count(), 0);
+}
+
+/// Guards against orders to a later life of the worker that were meant for an
+/// earlier one.
+#[test]
+fn another_life_gets_a_session_of_its_own() {
+    let mut world = World::new();
+    let hellos = world.hellos;
+    let call = world.order();
+
+    world.step(Event::Heartbeat(profile(2)));
+    assert_eq!(world.hellos, hellos + 1);
+    world.answer(call, Answer::Done);
+    assert!(
+        world.outcomes().is_empty(),
+        "the order was for the old life"
+    );
+    world.step(Event::Welcome(Epoch(1), Fence(8), None));
+    world.look(lists(2, vec![row()]));
+
+    let inventory = world
+        .reports
+        .iter()
+        .find_map(|report| report.inventory.clone());
+    assert_eq!(
+        inventory.expect("the new life is reported").life,
+        profile(2).life
+    );
+}
+
+/// Guards against an agent that goes on after another session has begun.
+#[test]
+fn a_higher_fence_ends_the_session() {
+    let mut world = World::new();
+    let hellos = world.hellos;
+    let call = world.order();
+
+    world.answer(call, Answer::Refused(Refusal::Fence));
+
+    assert_eq!(world.hellos, hellos + 1);
+    assert!(world.outcomes().is_empty());
+}
