--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -235,6 +235,7 @@
         world.outcomes().is_empty(),
         "the order was for the old life"
     );
+    world.calls.clear();
     world.step(Event::Welcome(Epoch(1), Fence(8), None));
     world.look(lists(2, vec![row()]));
 
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -219,6 +219,22 @@
     assert_eq!(state, Reply::State(Some(State::Cancelled)));
 }
 
+/// Guards against a stop that is forgotten because the agent was not linked
+/// when the job was cancelled.
+#[test]
+fn stops_are_repeated_in_the_next_session() {
+    let mut world = World::with_workers(1);
+    world.submit(1, job(vec![step(1)]));
+    let start = world.starts(0).remove(0);
+    world.started(0, &start);
+
+    world.step(Event::Closed(Link(0)));
+    world.step(Event::Cancelled(Job(1)));
+    world.join(0, vec![running(start.task, start.run)]);
+
+    assert_eq!(world.stops(0), [(start.task, start.run)]);
+}
+
 /// Guards against more work on a worker than it has room for, also while a run
 /// there is being stopped.
 #[test]
