--- a/crates/workload/src/agent.rs
+++ b/crates/workload/src/agent.rs
@@ -328,6 +328,7 @@
             look_at: now,
         });
         self.profile_reported = false;
+        self.pace.renew();
     }
 
     /// Returns the lease's end on the worker's clock.
--- a/crates/workload/src/interference.rs
+++ b/crates/workload/src/interference.rs
@@ -15,7 +15,7 @@
 };
 
 /// Part of a service's target that is planned for.
-const PLANNED_PART: f64 = 0.75;
+const PLANNED_PART: f64 = 0.85;
 /// Part of its target that a service takes without any load, until a lower
 /// latency has been seen.
 const FLOOR_PART: f64 = 0.25;
@@ -139,6 +139,13 @@
         (level + LEVEL_GAIN * step).clamp(0.0, 1.0)
     }
 
+    /// Makes all weights count as changed, for a reader that knows none.
+    pub fn renew(&mut self) {
+        for known in self.weights.values_mut() {
+            known.told = f64::NAN;
+        }
+    }
+
     /// Lists the weights that have changed since they were last listed.
     pub fn news(&mut self) -> Vec<Weight> {
         self.weights
--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -102,6 +102,11 @@
         self.shares.remove(&(task, run));
     }
 
+    /// Makes everything count as new, for another leader.
+    pub fn renew(&mut self) {
+        self.model.renew();
+    }
+
     /// Lists what has been learned since it was last listed.
     pub fn news(&mut self) -> Vec<Weight> {
         self.model.news()
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -245,6 +245,23 @@
         self.workers.get_mut(node)
     }
 
+    /// Returns the largest part of any resource of a pool that is in use.
+    pub(super) fn used_part(&self, pool: &str) -> f64 {
+        let mut whole = Room::NONE;
+        let mut used = Room::NONE;
+        for worker in self.workers.values() {
+            if let Some(profile) = worker
+                .profile
+                .as_ref()
+                .filter(|profile| *profile.pool == *pool && worker.link.is_some())
+            {
+                whole += profile.room;
+                used += worker.used;
+            }
+        }
+        used.dominant_share(&whole)
+    }
+
     /// Returns the node of a session.
     pub(super) fn node(&self, link: Link) -> Option<Node> {
         self.links.get(&link).cloned()
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -21,6 +21,9 @@
 /// How long a filler waits for a good place while nothing of its job runs. The
 /// platform's rules allow 3 s.
 const PATIENCE: Millis = Millis(1500);
+/// The part of a pool's room in use above which fillers keep waiting for good
+/// places. The platform's rules ask for work as long as half is free.
+const CROWDED_PART: f64 = 0.6;
 /// The part of a filler that the services beside it must leave room for.
 const TOLERANCE_PART: f64 = 0.6;
 /// Tolerance above this is worth no more; a worker without services has it.
@@ -49,8 +52,8 @@
     /// The rack of the step's other tasks, where they should be together.
     rack: Option<Arc<str>>,
     avoid: Option<Node>,
-    /// Whether nothing of the job runs and it has waited for long, so that a
-    /// bad place is better than none.
+    /// Whether nothing of the job runs and it has waited for long while much of
+    /// the pool is free, so that a bad place is better than none.
     urgent: bool,
 }
 
@@ -224,7 +227,9 @@
             step.place.data_rack.clone()
         };
         let since = entry.task(task)?.ready_since.unwrap_or(self.now);
-        let urgent = self.now >= since + PATIENCE && entry.is_idle();
+        let urgent = self.now >= since + PATIENCE
+            && entry.is_idle()
+            && self.fleet.used_part(pool) < CROWDED_PART;
         Some(Ask {
             step,
             pool,
