--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -18,6 +18,11 @@
 const STEP_PERCENT: u8 = 8;
 /// Shares below this are not worth the disturbance, in percent.
 const LEAST_PERCENT: u8 = 5;
+/// How far ahead a rising load is planned for: a figure is half a second old on average
+/// when an order takes effect.
+const LOOKAHEAD_SECS: f64 = 0.5;
+/// Weight of the newest slope.
+const SLOPE_WEIGHT: f64 = 0.3;
 /// What is left of the fillers' usage when a service is just over its target.
 const RELIEF_PART: f64 = 0.6;
 /// How long a filler may be held back entirely before it should go elsewhere.
@@ -59,12 +64,37 @@
     held_since: Option<Instant>,
 }
 
+/// The utilisation of a service by its own load.
+#[derive(Clone, Copy, Debug)]
+struct Level {
+    value: f64,
+    /// How fast it rises, for each second.
+    slope: f64,
+}
+
+impl Level {
+    /// Takes a new value after `secs`.
+    fn follow(self, value: f64, secs: f64) -> Self {
+        let slope = (value - self.value) / secs.max(0.1);
+        Self {
+            value,
+            slope: self.slope + SLOPE_WEIGHT * (slope - self.slope),
+        }
+    }
+
+    /// Returns the level that is planned for: a rise goes on until an order
+    /// takes effect.
+    fn planned(self) -> f64 {
+        self.value + self.slope.max(0.0) * LOOKAHEAD_SECS
+    }
+}
+
 /// What is learned and in force on one worker.
 #[derive(Debug, Default)]
 pub struct Pace {
     model: Model,
     /// The utilisation of each service by its own load.
-    levels: BTreeMap<(Task, Run), f64>,
+    levels: BTreeMap<(Task, Run), Level>,
     read: Option<Instant>,
     shares: BTreeMap<(Task, Run), Share>,
     slacks: BTreeMap<Arc<str>, f64>,
@@ -80,8 +110,11 @@
     ) -> Vec<Change> {
         let fillers = fillers(running, roles);
         if self.read.is_none_or(|read| now >= read + READ_INTERVAL) {
+            let secs = self
+                .read
+                .map_or(1.0, |read| now.since(read).0 as f64 / 1000.0);
             self.read = Some(now);
-            self.learn(running, roles, &fillers);
+            self.learn(secs, running, roles, &fillers);
         }
         let services = self.services(running, roles, &fillers);
         let shares = self.plan(&services, &fillers);
@@ -143,6 +176,7 @@
 
     fn learn(
         &mut self,
+        secs: f64,
         running: &[Running],
         roles: &BTreeMap<(Task, Run), Role>,
         fillers: &[Filler],
@@ -156,8 +190,14 @@
             let key = (row.task, row.run);
             let reading = self.model.utilisation(&image, target, row.figure as f64);
             let level = match self.levels.get(&key) {
-                Some(level) => self.model.learn(&image, *level, reading, &usage),
-                None => reading,
+                Some(level) => {
+                    let value = self.model.learn(&image, level.value, reading, &usage);
+                    level.follow(value, secs)
+                }
+                None => Level {
+                    value: reading,
+                    slope: 0.0,
+                },
             };
             levels.insert(key, level);
         }
@@ -173,7 +213,7 @@
         let services: Vec<Service> = serving(running, roles)
             .filter_map(|(row, image, target)| {
                 let level = self.levels.get(&(row.task, row.run))?;
-                let mut slack = self.model.planned(&image, target) - level;
+                let mut slack = self.model.planned(&image, target) - level.planned();
                 if row.figure > target.0 {
                     // Whatever the model says, what is there is too much.
                     let added: f64 = fillers
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -31,9 +31,6 @@
 /// What the rack of the data, or of the other tasks, is worth against free
 /// room: work takes half as long again elsewhere.
 const RACK_WORTH: f64 = 10.0;
-/// What another task of the same lasting step on the worker costs against free
-/// room, so that one loss does not take them all.
-const MATE_COST: f64 = 0.1;
 /// What it is worth to leave a worker without services to fillers.
 const UNDISTURBED_WORTH: f64 = 1.0;
 
@@ -265,7 +262,6 @@
             return None;
         }
         let whole = profile.room.cores.0.max(1) as f64;
-        let mates = ask.mates.get(node).copied().unwrap_or(0);
         let on_rack = ask
             .rack
             .as_ref()
@@ -286,7 +282,7 @@
         if ask.step.style.lasting {
             // Services are kept together, so that fillers find workers where
             // they disturb nobody.
-            rating -= left + MATE_COST * mates as f64;
+            rating -= left;
         } else {
             rating += left;
         }
