Log through a bounded queue, split what grew, and drop settings that nothing reads

Logs of the platform's processes go to standard output through a bounded queue and a thread of its own; a reader that stops reading costs lines, which are counted, and not requests (tests in crates/process/tests/output.rs).

The pools and limits of the catalog, and the stretch and slack of a queue, were decoded and never used.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -145,7 +145,7 @@
             match action {
                 Action::Hello => self.send(Request::Agent(self.node.clone())),
                 Action::Ping => self.send(Request::Ping),
-                Action::Send(report) => self.send(Request::Report(Box::new(report))),
+                Action::Send(report) => self.send(Request::Report(report)),
                 Action::Call(call) => self.call(call),
             }
         }
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -10,7 +10,6 @@
     },
     filbertbend_state::unit::Millis,
     filbertbend_transport::{
-        clock,
         link::{self, Link, Receiver, Sender, Socket},
         tls::Identity,
     },
@@ -515,8 +514,3 @@
     link.close();
     result
 }
-
-/// Returns the time now, for an accepted job.
-pub fn accepted_now() -> filbertbend_state::time::Wall {
-    clock::wall()
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 )]
 
 pub mod agent;
+mod decision;
 pub mod entry;
 pub mod follow;
 pub mod journal;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        decision,
         entry::Inbox,
         journal::{encode, Deposed, Journal},
         key::{self, Intake},
@@ -15,7 +16,7 @@
         id::{Epoch, Job, Link, Node},
         job, lead,
         message::{Question, Reply, Report, Response},
-        planner::{Action, Batch, Decision, Event, Planner, Settings},
+        planner::{Action, Batch, Event, Planner, Settings},
         record::{Leader, Progress, Term},
     },
     metrics::{counter, gauge},
@@ -447,7 +448,7 @@
                     // Fails only if the journal has ended, which is reported.
                     let _ = self.journal.send(Order::Batch(batch));
                 }
-                Action::Decided(decision) => log(&decision),
+                Action::Decided(decision) => decision::log(&decision),
             }
         }
     }
@@ -548,55 +549,3 @@
         }
     }
 }
-
-fn log(decision: &Decision) {
-    match decision {
-        Decision::Placed {
-            task,
-            run,
-            node,
-            waited,
-            resumed,
-        } => {
-            counter!("filbertbend_starts_total").increment(1);
-            info!("placed", kv: { job: = task.job, task:, run = run.0, node:, waited_ms = waited.0, resumed = *resumed });
-        }
-        Decision::Stopped {
-            task,
-            run,
-            node,
-            reason,
-        } => {
-            counter!("filbertbend_stops_total", "reason" => reason.to_string()).increment(1);
-            info!("stopped", kv: { job: = task.job, task:, run = run.0, node:, reason: });
-        }
-        Decision::Ended {
-            task,
-            run,
-            node,
-            how,
-            failures,
-        } => {
-            counter!("filbertbend_ends_total", "how" => how.to_string()).increment(1);
-            info!("ended", kv: { job: = task.job, task:, run = run.0, node:, how:, failures = *failures });
-        }
-        Decision::Lost {
-            task,
-            run,
-            node,
-            reason,
-        } => {
-            counter!("filbertbend_lost_total", "reason" => reason.to_string()).increment(1);
-            info!("given up", kv: { job: = task.job, task:, run = run.0, node:, reason: });
-        }
-        Decision::Job { job, state } => info!("job ended", kv: { job:, state: }),
-        Decision::Joined {
-            node,
-            life,
-            fence,
-            adopted,
-        } => {
-            info!("worker joined", kv: { node:, life:, fence = fence.0, adopted = *adopted });
-        }
-    }
-}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -11,4 +11,5 @@
 mod linger;
 pub mod log;
 pub mod operators;
+pub mod output;
 pub mod signal;
--- a/crates/process/src/log.rs
+++ b/crates/process/src/log.rs
@@ -3,10 +3,11 @@
 pub use filbertbend_yaml::Level;
 
 use {
+    crate::output::Output,
     filbertbend_yaml::Log,
     spdlog::{
         formatter::JsonFormatter,
-        sink::{FileSink, Sink, StdStream, StdStreamSink},
+        sink::{FileSink, Sink, StdStream, StdStreamSink, WriteSink},
         LevelFilter, Logger,
     },
     std::sync::Arc,
@@ -43,25 +44,32 @@
     Ok(())
 }
 
-/// Makes the logger of a process that writes to standard output.
+/// Makes the logger of a process that writes to standard output, without ever
+/// waiting for whoever reads it.
 ///
 /// # Errors
 ///
 /// Returns an error if the logger cannot be made.
 pub fn to_stdout(level: Level) -> spdlog::Result<()> {
-    let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stdout)
+    let output = Output::start(std::io::stdout()).map_err(spdlog::Error::WriteRecord)?;
+    let sink = WriteSink::builder()
+        .target(output)
         .formatter(JsonFormatter::new())
         .build()?;
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(filter(level))
-        .flush_level_filter(LevelFilter::All)
+        .flush_level_filter(LevelFilter::Off)
         .build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
 
+/// Waits for the last lines of a process that ends.
+pub fn finish() {
+    spdlog::default_logger().flush();
+}
+
 fn filter(level: Level) -> LevelFilter {
     let level = match level {
         Level::Error => spdlog::Level::Error,
--- a/crates/workload/src/agent.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -8,12 +8,14 @@
 //! what is there. A start without an answer may still take effect later, so it
 //! is either found on a later list or ruled out by a stop.
 
+mod call;
+
 use {
     crate::{
         id::{Epoch, Fence, Run, Sequence, Task},
         message::{Inventory, Orders, Outcome, Report, Role, Start, Verdict},
-        pace::{Change, Pace},
-        worker::{End, Profile, Running},
+        pace::Pace,
+        worker::{Profile, Running},
     },
     filbertbend_state::{time::Instant, unit::Millis},
     std::{
@@ -22,6 +24,8 @@
     },
 };
 
+pub use call::{Answer, Call, Lists, Refusal};
+
 /// Ends that a worker lists at most at a time; a list of this length may go on.
 const END_PAGE: usize = 500;
 /// How long one look at the worker waits for an end. The figures of services
@@ -40,94 +44,6 @@
 /// How long the agent waits before it tries an order again without an answer.
 const RETRY_DELAY: Millis = Millis(100);
 
-/// A call of the worker.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Call {
-    /// Extends the lease, lets ends up to `settled` be forgotten, and returns
-    /// both lists after an end or `wait`.
-    Look {
-        /// The session's fence.
-        fence: Fence,
-        /// The lease's end on the worker's clock.
-        deadline: Option<u64>,
-        /// Ends that may be forgotten.
-        settled: Sequence,
-        /// How long to wait for an end.
-        wait: Millis,
-    },
-    /// Starts a task.
-    Start {
-        /// The session's fence.
-        fence: Fence,
-        /// The lease's end on the worker's clock.
-        deadline: u64,
-        /// The order.
-        start: Start,
-    },
-    /// Stops a run, or rules it out.
-    Stop {
-        /// The session's fence.
-        fence: Fence,
-        /// The task.
-        task: Task,
-        /// The run.
-        run: Run,
-    },
-    /// Holds a filler back.
-    Pace {
-        /// The session's fence.
-        fence: Fence,
-        /// The change.
-        change: Change,
-    },
-}
-
-/// How a call of the worker ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    /// The lists.
-    Lists(Lists),
-    /// It was done.
-    Done,
-    /// It was not done and never will be.
-    Refused(Refusal),
-    /// Unknown: it may have been done, or be done later.
-    Lost,
-}
-
-/// Why a worker refused a call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Refusal {
-    /// It has seen a higher fence.
-    Fence,
-    /// It has seen a later run.
-    Old,
-    /// The lease had passed.
-    Late,
-    /// There is no room.
-    NoRoom,
-    /// It is not well.
-    Unhealthy,
-    /// It is another life.
-    WrongLife,
-    /// It cannot read the order.
-    Invalid,
-}
-
-/// What a worker lists.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Lists {
-    /// When its life began.
-    pub born: Option<u64>,
-    /// Its clock.
-    pub clock: u64,
-    /// What runs.
-    pub running: Vec<Running>,
-    /// What has ended and may not be forgotten yet.
-    pub ends: Vec<End>,
-}
-
 /// What the agent is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -160,7 +76,7 @@
     /// Opens a session, on the link that is open.
     Hello,
     /// A message to the leader.
-    Send(Report),
+    Send(Box<Report>),
     /// A sign of life to the leader.
     Ping,
     /// A call of the worker; answered by [`Event::Answered`].
@@ -253,7 +169,8 @@
         self.look(now, actions);
         self.repeat_stops(now, actions);
         if self.session.is_some() && !self.report.is_empty() {
-            actions.push(Action::Send(std::mem::take(&mut self.report)));
+            let report = std::mem::take(&mut self.report);
+            actions.push(Action::Send(Box::new(report)));
         }
     }
 
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -99,7 +99,7 @@
         for action in actions {
             match action {
                 Action::Call(call) => self.calls.push(call),
-                Action::Send(report) => self.reports.push(report),
+                Action::Send(report) => self.reports.push(*report),
                 Action::Hello => self.hellos += 1,
                 Action::Ping => {}
             }
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -7,7 +7,7 @@
         unit::{Accelerators, Bytes, Cores, Millis},
     },
     filbertbend_workload::{
-        catalog::{Catalog, Pool, Queue},
+        catalog::{Catalog, Queue},
         id::{Epoch, Job, Life, Link, Node, Run, Sequence, Task},
         interference::Slack,
         job::{self, Step, Terms},
@@ -40,13 +40,10 @@
         priority,
         attempts,
         timeout: Millis(3000),
-        stretch: 1.5,
-        slack: Millis(300),
     };
     Catalog {
         version: 1,
         queues: [(queue.name.clone(), queue)].into(),
-        pools: [(POOL.into(), Pool::default())].into(),
         ..Catalog::default()
     }
 }
