Keep a submission for 600 ms, and judge readiness by the newest answer of the store

Cause of missed duties: an entry whose submission had failed stayed not ready until another one succeeded, and got none.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -32,7 +32,7 @@
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
-        time::{sleep, timeout},
+        time::{sleep, timeout, Instant},
     },
 };
 
@@ -46,8 +46,15 @@
 const WATCH_WAIT: Millis = Millis(2000);
 /// How long to wait before a call that the store refused is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
-/// How often a job whose write was refused is offered to the store.
-const SUBMIT_TRIES: usize = 6;
+/// How long a job is offered to the store before its caller is told that it was
+/// not taken. Callers come again, to another entry too, so a short spell is
+/// bridged and a long one is told early.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(600);
+/// How often a cancellation is offered to the store.
+const CANCEL_TRIES: usize = 6;
+/// An entry that has not reached the store for this long sends callers to
+/// others: two watches of the leader's key.
+const STORE_SILENCE: Duration = Duration::from_millis(4500);
 
 /// The way to the term in progress, if this entry leads.
 #[derive(Debug, Default)]
@@ -113,7 +120,6 @@
     inbox: Rc<Inbox>,
     remote: RefCell<Option<Remote>>,
     links: Cell<u64>,
-    reachable: Cell<bool>,
 }
 
 /// A link to the entry that leads.
@@ -147,7 +153,6 @@
             inbox: Rc::default(),
             remote: RefCell::default(),
             links: Cell::new(0),
-            reachable: Cell::new(true),
         });
         tokio::task::spawn_local(entry.clone().accept(socket));
         tokio::task::spawn_local(entry.clone().lead(stop));
@@ -156,7 +161,7 @@
 
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.catalog.borrow().is_some() && self.reachable.get()
+        self.catalog.borrow().is_some() && self.leader.age() < STORE_SILENCE
     }
 
     /// Returns the configuration in force.
@@ -172,42 +177,34 @@
             remove: Vec::new(),
         };
         let mut uncertain = false;
-        let mut last: Arc<str> = "no answer".into();
-        for _ in 0..SUBMIT_TRIES {
-            match self.store.commit(&transaction).await {
-                Ok(Commit::Done(_)) => {
-                    self.reachable.set(true);
-                    return Submission::Accepted;
-                }
-                // It was stored before, by this call or an earlier one.
-                Ok(Commit::Conflict(_)) => return Submission::Accepted,
-                Ok(Commit::LeaseGone) => last = "lease".into(),
-                Err(Failure::Refused(error)) => last = error,
+        let begun = Instant::now();
+        loop {
+            let reason = match self.store.commit(&transaction).await {
+                // A conflict means that it was stored before, by this call or
+                // an earlier one.
+                Ok(Commit::Done(_) | Commit::Conflict(_)) => return Submission::Accepted,
+                Ok(Commit::LeaseGone) => "a lease was expected".into(),
+                Err(Failure::Refused(reason)) => reason,
                 Err(error) => {
                     uncertain = true;
-                    last = error.to_string().into();
-                    break;
+                    error.to_string().into()
                 }
+            };
+            if begun.elapsed() + RETRY_DELAY >= SUBMIT_LIMIT {
+                return if uncertain {
+                    Submission::Unknown(reason)
+                } else {
+                    Submission::Refused(reason)
+                };
             }
             sleep(RETRY_DELAY).await;
         }
-        self.reachable.set(false);
-        if uncertain {
-            match self.store.commit(&transaction).await {
-                Ok(Commit::Done(_) | Commit::Conflict(_)) => {
-                    self.reachable.set(true);
-                    return Submission::Accepted;
-                }
-                _ => return Submission::Unknown(last),
-            }
-        }
-        Submission::Refused(last)
     }
 
     /// Stores the cancellation of a job.
     pub async fn cancel(&self, id: Job) -> Cancellation {
         let mut last: Arc<str> = "no answer".into();
-        for _ in 0..SUBMIT_TRIES {
+        for _ in 0..CANCEL_TRIES {
             let found = match self.store.get(&key::job(id)).await {
                 Ok(Some(item)) => item,
                 Ok(None) => return Cancellation::NoJob,
--- a/crates/dispatch/src/observe.rs
+++ b/crates/dispatch/src/observe.rs
@@ -4,10 +4,10 @@
     crate::port::{Change, Failure, Item, Store},
     filbertbend_state::unit::Millis,
     spdlog::prelude::*,
-    std::{sync::Arc, time::Duration},
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{watch, Notify},
-        time::sleep,
+        time::{sleep, Instant},
     },
 };
 
@@ -22,6 +22,7 @@
 pub struct Observer {
     value: watch::Receiver<Reading>,
     poke: Arc<Notify>,
+    heard: Rc<Cell<Instant>>,
 }
 
 /// What is known of a key.
@@ -41,7 +42,9 @@
     pub fn start(store: impl Store, key: &'static str, wait: Millis) -> Self {
         let (sender, value) = watch::channel(Reading::default());
         let poke = Arc::new(Notify::new());
+        let heard = Rc::new(Cell::new(Instant::now()));
         let follower = Follower {
+            heard: heard.clone(),
             store,
             key,
             wait,
@@ -49,7 +52,7 @@
             poke: poke.clone(),
         };
         tokio::task::spawn_local(follower.run());
-        Self { value, poke }
+        Self { value, poke, heard }
     }
 
     /// Returns the newest value, if the key exists.
@@ -60,6 +63,11 @@
         }
     }
 
+    /// Returns how long ago the store answered last.
+    pub fn age(&self) -> Duration {
+        self.heard.get().elapsed()
+    }
+
     /// Waits until the key has been read.
     pub async fn read(&mut self) {
         let read = self.value.wait_for(|reading| *reading != Reading::Unread);
@@ -89,6 +97,7 @@
     wait: Millis,
     sender: watch::Sender<Reading>,
     poke: Arc<Notify>,
+    heard: Rc<Cell<Instant>>,
 }
 
 impl<S: Store> Follower<S> {
@@ -111,6 +120,7 @@
     /// again.
     async fn follow(&self) -> Result<(), Failure> {
         let (items, mut revision) = self.store.list(self.key).await?;
+        self.heard.set(Instant::now());
         let item = items.into_iter().find(|item| *item.key == *self.key);
         self.publish(item);
         loop {
@@ -118,6 +128,7 @@
                 changes = self.store.watch(self.key, revision, self.wait) => changes?,
                 () = self.poke.notified() => return Ok(()),
             };
+            self.heard.set(Instant::now());
             revision = changes.revision;
             let last = changes.changes.into_iter().rfind(|change| match change {
                 Change::Set(item) => *item.key == *self.key,
