--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -179,7 +179,12 @@
         let mut uncertain = false;
         let begun = Instant::now();
         loop {
-            let reason = match self.store.commit(&transaction).await {
+            let committed = timeout(SUBMIT_LIMIT, self.store.commit(&transaction));
+            let committed = committed.await.unwrap_or_else(|_| {
+                let reason = "no answer in time".into();
+                Err(Failure::Lost(reason))
+            });
+            let reason = match committed {
                 // A conflict means that it was stored before, by this call or
                 // an earlier one.
                 Ok(Commit::Done(_) | Commit::Conflict(_)) => return Submission::Accepted,
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -16,7 +16,7 @@
         planner::{Batch, Settings, Write},
         record::{Progress, Term},
     },
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     support::{Fault, Memory},
     tokio::{sync::watch, task::LocalSet},
 };
@@ -139,6 +139,27 @@
     local.run_until(run).await;
 }
 
+/// Guards against a caller that is kept waiting on a silent connection.
+#[tokio::test]
+async fn submission_over_a_silent_connection_ends_early() {
+    let local = LocalSet::new();
+    let run = async {
+        let store = Memory::default();
+        let entry = entry(&store).await;
+        store.fail([Fault::Silence; 9]);
+
+        let submitted = entry.submit(Job(1), &job());
+        let submission = tokio::time::timeout(Duration::from_millis(1500), submitted).await;
+
+        let submission = submission.expect("an answer in time");
+        assert!(
+            matches!(submission, Submission::Unknown(_)),
+            "{submission:?}"
+        );
+    };
+    local.run_until(run).await;
+}
+
 /// Guards against a job whose caller gives up during a short spell in which the
 /// store refuses, and against "not run" for one that may have been taken.
 #[tokio::test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -23,6 +23,8 @@
     Answer,
     /// Neither is it done nor answered.
     Call,
+    /// The connection has gone silent.
+    Silence,
 }
 
 #[derive(Default)]
@@ -137,6 +139,7 @@
         match fault {
             None => Ok(self.apply(transaction)),
             Some(Fault::Refused) => Err(Failure::Refused("busy".into())),
+            Some(Fault::Silence) => std::future::pending().await,
             Some(Fault::Call) => Err(Failure::Lost("reset".into())),
             Some(Fault::Answer) => {
                 self.apply(transaction);
