Learn interference from changes between readings

Found by a new test, service_comes_back_within_its_target, which failed before: with three equally harmful fillers the shares swung between 0 and 1 and the service was over its target every second half second. Cause: most of an error went into the service's own load, so weights learned 16% of it at a time, and the plan moved on to whichever image was blamed last. A change of the reading is now put down to the change of the fillers' usage.

--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -148,7 +148,8 @@
         let entry = entry(&store).await;
         store.fail([Fault::Silence; 9]);
 
-        let submitted = entry.submit(Job(1), &job());
+        let job = job();
+        let submitted = entry.submit(Job(1), &job);
         let submission = tokio::time::timeout(Duration::from_millis(1500), submitted).await;
 
         let submission = submission.expect("an answer in time");
--- a/crates/workload/src/interference.rs
+++ b/crates/workload/src/interference.rs
@@ -11,7 +11,10 @@
 use {
     filbertbend_state::unit::Millis,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Part of a service's target that is planned for.
@@ -27,9 +30,9 @@
 const LEAST_WEIGHT: f64 = 0.005;
 /// The largest weight: a unit of cores fills the service's whole capacity.
 const MOST_WEIGHT: f64 = 1.0;
-/// How much faster a service's own level follows than weights do: its load
-/// changes within seconds, an image's nature does not.
-const LEVEL_GAIN: f64 = 2.0;
+/// How much the squared change of usage must exceed what a service's own load
+/// may change by meanwhile, in units, for most of a change to count.
+const LOAD_CHANGE: f64 = 0.1;
 /// How much of the newest error the model takes over.
 const LEARNING_RATE: f64 = 0.6;
 /// Readings after which a weight no longer gains in authority.
@@ -65,6 +68,22 @@
     told: f64,
 }
 
+/// A service's utilisation at one time, with the cores that fillers of each
+/// image used beside it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reading {
+    /// The utilisation.
+    pub utilisation: f64,
+    /// The cores by image.
+    pub usage: BTreeMap<Arc<str>, f64>,
+}
+
+impl Reading {
+    fn units(&self, image: &Arc<str>) -> f64 {
+        self.usage.get(image).copied().unwrap_or(0.0) / UNIT_CORES
+    }
+}
+
 /// The learned weights.
 #[derive(Clone, Debug, Default)]
 pub struct Model {
@@ -104,39 +123,48 @@
         1.0 - (floor / (target * PLANNED_PART)).min(1.0)
     }
 
-    /// Learns from one reading of a service whose own utilisation is thought
-    /// to be `level`; returns the corrected level.
-    pub fn learn(
-        &mut self,
-        service: &Arc<str>,
-        level: f64,
-        reading: f64,
-        usage: &BTreeMap<Arc<str>, f64>,
-    ) -> f64 {
-        let added: f64 = usage
+    /// Learns from two readings of a service, half a second apart. Its own load
+    /// changes little in that time, so a change is put down to that of the
+    /// fillers as far as theirs is large.
+    pub fn learn(&mut self, service: &Arc<str>, before: &Reading, after: &Reading) {
+        let images: BTreeSet<&Arc<str>> = before.usage.keys().chain(after.usage.keys()).collect();
+        let changes: Vec<(Arc<str>, f64)> = images
+            .into_iter()
+            .map(|image| (image.clone(), after.units(image) - before.units(image)))
+            .collect();
+        let expected: f64 = changes
             .iter()
-            .map(|(filler, cores)| self.cost(service, filler, *cores))
+            .map(|(image, change)| self.cost(service, image, change * UNIT_CORES))
             .sum();
-        let units = |cores: &f64| cores / UNIT_CORES;
-        let norm = LEVEL_GAIN
-            + usage
-                .values()
-                .map(|cores| units(cores).powi(2))
+        let norm = LOAD_CHANGE
+            + changes
+                .iter()
+                .map(|(_, change)| change.powi(2))
                 .sum::<f64>();
-        let step = LEARNING_RATE * (reading - level - added) / norm;
-        for (filler, cores) in usage {
+        let error = after.utilisation - before.utilisation - expected;
+        let step = LEARNING_RATE * error / norm;
+        for (image, change) in changes.into_iter().filter(|(_, change)| *change != 0.0) {
             let known = self
                 .weights
-                .entry((service.clone(), filler.clone()))
+                .entry((service.clone(), image))
                 .or_insert(Known {
                     value: PRIOR_WEIGHT,
                     readings: 0,
                     told: f64::NAN,
                 });
-            known.value = (known.value + step * units(cores)).clamp(LEAST_WEIGHT, MOST_WEIGHT);
+            known.value = (known.value + step * change).clamp(LEAST_WEIGHT, MOST_WEIGHT);
             known.readings = (known.readings + 1).min(MOST_READINGS);
         }
-        (level + LEVEL_GAIN * step).clamp(0.0, 1.0)
+    }
+
+    /// Returns what of a reading is the service's own load.
+    pub fn own_load(&self, service: &Arc<str>, reading: &Reading) -> f64 {
+        let added: f64 = reading
+            .usage
+            .iter()
+            .map(|(filler, cores)| self.cost(service, filler, *cores))
+            .sum();
+        (reading.utilisation - added).clamp(0.0, 1.0)
     }
 
     /// Makes all weights count as changed, for a reader that knows none.
--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         id::{Run, Task},
-        interference::{Model, Slack, Weight},
+        interference::{Model, Reading, Slack, Weight},
         message::Role,
         worker::Running,
     },
@@ -21,6 +21,8 @@
 /// How far ahead a rising load is planned for: a figure is half a second old on average
 /// when an order takes effect.
 const LOOKAHEAD_SECS: f64 = 0.5;
+/// Weight of the newest reading of a service's own load.
+const LEVEL_WEIGHT: f64 = 0.6;
 /// Weight of the newest slope.
 const SLOPE_WEIGHT: f64 = 0.3;
 /// What is left of the fillers' usage when a service is just over its target.
@@ -65,18 +67,21 @@
 }
 
 /// The utilisation of a service by its own load.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Level {
+    reading: Reading,
     value: f64,
     /// How fast it rises, for each second.
     slope: f64,
 }
 
 impl Level {
-    /// Takes a new value after `secs`.
-    fn follow(self, value: f64, secs: f64) -> Self {
+    /// Takes a new reading, of which `own` is the service's own load.
+    fn follow(&self, reading: Reading, own: f64, secs: f64) -> Self {
+        let value = self.value + LEVEL_WEIGHT * (own - self.value);
         let slope = (value - self.value) / secs.max(0.1);
         Self {
+            reading,
             value,
             slope: self.slope + SLOPE_WEIGHT * (slope - self.slope),
         }
@@ -84,7 +89,7 @@
 
     /// Returns the level that is planned for: a rise goes on until an order
     /// takes effect.
-    fn planned(self) -> f64 {
+    fn planned(&self) -> f64 {
         self.value + self.slope.max(0.0) * LOOKAHEAD_SECS
     }
 }
@@ -188,14 +193,20 @@
         let mut levels = BTreeMap::new();
         for (row, image, target) in serving(running, roles) {
             let key = (row.task, row.run);
-            let reading = self.model.utilisation(&image, target, row.figure as f64);
-            let level = match self.levels.get(&key) {
-                Some(level) => {
-                    let value = self.model.learn(&image, level.value, reading, &usage);
-                    level.follow(value, secs)
-                }
+            let reading = Reading {
+                utilisation: self.model.utilisation(&image, target, row.figure as f64),
+                usage: usage.clone(),
+            };
+            let known = self.levels.get(&key);
+            if let Some(known) = known {
+                self.model.learn(&image, &known.reading, &reading);
+            }
+            let own = self.model.own_load(&image, &reading);
+            let level = match known {
+                Some(known) => known.follow(reading, own, secs),
                 None => Level {
-                    value: reading,
+                    reading,
+                    value: own,
                     slope: 0.0,
                 },
             };
--- /dev/null
+++ b/crates/workload/tests/pace.rs
@@ -0,0 +1,159 @@
+//! Fillers beside a service whose latency follows a queue.
+
+use {
+    filbertbend_state::{
+        time::Instant,
+        unit::{Cores, Millis},
+    },
+    filbertbend_workload::{
+        id::{Job, Run, Task},
+        message::Role,
+        pace::Pace,
+        worker::Running,
+    },
+    std::collections::BTreeMap,
+};
+
+/// Latency of the service without any load, in milliseconds.
+const FLOOR_MS: f64 = 10.0;
+const TARGET: Millis = Millis(50);
+
+fn task(number: u64) -> Task {
+    Task {
+        job: Job(number),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn filler(image: &str) -> Role {
+    Role {
+        image: Some(image.into()),
+        filler: true,
+        cores: Cores(8000),
+        ..Role::default()
+    }
+}
+
+fn service() -> Role {
+    Role {
+        image: Some("service".into()),
+        latency_target: Some(TARGET),
+        ..Role::default()
+    }
+}
+
+/// A worker with one service and fillers, each with the utilisation that ten of
+/// its cores add.
+struct World {
+    pace: Pace,
+    now: Instant,
+    load: f64,
+    fillers: Vec<(Task, f64, Role)>,
+    shares: BTreeMap<Task, f64>,
+    over_ms: u64,
+}
+
+impl World {
+    fn new(load: f64, fillers: &[(&str, f64)]) -> Self {
+        let fillers: Vec<(Task, f64, Role)> = (1..)
+            .zip(fillers)
+            .map(|(number, (image, weight))| (task(number), *weight, filler(image)))
+            .collect();
+        Self {
+            pace: Pace::default(),
+            now: Instant(1000),
+            load,
+            shares: fillers.iter().map(|(task, ..)| (*task, 1.0)).collect(),
+            fillers,
+            over_ms: 0,
+        }
+    }
+
+    fn latency(&self) -> f64 {
+        let added: f64 = self
+            .fillers
+            .iter()
+            .map(|(task, weight, _)| weight * 0.8 * self.shares[task])
+            .sum();
+        FLOOR_MS / (1.0 - (self.load + added).min(0.98))
+    }
+
+    /// Lets half a second pass and one look follow.
+    fn pass(&mut self) {
+        self.now = self.now + Millis(500);
+        let latency = self.latency();
+        eprintln!(
+            "{latency:.0} {:?}",
+            self.shares.values().collect::<Vec<_>>()
+        );
+        if latency > TARGET.0 as f64 {
+            self.over_ms += 500;
+        }
+        let row = |task, percent, figure| Running {
+            task,
+            run: Run(1),
+            saved: None,
+            percent,
+            figure,
+        };
+        let mut running = vec![row(task(0), 100, latency as u64)];
+        let mut roles = BTreeMap::from([((task(0), Run(1)), service())]);
+        for (task, _, role) in &self.fillers {
+            let used = (role.cores.0 as f64 * self.shares[task]) as u64;
+            running.push(row(*task, 10, used));
+            roles.insert((*task, Run(1)), role.clone());
+        }
+        for change in self.pace.update(self.now, &running, &roles) {
+            let share = f64::from(change.percent) / 100.0;
+            self.shares.insert(change.task, share);
+        }
+    }
+}
+
+/// Guards against a service that stays over its target because of what fills
+/// beside it.
+#[test]
+fn service_comes_back_within_its_target() {
+    let mut world = World::new(0.5, &[("a", 0.5), ("b", 0.5), ("c", 0.5)]);
+
+    for _ in 0..20 {
+        world.pass();
+    }
+
+    assert!(world.latency() <= TARGET.0 as f64, "{}", world.latency());
+    assert!(world.over_ms < 4000, "{} ms over its target", world.over_ms);
+}
+
+/// Guards against fillers that are held back although they disturb nobody.
+#[test]
+fn harmless_fillers_work_at_their_full_share() {
+    let mut world = World::new(0.4, &[("harmless", 0.01), ("harmful", 0.6)]);
+
+    for _ in 0..40 {
+        world.pass();
+    }
+
+    let shares: Vec<f64> = world.shares.values().copied().collect();
+    assert!(shares[0] > 0.99, "{shares:?}");
+    assert!(shares[1] < 0.8, "{shares:?}");
+    assert!(world.latency() <= TARGET.0 as f64, "{}", world.latency());
+}
+
+/// Guards against fillers that stay held back after the load has gone.
+#[test]
+fn fillers_go_on_when_the_load_falls() {
+    let mut world = World::new(0.75, &[("a", 0.3)]);
+    for _ in 0..10 {
+        world.pass();
+    }
+    assert!(world.shares[&task(1)] < 0.5, "{:?}", world.shares);
+
+    world.load = 0.2;
+    for _ in 0..10 {
+        world.pass();
+    }
+
+    assert!(world.shares[&task(1)] > 0.9, "{:?}", world.shares);
+}
