--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -39,8 +39,8 @@
 const WATCH_WAIT: Millis = Millis(1000);
 /// How often the planner looks at the time.
 const TICK: Duration = Duration::from_millis(50);
-/// A tick that comes this late means that the process stood still; leadership
-/// is then confirmed again before anything is ordered.
+/// A tick that comes this late means that the process stood still, which the
+/// log tells.
 const STALL: Millis = Millis(1000);
 /// How long a leader that ends may take to make its progress durable.
 const LEAVE_LIMIT: Duration = Duration::from_millis(800);
