Keep slow callers from shutting a service

Cause: the gate refuses requests whose deadline is shorter than the time that most requests of the service take, and that time counted callers that read slowly: after four echoes of 6 MB and one slow reader of 24 MB on a busy machine it was over the 800 ms of a spacing check. Every request was then refused, so no newer time came in, and the service stayed shut.

Change: a request counts at most as three times the time within which most end, and each refusal for that time moves it towards the declared run time.

Ruled out: a full endpoint (one slot of four was in use at most), and a lost agent (the next requests would have been served).

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -167,6 +167,7 @@
         let need_ms = capacity.cautious_ms();
         let remaining_ms = ask.deadline.since(now).0 as f64;
         if remaining_ms < need_ms {
+            capacity.doubt(ask.run_time);
             return Err((Reason::DeadlineTooShort, Millis(need_ms as u64)));
         }
         self.flow(ask, now);
--- a/crates/coordination/src/admission/capacity.rs
+++ b/crates/coordination/src/admission/capacity.rs
@@ -10,6 +10,10 @@
 /// Mean deviations above the mean within which a request should end: for
 /// exponential times, about 92% of the requests do.
 const CAUTION: f64 = 2.0;
+/// A request that takes more than this many times the cautious time counts as
+/// one that took so long: its caller may have read slowly, which says nothing
+/// about the next one.
+const OUTLIER_FACTOR: f64 = 3.0;
 /// What one refusal by the endpoints takes off the limit, as a part of it.
 const REDUCTION: f64 = 0.02;
 /// What one completion restores.
@@ -81,16 +85,24 @@
 
     /// Takes the time of one completed request in.
     pub(super) fn observe(&mut self, span: Millis) {
-        let span_ms = span.0 as f64;
         if !self.observed {
             self.observed = true;
             self.deviation_ms = self.mean_ms / 2.0;
         }
+        let span_ms = (span.0 as f64).min(OUTLIER_FACTOR * self.cautious_ms());
         let error_ms = span_ms - self.mean_ms;
         self.mean_ms = (self.mean_ms + OBSERVATION_WEIGHT * error_ms).max(1.0);
         self.deviation_ms += OBSERVATION_WEIGHT * (error_ms.abs() - self.deviation_ms);
     }
 
+    /// Moves the expected time towards the declared run time, because a request
+    /// was refused for it. Nothing else would correct it while all are refused.
+    pub(super) fn doubt(&mut self, run_time: Millis) {
+        let declared_ms = (run_time.0 as f64).max(1.0);
+        self.mean_ms += OBSERVATION_WEIGHT * (declared_ms - self.mean_ms);
+        self.deviation_ms += OBSERVATION_WEIGHT * (declared_ms / 2.0 - self.deviation_ms);
+    }
+
     pub(super) fn mean_ms(&self) -> f64 {
         self.mean_ms
     }
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -476,3 +476,48 @@
 
     assert!(gate.queues() <= 1_025, "{} queues", gate.queues());
 }
+
+/// Completes a request after 3 s, as when its caller reads slowly.
+fn complete_slowly(gate: &mut Gate, request: u64) {
+    let start = request * 3_000;
+    let arrived = ask(request, Class::Interactive, "roofs", 0, start + 60_000);
+    step(gate, start, Event::Arrived(arrived));
+    step(gate, start + 3_000, Event::Completed(id::Request(request)));
+}
+
+/// Guards against a service that is refused for good after a few callers read
+/// slowly: their time counts as that of the service, and refused requests
+/// bring no newer times.
+#[test]
+fn slow_callers_do_not_shut_a_service() {
+    let mut gate = gate(4);
+    for request in 0..6 {
+        complete_slowly(&mut gate, request);
+    }
+
+    let actions = step(
+        &mut gate,
+        20_000,
+        Event::Arrived(ask(10, Class::Interactive, "roofs", 0, 20_800)),
+    );
+
+    assert_eq!(dispatched(&actions), [10]);
+}
+
+/// Guards against an estimate that nothing corrects: while every request is
+/// refused because of it, no request completes.
+#[test]
+fn estimate_that_refuses_everything_is_tried_again() {
+    let mut gate = gate(4);
+    for request in 0..400 {
+        complete_slowly(&mut gate, request);
+    }
+
+    let admitted = (400..1_000).find(|request| {
+        let arrived = ask(*request, Class::Interactive, "roofs", 0, 2_000_800);
+        let actions = step(&mut gate, 2_000_000, Event::Arrived(arrived));
+        refusals(&actions).is_empty()
+    });
+
+    assert!(admitted.is_some_and(|request| request > 400), "{admitted:?}");
+}
