Learn loads by service and interference by pair with a Kalman filter

Cause: fillers waited and were held back although most pairs of images do not disturb each other. The weights were learned by each agent alone from noisy changes between two readings and merged by counts, so harmless pairs kept much of their cautious prior, and harmful ones were met late.

Change: agents report their readings; the leader estimates the loads of services and the weights of pairs together and hands the weights out; agents go on from them with the same filter. After a service was over its target shares rise by 25 points a reading for 3 s, because the model has just been wrong. The former merging by counts, the slacks in reports and the per-task levels are gone.

Ruled out: limits of the worker's cores (fillers get what services do not use, at any share reserved); memory.

--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -519,5 +519,8 @@
         refusals(&actions).is_empty()
     });
 
-    assert!(admitted.is_some_and(|request| request > 400), "{admitted:?}");
+    assert!(
+        admitted.is_some_and(|request| request > 400),
+        "{admitted:?}"
+    );
 }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -17,7 +17,10 @@
         pace::Pace,
         worker::{Profile, Running},
     },
-    filbertbend_state::{time::Instant, unit::Millis},
+    filbertbend_state::{
+        time::Instant,
+        unit::{Cores, Millis},
+    },
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -245,7 +248,6 @@
             look_at: now,
         });
         self.profile_reported = false;
-        self.pace.renew();
     }
 
     /// Returns the lease's end on the worker's clock.
@@ -267,8 +269,6 @@
             self.renewed = Some(now);
             self.renewals.push_back((self.renewal, now));
             self.report.renew = Some(self.renewal);
-            self.report.slacks = self.pace.slacks();
-            self.report.learned = self.pace.news();
             self.report.starved = self.pace.starved(now);
         } else if due(self.pinged) {
             self.pinged = Some(now);
@@ -318,7 +318,7 @@
             }
         }
         for weight in &orders.learned {
-            self.pace.merge(weight);
+            self.pace.merge(now, weight);
         }
         for (task, run, role) in orders.roles {
             self.roles.insert((task, run), role);
@@ -529,6 +529,8 @@
             return;
         }
         session.inventoried = true;
+        self.pace.renew();
+        self.report.learned = self.pace.news();
         self.report.inventory = Some(Inventory {
             life: profile.life.clone(),
             running: lists.running.clone(),
@@ -580,11 +582,18 @@
         let Some(session) = &self.session else {
             return;
         };
-        for change in self.pace.update(now, running, &self.roles) {
+        let whole = self
+            .profile
+            .as_ref()
+            .map_or(Cores::ZERO, |profile| profile.room.cores);
+        for change in self.pace.update(now, whole, running, &self.roles) {
             actions.push(Action::Call(Call::Pace {
                 fence: session.fence,
                 change,
             }));
         }
+        if let Some(reading) = self.pace.take_reading() {
+            self.report.reading = Some(reading);
+        }
     }
 }
--- a/crates/workload/src/interference.rs
+++ b/crates/workload/src/interference.rs
@@ -2,19 +2,23 @@
 //!
 //! A service's latency rises with its utilisation as in a queue: with
 //! `latency = floor / (1 - utilisation)`, the utilisation is that of its own
-//! load plus a weight times the cores that each filler beside it uses. That is
-//! linear in the cores, so weights are learned by a normalised least mean
-//! squares filter. Agents learn from the figures of their worker; the leader
-//! merges what they have learned, places fillers by it and hands it to agents
-//! that have seen less.
+//! load plus, for each image of a filler, a weight times the part of the worker
+//! that the filler uses. The replicas of a service share its load, so what
+//! differs between them at one time is the fillers' doing, and what changes for
+//! all of them is the load's.
+//!
+//! [`Model`] estimates both, for the services of one image together. The leader
+//! learns from the readings of all workers, places fillers by it and hands the
+//! weights to the agents; each agent goes on learning from its own readings.
+
+mod filter;
 
 use {
-    filbertbend_state::unit::Millis,
+    crate::id::{Job, Task},
+    filbertbend_state::{time::Instant, unit::Millis},
+    filter::{seconds, Filter, Prior},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Part of a service's target that is planned for.
@@ -22,21 +26,55 @@
 /// Part of its target that a service takes without any load, until a lower
 /// latency has been seen.
 const FLOOR_PART: f64 = 0.25;
-/// Cores that count as one unit of usage.
-const UNIT_CORES: f64 = 10.0;
-/// Weight of a pair that nothing is known of.
-const PRIOR_WEIGHT: f64 = 0.15;
-/// The least weight, so that no image counts as harmless for good.
-const LEAST_WEIGHT: f64 = 0.005;
-/// The largest weight: a unit of cores fills the service's whole capacity.
-const MOST_WEIGHT: f64 = 1.0;
-/// How much the squared change of usage must exceed what a service's own load
-/// may change by meanwhile, in units, for most of a change to count.
-const LOAD_CHANGE: f64 = 0.1;
-/// How much of the newest error the model takes over.
-const LEARNING_RATE: f64 = 0.6;
-/// Readings after which a weight no longer gains in authority.
-const MOST_READINGS: u32 = 20;
+/// What is assumed of a pair of images: most hardly matter, and a few matter
+/// several times as much.
+const WEIGHT: Prior = Prior {
+    value: 0.35,
+    deviation: 1.25,
+    drift: 0.03,
+    most: 4.0,
+};
+/// What is assumed of a service's own load, which swings within seconds.
+const LOAD: Prior = Prior {
+    value: 0.5,
+    deviation: 0.25,
+    drift: 0.1,
+    most: 1.0,
+};
+/// Deviation of one reading of the utilisation: the platform's figures are
+/// rough.
+const READING_DEVIATION: f64 = 0.07;
+/// The least time over which a slope of the load is taken.
+const SLOPE_TIME: Millis = Millis(400);
+/// Weight of the newest slope.
+const SLOPE_WEIGHT: f64 = 0.3;
+/// How long the load of a service that is not read any more is kept.
+const LOAD_KEEP: Millis = Millis(10_000);
+/// Services of one image whose loads are kept; the cost of a reading grows with
+/// the square. Of further ones nothing is known but the prior.
+const LOAD_LIMIT: usize = 32;
+/// The least change of a weight that is worth telling others, and the part of
+/// the weight that is added to it.
+const NEWS_CHANGE: f64 = 0.05;
+const NEWS_PART: f64 = 0.1;
+
+/// The tasks of one step, which share the load of their service.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Replicas {
+    job: Job,
+    occurrence: u32,
+    step: u16,
+}
+
+impl From<Task> for Replicas {
+    fn from(task: Task) -> Self {
+        Self {
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+}
 
 /// What is known of one pair of images.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,170 +83,205 @@
     pub service: Arc<str>,
     /// The image of the filler.
     pub filler: Arc<str>,
-    /// The utilisation that a unit of the filler's cores adds.
+    /// The utilisation that a whole worker of the filler adds.
     pub value: f32,
-    /// How many readings it comes from.
-    pub readings: u32,
+    /// The variance of the value.
+    pub variance: f32,
 }
 
-/// How much utilisation fillers may add to the services of one image.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Slack {
-    /// The image of the service.
-    pub service: Arc<str>,
-    /// What is left of the planned utilisation without any filler.
-    pub value: f32,
+/// The figures of one worker over half a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reading {
+    /// The tail latency of each task that serves.
+    pub latencies: Vec<(Task, Millis)>,
+    /// The part of the worker that fillers of each image used.
+    pub usage: Usage,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    value: f64,
-    readings: u32,
-    /// The value that was passed on last.
-    told: f64,
+/// The part of a worker that fillers use, by image.
+pub type Usage = BTreeMap<Arc<str>, f32>;
+
+/// A service of which there is a reading.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// The tasks that share its load.
+    pub replicas: Replicas,
+    /// What it runs.
+    pub image: Arc<str>,
+    /// Its highest tail latency.
+    pub target: Millis,
 }
 
-/// A service's utilisation at one time, with the cores that fillers of each
-/// image used beside it.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Reading {
-    /// The utilisation.
-    pub utilisation: f64,
-    /// The cores by image.
-    pub usage: BTreeMap<Arc<str>, f64>,
+/// What is estimated for the services of one image.
+#[derive(Clone, Debug, PartialEq)]
+enum Name {
+    /// The load of one service.
+    Load(Replicas),
+    /// The weight of a filler's image.
+    Weight(Arc<str>),
 }
 
-impl Reading {
-    fn units(&self, image: &Arc<str>) -> f64 {
-        self.usage.get(image).copied().unwrap_or(0.0) / UNIT_CORES
+/// How a load moves.
+#[derive(Clone, Copy, Debug)]
+struct Trend {
+    /// How fast it rises, for each second.
+    slope: f64,
+    /// The value that the next slope is taken from, and its time.
+    from: (f64, Instant),
+}
+
+impl Trend {
+    fn follow(&mut self, now: Instant, value: f64) {
+        let span = now.since(self.from.1);
+        if span >= SLOPE_TIME {
+            let slope = (value - self.from.0) / seconds(span);
+            self.slope += SLOPE_WEIGHT * (slope - self.slope);
+            self.from = (value, now);
+        }
     }
 }
 
-/// The learned weights.
+/// The services of one image.
 #[derive(Clone, Debug, Default)]
-pub struct Model {
-    weights: BTreeMap<(Arc<str>, Arc<str>), Known>,
-    floors: BTreeMap<Arc<str>, f64>,
+struct Image {
+    /// The least latency that was seen, in milliseconds.
+    floor: Option<f64>,
+    filter: Filter<Name>,
+    trends: BTreeMap<Replicas, Trend>,
+    /// The weights as they were passed on last.
+    told: BTreeMap<Arc<str>, f64>,
 }
 
-impl Model {
-    /// Returns the utilisation that `cores` of a filler add to a service.
-    pub fn cost(&self, service: &Arc<str>, filler: &Arc<str>, cores: f64) -> f64 {
-        let weight = self
-            .weights
-            .get(&(service.clone(), filler.clone()))
-            .map_or(PRIOR_WEIGHT, |known| known.value);
-        weight * cores / UNIT_CORES
+impl Image {
+    fn floor(&self, target: Millis) -> f64 {
+        self.floor.unwrap_or(target.0.max(1) as f64 * FLOOR_PART)
+    }
+
+    /// Returns the utilisation at which a service is close to its target.
+    fn planned(&self, target: Millis) -> f64 {
+        1.0 - (self.floor(target) / (target.0.max(1) as f64 * PLANNED_PART)).min(1.0)
     }
 
     /// Returns a service's utilisation from its latency.
-    pub fn utilisation(&mut self, service: &Arc<str>, target: Millis, latency_ms: f64) -> f64 {
-        let target = target.0.max(1) as f64;
-        let floor = self
-            .floors
-            .entry(service.clone())
-            .or_insert(target * FLOOR_PART);
-        *floor = floor.min(latency_ms.max(1.0));
-        1.0 - *floor / latency_ms.max(1.0)
+    fn utilisation(&mut self, target: Millis, latency: Millis) -> f64 {
+        let latency = latency.0.max(1) as f64;
+        let floor = self.floor(target).min(latency);
+        self.floor = Some(floor);
+        1.0 - floor / latency
     }
 
-    /// Returns the utilisation at which a service is close to its target.
-    pub fn planned(&self, service: &Arc<str>, target: Millis) -> f64 {
-        let target = target.0.max(1) as f64;
-        let floor = self
-            .floors
+    /// Returns the load of a service if it goes on rising for `ahead`.
+    fn load(&self, replicas: Replicas, ahead: Millis) -> f64 {
+        let load = self.filter.get(&Name::Load(replicas));
+        let slope = self.trends.get(&replicas).map_or(0.0, |trend| trend.slope);
+        load.map_or(LOAD.value, |(load, _)| load) + slope.max(0.0) * seconds(ahead)
+    }
+}
+
+/// What is learned of all images of services.
+#[derive(Clone, Debug, Default)]
+pub struct Model {
+    images: BTreeMap<Arc<str>, Image>,
+}
+
+impl Model {
+    /// Returns the utilisation that a filler adds to a service by using `part`
+    /// of their worker.
+    pub fn cost(&self, service: &Arc<str>, filler: &Arc<str>, part: f64) -> f64 {
+        let weight = self
+            .images
             .get(service)
-            .copied()
-            .unwrap_or(target * FLOOR_PART);
-        1.0 - (floor / (target * PLANNED_PART)).min(1.0)
+            .and_then(|image| image.filter.get(&Name::Weight(filler.clone())));
+        weight.map_or(WEIGHT.value, |(weight, _)| weight) * part
     }
 
-    /// Learns from two readings of a service, half a second apart. Its own load
-    /// changes little in that time, so a change is put down to that of the
-    /// fillers as far as theirs is large.
-    pub fn learn(&mut self, service: &Arc<str>, before: &Reading, after: &Reading) {
-        let images: BTreeSet<&Arc<str>> = before.usage.keys().chain(after.usage.keys()).collect();
-        let changes: Vec<(Arc<str>, f64)> = images
-            .into_iter()
-            .map(|image| (image.clone(), after.units(image) - before.units(image)))
-            .collect();
-        let expected: f64 = changes
-            .iter()
-            .map(|(image, change)| self.cost(service, image, change * UNIT_CORES))
-            .sum();
-        let norm = LOAD_CHANGE
-            + changes
-                .iter()
-                .map(|(_, change)| change.powi(2))
-                .sum::<f64>();
-        let error = after.utilisation - before.utilisation - expected;
-        let step = LEARNING_RATE * error / norm;
-        for (image, change) in changes.into_iter().filter(|(_, change)| *change != 0.0) {
-            let known = self
-                .weights
-                .entry((service.clone(), image))
-                .or_insert(Known {
-                    value: PRIOR_WEIGHT,
-                    readings: 0,
-                    told: f64::NAN,
-                });
-            known.value = (known.value + step * change).clamp(LEAST_WEIGHT, MOST_WEIGHT);
-            known.readings = (known.readings + 1).min(MOST_READINGS);
-        }
+    /// Returns the utilisation that fillers may add to a service so that it
+    /// stays within its target, if its load goes on rising for `ahead`.
+    pub fn slack(&self, service: &Service, ahead: Millis) -> f64 {
+        let unknown = Image::default();
+        let image = self.images.get(&service.image).unwrap_or(&unknown);
+        image.planned(service.target) - image.load(service.replicas, ahead)
     }
 
-    /// Returns what of a reading is the service's own load.
-    pub fn own_load(&self, service: &Arc<str>, reading: &Reading) -> f64 {
-        let added: f64 = reading
-            .usage
+    /// Learns from the latency of one replica of a service and what fillers
+    /// used beside it.
+    pub fn observe(&mut self, now: Instant, service: &Service, latency: Millis, usage: &Usage) {
+        let image = self.images.entry(service.image.clone()).or_default();
+        let utilisation = image.utilisation(service.target, latency);
+        let replicas = service.replicas;
+        if !image.trends.contains_key(&replicas) && image.trends.len() >= LOAD_LIMIT {
+            return;
+        }
+        let weights = usage
             .iter()
-            .map(|(filler, cores)| self.cost(service, filler, *cores))
-            .sum();
-        (reading.utilisation - added).clamp(0.0, 1.0)
+            .filter(|(_, part)| **part > 0.0)
+            .map(|(filler, part)| (Name::Weight(filler.clone()), WEIGHT, f64::from(*part)));
+        let load = (Name::Load(replicas), LOAD, 1.0);
+        let sum = std::iter::once(load).chain(weights);
+        image
+            .filter
+            .observe(now, sum, utilisation, READING_DEVIATION);
+        let value = image.load(replicas, Millis::ZERO);
+        let trend = image.trends.entry(replicas).or_insert(Trend {
+            slope: 0.0,
+            from: (value, now),
+        });
+        trend.follow(now, value);
+    }
+
+    /// Forgets the loads of services that are not read any more.
+    pub fn forget(&mut self, now: Instant) {
+        for image in self.images.values_mut() {
+            image.filter.retain(|name, read| match name {
+                Name::Load(_) => now < read + LOAD_KEEP,
+                Name::Weight(_) => true,
+            });
+            let Image { filter, trends, .. } = image;
+            trends.retain(|replicas, _| filter.get(&Name::Load(*replicas)).is_some());
+        }
     }
 
     /// Makes all weights count as changed, for a reader that knows none.
     pub fn renew(&mut self) {
-        for known in self.weights.values_mut() {
-            known.told = f64::NAN;
+        for image in self.images.values_mut() {
+            image.told.clear();
         }
     }
 
     /// Lists the weights that have changed since they were last listed.
     pub fn news(&mut self) -> Vec<Weight> {
-        self.weights
-            .iter_mut()
-            .filter(|(_, known)| {
-                let change = (known.value - known.told).abs();
-                known.readings > 0 && (change.is_nan() || change > known.value / 8.0)
-            })
-            .map(|((service, filler), known)| {
-                known.told = known.value;
-                Weight {
+        let mut news = Vec::new();
+        for (service, image) in &mut self.images {
+            for (name, value) in image.filter.iter() {
+                let Name::Weight(filler) = name else { continue };
+                let known = image.told.get(filler);
+                if known.is_some_and(|told| (value - told).abs() < NEWS_CHANGE + NEWS_PART * told) {
+                    continue;
+                }
+                image.told.insert(filler.clone(), value);
+                let variance = image.filter.get(name).map_or(0.0, |(_, variance)| variance);
+                news.push(Weight {
                     service: service.clone(),
                     filler: filler.clone(),
-                    value: known.value as f32,
-                    readings: known.readings,
-                }
-            })
-            .collect()
+                    value: value as f32,
+                    variance: variance as f32,
+                });
+            }
+        }
+        news
     }
 
-    /// Takes over what another process has learned, by how much each has seen.
-    pub fn merge(&mut self, weight: &Weight) {
-        let value = f64::from(weight.value).clamp(LEAST_WEIGHT, MOST_WEIGHT);
-        let known = self
-            .weights
-            .entry((weight.service.clone(), weight.filler.clone()))
-            .or_insert(Known {
-                value,
-                readings: 0,
-                told: f64::NAN,
-            });
-        let (own, other) = (f64::from(known.readings), f64::from(weight.readings));
-        if own + other > 0.0 {
-            known.value = (known.value * own + value * other) / (own + other);
+    /// Takes over what another process has learned, if it is more certain.
+    pub fn merge(&mut self, now: Instant, weight: &Weight) {
+        let image = self.images.entry(weight.service.clone()).or_default();
+        let name = Name::Weight(weight.filler.clone());
+        let (value, variance) = (f64::from(weight.value), f64::from(weight.variance));
+        let known = image
+            .filter
+            .get(&name)
+            .map_or(WEIGHT.deviation.powi(2), |(_, known)| known);
+        if value.is_finite() && variance < known {
+            image.filter.set(name, WEIGHT, now, value, variance);
         }
-        known.readings = known.readings.max(weight.readings);
     }
 }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         id::{Epoch, Fence, Job, Life, Node, Run, Sequence, Task},
-        interference::{Slack, Weight},
+        interference::{Reading, Service, Weight},
         job,
         record::State,
         worker::{End, Profile, Running},
@@ -87,11 +87,10 @@
     pub saved: Vec<(Task, Run, Arc<str>)>,
     /// Fillers that have been held back entirely for long.
     pub starved: Vec<Task>,
-    /// What has been learned about interference.
+    /// What has been learned about interference, once a session.
     pub learned: Vec<Weight>,
-    /// What fillers may add, for each image of a service there; with every
-    /// request for a lease.
-    pub slacks: Vec<Slack>,
+    /// The newest figures of the worker.
+    pub reading: Option<Reading>,
     /// Asks for a lease; the number names the request.
     pub renew: Option<u64>,
 }
@@ -151,7 +150,7 @@
     pub stops: Vec<(Task, Run)>,
     /// Ends up to this one are durable and may be forgotten.
     pub settled: Option<Sequence>,
-    /// What other agents have learned about interference.
+    /// What the leader has learned about interference.
     pub learned: Vec<Weight>,
     /// The lease that was asked for: the request and the time from then on.
     pub lease: Option<(u64, Millis)>,
@@ -193,6 +192,15 @@
 }
 
 impl Role {
+    /// Returns the service that the task is a replica of, if it serves users.
+    pub fn service(&self, task: Task) -> Option<Service> {
+        self.latency_target.map(|target| Service {
+            replicas: task.into(),
+            image: self.image.clone().unwrap_or_default(),
+            target,
+        })
+    }
+
     /// Returns how the tasks of a step concern their neighbours.
     pub fn of(step: &job::Step) -> Self {
         Self {
--- a/crates/workload/src/pace.rs
+++ b/crates/workload/src/pace.rs
@@ -4,11 +4,14 @@
 use {
     crate::{
         id::{Run, Task},
-        interference::{Model, Reading, Slack, Weight},
+        interference::{Model, Reading, Service, Usage, Weight},
         message::Role,
         worker::Running,
     },
-    filbertbend_state::{time::Instant, unit::Millis},
+    filbertbend_state::{
+        time::Instant,
+        unit::{Cores, Millis},
+    },
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -20,13 +23,14 @@
 const LEAST_PERCENT: u8 = 5;
 /// How far ahead a rising load is planned for: a figure is half a second old on average
 /// when an order takes effect.
-const LOOKAHEAD_SECS: f64 = 0.5;
-/// Weight of the newest reading of a service's own load.
-const LEVEL_WEIGHT: f64 = 0.6;
-/// Weight of the newest slope.
-const SLOPE_WEIGHT: f64 = 0.3;
+const LOOKAHEAD: Millis = Millis(500);
 /// What is left of the fillers' usage when a service is just over its target.
 const RELIEF_PART: f64 = 0.6;
+/// How long after a service was over its target shares rise slowly, because the
+/// model has just been wrong.
+const CAUTION_TIME: Millis = Millis(3000);
+/// How far a share may rise at a time then, in percent.
+const RISE_PERCENT: u8 = 25;
 /// How long a filler may be held back entirely before it should go elsewhere.
 const STARVED_TIME: Millis = Millis(2000);
 
@@ -41,8 +45,8 @@
     pub percent: u8,
 }
 
-/// A service that runs.
-struct Service {
+/// A service that is at work.
+struct Neighbour {
     image: Arc<str>,
     /// The utilisation that fillers may add.
     slack: f64,
@@ -52,9 +56,9 @@
 struct Filler {
     key: (Task, Run),
     image: Arc<str>,
-    /// The cores that it takes at its full share.
-    cores: f64,
-    /// The cores that it has used.
+    /// The part of the worker that it takes at its full share.
+    part: f64,
+    /// The part that it has used.
     used: f64,
 }
 
@@ -66,66 +70,43 @@
     held_since: Option<Instant>,
 }
 
-/// The utilisation of a service by its own load.
-#[derive(Clone, Debug)]
-struct Level {
-    reading: Reading,
-    value: f64,
-    /// How fast it rises, for each second.
-    slope: f64,
-}
-
-impl Level {
-    /// Takes a new reading, of which `own` is the service's own load.
-    fn follow(&self, reading: Reading, own: f64, secs: f64) -> Self {
-        let value = self.value + LEVEL_WEIGHT * (own - self.value);
-        let slope = (value - self.value) / secs.max(0.1);
-        Self {
-            reading,
-            value,
-            slope: self.slope + SLOPE_WEIGHT * (slope - self.slope),
-        }
-    }
-
-    /// Returns the level that is planned for: a rise goes on until an order
-    /// takes effect.
-    fn planned(&self) -> f64 {
-        self.value + self.slope.max(0.0) * LOOKAHEAD_SECS
-    }
-}
-
 /// What is learned and in force on one worker.
 #[derive(Debug, Default)]
 pub struct Pace {
     model: Model,
-    /// The utilisation of each service by its own load.
-    levels: BTreeMap<(Task, Run), Level>,
     read: Option<Instant>,
     shares: BTreeMap<(Task, Run), Share>,
-    slacks: BTreeMap<Arc<str>, f64>,
+    /// The newest reading, until it is reported.
+    reading: Option<Reading>,
+    /// Until when shares rise slowly.
+    cautious_until: Option<Instant>,
 }
 
 impl Pace {
-    /// Takes what runs now, and returns which shares are to change.
+    /// Takes what runs now on a worker of `whole` cores, and returns which
+    /// shares are to change.
     pub fn update(
         &mut self,
         now: Instant,
+        whole: Cores,
         running: &[Running],
         roles: &BTreeMap<(Task, Run), Role>,
     ) -> Vec<Change> {
-        let fillers = fillers(running, roles);
+        let fillers = fillers(whole, running, roles);
         if self.read.is_none_or(|read| now >= read + READ_INTERVAL) {
-            let secs = self
-                .read
-                .map_or(1.0, |read| now.since(read).0 as f64 / 1000.0);
             self.read = Some(now);
-            self.learn(secs, running, roles, &fillers);
+            self.learn(now, running, roles, &fillers);
         }
-        let services = self.services(running, roles, &fillers);
-        let shares = self.plan(&services, &fillers);
+        let neighbours = self.neighbours(running, roles, &fillers);
+        let shares = self.plan(&neighbours, &fillers);
         self.apply(now, &fillers, &shares)
     }
 
+    /// Takes the newest reading, if it has not been reported.
+    pub fn take_reading(&mut self) -> Option<Reading> {
+        self.reading.take()
+    }
+
     /// Notes that a filler has just started, at its full share.
     pub fn started(&mut self, task: Task, run: Run) {
         let share = Share {
@@ -145,25 +126,14 @@
         self.model.renew();
     }
 
-    /// Lists what has been learned since it was last listed.
+    /// Lists what has been learned, for a leader that knows nothing.
     pub fn news(&mut self) -> Vec<Weight> {
         self.model.news()
     }
 
     /// Takes over what has been learned elsewhere.
-    pub fn merge(&mut self, weight: &Weight) {
-        self.model.merge(weight);
-    }
-
-    /// Lists what fillers may add, for each image of a service.
-    pub fn slacks(&self) -> Vec<Slack> {
-        self.slacks
-            .iter()
-            .map(|(service, value)| Slack {
-                service: service.clone(),
-                value: *value as f32,
-            })
-            .collect()
+    pub fn merge(&mut self, now: Instant, weight: &Weight) {
+        self.model.merge(now, weight);
     }
 
     /// Lists the fillers that have been held back entirely for long.
@@ -181,83 +151,62 @@
 
     fn learn(
         &mut self,
-        secs: f64,
+        now: Instant,
         running: &[Running],
         roles: &BTreeMap<(Task, Run), Role>,
         fillers: &[Filler],
     ) {
-        let mut usage: BTreeMap<Arc<str>, f64> = BTreeMap::new();
+        let mut usage = Usage::new();
         for filler in fillers {
-            *usage.entry(filler.image.clone()).or_insert(0.0) += filler.used;
+            *usage.entry(filler.image.clone()).or_insert(0.0) += filler.used as f32;
         }
-        let mut levels = BTreeMap::new();
-        for (row, image, target) in serving(running, roles) {
-            let key = (row.task, row.run);
-            let reading = Reading {
-                utilisation: self.model.utilisation(&image, target, row.figure as f64),
-                usage: usage.clone(),
-            };
-            let known = self.levels.get(&key);
-            if let Some(known) = known {
-                self.model.learn(&image, &known.reading, &reading);
+        let mut latencies = Vec::new();
+        for (row, service) in serving(running, roles) {
+            let latency = Millis(row.figure);
+            if latency > service.target {
+                self.cautious_until = Some(now + CAUTION_TIME);
             }
-            let own = self.model.own_load(&image, &reading);
-            let level = match known {
-                Some(known) => known.follow(reading, own, secs),
-                None => Level {
-                    reading,
-                    value: own,
-                    slope: 0.0,
-                },
-            };
-            levels.insert(key, level);
+            self.model.observe(now, &service, latency, &usage);
+            latencies.push((row.task, latency));
         }
-        self.levels = levels;
+        self.model.forget(now);
+        self.reading = (!latencies.is_empty()).then_some(Reading { latencies, usage });
     }
 
-    fn services(
-        &mut self,
+    fn neighbours(
+        &self,
         running: &[Running],
         roles: &BTreeMap<(Task, Run), Role>,
         fillers: &[Filler],
-    ) -> Vec<Service> {
-        let services: Vec<Service> = serving(running, roles)
-            .filter_map(|(row, image, target)| {
-                let level = self.levels.get(&(row.task, row.run))?;
-                let mut slack = self.model.planned(&image, target) - level.planned();
-                if row.figure > target.0 {
+    ) -> Vec<Neighbour> {
+        serving(running, roles)
+            .map(|(row, service)| {
+                let mut slack = self.model.slack(&service, LOOKAHEAD);
+                let image = service.image;
+                if row.figure > service.target.0 {
                     // Whatever the model says, what is there is too much.
                     let added: f64 = fillers
                         .iter()
                         .map(|filler| self.model.cost(&image, &filler.image, filler.used))
                         .sum();
-                    let over = row.figure as f64 / target.0.max(1) as f64;
+                    let over = row.figure as f64 / service.target.0.max(1) as f64;
                     slack = slack.min(added * RELIEF_PART / over);
                 }
-                Some(Service { image, slack })
+                Neighbour { image, slack }
             })
-            .collect();
-        self.slacks.clear();
-        for service in &services {
-            let slack = self
-                .slacks
-                .entry(service.image.clone())
-                .or_insert(f64::INFINITY);
-            *slack = slack.min(service.slack);
-        }
-        services
+            .collect()
     }
 
     /// Gives full shares to the fillers that take the smallest part of any
     /// service's slack, as far as it goes.
-    fn plan(&self, services: &[Service], fillers: &[Filler]) -> Vec<u8> {
+    fn plan(&self, services: &[Neighbour], fillers: &[Filler]) -> Vec<u8> {
         let mut slacks: Vec<f64> = services.iter().map(|service| service.slack).collect();
-        let cost = |filler: &Filler, service: &Service| {
-            self.model.cost(&service.image, &filler.image, filler.cores)
+        let cost = |filler: &Filler, service: &Neighbour| {
+            self.model.cost(&service.image, &filler.image, filler.part)
         };
         let burden = |filler: &Filler| {
             let costs = services.iter().map(|service| cost(filler, service));
-            costs.fold(0.0, f64::max) / filler.cores.max(0.1)
+            costs.fold(0.0, f64::max) / filler.part.max(f64::EPSILON)
         };
         let mut order: Vec<usize> = (0..fillers.len()).collect();
         order.sort_by(|left, right| burden(&fillers[*left]).total_cmp(&burden(&fillers[*right])));
@@ -282,23 +231,30 @@
     fn apply(&mut self, now: Instant, fillers: &[Filler], shares: &[u8]) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut applied = BTreeMap::new();
+        let cautious = self.cautious_until.is_some_and(|until| now < until);
         for (filler, percent) in fillers.iter().zip(shares) {
             let before = self.shares.get(&filler.key).copied();
-            let at_end = *percent == 0 || *percent == 100;
+            let percent = match before {
+                Some(before) if cautious => {
+                    before.percent.saturating_add(RISE_PERCENT).min(*percent)
+                }
+                _ => *percent,
+            };
+            let at_end = percent == 0 || percent == 100;
             let changed = before.is_none_or(|before| {
-                let step = before.percent.abs_diff(*percent);
+                let step = before.percent.abs_diff(percent);
                 step > 0 && (at_end || step >= STEP_PERCENT)
             });
             if changed {
                 changes.push(Change {
                     task: filler.key.0,
                     run: filler.key.1,
-                    percent: *percent,
+                    percent,
                 });
             }
             let percent = match before {
                 Some(before) if !changed => before.percent,
-                _ => *percent,
+                _ => percent,
             };
             let held_since =
                 (percent == 0).then(|| before.and_then(|before| before.held_since).unwrap_or(now));
@@ -313,7 +269,8 @@
     }
 }
 
-fn fillers(running: &[Running], roles: &BTreeMap<(Task, Run), Role>) -> Vec<Filler> {
+fn fillers(whole: Cores, running: &[Running], roles: &BTreeMap<(Task, Run), Role>) -> Vec<Filler> {
+    let whole = whole.0.max(1) as f64;
     running
         .iter()
         .filter_map(|row| {
@@ -321,8 +278,8 @@
             role.filler.then(|| Filler {
                 key: (row.task, row.run),
                 image: role.image.clone().unwrap_or_default(),
-                cores: role.cores.0 as f64 / 1000.0,
-                used: row.figure as f64 / 1000.0,
+                part: role.cores.0 as f64 / whole,
+                used: row.figure as f64 / whole,
             })
         })
         .collect()
@@ -332,11 +289,9 @@
 fn serving<'a>(
     running: &'a [Running],
     roles: &'a BTreeMap<(Task, Run), Role>,
-) -> impl Iterator<Item = (&'a Running, Arc<str>, Millis)> {
+) -> impl Iterator<Item = (&'a Running, Service)> {
     running.iter().filter_map(|row| {
-        let role = roles.get(&(row.task, row.run))?;
-        let target = role.latency_target?;
-        let image = role.image.clone().unwrap_or_default();
-        (row.percent == 100 && row.figure > 0).then_some((row, image, target))
+        let service = roles.get(&(row.task, row.run))?.service(row.task)?;
+        (row.percent == 100 && row.figure > 0).then_some((row, service))
     })
 }
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         id::{Fence, Job, Life, Link, Node, Run, Sequence, Task},
-        interference::{Model, Slack, Weight},
+        interference::{Model, Service, Weight},
         message::{Orders, Role, Start},
         worker::Profile,
     },
@@ -24,7 +24,8 @@
     pub(super) room: Room,
     /// The cores that a filler would use if they were free.
     pub(super) filling: Cores,
-    pub(super) serving: bool,
+    /// The service that it is a replica of, if it serves users.
+    pub(super) service: Option<Service>,
     pub(super) image: Arc<str>,
     pub(super) priority: u8,
 }
@@ -40,8 +41,9 @@
 /// The part of its reserved cores that a service leaves unused on average; it
 /// reserves for its peak, and the platform's services run at half of that.
 const UNUSED_PART: f64 = 0.5;
-/// What fillers may add to a service whose latency is not known yet.
-const UNKNOWN_SLACK: f64 = 0.2;
+/// How far ahead a rising load is planned for: a filler runs for seconds, and
+/// its agent holds it back if need be.
+const LOOKAHEAD: Millis = Millis(1000);
 /// What a stop comes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Stop {
@@ -75,8 +77,6 @@
     /// When it leaves, if it has said so.
     pub(super) leaves_at: Option<Instant>,
     pub(super) standing: Standing,
-    /// What fillers may add, for each image of a service there.
-    pub(super) slacks: Vec<Slack>,
     orders: Orders,
     /// Starts whose placement is not durable yet, with the job's version that
     /// holds it.
@@ -101,7 +101,6 @@
             heard: now,
             leaves_at: None,
             standing: Standing::default(),
-            slacks: Vec::new(),
             orders: Orders::default(),
             held: Vec::new(),
             unsettled: VecDeque::new(),
@@ -126,38 +125,34 @@
         self.standing.strikes >= STRIKE_LIMIT && now < self.standing.last_strike + STRIKE_TIME
     }
 
-    /// Tells whether a task there serves users.
-    pub(super) fn serves(&self) -> bool {
+    /// Lists the replicas of services there.
+    pub(super) fn services(&self) -> impl Iterator<Item = &Service> {
         self.reservations
             .values()
-            .any(|reservation| reservation.serving)
+            .filter_map(|reservation| reservation.service.as_ref())
     }
 
     /// Returns the part of a filler that the services there leave room for,
     /// above 1 if there is more, and infinity if there is no service.
-    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: f64) -> f64 {
+    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: Cores) -> f64 {
+        let part = |cores: Cores| {
+            let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
+            cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
+        };
         let fillers: Vec<&Reservation> = self
             .reservations
             .values()
             .filter(|reservation| reservation.filling > Cores::ZERO)
             .collect();
-        let left = |service: &Arc<str>| {
-            let slack = self
-                .slacks
-                .iter()
-                .find(|slack| slack.service == *service)
-                .map_or(UNKNOWN_SLACK, |slack| f64::from(slack.value));
-            let taken: f64 = fillers
-                .iter()
-                .map(|other| model.cost(service, &other.image, cores_of(other.filling)))
-                .sum();
-            let cost = model.cost(service, image, cores);
-            (slack - taken) / cost.max(f64::EPSILON)
-        };
-        self.reservations
-            .values()
-            .filter(|reservation| reservation.serving)
-            .map(|reservation| left(&reservation.image))
+        self.services()
+            .map(|service| {
+                let taken: f64 = fillers
+                    .iter()
+                    .map(|other| model.cost(&service.image, &other.image, part(other.filling)))
+                    .sum();
+                let cost = model.cost(&service.image, image, part(cores));
+                (model.slack(service, LOOKAHEAD) - taken) / cost.max(f64::EPSILON)
+            })
             .fold(f64::INFINITY, f64::min)
     }
 
@@ -168,7 +163,7 @@
         let serving: u64 = self
             .reservations
             .values()
-            .filter(|reservation| reservation.serving)
+            .filter(|reservation| reservation.service.is_some())
             .map(|reservation| reservation.room.cores.0)
             .sum();
         let unused = serving as f64 * UNUSED_PART;
@@ -474,10 +469,6 @@
     }
 }
 
-fn cores_of(cores: Cores) -> f64 {
-    cores.0 as f64 / 1000.0
-}
-
 /// Returns the rack and kind labels of a worker.
 pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
     profile.labels.contains(label)
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -462,6 +462,7 @@
     }
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
+        self.model.forget(self.now);
         self.fleet.teach(&self.model.news());
         for node in self.fleet.lapsed(self.now) {
             self.abandon(&node, Reason::LeasePassed, actions);
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -271,7 +271,7 @@
             let left = worker.idle_cores();
             let need = ask.step.room.cores.0.max(1) as f64;
             let image = ask.step.image.clone().unwrap_or_default();
-            let tolerance = worker.tolerance(&self.model, &image, need / 1000.0);
+            let tolerance = worker.tolerance(&self.model, &image, ask.step.room.cores);
             let is_good = left >= need * FILLER_PART && tolerance >= TOLERANCE_PART;
             if !is_good && !ask.urgent {
                 return None;
@@ -286,7 +286,7 @@
         } else {
             rating += left;
         }
-        if worker.serves() {
+        if worker.services().next().is_some() {
             rating += UNDISTURBED_WORTH;
         }
         Some(rating)
@@ -406,7 +406,9 @@
         let mut candidates: Vec<_> = worker
             .reservations
             .iter()
-            .filter(|(_, reservation)| reservation.priority > priority && !reservation.serving)
+            .filter(|(_, reservation)| {
+                reservation.priority > priority && reservation.service.is_none()
+            })
             .collect();
         candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
         for ((task, run), reservation) in candidates {
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -4,6 +4,7 @@
     super::{fleet::Reservation, ledger::Copy, terms, Action, Decision, Instant, Planner, Reason},
     crate::{
         id::{Link, Node, Run, Task},
+        interference::Reading,
         message::{Inventory, Outcome, Report, Role, Verdict},
         record::State,
         worker::{End, How, Profile, Running},
@@ -35,7 +36,7 @@
             || report.inventory.is_some()
             || !report.outcomes.is_empty()
             || !report.ends.is_empty()
-            || !report.slacks.is_empty();
+            || report.reading.is_some();
         if let Some(profile) = report.profile {
             self.profile(&node, profile, actions);
         }
@@ -52,19 +53,33 @@
             self.saved(task, run, saved);
         }
         for weight in &report.learned {
-            self.model.merge(weight);
+            self.model.merge(self.now, weight);
+        }
+        if let Some(reading) = report.reading {
+            self.read(&reading);
         }
         for task in report.starved {
             self.starved(&node, task, actions);
         }
         if let Some(request) = report.renew {
-            if let Some(worker) = self.fleet.get_mut(&node) {
-                worker.slacks = report.slacks;
-            }
             self.renew(until, &node, request);
         }
     }
 
+    /// Learns from the figures of one worker.
+    fn read(&mut self, reading: &Reading) {
+        for (task, latency) in &reading.latencies {
+            let service = self
+                .ledger
+                .get(task.job)
+                .and_then(|entry| Role::of(entry.step(task.step)?).service(*task));
+            if let Some(service) = service {
+                self.model
+                    .observe(self.now, &service, *latency, &reading.usage);
+            }
+        }
+    }
+
     fn renew(&mut self, until: Instant, node: &Node, request: u64) {
         let lease = self.settings.lease.min(until.since(self.now));
         let bound = self.now + self.settings.lease_bound();
@@ -401,7 +416,7 @@
             Reservation {
                 room: whole.map_or(Room::NONE, |profile| profile.room),
                 filling: Cores::ZERO,
-                serving: false,
+                service: None,
                 image: Arc::default(),
                 priority: u8::MAX,
             }
@@ -453,7 +468,7 @@
         Some(Reservation {
             room: step.reserved(),
             filling,
-            serving: step.latency_target.is_some(),
+            service: Role::of(step).service(task),
             image: step.image.clone().unwrap_or_default(),
             priority: terms(&self.catalog, &entry.job).priority,
         })
--- /dev/null
+++ b/crates/workload/tests/interference.rs
@@ -0,0 +1,96 @@
+//! What is learned about interference from readings.
+
+use {
+    filbertbend_state::{time::Instant, unit::Millis},
+    filbertbend_workload::{
+        id::{Job, Task},
+        interference::{Model, Service, Usage},
+    },
+    std::sync::Arc,
+};
+
+/// Latency of the service without any load, in milliseconds: a quarter of its
+/// target, which is what the model begins with.
+const FLOOR_MS: f64 = 12.5;
+
+fn service(job: u64) -> Service {
+    let task = Task {
+        job: Job(job),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    Service {
+        replicas: task.into(),
+        image: "service".into(),
+        target: Millis(50),
+    }
+}
+
+fn latency(utilisation: f64) -> Millis {
+    Millis((FLOOR_MS / (1.0 - utilisation)) as u64)
+}
+
+fn usage(image: &str, part: f32) -> Usage {
+    Usage::from([(image.into(), part)])
+}
+
+fn cost(model: &Model, filler: &str) -> f64 {
+    let filler: Arc<str> = filler.into();
+    model.cost(&"service".into(), &filler, 1.0)
+}
+
+/// Guards against a filler that is blamed for the load of the service beside
+/// it, and one that is not blamed because the load falls meanwhile.
+#[test]
+fn load_that_all_replicas_share_is_not_put_down_to_fillers() {
+    let mut model = Model::default();
+    for half_second in 0..12 {
+        let now = Instant(1000 + 500 * half_second);
+        let load = 0.3 + 0.03 * half_second as f64;
+        for _ in 0..3 {
+            model.observe(now, &service(1), latency(load), &Usage::new());
+        }
+        model.observe(now, &service(1), latency(load), &usage("harmless", 0.3));
+        let falling = 0.66 - load / 2.0;
+        for _ in 0..3 {
+            model.observe(now, &service(2), latency(falling), &Usage::new());
+        }
+        let harmed = latency(falling + 0.3);
+        model.observe(now, &service(2), harmed, &usage("harmful", 0.2));
+    }
+
+    assert!(
+        cost(&model, "harmless") < 0.1,
+        "{}",
+        cost(&model, "harmless")
+    );
+    let harmful = cost(&model, "harmful");
+    assert!((1.2..1.8).contains(&harmful), "{harmful}");
+}
+
+/// Guards against a leader that gives up what it has learned for an agent's
+/// first guess.
+#[test]
+fn what_is_more_certain_is_kept() {
+    let mut taught = Model::default();
+    for half_second in 0..12 {
+        let now = Instant(1000 + 500 * half_second);
+        taught.observe(now, &service(1), latency(0.4), &Usage::new());
+        taught.observe(now, &service(1), latency(0.4), &usage("filler", 0.4));
+    }
+    let mut guessing = Model::default();
+    let now = Instant(7000);
+    guessing.observe(now, &service(1), latency(0.7), &usage("filler", 0.1));
+    let known = cost(&taught, "filler");
+
+    for weight in guessing.news() {
+        taught.merge(now, &weight);
+    }
+    for weight in taught.news() {
+        guessing.merge(now, &weight);
+    }
+
+    assert_eq!(cost(&taught, "filler"), known);
+    assert!((cost(&guessing, "filler") - known).abs() < 0.001);
+}
--- a/crates/workload/tests/pace.rs
+++ b/crates/workload/tests/pace.rs
@@ -17,6 +17,8 @@
 /// Latency of the service without any load, in milliseconds.
 const FLOOR_MS: f64 = 10.0;
 const TARGET: Millis = Millis(50);
+/// The cores of the worker.
+const WHOLE: Cores = Cores(64_000);
 
 fn task(number: u64) -> Task {
     Task {
@@ -84,10 +86,6 @@
     fn pass(&mut self) {
         self.now = self.now + Millis(500);
         let latency = self.latency();
-        eprintln!(
-            "{latency:.0} {:?}",
-            self.shares.values().collect::<Vec<_>>()
-        );
         if latency > TARGET.0 as f64 {
             self.over_ms += 500;
         }
@@ -105,7 +103,7 @@
             running.push(row(*task, 10, used));
             roles.insert((*task, Run(1)), role.clone());
         }
-        for change in self.pace.update(self.now, &running, &roles) {
+        for change in self.pace.update(self.now, WHOLE, &running, &roles) {
             let share = f64::from(change.percent) / 100.0;
             self.shares.insert(change.task, share);
         }
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -6,7 +6,7 @@
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::{Job, Link, Run, Sequence},
-        interference::Slack,
+        interference::Reading,
         message::{Question, Reply},
         planner::Event,
         record::{Progress, State},
@@ -268,11 +268,11 @@
     filler.style.filler = true;
     filler.room = room(6, 1);
     filler.image = Some("filler".into());
-    let slack = Slack {
-        service: "service".into(),
-        value: 0.0,
+    let reading = Reading {
+        latencies: vec![(task(1, 0, 0), Millis(49))],
+        ..Reading::default()
     };
-    world.slacks(0, vec![slack]);
+    world.reads(0, reading);
 
     world.submit(2, job(vec![filler]));
     let starts = world.starts(0);
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -9,7 +9,7 @@
     filbertbend_workload::{
         catalog::{Catalog, Queue},
         id::{Epoch, Job, Life, Link, Node, Run, Sequence, Task},
-        interference::Slack,
+        interference::Reading,
         job::{self, Step, Terms},
         message::{Inventory, Orders, Outcome, Report, Response, Start, Verdict},
         planner::{Action, Batch, Decision, Event, Planner, Settings, Write},
@@ -112,7 +112,7 @@
     pub(crate) welcomed: Vec<Link>,
     pub(crate) decisions: Vec<Decision>,
     pub(crate) batches: Vec<Batch>,
-    slacks: Vec<Slack>,
+    reading: Option<Reading>,
 }
 
 impl World {
@@ -127,7 +127,7 @@
             welcomed: Vec::new(),
             decisions: Vec::new(),
             batches: Vec::new(),
-            slacks: Vec::new(),
+            reading: None,
         }
     }
 
@@ -208,7 +208,7 @@
             for number in alive {
                 let report = Report {
                     renew: Some(2),
-                    slacks: self.slacks.clone(),
+                    reading: self.reading.clone(),
                     ..Report::default()
                 };
                 self.step(Event::Report(Link(*number), Box::new(report)));
@@ -217,11 +217,11 @@
         }
     }
 
-    pub(crate) fn slacks(&mut self, number: u64, slacks: Vec<Slack>) {
-        self.slacks.clone_from(&slacks);
+    /// Reports figures of a worker now and whenever time passes.
+    pub(crate) fn reads(&mut self, number: u64, reading: Reading) {
+        self.reading = Some(reading.clone());
         let report = Report {
-            slacks,
-            renew: Some(3),
+            reading: Some(reading),
             ..Report::default()
         };
         self.step(Event::Report(Link(number), Box::new(report)));
