Search once a look for jobs that ask for the same

With a tenth of a core a queue of waiting jobs cost it its lease, and the next leader too.

Change: one search a look for jobs that ask for the same, urgent or not; what services leave is worked out once for each worker and again after a change or 250 ms; readings alone do not cause a look.

Ruled out: frozen instances (the stalls follow the leader, not the instance, and go on after the last disruption), the store (it answers at these times).

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -44,6 +44,23 @@
 /// How far ahead a rising load is planned for: a filler runs for seconds, and
 /// its agent holds it back if need be.
 const LOOKAHEAD: Millis = Millis(1000);
+/// What the services on a worker leave to fillers.
+#[derive(Clone, Debug)]
+struct Outlook {
+    /// The utilisation that may be added, by image of the services.
+    slacks: Vec<(Arc<str>, f64)>,
+    fillers: Vec<Taken>,
+}
+
+/// What the fillers of one image take.
+#[derive(Clone, Debug)]
+struct Taken {
+    /// The most that they would add to a service by using the whole worker.
+    burden: f64,
+    /// What they add to each service, in the order of the slacks.
+    costs: Vec<f64>,
+}
+
 /// What a stop comes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Stop {
@@ -77,6 +94,8 @@
     /// When it leaves, if it has said so.
     pub(super) leaves_at: Option<Instant>,
     pub(super) standing: Standing,
+    /// What fillers can expect; absent after a change.
+    outlook: Option<Outlook>,
     orders: Orders,
     /// Starts whose placement is not durable yet, with the job's version that
     /// holds it.
@@ -101,6 +120,7 @@
             heard: now,
             leaves_at: None,
             standing: Standing::default(),
+            outlook: None,
             orders: Orders::default(),
             held: Vec::new(),
             unsettled: VecDeque::new(),
@@ -132,33 +152,84 @@
             .filter_map(|reservation| reservation.service.as_ref())
     }
 
+    /// Takes stock of what the services there leave to fillers, unless nothing
+    /// has changed since.
+    pub(super) fn survey(&mut self, model: &Model) {
+        if self.outlook.is_none() {
+            self.outlook = Some(self.look_out(model));
+        }
+    }
+
+    /// Makes the next survey take stock again.
+    pub(super) fn outdate(&mut self) {
+        self.outlook = None;
+    }
+
+    fn look_out(&self, model: &Model) -> Outlook {
+        let mut slacks: BTreeMap<Arc<str>, f64> = BTreeMap::new();
+        let mut parts: BTreeMap<Arc<str>, f64> = BTreeMap::new();
+        for reservation in self.reservations.values() {
+            if let Some(service) = &reservation.service {
+                let slack = slacks.entry(service.image.clone()).or_insert(f64::INFINITY);
+                *slack = slack.min(model.slack(service, LOOKAHEAD));
+            }
+            if reservation.filling > Cores::ZERO {
+                let part = parts.entry(reservation.image.clone()).or_insert(0.0);
+                *part += self.part(reservation.filling);
+            }
+        }
+        let fillers = parts
+            .iter()
+            .map(|(image, part)| {
+                let costs: Vec<f64> = slacks
+                    .keys()
+                    .map(|service| model.cost(service, image, *part))
+                    .collect();
+                Taken {
+                    burden: most(&costs) / part.max(f64::EPSILON),
+                    costs,
+                }
+            })
+            .collect();
+        Outlook {
+            slacks: slacks.into_iter().collect(),
+            fillers,
+        }
+    }
+
+    fn part(&self, cores: Cores) -> f64 {
+        let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
+        cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
+    }
+
     /// Returns the part of a filler that the services there leave room for,
-    /// above 1 if there is more, and infinity if there is no service.
+    /// above 1 if there is more, and infinity if there is no service. A worker
+    /// that was not surveyed leaves none.
     pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: Cores) -> f64 {
-        let part = |cores: Cores| {
-            let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
-            cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
+        let Some(outlook) = &self.outlook else {
+            return 0.0;
         };
+        let part = self.part(cores);
+        let costs: Vec<f64> = outlook
+            .slacks
+            .iter()
+            .map(|(service, _)| model.cost(service, image, part))
+            .collect();
+        let burden = most(&costs) / part.max(f64::EPSILON);
         // Agents hold back first what takes most of any service's slack.
-        let burden = |image: &Arc<str>| {
-            self.services()
-                .map(|service| model.cost(&service.image, image, 1.0))
-                .fold(0.0, f64::max)
-        };
-        let own = burden(image);
-        let fillers: Vec<&Reservation> = self
-            .reservations
-            .values()
-            .filter(|other| other.filling > Cores::ZERO && burden(&other.image) <= own)
+        let kept: Vec<&Taken> = outlook
+            .fillers
+            .iter()
+            .filter(|taken| taken.burden <= burden)
             .collect();
-        self.services()
-            .map(|service| {
-                let taken: f64 = fillers
-                    .iter()
-                    .map(|other| model.cost(&service.image, &other.image, part(other.filling)))
-                    .sum();
-                let cost = model.cost(&service.image, image, part(cores));
-                (model.slack(service, LOOKAHEAD) - taken) / cost.max(f64::EPSILON)
+        outlook
+            .slacks
+            .iter()
+            .zip(&costs)
+            .enumerate()
+            .map(|(index, ((_, slack), cost))| {
+                let taken: f64 = kept.iter().map(|taken| taken.costs[index]).sum();
+                (slack - taken) / cost.max(f64::EPSILON)
             })
             .fold(f64::INFINITY, f64::min)
     }
@@ -185,6 +256,7 @@
     }
 
     fn reserve(&mut self, task: Task, run: Run, reservation: Reservation) {
+        self.outlook = None;
         self.used += reservation.room;
         self.filling += reservation.filling;
         self.reservations.insert((task, run), reservation);
@@ -194,6 +266,7 @@
         let Some(reservation) = self.reservations.remove(&(task, run)) else {
             return false;
         };
+        self.outlook = None;
         self.used -= reservation.room;
         self.filling -= reservation.filling;
         true
@@ -247,6 +320,21 @@
         self.workers.get_mut(node)
     }
 
+    /// Takes stock of every worker that has changed.
+    pub(super) fn survey(&mut self, model: &Model) {
+        for worker in self.workers.values_mut() {
+            worker.survey(model);
+        }
+    }
+
+    /// Makes the next survey take stock of every worker, because the model has
+    /// learned.
+    pub(super) fn outdate(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.outdate();
+        }
+    }
+
     /// Returns the largest part of any resource of a pool that is in use.
     pub(super) fn used_part(&self, pool: &str) -> f64 {
         let mut whole = Room::NONE;
@@ -395,6 +483,7 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return Vec::new();
         };
+        worker.outlook = None;
         worker.used = Room::NONE;
         worker.filling = Cores::ZERO;
         worker.held.clear();
@@ -476,6 +565,10 @@
     }
 }
 
+fn most(costs: &[f64]) -> f64 {
+    costs.iter().copied().fold(0.0, f64::max)
+}
+
 /// Returns the rack and kind labels of a worker.
 pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
     profile.labels.contains(label)
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -36,7 +36,7 @@
     },
     fleet::{Fleet, Stop},
     ledger::Ledger,
-    std::{collections::BTreeSet, sync::Arc},
+    std::{cell::Cell, collections::BTreeSet, sync::Arc},
 };
 
 pub use persist::{Batch, Write};
@@ -49,6 +49,9 @@
 
 /// The least time between two looks for places.
 const PLACE_INTERVAL: Millis = Millis(15);
+/// How long what services leave to fillers counts as known: their figures come
+/// twice a second.
+const SURVEY_INTERVAL: Millis = Millis(250);
 /// How long a new leader waits for workers to report before it places anything.
 const JOIN_TIME: Millis = Millis(250);
 
@@ -225,6 +228,10 @@
     changed: bool,
     placed: Instant,
     place_from: Instant,
+    /// When all workers were last taken stock of.
+    surveyed: Instant,
+    /// How often all workers were searched for a place.
+    searches: Cell<u64>,
     /// Steps with tasks that may be started, in order of urgency.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -258,6 +265,8 @@
             changed: false,
             placed: Instant::default(),
             place_from: Instant::default(),
+            surveyed: Instant::default(),
+            searches: Cell::new(0),
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -343,6 +352,12 @@
         )
     }
 
+    /// Returns how often all workers were searched for a place, which is most of
+    /// what a look costs.
+    pub fn searches(&self) -> u64 {
+        self.searches.get()
+    }
+
     fn configure(&mut self, catalog: Arc<Catalog>, actions: &mut Vec<Action>) {
         if catalog.version < self.catalog.version {
             return;
@@ -463,6 +478,10 @@
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
         self.model.forget(self.now);
+        if self.now >= self.surveyed + SURVEY_INTERVAL {
+            self.surveyed = self.now;
+            self.fleet.outdate();
+        }
         self.fleet.teach(&self.model.news());
         for node in self.fleet.lapsed(self.now) {
             self.abandon(&node, Reason::LeasePassed, actions);
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -37,7 +37,15 @@
 /// What found no worker in one look for places.
 #[derive(Default)]
 struct Unmet {
-    asks: Vec<(Arc<str>, Option<Arc<str>>, Room)>,
+    asks: Vec<Refused>,
+}
+
+/// An ask that found no worker; one that asks for as much finds none either.
+struct Refused {
+    pool: Arc<str>,
+    image: Option<Arc<str>>,
+    room: Room,
+    urgent: bool,
 }
 
 /// What a task asks of a worker.
@@ -58,6 +66,7 @@
     /// Places what can be placed, most urgent first.
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        self.fleet.survey(&self.model);
         let mut unmet = Unmet::default();
         for rank in ranks {
             let Some(entry) = self.ledger.get(rank.job) else {
@@ -125,14 +134,15 @@
     /// worker just now.
     fn is_unmet(&self, task: Task, unmet: &Unmet) -> bool {
         self.ask(task).is_some_and(|ask| {
-            !ask.urgent
-                && unmet.asks.iter().any(|(pool, image, room)| {
-                    **pool == *ask.pool
-                        && *image == ask.step.image
-                        && ask.step.room.cores >= room.cores
-                        && ask.step.room.memory >= room.memory
-                        && ask.step.room.accelerators >= room.accelerators
-                })
+            unmet.asks.iter().any(|refused| {
+                let room = &refused.room;
+                (refused.urgent || !ask.urgent)
+                    && *refused.pool == *ask.pool
+                    && refused.image == ask.step.image
+                    && ask.step.room.cores >= room.cores
+                    && ask.step.room.memory >= room.memory
+                    && ask.step.room.accelerators >= room.accelerators
+            })
         })
     }
 
@@ -141,8 +151,13 @@
         // What is asked for with further conditions says nothing about others.
         let place = &ask.step.place;
         if ask.avoid.is_none() && place.label.is_none() && place.most_per_worker.is_none() {
-            let found = (ask.pool.into(), ask.step.image.clone(), ask.step.room);
-            unmet.asks.push(found);
+            let refused = Refused {
+                pool: ask.pool.into(),
+                image: ask.step.image.clone(),
+                room: ask.step.room,
+                urgent: ask.urgent,
+            };
+            unmet.asks.push(refused);
         }
     }
 
@@ -181,12 +196,16 @@
             };
             if let Some(reservation) = self.reservation(*task) {
                 self.fleet.adopt(&node, *task, run, reservation);
+                if let Some(worker) = self.fleet.get_mut(&node) {
+                    worker.survey(&self.model);
+                }
             }
             chosen.push((*task, node));
         }
         for (task, node) in &chosen {
             self.fleet.release(node, *task, run);
         }
+        self.fleet.survey(&self.model);
         if chosen.len() < tasks.len() {
             self.preempt(rank, actions);
             return;
@@ -240,6 +259,7 @@
     /// Returns the best worker for a task, if any has room.
     pub(super) fn choose(&self, task: Task) -> Option<Node> {
         let ask = self.ask(task)?;
+        self.searches.set(self.searches.get() + 1);
         let best = |avoiding: bool| {
             self.fleet
                 .iter()
@@ -363,6 +383,9 @@
             role,
         };
         self.fleet.start(node, start, version, reservation);
+        if let Some(worker) = self.fleet.get_mut(node) {
+            worker.survey(&self.model);
+        }
         self.persist.touch(now, task.job, true);
     }
 
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -35,8 +35,7 @@
         self.changed |= report.profile.is_some()
             || report.inventory.is_some()
             || !report.outcomes.is_empty()
-            || !report.ends.is_empty()
-            || report.reading.is_some();
+            || !report.ends.is_empty();
         if let Some(profile) = report.profile {
             self.profile(&node, profile, actions);
         }
@@ -57,6 +56,9 @@
         }
         if let Some(reading) = report.reading {
             self.read(&reading);
+            if let Some(worker) = self.fleet.get_mut(&node) {
+                worker.outdate();
+            }
         }
         for task in report.starved {
             self.starved(&node, task, actions);
@@ -488,6 +490,7 @@
             return;
         }
         entry.avoid = Some(node.clone());
+        self.fleet.survey(&self.model);
         if self.choose(task).is_some_and(|found| found != *node) {
             self.stop(task, run, node, Reason::Crowding, actions);
         }
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -324,3 +324,29 @@
 
     assert_eq!(world.starts(0).len(), 1);
 }
+
+/// Guards against a leader that has no time left for anything else, because it
+/// searches all workers for every job that waits.
+#[test]
+fn waiting_jobs_that_ask_for_the_same_are_searched_for_once() {
+    let mut world = World::with_workers(2);
+    let filler = |image: &str| {
+        let mut filler = step(4);
+        filler.style.filler = true;
+        filler.room = room(8, 17);
+        filler.image = Some(image.into());
+        job(vec![filler])
+    };
+    for id in 1..=100 {
+        world.submit(id, filler("filler"));
+    }
+    // Idle jobs that have waited for long are urgent.
+    world.pass(Millis(2000), &[0, 1]);
+
+    let before = world.planner.searches();
+    world.pass(Millis(1000), &[0, 1]);
+    let searches = world.planner.searches() - before;
+
+    // Ten looks, each with one search for urgent jobs and one for the others.
+    assert!(searches <= 20, "{searches} searches in 1 s");
+}
