--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -1,7 +1,11 @@
 //! The leader's decisions in the log: a line each, with the task's name, what
 //! was decided and on what grounds.
 
-use {filbertbend_workload::planner::Decision, metrics::counter, spdlog::prelude::*};
+use {
+    filbertbend_workload::planner::Decision,
+    metrics::{counter, histogram},
+    spdlog::prelude::*,
+};
 
 /// Writes one decision to the log and counts it.
 pub(crate) fn log(decision: &Decision) {
@@ -14,6 +18,8 @@
             resumed,
         } => {
             counter!("filbertbend_starts_total").increment(1);
+            histogram!("filbertbend_placement_wait_seconds")
+                .record(waited.duration().as_secs_f64());
             info!("placed", kv: { job: = task.job, task:, run = run.0, node:, waited_ms = waited.0, resumed = *resumed });
         }
         Decision::Stopped {
--- a/crates/filbertbend/tests/operators_page.rs
+++ b/crates/filbertbend/tests/operators_page.rs
@@ -33,7 +33,8 @@
     declaration::read([source]).unwrap().remove(0)
 }
 
-/// Returns every source file of the workspace's crates.
+/// Returns every source file of the workspace's crates and of the platform's
+/// adapter.
 fn sources() -> Vec<PathBuf> {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     let crates = fs::read_dir(crates).unwrap();
@@ -41,6 +42,9 @@
         .map(|entry| entry.unwrap().path().join("src"))
         .filter(|folder| folder.is_dir())
         .collect();
+    let adapter = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../platform/src");
+    assert!(adapter.is_dir());
+    folders.push(adapter);
     let mut files = Vec::new();
     while let Some(folder) = folders.pop() {
         for entry in fs::read_dir(folder).unwrap() {
--- a/crates/process/src/operators.rs
+++ b/crates/process/src/operators.rs
@@ -36,6 +36,12 @@
     ready: watch::Receiver<bool>,
 }
 
+/// Makes the route of the metrics alone, for a process whose readiness others
+/// ask for elsewhere.
+pub fn metrics(metrics: PrometheusHandle) -> Router {
+    Router::new().route("/metrics", get(move || async move { text(&metrics) }))
+}
+
 /// Makes the routes; `ready` tells whether the balancer may send requests.
 pub fn router(metrics: PrometheusHandle, ready: watch::Receiver<bool>) -> Router {
     Router::new()
@@ -46,12 +52,13 @@
 }
 
 async fn render(State(shared): State<Shared>) -> impl IntoResponse {
-    shared.metrics.run_upkeep();
+    text(&shared.metrics)
+}
+
+fn text(metrics: &PrometheusHandle) -> impl IntoResponse {
+    metrics.run_upkeep();
     let media_type = "text/plain; version=0.0.4";
-    (
-        [(header::CONTENT_TYPE, media_type)],
-        shared.metrics.render(),
-    )
+    ([(header::CONTENT_TYPE, media_type)], metrics.render())
 }
 
 async fn readiness(State(shared): State<Shared>) -> impl IntoResponse {
