Tell a caller that a job has not run if the store has only refused it

Change: the time that the caller has is given to the submission, which knows whether any try may have taken effect; if none has, the answer is 503 with when to come again, and 502 otherwise.

Ruled out: a longer spell of tries, which only holds the request; it ends with the caller's time, as before.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -32,7 +32,7 @@
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
-        time::{sleep, timeout, Instant},
+        time::{sleep, timeout, timeout_at, Instant},
     },
 };
 
@@ -169,17 +169,18 @@
         self.catalog.borrow().clone()
     }
 
-    /// Stores a job. The same job may be handed in again at any entry.
-    pub async fn submit(&self, id: Job, job: &job::Job) -> Submission {
+    /// Stores a job within `limit`. The same job may be handed in again at any
+    /// entry.
+    pub async fn submit(&self, id: Job, job: &job::Job, limit: Duration) -> Submission {
         let transaction = Transaction {
             expect: vec![(key::job(id), Revision(0))],
             set: vec![(key::job(id), encode(job), None)],
             remove: Vec::new(),
         };
         let mut uncertain = false;
-        let begun = Instant::now();
+        let until = Instant::now() + limit.min(SUBMIT_LIMIT);
         loop {
-            let committed = timeout(SUBMIT_LIMIT, self.store.commit(&transaction));
+            let committed = timeout_at(until, self.store.commit(&transaction));
             let committed = committed.await.unwrap_or_else(|_| {
                 let reason = "no answer in time".into();
                 Err(Failure::Lost(reason))
@@ -195,7 +196,7 @@
                     error.to_string().into()
                 }
             };
-            if begun.elapsed() + RETRY_DELAY >= SUBMIT_LIMIT {
+            if Instant::now() + RETRY_DELAY >= until {
                 return if uncertain {
                     Submission::Unknown(reason)
                 } else {
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -16,11 +16,17 @@
         planner::{Batch, Settings, Write},
         record::{Progress, Term},
     },
-    std::{rc::Rc, time::Duration},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     support::{Fault, Memory},
     tokio::{sync::watch, task::LocalSet},
 };
 
+/// How long callers wait.
+const LIMIT: Duration = Duration::from_secs(3);
+
 fn term(epoch: u64) -> Term {
     Term {
         epoch: Epoch(epoch),
@@ -127,12 +133,15 @@
         let entry = entry(&store).await;
         store.fail([Fault::Answer]);
 
-        let submission = entry.submit(Job(1), &job()).await;
+        let submission = entry.submit(Job(1), &job(), LIMIT).await;
 
         assert_eq!(submission, Submission::Accepted);
         let revision = store.item(&key::job(Job(1))).unwrap().revision;
         assert!(revision > Revision(0));
-        assert_eq!(entry.submit(Job(1), &job()).await, Submission::Accepted);
+        assert_eq!(
+            entry.submit(Job(1), &job(), LIMIT).await,
+            Submission::Accepted
+        );
         let again = store.item(&key::job(Job(1))).unwrap().revision;
         assert_eq!(again, revision);
     };
@@ -149,7 +158,7 @@
         store.fail([Fault::Silence; 9]);
 
         let job = job();
-        let submitted = entry.submit(Job(1), &job);
+        let submitted = entry.submit(Job(1), &job, LIMIT);
         let submission = tokio::time::timeout(Duration::from_millis(1500), submitted).await;
 
         let submission = submission.expect("an answer in time");
@@ -171,15 +180,41 @@
         let entry = entry(&store).await;
 
         store.fail([Fault::Refused, Fault::Call, Fault::Call]);
-        assert_eq!(entry.submit(Job(1), &job()).await, Submission::Accepted);
+        assert_eq!(
+            entry.submit(Job(1), &job(), LIMIT).await,
+            Submission::Accepted
+        );
         store.fail([Fault::Refused; 20]);
-        let refused = entry.submit(Job(2), &job()).await;
+        let refused = entry.submit(Job(2), &job(), LIMIT).await;
         assert!(matches!(refused, Submission::Refused(_)), "{refused:?}");
         assert!(store.item(&key::job(Job(2))).is_none());
         store.fail([Fault::Call; 30]);
-        let unknown = entry.submit(Job(3), &job()).await;
+        let unknown = entry.submit(Job(3), &job(), LIMIT).await;
         assert!(matches!(unknown, Submission::Unknown(_)), "{unknown:?}");
         assert!(store.writes() < 40, "{}", store.writes());
     };
     local.run_until(run).await;
 }
+
+/// Guards against "may have run" for a job that the store has only refused, of
+/// which the caller then hears nothing more.
+#[tokio::test]
+async fn submission_refused_until_the_caller_goes_has_not_run() {
+    let local = LocalSet::new();
+    let run = async {
+        let store = Memory::default();
+        let entry = entry(&store).await;
+        let limit = Duration::from_millis(200);
+
+        store.fail([Fault::Refused; 20]);
+        let begun = Instant::now();
+        let submission = entry.submit(Job(1), &job(), limit).await;
+
+        assert!(
+            matches!(submission, Submission::Refused(_)),
+            "{submission:?}"
+        );
+        assert!(begun.elapsed() < limit + Duration::from_millis(100));
+    };
+    local.run_until(run).await;
+}
