Never cut a try to store a job short

Change: a try begins only with 50 ms left; a caller with less gets 503.

Ruled out: tries on silent connections, which end as unknown, rightly.

The test failed before (limit 0).

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -50,6 +50,9 @@
 /// not taken. Callers come again, to another entry too, so a short spell is
 /// bridged and a long one is told early.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(600);
+/// The least time for a try. The store answers within milliseconds; a try that
+/// is cut short leaves it unknown whether the job is stored.
+const TRY_TIME: Duration = Duration::from_millis(50);
 /// How often a cancellation is offered to the store.
 const CANCEL_TRIES: usize = 6;
 /// An entry that has not reached the store for this long sends callers to
@@ -178,6 +181,9 @@
             remove: Vec::new(),
         };
         let mut uncertain = false;
+        if limit < TRY_TIME {
+            return Submission::Refused("no time is left".into());
+        }
         let until = Instant::now() + limit.min(SUBMIT_LIMIT);
         loop {
             let committed = timeout_at(until, self.store.commit(&transaction));
@@ -196,7 +202,7 @@
                     error.to_string().into()
                 }
             };
-            if Instant::now() + RETRY_DELAY >= until {
+            if Instant::now() + RETRY_DELAY + TRY_TIME >= until {
                 return if uncertain {
                     Submission::Unknown(reason)
                 } else {
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -204,17 +204,18 @@
     let run = async {
         let store = Memory::default();
         let entry = entry(&store).await;
-        let limit = Duration::from_millis(200);
-
-        store.fail([Fault::Refused; 20]);
-        let begun = Instant::now();
-        let submission = entry.submit(Job(1), &job(), limit).await;
-
-        assert!(
-            matches!(submission, Submission::Refused(_)),
-            "{submission:?}"
-        );
-        assert!(begun.elapsed() < limit + Duration::from_millis(100));
+        // Any of these may end while a try is on its way.
+        for limit in (0..300).step_by(20).map(Duration::from_millis) {
+            store.fail([Fault::RefusedLate; 20]);
+            let begun = Instant::now();
+            let submission = entry.submit(Job(1), &job(), limit).await;
+
+            assert!(
+                matches!(submission, Submission::Refused(_)),
+                "{limit:?}: {submission:?}"
+            );
+            assert!(begun.elapsed() < limit + Duration::from_millis(100));
+        }
     };
     local.run_until(run).await;
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -19,6 +19,8 @@
 pub(crate) enum Fault {
     /// It is not done.
     Refused,
+    /// It is not done, which the store says after 30 ms.
+    RefusedLate,
     /// It is done, and its answer is lost.
     Answer,
     /// Neither is it done nor answered.
@@ -139,6 +141,10 @@
         match fault {
             None => Ok(self.apply(transaction)),
             Some(Fault::Refused) => Err(Failure::Refused("busy".into())),
+            Some(Fault::RefusedLate) => {
+                tokio::time::sleep(Duration::from_millis(30)).await;
+                Err(Failure::Refused("busy".into()))
+            }
             Some(Fault::Silence) => std::future::pending().await,
             Some(Fault::Call) => Err(Failure::Lost("reset".into())),
             Some(Fault::Answer) => {
