--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -1,6 +1,7 @@
 //! The workers, the sessions with their agents, and what is reserved on each.
 
 use {
+    super::outlook::Outlook,
     crate::{
         id::{Fence, Job, Life, Link, Node, Run, Sequence, Task},
         interference::{Model, Service, Weight},
@@ -41,26 +42,6 @@
 /// The part of its reserved cores that a service leaves unused on average; it
 /// reserves for its peak, and the platform's services run at half of that.
 const UNUSED_PART: f64 = 0.5;
-/// How far ahead a rising load is planned for: a filler runs for seconds, and
-/// its agent holds it back if need be.
-const LOOKAHEAD: Millis = Millis(1000);
-/// What the services on a worker leave to fillers.
-#[derive(Clone, Debug)]
-struct Outlook {
-    /// The utilisation that may be added, by image of the services.
-    slacks: Vec<(Arc<str>, f64)>,
-    fillers: Vec<Taken>,
-}
-
-/// What the fillers of one image take.
-#[derive(Clone, Debug)]
-struct Taken {
-    /// The most that they would add to a service by using the whole worker.
-    burden: f64,
-    /// What they add to each service, in the order of the slacks.
-    costs: Vec<f64>,
-}
-
 /// What a stop comes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Stop {
@@ -156,7 +137,17 @@
     /// has changed since.
     pub(super) fn survey(&mut self, model: &Model) {
         if self.outlook.is_none() {
-            self.outlook = Some(self.look_out(model));
+            let mut outlook = Outlook::default();
+            for reservation in self.reservations.values() {
+                if let Some(service) = &reservation.service {
+                    outlook.add_service(model, service);
+                }
+                if reservation.filling > Cores::ZERO {
+                    outlook.add_filler(&reservation.image, self.part(reservation.filling));
+                }
+            }
+            outlook.weigh(model);
+            self.outlook = Some(outlook);
         }
     }
 
@@ -165,38 +156,6 @@
         self.outlook = None;
     }
 
-    fn look_out(&self, model: &Model) -> Outlook {
-        let mut slacks: BTreeMap<Arc<str>, f64> = BTreeMap::new();
-        let mut parts: BTreeMap<Arc<str>, f64> = BTreeMap::new();
-        for reservation in self.reservations.values() {
-            if let Some(service) = &reservation.service {
-                let slack = slacks.entry(service.image.clone()).or_insert(f64::INFINITY);
-                *slack = slack.min(model.slack(service, LOOKAHEAD));
-            }
-            if reservation.filling > Cores::ZERO {
-                let part = parts.entry(reservation.image.clone()).or_insert(0.0);
-                *part += self.part(reservation.filling);
-            }
-        }
-        let fillers = parts
-            .iter()
-            .map(|(image, part)| {
-                let costs: Vec<f64> = slacks
-                    .keys()
-                    .map(|service| model.cost(service, image, *part))
-                    .collect();
-                Taken {
-                    burden: most(&costs) / part.max(f64::EPSILON),
-                    costs,
-                }
-            })
-            .collect();
-        Outlook {
-            slacks: slacks.into_iter().collect(),
-            fillers,
-        }
-    }
-
     fn part(&self, cores: Cores) -> f64 {
         let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
         cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
@@ -206,32 +165,9 @@
     /// above 1 if there is more, and infinity if there is no service. A worker
     /// that was not surveyed leaves none.
     pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: Cores) -> f64 {
-        let Some(outlook) = &self.outlook else {
-            return 0.0;
-        };
-        let part = self.part(cores);
-        let costs: Vec<f64> = outlook
-            .slacks
-            .iter()
-            .map(|(service, _)| model.cost(service, image, part))
-            .collect();
-        let burden = most(&costs) / part.max(f64::EPSILON);
-        // Agents hold back first what takes most of any service's slack.
-        let kept: Vec<&Taken> = outlook
-            .fillers
-            .iter()
-            .filter(|taken| taken.burden <= burden)
-            .collect();
-        outlook
-            .slacks
-            .iter()
-            .zip(&costs)
-            .enumerate()
-            .map(|(index, ((_, slack), cost))| {
-                let taken: f64 = kept.iter().map(|taken| taken.costs[index]).sum();
-                (slack - taken) / cost.max(f64::EPSILON)
-            })
-            .fold(f64::INFINITY, f64::min)
+        self.outlook.as_ref().map_or(0.0, |outlook| {
+            outlook.tolerance(model, image, self.part(cores))
+        })
     }
 
     /// Returns the cores that fillers can expect: those that nobody reserves
@@ -565,10 +501,6 @@
     }
 }
 
-fn most(costs: &[f64]) -> f64 {
-    costs.iter().copied().fold(0.0, f64::max)
-}
-
 /// Returns the rack and kind labels of a worker.
 pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
     profile.labels.contains(label)
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -4,7 +4,8 @@
 //! - `ledger` holds jobs, their occurrences, steps and tasks.
 //! - `fleet` holds the workers and what is reserved on each.
 //! - `report` takes in what agents report.
-//! - `place` chooses workers.
+//! - `place` chooses workers, by the `outlook` of each for fillers.
+//! - `decision` says what was decided, for the log.
 //! - `persist` makes progress durable before it is acted on.
 //!
 //! A task is started again only when its former run has certainly ended: the
@@ -14,8 +15,10 @@
 //! run a task, and starts it elsewhere once that worker has reported otherwise
 //! or the last lease that a former leader can have granted has passed.
 
+mod decision;
 mod fleet;
 mod ledger;
+mod outlook;
 mod persist;
 mod place;
 mod report;
@@ -28,7 +31,6 @@
         job, lead,
         message::{Question, Reply, Report, Response},
         record::{Progress, State},
-        worker::How,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -39,7 +41,10 @@
     std::{cell::Cell, collections::BTreeSet, sync::Arc},
 };
 
-pub use persist::{Batch, Write};
+pub use {
+    decision::{Decision, Reason},
+    persist::{Batch, Write},
+};
 
 /// How much slower a worker's clock may run than ours, in percent, from the
 /// platform's description.
@@ -113,103 +118,6 @@
     Decided(Decision),
 }
 
-/// A decision, with what it was based on.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// A task was placed.
-    Placed {
-        /// The task.
-        task: Task,
-        /// The run.
-        run: Run,
-        /// Where.
-        node: Node,
-        /// How long it was ready before.
-        waited: Millis,
-        /// Whether it resumes from a checkpoint.
-        resumed: bool,
-    },
-    /// A run was told to stop.
-    Stopped {
-        /// The task.
-        task: Task,
-        /// The run.
-        run: Run,
-        /// Where.
-        node: Node,
-        /// Why.
-        reason: Reason,
-    },
-    /// A run has ended.
-    Ended {
-        /// The task.
-        task: Task,
-        /// The run.
-        run: Run,
-        /// Where.
-        node: Node,
-        /// How.
-        how: How,
-        /// How often the task has failed by now.
-        failures: u32,
-    },
-    /// A run is given up without an end from the worker.
-    Lost {
-        /// The task.
-        task: Task,
-        /// The run.
-        run: Run,
-        /// Where.
-        node: Node,
-        /// Why.
-        reason: Reason,
-    },
-    /// A job has changed its state.
-    Job {
-        /// The job.
-        job: Job,
-        /// The state.
-        state: State,
-    },
-    /// A worker can be used.
-    Joined {
-        /// Its agent's node.
-        node: Node,
-        /// Its life.
-        life: crate::id::Life,
-        /// The session's fence.
-        fence: Fence,
-        /// How many runs were adopted.
-        adopted: usize,
-    },
-}
-
-/// Why a run is stopped or given up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Reason {
-    /// Its job has ended or is unknown.
-    NotWanted,
-    /// Another copy has completed or is newer.
-    Duplicate,
-    /// More urgent work needs the room.
-    Preempted,
-    /// The worker is about to leave.
-    Draining,
-    /// It makes no progress.
-    Stalled,
-    /// It slows a service down even when held back.
-    Crowding,
-    /// The worker has begun another life.
-    Reborn,
-    /// The worker's lease has passed.
-    LeasePassed,
-    /// The worker refused the start.
-    Refused,
-    /// The worker's list does not hold it.
-    Missing,
-}
-
 /// The decisions of one term of leadership.
 #[derive(Debug)]
 pub struct Planner {
--- /dev/null
+++ b/crates/workload/src/planner/outlook.rs
@@ -0,0 +1,88 @@
+//! What the services on one worker leave to fillers.
+
+use {
+    crate::interference::{Model, Service},
+    filbertbend_state::unit::Millis,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// How far ahead a rising load is planned for: a filler runs for seconds, and
+/// its agent holds it back if need be.
+const LOOKAHEAD: Millis = Millis(1000);
+
+/// The slacks of the services, and what the fillers there take of them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outlook {
+    /// The utilisation that may be added, by image of the services.
+    slacks: BTreeMap<Arc<str>, f64>,
+    /// The part of the worker that fillers would use, by image.
+    parts: BTreeMap<Arc<str>, f64>,
+    fillers: Vec<Taken>,
+}
+
+/// What the fillers of one image take.
+#[derive(Clone, Debug)]
+struct Taken {
+    /// The most that they would add to a service by using the whole worker.
+    burden: f64,
+    /// What they add to each service, in the order of the slacks.
+    costs: Vec<f64>,
+}
+
+impl Outlook {
+    pub(super) fn add_service(&mut self, model: &Model, service: &Service) {
+        let slack = self
+            .slacks
+            .entry(service.image.clone())
+            .or_insert(f64::INFINITY);
+        *slack = slack.min(model.slack(service, LOOKAHEAD));
+    }
+
+    pub(super) fn add_filler(&mut self, image: &Arc<str>, part: f64) {
+        *self.parts.entry(image.clone()).or_insert(0.0) += part;
+    }
+
+    /// Works out what the fillers that were added take.
+    pub(super) fn weigh(&mut self, model: &Model) {
+        self.fillers = self
+            .parts
+            .iter()
+            .map(|(image, part)| self.taken(model, image, *part))
+            .collect();
+    }
+
+    /// Returns the part of one more filler that the services leave room for.
+    ///
+    /// Agents hold back first what takes most of any service's slack, so only
+    /// fillers that do no more harm count.
+    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, part: f64) -> f64 {
+        let own = self.taken(model, image, part);
+        let kept: Vec<&Taken> = self
+            .fillers
+            .iter()
+            .filter(|taken| taken.burden <= own.burden)
+            .collect();
+        self.slacks
+            .values()
+            .zip(&own.costs)
+            .enumerate()
+            .map(|(index, (slack, cost))| {
+                let taken: f64 = kept.iter().map(|taken| taken.costs[index]).sum();
+                (slack - taken) / cost.max(f64::EPSILON)
+            })
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    fn taken(&self, model: &Model, image: &Arc<str>, part: f64) -> Taken {
+        let costs: Vec<f64> = self
+            .slacks
+            .keys()
+            .map(|service| model.cost(service, image, part))
+            .collect();
+        let most = costs.iter().copied().fold(0.0, f64::max);
+        Taken {
+            burden: most / part.max(f64::EPSILON),
+            costs,
+        }
+    }
+}
