Make the end of every run durable

The next leader read the run back and waited for the longest lease that the worker could have, 13.8 s, though the worker was gone.

Change: whatever ends a run makes the job's progress durable, not only completions, failures and checkpoints.

Ruled out: the worker's room (another worker took the task at once when the lease had passed); the drain itself (stopped and listed within 0.25 s).

The new test failed before: nothing was written.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -347,7 +347,7 @@
                     copy.stopping = true;
                 }
             }
-            Stop::NeverOrdered => self.ledger.drop_copy(task, run, self.now),
+            Stop::NeverOrdered => self.drop_copy(task, run),
         }
         actions.push(Action::Decided(Decision::Stopped {
             task,
@@ -357,6 +357,17 @@
         }));
     }
 
+    /// Notes that a run has certainly ended. A later leader has to know, or it
+    /// waits until the last lease that the worker can have has passed.
+    fn drop_copy(&mut self, task: Task, run: Run) {
+        self.ledger.drop_copy(task, run, self.now);
+        let live = self.ledger.get_mut(task.job);
+        if let Some(entry) = live.filter(|entry| !entry.state.is_final()) {
+            entry.version += 1;
+            self.persist.touch(self.now, task.job, false);
+        }
+    }
+
     /// Brings the list of ready steps up to date with a job.
     fn refresh(&mut self, id: Job, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.get_mut(id) else {
@@ -410,7 +421,7 @@
     /// Gives up every run on a worker, all of which have certainly ended.
     fn abandon(&mut self, node: &Node, reason: Reason, actions: &mut Vec<Action>) {
         for (task, run) in self.fleet.clear(node) {
-            self.ledger.drop_copy(task, run, self.now);
+            self.drop_copy(task, run);
             actions.push(Action::Decided(Decision::Lost {
                 task,
                 run,
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -152,7 +152,7 @@
         if !self.fleet.release(node, task, run) {
             return;
         }
-        self.ledger.drop_copy(task, run, self.now);
+        self.drop_copy(task, run);
         if let Some(entry) = self.ledger.task_mut(task) {
             entry.avoid = Some(node.clone());
         }
@@ -198,7 +198,7 @@
         } = end;
         self.fleet.release(node, task, run);
         if self.take_end(node, task, run, how, saved, actions) {
-            self.ledger.drop_copy(task, run, self.now);
+            self.drop_copy(task, run);
             self.refresh(task.job, actions);
         }
         let version = self.ledger.get(task.job).map_or(0, |entry| entry.version);
@@ -222,7 +222,7 @@
             return false;
         };
         if entry.state.is_final() {
-            self.ledger.drop_copy(task, run, self.now);
+            self.drop_copy(task, run);
             return false;
         }
         let Some(step) = entry.step(task.step) else {
@@ -371,7 +371,7 @@
         }
         for (task, run) in known.difference(&listed) {
             self.fleet.release(node, *task, *run);
-            self.ledger.drop_copy(*task, *run, self.now);
+            self.drop_copy(*task, *run);
             actions.push(Action::Decided(Decision::Lost {
                 task: *task,
                 run: *run,
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -350,3 +350,24 @@
     // Ten looks, each with one search for urgent jobs and one for the others.
     assert!(searches <= 20, "{searches} searches in 1 s");
 }
+
+/// Guards against a task that a later leader starts only after the longest
+/// lease, because the end of its last run was not made durable: the worker may
+/// have left for good.
+#[test]
+fn stopped_runs_are_gone_for_a_later_leader() {
+    let mut world = World::with_workers(1);
+    let mut service = step(1);
+    service.style.lasting = true;
+    world.submit(1, job(vec![service]));
+    let starts = world.starts(0);
+    world.started(0, &starts[0]);
+    world.drain(0);
+
+    world.end(0, 1, &starts[0], How::Stopped);
+    world.pass(Millis(300), &[0]);
+    let batches = world.commit();
+
+    let progress = progress(&batches, 1).expect("the end is made durable");
+    assert!(progress.occurrences[0].marks.is_empty(), "{progress:?}");
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -227,6 +227,19 @@
         self.step(Event::Report(Link(number), Box::new(report)));
     }
 
+    /// Reports that a worker is about to leave.
+    pub(crate) fn drain(&mut self, number: u64) {
+        let report = Report {
+            profile: Some(Profile {
+                draining: true,
+                remaining_ms: Some(5000),
+                ..profile(number)
+            }),
+            ..Report::default()
+        };
+        self.step(Event::Report(Link(number), Box::new(report)));
+    }
+
     /// Reports what a worker's agent has learned.
     pub(crate) fn learned(&mut self, number: u64, learned: Vec<Weight>) {
         let report = Report {
