Log what the leader spends its time on

The log showed failed handshakes and silent leaders, but couldn't tell a leader that is busy with handshakes from one that is busy with placement or with reports.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod key;
 pub mod key_watch;
 pub mod link_identity;
+mod load;
 pub mod platform;
 pub mod term;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -7,6 +7,7 @@
         entry::Inbox,
         journal::{encode, Deposed, Journal},
         key::{self, Watched},
+        load::Load,
         platform::{Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
     },
     filbertbend_state::{time::Instant, unit::Millis},
@@ -166,6 +167,7 @@
     outboxes: HashMap<Link, mpsc::Sender<Response>>,
     inbox: Rc<Inbox>,
     last_tick: Instant,
+    load: Load,
 }
 
 /// An order to the task that writes the journal.
@@ -208,6 +210,7 @@
             outboxes: HashMap::new(),
             inbox,
             last_tick: now,
+            load: Load::default(),
         }
     }
 
@@ -352,6 +355,7 @@
             warn!("process was stalled", kv: { ms = now.since(self.last_tick).0 });
         }
         self.last_tick = now;
+        self.load.log(now);
         let (jobs, workers) = self.planner.size();
         gauge!("filbertbend_jobs").set(jobs as f64);
         gauge!("filbertbend_workers").set(workers as f64);
@@ -452,6 +456,9 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let until = self.leadership.valid_until();
+        let kind = (&event).into();
+        let passes = self.planner.passes();
+        let began = std::time::Instant::now();
         self.planner.step(
             clock::monotonic(),
             clock::wall(),
@@ -459,6 +466,9 @@
             event,
             &mut actions,
         );
+        let placed = self.planner.passes() > passes;
+        let kind = if placed { "placement" } else { kind };
+        self.load.record(kind, began.elapsed());
         for action in actions {
             match action {
                 Action::Send(link, response) => self.send(link, response),
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -88,7 +88,8 @@
 }
 
 /// An input of the planner.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Event {
     /// A configuration takes effect.
     Configured(Arc<Catalog>),
@@ -148,6 +149,8 @@
     headroom_invalidated: Instant,
     /// How often all workers were searched for a task.
     searches: Cell<u64>,
+    /// The number of placement passes.
+    passes: u64,
     /// Steps with startable tasks, most urgent first.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -184,6 +187,7 @@
             place_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
             searches: Cell::new(0),
+            passes: 0,
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -229,6 +233,7 @@
         if self.may_place(until) {
             self.changed = false;
             self.last_placement = now;
+            self.passes += 1;
             self.place(actions);
         }
         self.flush(actions);
@@ -277,6 +282,11 @@
         self.searches.get()
     }
 
+    /// Returns the number of placement passes.
+    pub fn passes(&self) -> u64 {
+        self.passes
+    }
+
     fn configure(&mut self, catalog: Arc<Catalog>, actions: &mut Vec<Action>) {
         if catalog.version < self.catalog.version {
             return;
