Let placement take at most a quarter of the leader's time

Cause: a placement pass over a backlog takes 15 to 25 ms with 0.069 of a core, and the interval of 15 ms counts from its start, so the next one was due when it ended. Passes took 0.6 to 1 s of each second. Reports, leases and handshakes got what was left, agents lost their links, tasks lapsed and returned to the backlog, which made passes longer still.

A pass is now followed by a pause of three times its duration, at most 500 ms, measured until its orders are sent. An idle leader places as before, because its passes take less than a millisecond.

Ruled out as the only cause: handshakes; the leader's work log shows placement in front, also in seconds without a failed handshake.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -58,6 +58,13 @@
 
 /// The minimum time between two placement passes.
 const PLACE_INTERVAL: Millis = Millis(15);
+/// The pause after a placement pass, in multiples of its duration. Passes over
+/// a backlog thus take at most a quarter of the leader's time, and links,
+/// leases and reports get the rest.
+const PAUSE_FACTOR: u64 = 3;
+/// The maximum pause after a placement pass, which may have been long because
+/// the process was suspended.
+const MAX_PLACE_PAUSE: Millis = Millis(500);
 /// How long the headroom of workers is reused before it is computed again;
 /// readings arrive twice a second.
 const HEADROOM_INTERVAL: Millis = Millis(250);
@@ -226,7 +233,10 @@
                 self.fleet.close(link);
             }
             Event::Persisted(number) => self.persisted(number),
-            Event::Placed => {}
+            Event::Placed => {
+                let pause = Millis(now.since(self.last_placement).0 * PAUSE_FACTOR);
+                self.place_not_before = self.place_not_before.max(now + pause.min(MAX_PLACE_PAUSE));
+            }
             Event::Shutdown => self.persist.flush_now(),
             Event::Tick => {
                 // The requirements of steps relax with waiting time.
@@ -246,7 +256,8 @@
     /// Returns whether to run a placement pass. A pass costs time for every
     /// waiting step, so changes are batched for [`PLACE_INTERVAL`]. After a
     /// change of leader, placement waits until workers have reported; otherwise
-    /// the first to report would get all tasks.
+    /// the first to report would get all tasks. It also waits for
+    /// [`PAUSE_FACTOR`].
     fn may_place(&self, until: Instant) -> bool {
         self.loaded
             && self.changed
