Keep an entry's link to the leader through slow answers

Callers of an entry saw their questions answered from the store, and the leader had no time for anything but handshakes: whenever one question was not answered within 400 ms, the entry dropped its link to the leader, so the next question cost a whole handshake. Nothing spaced these dials, and a leader that was late once stayed late.

An entry now keeps one link to each leader until the link breaks, another leader is published, or a question waits while nothing is received for 2 s. A slow answer costs only its question. At most one dial runs at a time. After a link that failed or was short-lived, the next dial waits with exponential backoff and jitter, and questions are answered with nothing at once meanwhile, so callers fall back to the store without waiting.

The jitter needs random numbers that differ between nodes; the workspace already has the rand crate.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -5,6 +5,7 @@
         journal::encode,
         key,
         key_watch::Watcher,
+        leader_link::LeaderLink,
         platform::{Commit, Failure, Revision, Store, Transaction},
         term::{self, Candidate, Driver, Ended, Input},
     },
@@ -120,21 +121,13 @@
 pub struct Entry<S> {
     store: S,
     options: Options,
-    identity: Identity,
     catalog: watch::Receiver<Option<Arc<Catalog>>>,
     leader: Watcher,
     inbox: Rc<Inbox>,
-    leader_link: RefCell<Option<LeaderLink>>,
+    leader_link: LeaderLink,
     next_link: Cell<u64>,
 }
 
-/// A link to another entry that leads.
-#[derive(Clone)]
-struct LeaderLink {
-    address: SocketAddr,
-    questions: mpsc::Sender<(Query, oneshot::Sender<Reply>)>,
-}
-
 impl<S: Store> Entry<S> {
     /// Starts an entry, which accepts links and competes for leadership until
     /// `stop` turns true.
@@ -151,14 +144,14 @@
     ) -> Result<Rc<Self>, link::Error> {
         let socket = Socket::listen(options.address, &identity)?;
         let leader = Watcher::start(store.clone(), key::LEADER, WATCH_WAIT);
+        let leader_link = LeaderLink::new(Node(options.node.clone()), identity);
         let entry = Rc::new(Self {
             store,
             options,
-            identity,
             catalog,
             leader,
             inbox: Rc::default(),
-            leader_link: RefCell::default(),
+            leader_link,
             next_link: Cell::new(0),
         });
         tokio::task::spawn_local(entry.clone().accept(socket));
@@ -280,52 +273,26 @@
 
     /// Asks the leader, which may be this entry.
     async fn ask_leader(&self, question: Query) -> Option<Reply> {
-        let (sender, receiver) = oneshot::channel();
-        if self.inbox.is_open() {
+        let answer = if self.inbox.is_open() {
+            let (sender, receiver) = oneshot::channel();
             self.inbox.send(Input::Ask(question, sender)).await;
+            receiver
         } else {
-            let leader_link = self.leader_link()?;
-            leader_link.questions.send((question, sender)).await.ok()?;
-        }
-        match timeout(ASK_TIMEOUT, receiver).await {
+            let leader = decode_leader(&self.leader)?;
+            if *leader.node == *self.options.node {
+                return None;
+            }
+            self.leader_link.ask(leader, question)?
+        };
+        match timeout(ASK_TIMEOUT, answer).await {
             Ok(Ok(reply)) => Some(reply),
             _ => {
                 counter!("filbertbend_leader_silent_total").increment(1);
-                self.leader_link.replace(None);
                 None
             }
         }
     }
 
-    /// Returns the link to the leader, and opens one if needed. Returns `None`
-    /// if the leader is unknown or is this entry.
-    fn leader_link(&self) -> Option<LeaderLink> {
-        let leader = decode_leader(&self.leader)?;
-        if *leader.node == *self.options.node {
-            return None;
-        }
-        let known = self.leader_link.borrow().clone();
-        if let Some(leader_link) = known {
-            if leader_link.address == leader.address && !leader_link.questions.is_closed() {
-                return Some(leader_link);
-            }
-        }
-        let (questions, queue) = mpsc::channel(OUTBOX_LIMIT);
-        let node = Node(self.options.node.clone());
-        let identity = self.identity.clone();
-        tokio::task::spawn_local(async move {
-            if let Err(error) = forward_questions(identity, node, leader.address, queue).await {
-                info!("link to the leader lost", kv: { address: = leader.address, error: });
-            }
-        });
-        let leader_link = LeaderLink {
-            address: leader.address,
-            questions,
-        };
-        self.leader_link.replace(Some(leader_link.clone()));
-        Some(leader_link)
-    }
-
     /// Claims the leadership whenever it is vacant, and runs the term.
     async fn campaign(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
         let mut leader = self.leader.clone();
@@ -487,48 +454,3 @@
         }
     }
 }
-
-/// Forwards questions to the leader until the link breaks, the queue is closed,
-/// or the peer no longer leads.
-async fn forward_questions(
-    identity: Identity,
-    node: Node,
-    address: SocketAddr,
-    mut queue: mpsc::Receiver<(Query, oneshot::Sender<Reply>)>,
-) -> Result<(), link::Error> {
-    let socket = Socket::dialler(&identity)?;
-    let link = socket.dial(address).await?;
-    let (mut sender, mut receiver) = link.open().await?;
-    sender.send(&Request::Entry(node)).await?;
-    let waiting = RefCell::new(std::collections::BTreeMap::new());
-    let asking = async {
-        let mut ticket = 0;
-        while let Some((question, reply)) = queue.recv().await {
-            ticket += 1;
-            waiting.borrow_mut().insert(ticket, reply);
-            sender.send(&Request::Query(ticket, question)).await?;
-        }
-        Ok(())
-    };
-    let answering = async {
-        while let Some(response) = receiver.receive::<Response>().await? {
-            match response {
-                Response::Answer(ticket, reply) => {
-                    if let Some(waiting) = waiting.borrow_mut().remove(&ticket) {
-                        // Fails only if the asker has stopped waiting.
-                        let _ = waiting.send(reply);
-                    }
-                }
-                Response::NotLeader(_) => return Ok(()),
-                Response::Pong | Response::Welcome { .. } | Response::Orders(_) => {}
-            }
-        }
-        Ok(())
-    };
-    let result = tokio::select! {
-        result = asking => result,
-        result = answering => result,
-    };
-    link.close();
-    result
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,12 +10,14 @@
 )]
 
 pub mod agent;
+pub mod backoff;
 pub mod config_watch;
 mod decision;
 pub mod entry;
 pub mod journal;
 pub mod key;
 pub mod key_watch;
+mod leader_link;
 pub mod link_identity;
 mod load;
 pub mod platform;
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -1,5 +1,6 @@
 //! Tests of writes to a store that refuses calls and loses answers.
 
+#[allow(dead_code, reason = "these tests open no links")]
 mod support;
 
 use {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! An in-memory store with injectable faults.
 
+pub(crate) mod leader;
+
 use {
     filbertbend_dispatch::platform::{
         Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction,
