Let agents back off, and wait longer for the welcome of a busy leader

Agents lost their sessions after a change of leader and did not get them back: every agent dialled the leader again 100 ms after each failure, all at the same time, and gave a new leader 1.6 s from the open link to the welcome. A leader that works through a queue of handshakes takes longer, so agents were given up on just before their turn, and the work was repeated.

The delay starts again from the shortest when a session opens. It is skipped when the store names another leader or term, and for the first of several redirects in a row, because two entries may each take the other for the leader. The dial and the welcome together may take 3 s; the limit of 1.6 s between messages holds once the session is open. Socket::dial keeps its limit for other users.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        backoff::Backoff,
         entry::decode_leader,
         key,
         key_watch::Watcher,
@@ -18,6 +19,7 @@
         agent::{Action, Agent, Answer, Call, Event},
         id::Node,
         message::{Request, Response},
+        record::Leader,
         worker::Profile,
     },
     metrics::counter,
@@ -25,7 +27,7 @@
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::{mpsc, watch, Semaphore},
-        time::{interval, sleep, timeout, MissedTickBehavior},
+        time::{interval, timeout, timeout_at, MissedTickBehavior},
     },
 };
 
@@ -35,11 +37,13 @@
 const WATCH_WAIT: Millis = Millis(10_000);
 /// Interval at which the state machine checks its timers.
 const TICK: Duration = Duration::from_millis(30);
-/// A leader that sends nothing for this long is considered gone. It renews
-/// leases once a second, so it sends at least one message per second.
+/// How long opening a session may take, from the dial to the welcome. A new
+/// leader opens the sessions of all agents one after the other.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// A leader that sends nothing on an open session for this long is considered
+/// gone. It renews leases once a second, so it sends at least one message per
+/// second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Delay before the next attempt to find and reach the leader.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of concurrent orders to the worker. The call that extends the
 /// lease and lists the worker's tasks doesn't count towards it.
 const MAX_CONCURRENT_ORDERS: usize = 4;
@@ -224,34 +228,55 @@
     identity: Identity,
     inbox: mpsc::Sender<Input>,
 ) {
+    let mut backoff = Backoff::new(&node.0);
     let mut redirect: Option<SocketAddr> = None;
     loop {
-        let published = decode_leader(&watcher).map(|leader| leader.address);
-        let Some(address) = redirect.take().or(published) else {
-            let _ = timeout(RETRY_DELAY, watcher.changed()).await;
+        let redirected = redirect.is_some();
+        let published = decode_leader(&watcher);
+        let named = published.as_ref().map(|leader| leader.address);
+        let Some(address) = redirect.take().or(named) else {
+            watcher.changed().await;
             continue;
         };
         let result = tokio::select! {
-            result = serve_link(address, &node, &identity, &inbox) => result,
-            () = leader_changed(&mut watcher, address) => Ok(None),
+            result = serve_link(address, &node, &identity, &inbox, &mut backoff) => Some(result),
+            () = leader_changed(&mut watcher, |leader| leader.address != address) => None,
         };
         // Fails only when the process ends.
         let _ = inbox.send(Input::LinkClosed).await;
         match result {
-            Ok(found) => redirect = found.filter(|found| *found != address),
-            Err(error) => info!("link to the leader lost", kv: { address:, error: }),
+            // The store names another leader.
+            None => {
+                backoff.reset();
+                continue;
+            }
+            Some(Ok(found)) => redirect = found.filter(|found| *found != address),
+            Some(Err(error)) => info!("link to the leader lost", kv: { address:, error: }),
         }
         watcher.refresh();
-        sleep(RETRY_DELAY).await;
+        // Two entries may each take the other for the leader, so only the first
+        // of several redirects is followed at once.
+        if redirect.is_some() && !redirected {
+            continue;
+        }
+        let is_new = |leader: &Leader| Some(leader) != published.as_ref();
+        let already_new = decode_leader(&watcher).is_some_and(|leader| is_new(&leader));
+        if !already_new {
+            let changed = leader_changed(&mut watcher, is_new);
+            if timeout(backoff.next_delay(), changed).await.is_err() {
+                continue;
+            }
+        }
+        backoff.reset();
+        redirect = None;
     }
 }
 
-/// Returns when the store names a leader at another address.
-async fn leader_changed(watcher: &mut Watcher, address: SocketAddr) {
+/// Returns when the store names a leader for which `is_new` holds.
+async fn leader_changed(watcher: &mut Watcher, is_new: impl Fn(&Leader) -> bool) {
     loop {
         watcher.changed().await;
-        let leader = decode_leader(watcher);
-        if leader.is_some_and(|leader| leader.address != address) {
+        if decode_leader(watcher).is_some_and(|leader| is_new(&leader)) {
             return;
         }
     }
@@ -259,15 +284,17 @@
 
 /// Serves one link until it breaks, the leader goes silent, or the peer turns
 /// out not to lead. In the last case, returns the leader's address if the peer
-/// knows it.
+/// knows it. Resets the backoff when the session opens.
 async fn serve_link(
     address: SocketAddr,
     node: &Node,
     identity: &Identity,
     inbox: &mpsc::Sender<Input>,
+    backoff: &mut Backoff,
 ) -> Result<Option<SocketAddr>, link::Error> {
+    let open_by = tokio::time::Instant::now() + OPEN_TIMEOUT;
     let socket = Socket::dialler(identity)?;
-    let link = socket.dial(address).await?;
+    let link = socket.dial_within(address, OPEN_TIMEOUT).await?;
     let (mut sender, mut receiver) = link.open().await?;
     let (outbox, mut queue) = mpsc::channel::<Request>(INBOX_LIMIT);
     // Fails only when the process ends.
@@ -279,8 +306,14 @@
         Ok::<(), link::Error>(())
     };
     let receiving = async {
+        let mut is_open = false;
         loop {
-            let Ok(received) = timeout(LEADER_TIMEOUT, receiver.receive::<Response>()).await else {
+            let deadline = if is_open {
+                tokio::time::Instant::now() + LEADER_TIMEOUT
+            } else {
+                open_by
+            };
+            let Ok(received) = timeout_at(deadline, receiver.receive::<Response>()).await else {
                 info!("leader silent, closing the link", kv: { address: });
                 return Ok(None);
             };
@@ -290,6 +323,8 @@
                     fence,
                     profile,
                 }) => {
+                    is_open = true;
+                    backoff.reset();
                     info!("session opened", kv: { address:, epoch = epoch.0, fence = fence.0 });
                     Event::Welcome(epoch, fence, profile)
                 }
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -110,12 +110,22 @@
     ///
     /// Returns [`Error::Dial`] if no link is open within [`DIAL_TIMEOUT`].
     pub async fn dial(&self, address: SocketAddr) -> Result<Link, Error> {
+        self.dial_within(address, DIAL_TIMEOUT).await
+    }
+
+    /// Opens a link to the process at `address`, which may be so busy that it
+    /// completes the handshake late.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Dial`] if no link is open within `limit`.
+    pub async fn dial_within(&self, address: SocketAddr, limit: Duration) -> Result<Link, Error> {
         let failed = |reason: String| Error::Dial { address, reason };
         let connecting = self
             .endpoint
             .connect(address, SERVER_NAME)
             .map_err(|error| failed(error.to_string()))?;
-        match tokio::time::timeout(DIAL_TIMEOUT, connecting).await {
+        match tokio::time::timeout(limit, connecting).await {
             Ok(Ok(connection)) => Ok(Link { connection }),
             Ok(Err(error)) => Err(failed(error.to_string())),
             Err(_) => Err(failed("timed out".to_owned())),
