Keep what a placement pass finds out about the workers

Callers saw lost and late jobs: a leader with 0.069 of a core and some hundreds of waiting steps ran placement passes of 15 to 25 ms one after another, and links, leases and reports starved.

A pass examined all workers for nearly every waiting step. A rejection only covers steps that need as much or more, so a step that needs a little less was searched for again, twice, and all workers were examined once more for victims. Each step that had waited for long also added up the use of its pool, and the siblings of each task were collected although few steps use them.

After a failed search the pass now keeps what the workers of a pool and label offer at most, and likewise what they offer at most after preemption. Starts only reduce that, so it excludes further steps without an examination until resources are released. The use of a pool is kept until a reservation changes, the second search only takes place if there is a worker to avoid, and a worker whose victims wouldn't suffice is found before they are listed and sorted.

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -255,6 +255,11 @@
         self.workers.iter()
     }
 
+    /// Returns the number of known workers, usable or not.
+    pub(super) fn len(&self) -> usize {
+        self.workers.len()
+    }
+
     pub(super) fn get(&self, node: &Node) -> Option<&Worker> {
         self.workers.get(node)
     }
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -4,6 +4,7 @@
 //! - `fleet` holds the workers and the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `place` selects workers for tasks.
+//! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
 //! - `decision` describes decisions for the log.
@@ -21,6 +22,7 @@
 mod decision;
 mod fleet;
 mod headroom;
+mod pass;
 mod persist;
 mod place;
 mod registry;
@@ -149,6 +151,8 @@
     headroom_invalidated: Instant,
     /// How often all workers were searched for a task.
     searches: Cell<u64>,
+    /// How often a worker was examined during placement.
+    examined: Cell<u64>,
     /// The number of placement passes.
     passes: u64,
     /// Steps with startable tasks, most urgent first.
@@ -187,6 +191,7 @@
             place_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
             searches: Cell::new(0),
+            examined: Cell::new(0),
             passes: 0,
             ready: BTreeSet::new(),
             now,
@@ -282,6 +287,12 @@
         self.searches.get()
     }
 
+    /// Returns how often a worker was examined for a task or for the use of its
+    /// pool, which unlike the time of a pass does not depend on the machine.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
     /// Returns the number of placement passes.
     pub fn passes(&self) -> u64 {
         self.passes
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        fleet::{has_label, Worker},
+        fleet::{has_label, Reservation, Worker},
+        pass::{Offer, Pass},
         registry::Execution,
         Action, Decision, Planner, Rank, Reason,
     },
@@ -38,35 +39,21 @@
 /// without services for best-effort tasks.
 const SERVICE_WORKER_SCORE: f64 = 1.0;
 
-/// The requirements that no worker met in the current placement pass.
-#[derive(Default)]
-struct Unplaceable {
-    rejections: Vec<Rejection>,
-}
-
-/// Requirements that no worker met; a task that requires at least as much is
-/// not searched for again.
-struct Rejection {
-    pool: Arc<str>,
-    image: Option<Arc<str>>,
-    room: Room,
-    any_place: bool,
-}
-
 /// What a task requires of its worker.
-struct Requirements<'a> {
-    step: &'a Step,
-    pool: &'a str,
-    /// The number of tasks of the same step on each worker.
-    siblings: BTreeMap<Node, usize>,
+pub(super) struct Requirements<'a> {
+    pub(super) step: &'a Step,
+    pub(super) pool: &'a Arc<str>,
+    /// The number of tasks of the same step on each worker, if the step
+    /// constrains it.
+    siblings: BTreeMap<&'a Node, usize>,
     /// The preferred rack: that of the step's other tasks if they should share
     /// one, otherwise that of the data.
     rack: Option<Arc<str>>,
-    avoid: Option<Node>,
+    pub(super) avoid: Option<&'a Node>,
     /// Whether any worker with enough resources is accepted: nothing of the job
     /// runs, it has waited for [`GOOD_PLACE_WAIT`] and much of the pool is
     /// free.
-    any_place: bool,
+    pub(super) any_place: bool,
 }
 
 impl Planner {
@@ -74,7 +61,7 @@
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         self.fleet.update_headroom(&self.model);
-        let mut unplaceable = Unplaceable::default();
+        let mut pass = Pass::default();
         for rank in ranks {
             let Some(entry) = self.registry.get(rank.job) else {
                 self.ready.remove(&rank);
@@ -82,101 +69,64 @@
             };
             let gang = entry.step(rank.step).is_some_and(|step| step.mode.gang);
             if gang {
-                self.place_gang(rank, actions);
+                self.place_gang(rank, &mut pass, actions);
             } else {
-                self.place_step(rank, &mut unplaceable, actions);
+                self.place_step(rank, &mut pass, actions);
             }
         }
     }
 
     /// Lists the tasks of a step that may be started.
-    fn startable(&self, rank: Rank) -> Vec<Task> {
-        let name = |index: usize| Task {
-            job: rank.job,
-            occurrence: rank.occurrence,
-            step: rank.step,
-            index: index as u16,
-        };
+    fn startable(&self, rank: Rank) -> impl Iterator<Item = Task> + '_ {
         self.registry
             .get(rank.job)
             .and_then(|entry| entry.occurrences.get(&rank.occurrence))
             .and_then(|occurrence| occurrence.steps.get(usize::from(rank.step)))
-            .map(|step| {
-                step.tasks
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, task)| task.is_startable())
-                    .map(|(index, _)| name(index))
-                    .collect()
+            .into_iter()
+            .flat_map(|step| step.tasks.iter().enumerate())
+            .filter(|(_, task)| task.is_startable())
+            .map(move |(index, _)| Task {
+                job: rank.job,
+                occurrence: rank.occurrence,
+                step: rank.step,
+                index: index as u16,
             })
-            .unwrap_or_default()
     }
 
-    fn place_step(&mut self, rank: Rank, unplaceable: &mut Unplaceable, actions: &mut Vec<Action>) {
-        let tasks = self.startable(rank);
-        let total = tasks.len();
-        let mut placed = 0;
-        if tasks
-            .first()
-            .is_some_and(|task| self.is_unplaceable(*task, unplaceable))
-        {
-            return;
-        }
-        for task in tasks {
-            let Some(node) = self.select_worker(task) else {
-                self.record_unplaceable(task, unplaceable);
-                break;
-            };
-            self.start(task, &node, None, actions);
-            placed += 1;
-        }
-        if placed == total {
+    fn place_step(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
+        let Some(first) = self.startable(rank).next() else {
             self.ready.remove(&rank);
-        } else if placed == 0 {
-            self.preempt(rank, actions);
+            return;
+        };
+        let Some(requirements) = self.requirements(first, pass) else {
+            return;
+        };
+        if pass.is_rejected(&requirements) {
+            return;
         }
-    }
-
-    /// Returns whether a task requires at least as much as one that found no
-    /// worker in this pass.
-    fn is_unplaceable(&self, task: Task, unplaceable: &Unplaceable) -> bool {
-        self.requirements(task).is_some_and(|requirements| {
-            unplaceable.rejections.iter().any(|rejection| {
-                let room = &rejection.room;
-                (rejection.any_place || !requirements.any_place)
-                    && *rejection.pool == *requirements.pool
-                    && rejection.image == requirements.step.image
-                    && requirements.step.room.cores >= room.cores
-                    && requirements.step.room.memory >= room.memory
-                    && requirements.step.room.accelerators >= room.accelerators
-            })
-        })
-    }
-
-    fn record_unplaceable(&self, task: Task, unplaceable: &mut Unplaceable) {
-        let Some(requirements) = self.requirements(task) else {
+        let Some(node) = self.search(&requirements, pass) else {
+            pass.reject(&requirements);
+            self.preempt(rank, pass, actions);
             return;
         };
-        // A failed search with further constraints says nothing about other
-        // tasks.
-        let placement = &requirements.step.placement;
-        if requirements.avoid.is_none()
-            && placement.label.is_none()
-            && placement.most_per_worker.is_none()
-        {
-            let rejection = Rejection {
-                pool: requirements.pool.into(),
-                image: requirements.step.image.clone(),
-                room: requirements.step.room,
-                any_place: requirements.any_place,
+        let tasks: Vec<Task> = self.startable(rank).skip(1).collect();
+        self.start(first, &node, None, pass, actions);
+        for task in tasks {
+            let Some(requirements) = self.requirements(task, pass) else {
+                return;
+            };
+            let Some(node) = self.search(&requirements, pass) else {
+                pass.reject(&requirements);
+                return;
             };
-            unplaceable.rejections.push(rejection);
+            self.start(task, &node, None, pass, actions);
         }
+        self.ready.remove(&rank);
     }
 
     /// Places all members of a gang or none.
-    fn place_gang(&mut self, rank: Rank, actions: &mut Vec<Action>) {
-        let tasks = self.startable(rank);
+    fn place_gang(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
+        let tasks: Vec<Task> = self.startable(rank).collect();
         let Some(entry) = self.registry.get(rank.job) else {
             return;
         };
@@ -205,7 +155,10 @@
         let run = self.next_run(last);
         let mut chosen: Vec<(Task, Node)> = Vec::new();
         for task in &tasks {
-            let Some(node) = self.select_worker(*task) else {
+            let found = self
+                .requirements(*task, pass)
+                .and_then(|requirements| self.search(&requirements, pass));
+            let Some(node) = found else {
                 break;
             };
             if let Some(reservation) = self.reservation(*task) {
@@ -213,24 +166,29 @@
                 if let Some(worker) = self.fleet.get_mut(&node) {
                     worker.update_headroom(&self.model);
                 }
+                pass.reserved();
             }
             chosen.push((*task, node));
         }
         for (task, node) in &chosen {
             self.fleet.release(node, *task, run);
         }
+        if !chosen.is_empty() {
+            // The bounds may rest on the tentative reservations.
+            pass.released();
+        }
         self.fleet.update_headroom(&self.model);
         if chosen.len() < tasks.len() {
-            self.preempt(rank, actions);
+            self.preempt(rank, pass, actions);
             return;
         }
         for (task, node) in chosen {
-            self.start(task, &node, Some(run), actions);
+            self.start(task, &node, Some(run), pass, actions);
         }
         self.ready.remove(&rank);
     }
 
-    fn requirements(&self, task: Task) -> Option<Requirements<'_>> {
+    fn requirements(&self, task: Task, pass: &mut Pass) -> Option<Requirements<'_>> {
         let entry = self.registry.get(task.job)?;
         let step = entry.step(task.step)?;
         let pool = match self.catalog.queues.get(&entry.job.queue) {
@@ -239,9 +197,12 @@
         };
         let tasks = entry.occurrences.get(&task.occurrence)?;
         let tasks = &tasks.steps.get(usize::from(task.step))?.tasks;
+        let found = tasks.get(usize::from(task.index))?;
         let mut siblings = BTreeMap::new();
-        for execution in tasks.iter().flat_map(|task| &task.executions) {
-            *siblings.entry(execution.node.clone()).or_insert(0) += 1;
+        if step.placement.most_per_worker.is_some() || step.placement.same_rack {
+            for execution in tasks.iter().flat_map(|task| &task.executions) {
+                *siblings.entry(&execution.node).or_insert(0) += 1;
+            }
         }
         let rack = if step.placement.same_rack {
             siblings.keys().next().and_then(|node| {
@@ -256,45 +217,101 @@
         } else {
             step.placement.data_rack.clone()
         };
-        let since = entry.task(task)?.ready_since.unwrap_or(self.now);
+        let since = found.ready_since.unwrap_or(self.now);
         let any_place = self.now >= since + GOOD_PLACE_WAIT
-            && entry.is_idle()
-            && self.fleet.used_fraction(pool) < BUSY_FRACTION;
+            && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION
+            && entry.is_idle();
         Some(Requirements {
             step,
             pool,
             siblings,
             rack,
-            avoid: entry.task(task)?.avoid.clone(),
+            avoid: found.avoid.as_ref(),
             any_place,
         })
     }
 
-    /// Returns the feasible worker with the highest score for a task. The
-    /// worker to avoid is only used if there is no other.
+    fn used_fraction(&self, pool: &str) -> f64 {
+        self.count_examined(self.fleet.len());
+        self.fleet.used_fraction(pool)
+    }
+
+    fn count_examined(&self, workers: usize) {
+        self.examined.set(self.examined.get() + workers as u64);
+    }
+
+    /// Returns the feasible worker with the highest score for a task.
     pub(super) fn select_worker(&self, task: Task) -> Option<Node> {
-        let requirements = self.requirements(task)?;
+        let mut pass = Pass::default();
+        let requirements = self.requirements(task, &mut pass)?;
+        self.search(&requirements, &mut pass)
+    }
+
+    /// Returns the feasible worker with the highest score. The worker to avoid
+    /// is only used if there is no other.
+    fn search(&self, requirements: &Requirements<'_>, pass: &mut Pass) -> Option<Node> {
+        let step = requirements.step;
+        let need = step.reserved();
+        let is_acceptable = |offer: &Offer| {
+            let has_cores = !step.mode.best_effort
+                || requirements.any_place
+                || has_idle_cores(step, offer.idle_cores);
+            has_cores && offer.room.fits(&need)
+        };
+        if pass.is_excluded(requirements, None, is_acceptable) {
+            return None;
+        }
         self.searches.set(self.searches.get() + 1);
-        let best = |avoiding: bool| {
+        let best = |avoided: Option<&Node>| {
             self.fleet
                 .iter()
-                .filter(|(node, _)| !avoiding || requirements.avoid.as_ref() != Some(node))
-                .filter_map(|(node, worker)| Some((self.score(&requirements, node, worker)?, node)))
+                .inspect(|_| self.count_examined(1))
+                .filter(|(node, _)| avoided != Some(*node))
+                .filter_map(|(node, worker)| Some((self.score(requirements, node, worker)?, node)))
                 .max_by(|(left, _), (right, _)| left.total_cmp(right))
                 .map(|(_, node)| node.clone())
         };
-        best(true).or_else(|| best(false))
+        let mut found = best(requirements.avoid);
+        if found.is_none() && requirements.avoid.is_some() {
+            found = best(None);
+        }
+        if found.is_none() {
+            self.bound(requirements, None, pass, |worker| Offer {
+                room: worker.free(),
+                idle_cores: worker.idle_cores(),
+            });
+        }
+        found
+    }
+
+    /// Records what the workers with the required pool and label offer, after
+    /// none of them was suitable.
+    fn bound(
+        &self,
+        requirements: &Requirements<'_>,
+        preempting: Option<u8>,
+        pass: &mut Pass,
+        offer: impl Fn(&Worker) -> Offer,
+    ) {
+        if pass.needs_bound(requirements, preempting) {
+            let offers = self
+                .fleet
+                .iter()
+                .inspect(|_| self.count_examined(1))
+                .filter(|(_, worker)| self.is_eligible(requirements, worker))
+                .map(|(_, worker)| offer(worker));
+            pass.bound(requirements, preempting, offers);
+        }
     }
 
     /// Returns the score of a worker for a task, or `None` if it is not
     /// feasible.
     fn score(&self, requirements: &Requirements<'_>, node: &Node, worker: &Worker) -> Option<f64> {
-        if !self.is_feasible(requirements, node, worker) {
-            return None;
-        }
         let profile = worker.profile.as_ref()?;
         let free = worker.free();
-        if !free.fits(&requirements.step.reserved()) {
+        if !free.fits(&requirements.step.reserved())
+            || !self.is_feasible(requirements, node, worker)
+        {
             return None;
         }
         let whole = profile.room.cores.0.max(1) as f64;
@@ -305,11 +322,13 @@
         let mut score = if on_rack { RACK_SCORE } else { 0.0 };
         if requirements.step.mode.best_effort {
             let left = worker.idle_cores();
-            let need = requirements.step.room.cores.0.max(1) as f64;
+            let has_cores = has_idle_cores(requirements.step, left);
+            if !has_cores && !requirements.any_place {
+                return None;
+            }
             let image = requirements.step.image.clone().unwrap_or_default();
             let tolerance = worker.tolerance(&self.model, &image, requirements.step.room.cores);
-            let is_good = left >= need * MIN_CORE_FRACTION && tolerance >= MIN_TOLERANCE;
-            if !is_good && !requirements.any_place {
+            if tolerance < MIN_TOLERANCE && !requirements.any_place {
                 return None;
             }
             return Some(score + left / whole + tolerance.min(MAX_TOLERANCE));
@@ -331,27 +350,36 @@
     /// Returns whether a worker may run a task, regardless of its free
     /// resources.
     fn is_feasible(&self, requirements: &Requirements<'_>, node: &Node, worker: &Worker) -> bool {
-        let Some(profile) = &worker.profile else {
-            return false;
-        };
-        let placement = &requirements.step.placement;
-        let labelled = placement
-            .label
-            .as_ref()
-            .is_none_or(|label| has_label(profile, label));
         let siblings = requirements.siblings.get(node).copied().unwrap_or(0);
-        let below_limit = placement
+        let below_limit = requirements
+            .step
+            .placement
             .most_per_worker
             .is_none_or(|most| siblings < usize::from(most));
         let healthy = !worker.is_on_probation(self.now) || worker.reservations.is_empty();
+        below_limit && healthy && self.is_eligible(requirements, worker)
+    }
+
+    /// Returns whether a worker may run tasks of this kind. This does not
+    /// change within a placement pass.
+    fn is_eligible(&self, requirements: &Requirements<'_>, worker: &Worker) -> bool {
+        let Some(profile) = &worker.profile else {
+            return false;
+        };
+        let label = requirements.step.placement.label.as_ref();
         worker.is_usable(self.now, self.settings.silence_limit)
-            && *profile.pool == *requirements.pool
-            && labelled
-            && below_limit
-            && healthy
+            && profile.pool == *requirements.pool
+            && label.is_none_or(|label| has_label(profile, label))
     }
 
-    fn start(&mut self, task: Task, node: &Node, run: Option<Run>, actions: &mut Vec<Action>) {
+    fn start(
+        &mut self,
+        task: Task,
+        node: &Node,
+        run: Option<Run>,
+        pass: &mut Pass,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(reservation) = self.reservation(task) else {
             return;
         };
@@ -400,6 +428,7 @@
             role,
         };
         self.fleet.start(node, start, version, reservation);
+        pass.reserved();
         if let Some(worker) = self.fleet.get_mut(node) {
             worker.update_headroom(&self.model);
         }
@@ -409,25 +438,33 @@
     /// Preempts less urgent tasks on the worker where the fewest must be
     /// stopped to fit a task of `rank`. Tasks that are already being stopped
     /// count as free, so nothing more is stopped while they end.
-    fn preempt(&mut self, rank: Rank, actions: &mut Vec<Action>) {
-        let Some(task) = self.startable(rank).first().copied() else {
+    fn preempt(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
+        let Some(task) = self.startable(rank).next() else {
             return;
         };
-        let Some(requirements) = self.requirements(task) else {
+        let Some(requirements) = self.requirements(task, pass) else {
             return;
         };
         if requirements.step.mode.best_effort {
             return;
         }
         let need = requirements.step.reserved();
+        let preempting = Some(rank.priority);
+        if pass.is_excluded(&requirements, preempting, |offer| offer.room.fits(&need)) {
+            return;
+        }
         let mut best: Option<(Vec<(Task, Run)>, Node)> = None;
         for (node, worker) in self.fleet.iter() {
+            self.count_examined(1);
             if !self.is_feasible(&requirements, node, worker) {
                 continue;
             }
             let Some(victims) = self.victims(worker, need, rank.priority) else {
                 continue;
             };
+            if victims.is_empty() {
+                return;
+            }
             if best
                 .as_ref()
                 .is_none_or(|(known, _)| victims.len() < known.len())
@@ -435,25 +472,30 @@
                 best = Some((victims, node.clone()));
             }
         }
-        let Some((victims, node)) = best else { return };
+        let Some((victims, node)) = best else {
+            self.bound(&requirements, preempting, pass, |worker| Offer {
+                room: reclaimable(worker, rank.priority),
+                idle_cores: 0.0,
+            });
+            return;
+        };
         for (victim, run) in victims {
             self.stop(victim, run, &node, Reason::Preempted, actions);
         }
+        // A stop releases the resources of a start that has not been sent.
+        pass.released();
     }
 
     /// Returns the less urgent tasks that must be stopped on a worker to free
     /// `need`, or `None` if that is not enough. Tasks that are already being
     /// stopped count as free and are not returned.
     fn victims(&self, worker: &Worker, need: Room, priority: u8) -> Option<Vec<(Task, Run)>> {
+        if !reclaimable(worker, priority).fits(&need) {
+            return None;
+        }
         let mut free = worker.free();
         let mut victims = Vec::new();
-        let mut candidates: Vec<_> = worker
-            .reservations
-            .iter()
-            .filter(|(_, reservation)| {
-                reservation.priority > priority && reservation.service.is_none()
-            })
-            .collect();
+        let mut candidates: Vec<_> = preemptible(worker, priority).collect();
         candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
         for ((task, run), reservation) in candidates {
             if free.fits(&need) {
@@ -477,3 +519,26 @@
         free.fits(&need).then_some(victims)
     }
 }
+
+/// Lists the reservations that a task of a priority may preempt.
+fn preemptible(
+    worker: &Worker,
+    priority: u8,
+) -> impl Iterator<Item = (&(Task, Run), &Reservation)> {
+    worker.reservations.iter().filter(move |(_, reservation)| {
+        reservation.priority > priority && reservation.service.is_none()
+    })
+}
+
+/// Returns the resources that are free once everything less urgent has ended.
+fn reclaimable(worker: &Worker, priority: u8) -> Room {
+    preemptible(worker, priority).fold(worker.free(), |room, (_, reservation)| {
+        room + reservation.room
+    })
+}
+
+/// Returns whether a best-effort task finds enough idle cores to be worth
+/// placing.
+fn has_idle_cores(step: &Step, idle: f64) -> bool {
+    idle >= step.room.cores.0.max(1) as f64 * MIN_CORE_FRACTION
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A planner with a scripted clock, and reports of simulated agents.
 
+// Each test file uses some of the fixtures.
+#![allow(dead_code)]
+
 use {
     filbertbend_state::{
         room::Room,
