Limit the handshakes of an entry and drop those of diallers that gave up

After a change of leader, agents and entries waited seconds for a link or never got one: the new leader ran the handshakes of all its diallers side by side, so that all ended late, and it also finished those whose dialler had given up.

An entry now runs four handshakes at a time, and the rest wait in order. One that has waited for 3 s, which is how long agents and entries now wait, is dropped without a handshake or an answer.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -7,6 +7,7 @@
         entry::decode_leader,
         key,
         key_watch::Watcher,
+        listener::OPEN_TIMEOUT,
         platform::{Store, Worker},
     },
     filbertbend_state::{time::Instant, unit::Millis},
@@ -37,9 +38,6 @@
 const WATCH_WAIT: Millis = Millis(10_000);
 /// Interval at which the state machine checks its timers.
 const TICK: Duration = Duration::from_millis(30);
-/// How long opening a session may take, from the dial to the welcome. A new
-/// leader opens the sessions of all agents one after the other.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 /// A leader that sends nothing on an open session for this long is considered
 /// gone. It renews leases once a second, so it sends at least one message per
 /// second.
@@ -292,6 +290,7 @@
     inbox: &mpsc::Sender<Input>,
     backoff: &mut Backoff,
 ) -> Result<Option<SocketAddr>, link::Error> {
+    // A new leader opens the sessions of all agents one after the other.
     let open_by = tokio::time::Instant::now() + OPEN_TIMEOUT;
     let socket = Socket::dialler(identity)?;
     let link = socket.dial_within(address, OPEN_TIMEOUT).await?;
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -6,6 +6,7 @@
         key,
         key_watch::Watcher,
         leader_link::LeaderLink,
+        listener::Listener,
         platform::{Commit, Failure, Revision, Store, Transaction},
         term::{self, Candidate, Driver, Ended, Input},
     },
@@ -154,7 +155,7 @@
             leader_link,
             next_link: Cell::new(0),
         });
-        tokio::task::spawn_local(entry.clone().accept(socket));
+        tokio::task::spawn_local(entry.clone().accept(Listener::new(socket)));
         tokio::task::spawn_local(entry.clone().campaign(stop));
         Ok(entry)
     }
@@ -349,13 +350,12 @@
         }
     }
 
-    async fn accept(self: Rc<Self>, socket: Socket) {
-        while let Some(handshake) = socket.accept().await {
+    async fn accept(self: Rc<Self>, listener: Listener) {
+        while let Some(incoming) = listener.accept().await {
             let entry = self.clone();
             tokio::task::spawn_local(async move {
-                let link = match handshake.complete().await {
-                    Ok(link) => link,
-                    Err(error) => return info!("link handshake failed", kv: { error: }),
+                let Some(link) = incoming.complete().await else {
+                    return;
                 };
                 let peer = link.peer();
                 if let Err(error) = entry.serve_link(link).await {
--- a/crates/dispatch/src/leader_link.rs
+++ b/crates/dispatch/src/leader_link.rs
@@ -5,7 +5,7 @@
 //! delay.
 
 use {
-    crate::backoff::Backoff,
+    crate::{backoff::Backoff, listener::OPEN_TIMEOUT},
     filbertbend_transport::{
         link::{self, Receiver, Sender, Socket},
         tls::Identity,
@@ -140,7 +140,7 @@
     async fn serve(&mut self, first: Question) -> Result<(), link::Error> {
         let address = self.leader.address;
         let socket = Socket::dialler(&self.identity)?;
-        let link = socket.dial(address).await?;
+        let link = socket.dial_within(address, OPEN_TIMEOUT).await?;
         let (mut sender, mut receiver) = link.open().await?;
         sender.send(&Request::Entry(self.node.clone())).await?;
         let pending = Pending::default();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod key_watch;
 mod leader_link;
 pub mod link_identity;
+mod listener;
 mod load;
 pub mod platform;
 pub mod term;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -159,6 +159,12 @@
         let connection = self.0.await?;
         Ok(Link { connection })
     }
+
+    /// Drops the incoming link without an answer to the peer, which is expected
+    /// to have given up.
+    pub fn ignore(self) {
+        self.0.ignore();
+    }
 }
 
 /// An authenticated connection to a peer.
