--- a/crates/dispatch/src/backoff.rs
+++ b/crates/dispatch/src/backoff.rs
@@ -29,7 +29,7 @@
     }
 
     /// Returns how long to wait after another failure: between half of the
-    /// current bound and all of it. Doubles the bound up to [`MAX_DELAY`].
+    /// current bound and all of it. Doubles the bound, up to 1.6 s.
     pub fn next_delay(&mut self) -> Duration {
         let bound = self.bound;
         self.bound = (bound * 2).min(MAX_DELAY);
