Carry out what the planner decides when a session ends

When a message couldn't be queued for a session, the driver told the planner that the session had ended and dropped what the planner answered. If that step happened to write a batch, the planner waited for it for the rest of the term: nothing was written, started or acknowledged any more, while the leader kept its lease. Callers see accepted jobs that are never run.

The trigger is common while the leader is short of time: the link has ended, and its closing still waits in the inbox.

The driver now works through the event, the end of a placement pass and the ends of sessions in turn, so the pause after a pass applies there too. batch_is_written_although_a_session_cannot_be_sent_to fails with the former behaviour put back, and passes now.

--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -1,6 +1,9 @@
 //! One term of leadership: claims it, reads the stored state back, and runs the
 //! planner until another entry leads or the process shuts down.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{
         decision,
@@ -23,7 +26,7 @@
     metrics::{counter, gauge},
     spdlog::prelude::*,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{HashMap, HashSet, VecDeque},
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -168,6 +171,8 @@
     inbox: Rc<Inbox>,
     last_tick: Instant,
     load: Load,
+    /// Reads the monotonic clock.
+    clock: fn() -> Instant,
 }
 
 /// An order to the task that writes the journal.
@@ -211,6 +216,7 @@
             inbox,
             last_tick: now,
             load: Load::default(),
+            clock: clock::monotonic,
         }
     }
 
@@ -453,57 +459,61 @@
         None
     }
 
+    /// Processes an event, and the closing of each session that could not be
+    /// sent its orders.
     fn step(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let (actions, placed) = self.plan(event);
+            for action in actions {
+                match action {
+                    Action::Send(link, response) => {
+                        if !self.send(link, response) {
+                            events.push_back(Event::Closed(link));
+                        }
+                    }
+                    Action::Persist(batch) => {
+                        // Fails only if the journal has ended, which it reports
+                        // itself.
+                        let _ = self.journal.send(Order::Batch(batch));
+                    }
+                    Action::Decided(decision) => decision::log(&decision),
+                }
+            }
+            if placed {
+                events.push_front(Event::Placed);
+            }
+        }
+    }
+
+    /// Returns the planner's actions for an event, and whether it has run a
+    /// placement pass.
+    fn plan(&mut self, event: Event) -> (Vec<Action>, bool) {
         let mut actions = Vec::new();
         let until = self.leadership.valid_until();
         let kind = (&event).into();
         let passes = self.planner.passes();
         let began = std::time::Instant::now();
-        self.planner.step(
-            clock::monotonic(),
-            clock::wall(),
-            until,
-            event,
-            &mut actions,
-        );
+        self.planner
+            .step((self.clock)(), clock::wall(), until, event, &mut actions);
         let placed = self.planner.passes() > passes;
         let kind = if placed { "placement" } else { kind };
         self.load.record(kind, began.elapsed());
-        for action in actions {
-            match action {
-                Action::Send(link, response) => self.send(link, response),
-                Action::Persist(batch) => {
-                    // Fails only if the journal has ended, which it reports
-                    // itself.
-                    let _ = self.journal.send(Order::Batch(batch));
-                }
-                Action::Decided(decision) => decision::log(&decision),
-            }
-        }
-        if placed {
-            self.step(Event::Placed);
-        }
+        (actions, placed)
     }
 
-    /// Queues a message for a link. If the queue is full or closed, the session
-    /// ends, because it must not miss an order.
-    fn send(&mut self, link: Link, response: Response) {
+    /// Queues a message for a link. If the queue is full or closed, drops it and
+    /// returns `false`: the session must end, because it has missed an order.
+    fn send(&mut self, link: Link, response: Response) -> bool {
         let Some(outbox) = self.outboxes.get(&link) else {
-            return;
+            return true;
         };
-        if outbox.try_send(response).is_err() {
-            warn!("send queue of a link is full or closed, closing the link", kv: { link = link.0 });
-            self.outboxes.remove(&link);
-            let mut actions = Vec::new();
-            let until = self.leadership.valid_until();
-            self.planner.step(
-                clock::monotonic(),
-                clock::wall(),
-                until,
-                Event::Closed(link),
-                &mut actions,
-            );
+        if outbox.try_send(response).is_ok() {
+            return true;
         }
+        warn!("send queue of a link is full or closed, ending the session", kv: { link = link.0 });
+        self.outboxes.remove(&link);
+        false
     }
 }
 
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -261,8 +261,8 @@
     /// Returns whether to run a placement pass. A pass costs time for every
     /// waiting step, so changes are batched for [`PLACE_INTERVAL`]. After a
     /// change of leader, placement waits until workers have reported; otherwise
-    /// the first to report would get all tasks. It also waits for
-    /// [`PAUSE_FACTOR`].
+    /// the first to report would get all tasks. It also waits
+    /// until the pause after the last pass is over.
     fn may_place(&self, until: Instant) -> bool {
         self.loaded
             && self.changed
