Write every batch that follows an announcement of unknown outcome

An earlier attempt of the same write may have taken effect without an answer. The next batch then got the same number, met a conflict, found its own number in the stored term and counted as written. Ends in it were acknowledged to workers, and the next leader started those tasks again: TWICE, or LOST where nothing remained.

Change: numbers are not reused.

Ruled out by reading: acknowledgements before the write is durable (ends wait for the version of their job), pages of a listing (the listing follows the claim, after which no former write takes effect).

Measured: the new test fails before (the batch is not in the store) and passes now.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -94,11 +94,10 @@
                         return Ok(sent_at);
                     }
                 }
-                Ok(Commit::LeaseNotFound) => {
-                    // The caller obtains a new lease and announces again.
-                    self.term.batch -= 1;
-                    return Ok(sent_at);
-                }
+                // The caller obtains a new lease and announces again. The number
+                // is not reused: an earlier attempt may have taken effect, and
+                // the next batch would be taken for it.
+                Ok(Commit::LeaseNotFound) => return Ok(sent_at),
                 Err(Failure::Refused(error)) => {
                     debug!("write refused by the store, retrying", kv: { batch = self.term.batch, error: = &*error });
                     sleep(RETRY_DELAY).await;
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -8,14 +8,14 @@
         entry::{Entry, Options, Submission},
         journal::{Deposed, Journal},
         key, link_identity,
-        platform::Revision,
+        platform::{Lease, Revision},
     },
     filbertbend_state::{time::Wall, unit::Millis},
     filbertbend_workload::{
         id::{Epoch, Job},
         job::{self, Policy, Step},
         planner::{Batch, Settings, Write},
-        record::{Progress, Term},
+        record::{Leader, Progress, Term},
     },
     std::{
         rc::Rc,
@@ -110,6 +110,27 @@
     assert_eq!(found.batch, 2);
 }
 
+/// Guards against acknowledged ends that a later leader does not know: a batch
+/// counted as written because the announcement before it had the same number.
+/// The announcement had taken effect without an answer, and its repetition
+/// found the lease expired.
+#[tokio::test]
+async fn batch_after_an_announcement_of_unknown_outcome_is_written() {
+    let (store, mut journal) = journal();
+    let leader = Leader {
+        epoch: Epoch(1),
+        node: "entry-1".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    store.fail([Fault::LostAnswer, Fault::LeaseExpired]);
+
+    journal.announce(&leader, Lease(1)).await.unwrap();
+    journal.write(&batch(1)).await.unwrap();
+
+    assert!(store.item(&key::progress(Job(1))).is_some(), "not written");
+    assert_eq!(completed(&store), 1);
+}
+
 /// Guards against a former leader whose writes still take effect after another
 /// entry has claimed a newer term.
 #[tokio::test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -29,6 +29,8 @@
     LostCall,
     /// The connection goes silent: neither answer nor error arrives.
     Silence,
+    /// The lease that the write binds a key to has expired.
+    LeaseExpired,
 }
 
 #[derive(Default)]
@@ -149,6 +151,7 @@
                 Err(Failure::Refused("busy".into()))
             }
             Some(Fault::Silence) => std::future::pending().await,
+            Some(Fault::LeaseExpired) => Ok(Commit::LeaseNotFound),
             Some(Fault::LostCall) => Err(Failure::Lost("reset".into())),
             Some(Fault::LostAnswer) => {
                 self.apply(transaction);
