Rank the workers once for a step, and examine only workers with news

Every task of a step searched all workers, and every event looked at all workers for orders to send.

Change: the like tasks of a step share one ranking, in which a worker that got a task is ranked again; orders are taken from the workers that an event touched, and from those that wait for the store when a batch is durable. The choices are the same. Preemption has a file of its own.

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -15,7 +15,7 @@
         unit::{Cores, Millis},
     },
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         sync::Arc,
     },
 };
@@ -227,6 +227,34 @@
         self.pending_ends.push_back((sequence, job, version));
     }
 
+    /// Returns whether starts or ends wait for changes to be durable.
+    fn is_pending(&self) -> bool {
+        !self.pending_starts.is_empty() || !self.pending_ends.is_empty()
+    }
+
+    /// Queues the starts whose placement is durable and acknowledges the ends
+    /// whose consequences are durable.
+    fn release_durable(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
+        let ready = self
+            .pending_starts
+            .extract_if(.., |(start, version)| is_durable(start.task.job, *version));
+        self.orders.starts.extend(ready.map(|(start, _)| start));
+        let mut acknowledged = None;
+        while let Some((sequence, job, version)) = self.pending_ends.front() {
+            if !is_durable(*job, *version) {
+                break;
+            }
+            acknowledged = Some(*sequence);
+            self.pending_ends.pop_front();
+        }
+        if let Some(acknowledged) =
+            acknowledged.filter(|acknowledged| *acknowledged > self.acknowledged)
+        {
+            self.acknowledged = acknowledged;
+            self.orders.acknowledged = Some(acknowledged);
+        }
+    }
+
     /// Queues learned interference weights for the agent.
     pub(super) fn send_weights(&mut self, weights: Vec<Weight>) {
         self.orders.weights.extend(weights);
@@ -248,6 +276,10 @@
 pub(super) struct Fleet {
     workers: BTreeMap<Node, Worker>,
     links: HashMap<Link, Node>,
+    /// The workers that may have orders to send.
+    changed: BTreeSet<Node>,
+    /// The workers with starts or ends that wait for changes to be durable.
+    pending: BTreeSet<Node>,
 }
 
 impl Fleet {
@@ -264,8 +296,14 @@
         self.workers.get(node)
     }
 
+    /// Returns a worker, whose orders are examined at the next
+    /// [`Fleet::take_orders`].
     pub(super) fn get_mut(&mut self, node: &Node) -> Option<&mut Worker> {
-        self.workers.get_mut(node)
+        let worker = self.workers.get_mut(node)?;
+        if !self.changed.contains(node) {
+            self.changed.insert(node.clone());
+        }
+        Some(worker)
     }
 
     /// Computes the headroom of every worker whose headroom was invalidated.
@@ -355,14 +393,14 @@
 
     /// Records that the inventory of a worker has arrived in this session.
     pub(super) fn confirm_inventory(&mut self, node: &Node, incarnation: &Incarnation) {
-        if let Some(worker) = self.workers.get_mut(node) {
+        if let Some(worker) = self.get_mut(node) {
             worker.incarnation = Some(incarnation.clone());
         }
     }
 
     /// Reserves resources for a run that is already on the worker.
     pub(super) fn adopt(&mut self, node: &Node, task: Task, run: Run, reservation: Reservation) {
-        if let Some(worker) = self.workers.get_mut(node) {
+        if let Some(worker) = self.get_mut(node) {
             worker.reserve(task, run, reservation);
         }
     }
@@ -376,7 +414,7 @@
         version: u64,
         reservation: Reservation,
     ) {
-        if let Some(worker) = self.workers.get_mut(node) {
+        if let Some(worker) = self.get_mut(node) {
             worker.reserve(start.task, start.run, reservation);
             worker.pending_starts.push((start, version));
         }
@@ -402,7 +440,7 @@
 
     /// Orders a stop. The resources stay reserved until the end is reported.
     pub(super) fn stop(&mut self, node: &Node, task: Task, run: Run) -> StopOutcome {
-        let Some(worker) = self.workers.get_mut(node) else {
+        let Some(worker) = self.get_mut(node) else {
             return StopOutcome::Repeated;
         };
         if worker.orders.stops.contains(&(task, run)) {
@@ -422,14 +460,13 @@
     /// Frees the resources of a run that has ended; returns whether any were
     /// reserved.
     pub(super) fn release(&mut self, node: &Node, task: Task, run: Run) -> bool {
-        self.workers
-            .get_mut(node)
+        self.get_mut(node)
             .is_some_and(|worker| worker.release(task, run))
     }
 
     /// Frees all resources on a worker and returns the runs that held them.
     pub(super) fn clear(&mut self, node: &Node) -> Vec<(Task, Run)> {
-        let Some(worker) = self.workers.get_mut(node) else {
+        let Some(worker) = self.get_mut(node) else {
             return Vec::new();
         };
         worker.headroom = None;
@@ -473,46 +510,35 @@
         if weights.is_empty() {
             return;
         }
-        for worker in self.workers.values_mut() {
+        for (node, worker) in &mut self.workers {
             worker.send_weights(weights.to_vec());
+            self.changed.insert(node.clone());
         }
     }
 
-    /// Queues the starts whose placement is durable and acknowledges the ends
-    /// whose consequences are durable.
-    pub(super) fn release_durable(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
-        for worker in self.workers.values_mut() {
-            let ready = worker
-                .pending_starts
-                .extract_if(.., |(start, version)| is_durable(start.task.job, *version));
-            worker.orders.starts.extend(ready.map(|(start, _)| start));
-            let mut acknowledged = None;
-            while let Some((sequence, job, version)) = worker.pending_ends.front() {
-                if !is_durable(*job, *version) {
-                    break;
-                }
-                acknowledged = Some(*sequence);
-                worker.pending_ends.pop_front();
-            }
-            if let Some(acknowledged) =
-                acknowledged.filter(|acknowledged| *acknowledged > worker.acknowledged)
-            {
-                worker.acknowledged = acknowledged;
-                worker.orders.acknowledged = Some(acknowledged);
-            }
+    /// Takes the orders to send in each session. If `durability_changed`, those
+    /// that waited for changes to be durable are examined too.
+    pub(super) fn take_orders(
+        &mut self,
+        durability_changed: bool,
+        is_durable: impl Fn(Job, u64) -> bool,
+    ) -> Vec<(Link, Orders)> {
+        let mut examined = std::mem::take(&mut self.changed);
+        if durability_changed {
+            examined.append(&mut self.pending);
         }
-    }
-
-    /// Takes the pending orders of each session.
-    pub(super) fn take_orders(&mut self) -> Vec<(Link, Orders)> {
         let mut taken = Vec::new();
-        for worker in self.workers.values_mut() {
-            if worker.orders.is_empty() {
+        for node in examined {
+            let Some(worker) = self.workers.get_mut(&node) else {
                 continue;
-            }
-            if let Some(link) = worker.link {
+            };
+            worker.release_durable(&is_durable);
+            if let Some(link) = worker.link.filter(|_| !worker.orders.is_empty()) {
                 taken.push((link, std::mem::take(&mut worker.orders)));
             }
+            if worker.is_pending() {
+                self.pending.insert(node);
+            }
         }
         taken
     }
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -4,6 +4,7 @@
 //! - `fleet` holds the workers and the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `place` selects workers for tasks.
+//! - `preempt` makes room for urgent tasks.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
@@ -25,6 +26,7 @@
 mod pass;
 mod persist;
 mod place;
+mod preempt;
 mod registry;
 mod report;
 
@@ -155,6 +157,8 @@
     loaded: bool,
     /// Whether anything has changed that may allow a task to be placed.
     changed: bool,
+    /// Whether a batch has become durable since orders were last taken.
+    durability_changed: bool,
     last_placement: Instant,
     place_not_before: Instant,
     /// When the headroom of all workers was last invalidated.
@@ -197,6 +201,7 @@
             waiting_sessions: Vec::new(),
             loaded: false,
             changed: false,
+            durability_changed: false,
             last_placement: Instant::default(),
             place_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
@@ -532,12 +537,13 @@
             actions.push(Action::Persist(batch));
         }
         let registry = &self.registry;
-        self.fleet.release_durable(|id, version| {
+        let durability_changed = std::mem::take(&mut self.durability_changed);
+        let orders = self.fleet.take_orders(durability_changed, |id, version| {
             registry
                 .get(id)
                 .is_none_or(|entry| entry.durable_version >= version)
         });
-        for (link, orders) in self.fleet.take_orders() {
+        for (link, orders) in orders {
             actions.push(Action::Send(link, Response::Orders(orders)));
         }
     }
@@ -546,6 +552,7 @@
         let Some(in_flight) = self.persist.complete(number) else {
             return;
         };
+        self.durability_changed = true;
         for (id, version) in &in_flight.jobs {
             if let Some(entry) = self.registry.get_mut(*id) {
                 entry.durable_version = (*version).max(entry.durable_version);
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -2,18 +2,22 @@
 
 use {
     super::{
-        fleet::{has_label, Reservation, Worker},
+        fleet::{has_label, Worker},
         pass::{Offer, Pass},
         registry::Execution,
-        Action, Decision, Planner, Rank, Reason,
+        Action, Decision, Planner, Rank,
     },
     crate::{
         id::{Node, Run, Task},
         job::Step,
         message::{Role, Start},
     },
-    filbertbend_state::{room::Room, unit::Millis},
-    std::{collections::BTreeMap, sync::Arc},
+    filbertbend_state::unit::Millis,
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BinaryHeap},
+        sync::Arc,
+    },
 };
 
 /// The fraction of its cores that a best-effort task must find idle to be
@@ -56,6 +60,49 @@
     pub(super) any_place: bool,
 }
 
+impl Requirements<'_> {
+    /// Returns whether the requirements differ between the tasks of a step, or
+    /// depend on where the others run.
+    fn is_individual(&self) -> bool {
+        let placement = &self.step.placement;
+        self.any_place
+            || self.avoid.is_some()
+            || placement.same_rack
+            || placement.most_per_worker.is_some()
+    }
+}
+
+/// The feasible workers for a task, the one with the highest score first.
+type Ranking = BinaryHeap<Candidate>;
+
+/// A worker with its score for a task. Equal scores are ordered by name, so
+/// that the choice does not depend on the order of examination.
+struct Candidate {
+    score: f64,
+    node: Node,
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then_with(|| self.node.cmp(&other.node))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Candidate {}
+
 impl Planner {
     /// Runs a placement pass over the ready steps, most urgent first.
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
@@ -77,7 +124,7 @@
     }
 
     /// Lists the tasks of a step that may be started.
-    fn startable(&self, rank: Rank) -> impl Iterator<Item = Task> + '_ {
+    pub(super) fn startable(&self, rank: Rank) -> impl Iterator<Item = Task> + '_ {
         self.registry
             .get(rank.job)
             .and_then(|entry| entry.occurrences.get(&rank.occurrence))
@@ -111,19 +158,70 @@
         };
         let tasks: Vec<Task> = self.startable(rank).skip(1).collect();
         self.start(first, &node, None, pass, actions);
+        let mut ranking = None;
         for task in tasks {
             let Some(requirements) = self.requirements(task, pass) else {
                 return;
             };
-            let Some(node) = self.search(&requirements, pass) else {
+            let Some(node) = self.search_next(&requirements, &mut ranking, pass) else {
                 pass.reject(&requirements);
                 return;
             };
             self.start(task, &node, None, pass, actions);
+            if let (Some(ranking), Some(requirements)) =
+                (&mut ranking, self.requirements(task, pass))
+            {
+                self.rank(&requirements, &node, ranking);
+            }
         }
         self.ready.remove(&rank);
     }
 
+    /// Returns the feasible worker with the highest score for one of several
+    /// like tasks of a step. Their scores are computed once, and again only for
+    /// workers that got a task since.
+    fn search_next(
+        &self,
+        requirements: &Requirements<'_>,
+        ranking: &mut Option<Ranking>,
+        pass: &mut Pass,
+    ) -> Option<Node> {
+        if requirements.is_individual() {
+            return self.search(requirements, pass);
+        }
+        let ranking = ranking.get_or_insert_with(|| {
+            let mut ranking = Ranking::default();
+            self.searches.set(self.searches.get() + 1);
+            for (node, _) in self.fleet.iter() {
+                self.rank(requirements, node, &mut ranking);
+            }
+            ranking
+        });
+        while let Some(best) = ranking.pop() {
+            let score = self.examine(requirements, &best.node);
+            if score.is_some_and(|score| score.total_cmp(&best.score).is_eq()) {
+                return Some(best.node);
+            }
+            // The worker was ranked again when it changed.
+        }
+        None
+    }
+
+    /// Adds a worker to a ranking if it is feasible.
+    fn rank(&self, requirements: &Requirements<'_>, node: &Node, ranking: &mut Ranking) {
+        if let Some(score) = self.examine(requirements, node) {
+            ranking.push(Candidate {
+                score,
+                node: node.clone(),
+            });
+        }
+    }
+
+    fn examine(&self, requirements: &Requirements<'_>, node: &Node) -> Option<f64> {
+        self.count_examined(1);
+        self.score(requirements, node, self.fleet.get(node)?)
+    }
+
     /// Places all members of a gang or none.
     fn place_gang(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
         let tasks: Vec<Task> = self.startable(rank).collect();
@@ -188,7 +286,7 @@
         self.ready.remove(&rank);
     }
 
-    fn requirements(&self, task: Task, pass: &mut Pass) -> Option<Requirements<'_>> {
+    pub(super) fn requirements(&self, task: Task, pass: &mut Pass) -> Option<Requirements<'_>> {
         let entry = self.registry.get(task.job)?;
         let step = entry.step(task.step)?;
         let pool = match self.catalog.queues.get(&entry.job.queue) {
@@ -219,8 +317,8 @@
         };
         let since = found.ready_since.unwrap_or(self.now);
         let any_place = self.now >= since + GOOD_PLACE_WAIT
-            && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION
-            && entry.is_idle();
+            && entry.is_idle()
+            && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION;
         Some(Requirements {
             step,
             pool,
@@ -236,7 +334,7 @@
         self.fleet.used_fraction(pool)
     }
 
-    fn count_examined(&self, workers: usize) {
+    pub(super) fn count_examined(&self, workers: usize) {
         self.examined.set(self.examined.get() + workers as u64);
     }
 
@@ -286,7 +384,7 @@
 
     /// Records what the workers with the required pool and label offer, after
     /// none of them was suitable.
-    fn bound(
+    pub(super) fn bound(
         &self,
         requirements: &Requirements<'_>,
         preempting: Option<u8>,
@@ -349,7 +447,12 @@
 
     /// Returns whether a worker may run a task, regardless of its free
     /// resources.
-    fn is_feasible(&self, requirements: &Requirements<'_>, node: &Node, worker: &Worker) -> bool {
+    pub(super) fn is_feasible(
+        &self,
+        requirements: &Requirements<'_>,
+        node: &Node,
+        worker: &Worker,
+    ) -> bool {
         let siblings = requirements.siblings.get(node).copied().unwrap_or(0);
         let below_limit = requirements
             .step
@@ -434,107 +537,6 @@
         }
         self.persist.mark_dirty(now, task.job, true);
     }
-
-    /// Preempts less urgent tasks on the worker where the fewest must be
-    /// stopped to fit a task of `rank`. Tasks that are already being stopped
-    /// count as free, so nothing more is stopped while they end.
-    fn preempt(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
-        let Some(task) = self.startable(rank).next() else {
-            return;
-        };
-        let Some(requirements) = self.requirements(task, pass) else {
-            return;
-        };
-        if requirements.step.mode.best_effort {
-            return;
-        }
-        let need = requirements.step.reserved();
-        let preempting = Some(rank.priority);
-        if pass.is_excluded(&requirements, preempting, |offer| offer.room.fits(&need)) {
-            return;
-        }
-        let mut best: Option<(Vec<(Task, Run)>, Node)> = None;
-        for (node, worker) in self.fleet.iter() {
-            self.count_examined(1);
-            if !self.is_feasible(&requirements, node, worker) {
-                continue;
-            }
-            let Some(victims) = self.victims(worker, need, rank.priority) else {
-                continue;
-            };
-            if victims.is_empty() {
-                return;
-            }
-            if best
-                .as_ref()
-                .is_none_or(|(known, _)| victims.len() < known.len())
-            {
-                best = Some((victims, node.clone()));
-            }
-        }
-        let Some((victims, node)) = best else {
-            self.bound(&requirements, preempting, pass, |worker| Offer {
-                room: reclaimable(worker, rank.priority),
-                idle_cores: 0.0,
-            });
-            return;
-        };
-        for (victim, run) in victims {
-            self.stop(victim, run, &node, Reason::Preempted, actions);
-        }
-        // A stop releases the resources of a start that has not been sent.
-        pass.released();
-    }
-
-    /// Returns the less urgent tasks that must be stopped on a worker to free
-    /// `need`, or `None` if that is not enough. Tasks that are already being
-    /// stopped count as free and are not returned.
-    fn victims(&self, worker: &Worker, need: Room, priority: u8) -> Option<Vec<(Task, Run)>> {
-        if !reclaimable(worker, priority).fits(&need) {
-            return None;
-        }
-        let mut free = worker.free();
-        let mut victims = Vec::new();
-        let mut candidates: Vec<_> = preemptible(worker, priority).collect();
-        candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
-        for ((task, run), reservation) in candidates {
-            if free.fits(&need) {
-                break;
-            }
-            let entry = self
-                .registry
-                .get(task.job)
-                .and_then(|entry| entry.task(*task));
-            let stopping = entry.is_some_and(|entry| {
-                entry
-                    .executions
-                    .iter()
-                    .any(|execution| execution.run == *run && execution.stopping)
-            });
-            free += reservation.room;
-            if !stopping {
-                victims.push((*task, *run));
-            }
-        }
-        free.fits(&need).then_some(victims)
-    }
-}
-
-/// Lists the reservations that a task of a priority may preempt.
-fn preemptible(
-    worker: &Worker,
-    priority: u8,
-) -> impl Iterator<Item = (&(Task, Run), &Reservation)> {
-    worker.reservations.iter().filter(move |(_, reservation)| {
-        reservation.priority > priority && reservation.service.is_none()
-    })
-}
-
-/// Returns the resources that are free once everything less urgent has ended.
-fn reclaimable(worker: &Worker, priority: u8) -> Room {
-    preemptible(worker, priority).fold(worker.free(), |room, (_, reservation)| {
-        room + reservation.room
-    })
 }
 
 /// Returns whether a best-effort task finds enough idle cores to be worth
--- a/crates/workload/tests/placement.rs
+++ b/crates/workload/tests/placement.rs
@@ -353,3 +353,27 @@
 
     assert_eq!(choices(&harness.decisions), [Choice::Placed(2, 0)]);
 }
+
+/// Guards against a leader that is saturated because each of many like tasks of
+/// a step searches all workers.
+#[test]
+fn wide_step_examines_each_worker_a_few_times() {
+    let mut harness = Harness::with_workers(WORKERS);
+    let before = harness.planner.examined();
+
+    harness.submit(1, job(vec![step(4 * WORKERS as u16)]));
+
+    let started = harness.all_starts();
+    assert_eq!(started.len(), 4 * WORKERS as usize);
+    let mut tasks_of_workers = BTreeMap::new();
+    for (worker, _) in &started {
+        *tasks_of_workers.entry(*worker).or_insert(0) += 1;
+    }
+    assert!(tasks_of_workers.values().all(|tasks| *tasks == 4));
+    let examined = harness.planner.examined() - before;
+    let limit = EXAMINATION_LIMIT * WORKERS + 3 * started.len() as u64;
+    assert!(
+        examined <= limit,
+        "{examined} workers examined, at most {limit} allowed"
+    );
+}
