Derive the lease from a change of leader; let entries with more processor time lead

Cause: hold_max_ms is 6,000 on the large sites, so a lease was 3.3 s. A change of leader takes up to 4.5 s: 2 s until the key is gone, then the claim, the loading and 240 sessions. And a hash of the name decided who leads: front-xela-7 with 0.12 of a core, where 15 entries have 0.5.

Change: key, renewal, takeover and lease are derived from one another in leadership.rs; 5.5 s under both limits of the open sites, as before on those with 10,000. The delay of a claim is in inverse proportion to the processor time of the settings.

Ruled out: a longer key would make takeovers later.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -10,7 +10,7 @@
         platform::{Commit, Failure, Revision, Store, Transaction},
         term::{self, Candidate, Driver, Ended, Input},
     },
-    filbertbend_state::unit::Millis,
+    filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{
         link::{self, Link, Receiver, Sender, Socket},
         tls::Identity,
@@ -114,6 +114,8 @@
     /// The address at which the entry accepts links from agents and other
     /// entries.
     pub address: SocketAddr,
+    /// The processor time of the entry; those with more lead first.
+    pub processor: Cores,
     /// The settings of the planner that runs while the entry leads.
     pub planner: Settings,
 }
@@ -315,7 +317,7 @@
                 // disappears when its lease expires.
                 Some(_) => sleep(RETRY_DELAY).await,
                 None => {
-                    sleep(leadership::claim_delay(rank).duration()).await;
+                    sleep(leadership::claim_delay(rank, self.options.processor).duration()).await;
                     self.run_term(&stop).await;
                     sleep(RETRY_DELAY).await;
                 }
--- a/crates/dispatch/tests/entry_links.rs
+++ b/crates/dispatch/tests/entry_links.rs
@@ -8,7 +8,7 @@
         entry::{Entry, Options},
         link_identity,
     },
-    filbertbend_state::unit::Millis,
+    filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{link::Link, tls::Identity},
     filbertbend_workload::{
         message::{Reply, Request, Response},
@@ -59,6 +59,7 @@
     let options = Options {
         node: "entry-1".into(),
         address: loopback(),
+        processor: Cores(500),
         planner: Settings {
             lease: Millis(5500),
             silence_limit: Millis(2200),
--- a/crates/dispatch/tests/handshakes.rs
+++ b/crates/dispatch/tests/handshakes.rs
@@ -8,7 +8,7 @@
         entry::{Entry, Options},
         link_identity,
     },
-    filbertbend_state::unit::Millis,
+    filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{link::Socket, tls::Identity},
     filbertbend_workload::planner::Settings,
     metrics::{
@@ -96,6 +96,7 @@
     let options = Options {
         node: "entry-1".into(),
         address,
+        processor: Cores(500),
         planner: Settings {
             lease: Millis(5500),
             silence_limit: Millis(2200),
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -10,7 +10,10 @@
         key, link_identity,
         platform::{Lease, Revision},
     },
-    filbertbend_state::{time::Wall, unit::Millis},
+    filbertbend_state::{
+        time::Wall,
+        unit::{Cores, Millis},
+    },
     filbertbend_workload::{
         id::{Epoch, Job},
         job::{self, Policy, Step},
@@ -81,6 +84,7 @@
     let options = Options {
         node: "entry-1".into(),
         address: ([127, 0, 0, 1], 0).into(),
+        processor: Cores(500),
         planner: Settings {
             lease: Millis(5500),
             silence_limit: Millis(2200),
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -11,6 +11,7 @@
 use {
     crate::{
         id::{Epoch, Fence, Run, Sequence, Task},
+        leadership::LEASE_RENEW_INTERVAL,
         message::{Inventory, Orders, Outcome, Report, Role, Start, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
@@ -33,8 +34,6 @@
 const POLL_WAIT: Millis = Millis(500);
 /// The delay between polls while the worker lists unacknowledged ends.
 const PENDING_DELAY: Millis = Millis(30);
-/// How often the lease is renewed; several attempts fit into its duration.
-const RENEW_INTERVAL: Millis = Millis(1000);
 /// The maximum snapshot age for renewing the lease: one poll and some delay.
 const STALE_AFTER: Millis = Millis(900);
 /// The remaining lease that is required to send a start.
@@ -257,7 +256,8 @@
     /// Requests a lease while the worker answers. If the worker is gone for
     /// good, a lease would delay the restart of its tasks elsewhere.
     fn renew(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let due = |last: Option<Instant>| last.is_none_or(|last| now >= last + RENEW_INTERVAL);
+        let due =
+            |last: Option<Instant>| last.is_none_or(|last| now >= last + LEASE_RENEW_INTERVAL);
         if self.session.is_none() || !due(self.last_renewal) {
             return;
         }
--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -6,12 +6,24 @@
 //! from its last confirmed read or write of the store, and each of its writes
 //! expects the previous one ([`record::Term`](crate::record::Term)).
 
-use filbertbend_state::{time::Instant, unit::Millis};
+use filbertbend_state::{
+    time::Instant,
+    unit::{Cores, Millis},
+};
 
-/// How long the leader's key lasts without renewal. It is shorter than the
-/// lease of tasks by more than the time of a claim, so that tasks survive a
-/// change of leader.
+/// How long the leader's key lasts without renewal.
 pub const KEY_TTL: Millis = Millis(2000);
+/// How often an agent asks for a new lease of its worker.
+pub const LEASE_RENEW_INTERVAL: Millis = Millis(1000);
+/// How long a claim, the loading of all jobs and the sessions of all agents take
+/// at most after the leader's key is gone.
+pub const TAKEOVER_TIME: Millis = Millis(2500);
+/// The duration of a worker's lease, which covers all of its tasks. Tasks
+/// survive a change of leader although the lease was not renewed just before.
+const TASK_LEASE: Millis = Millis(KEY_TTL.0 + LEASE_RENEW_INTERVAL.0 + TAKEOVER_TIME.0);
+/// The largest part of the platform's limit that a lease uses, in percent. The
+/// rest covers clocks that differ.
+const MAX_LEASE_PERCENT: u64 = 92;
 /// How often the leader renews its key: three attempts within its lifetime.
 pub const RENEW_INTERVAL: Millis = Millis(600);
 /// How long a leader that cannot reach the store keeps its leadership. This
@@ -44,9 +56,23 @@
     }
 }
 
-/// Returns how long an entry waits before it claims a vacant leadership, so
-/// that entries that notice the vacancy at the same time do not all write.
-/// `rank` is a hash of the entry's name.
-pub fn claim_delay(rank: u64) -> Millis {
-    Millis(rank % 8 * 5)
+/// Returns the duration of the leases of workers that accept at most `limit`.
+/// Under a limit of less than 6 s, tasks may be lost in a change of leader.
+pub fn task_lease(limit: Millis) -> Millis {
+    TASK_LEASE.min(Millis(limit.0 * MAX_LEASE_PERCENT / 100))
+}
+
+/// The claim delay of an entry with one core. Entries with less wait longer, in
+/// inverse proportion.
+const CLAIM_DELAY_PER_CORE: Millis = Millis(30);
+/// The claim delay of the weakest entries.
+const MAX_CLAIM_DELAY: Millis = Millis(500);
+
+/// Returns how long an entry waits before it claims a vacant leadership. The
+/// work of a leader grows with the deployment, so entries with more processor
+/// time go first. `rank` is a hash of the entry's name, so that not all of them
+/// write at the same time.
+pub fn claim_delay(rank: u64, processor: Cores) -> Millis {
+    let delay = CLAIM_DELAY_PER_CORE.0 * 1000 / processor.0.max(1);
+    MAX_CLAIM_DELAY.min(Millis(delay)) + Millis(rank % 8 * 5)
 }
