Read what has arrived before a lease counts as expired

Change: before the runs on a worker are given up, its agent is sent a probe and answers at once, behind its earlier reports. An agent without a session, or silent for 1 s, is not waited for. After a pause or a delay of inputs of 250 ms or more, no lease counts as expired for as long again and 300 ms, so a pause of the leader shifts what it concludes. The claim of a term, the worker of the planner and the reports of an agent move into files of their own.

Ruled out: that a worker's lease outlives the leader's count of it (the count begins when the request is read, the lease when it is sent).

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,16 +2,18 @@
 
 use {
     crate::{
+        claim,
         journal::encode,
         key,
         key_watch::Watcher,
         leader_link::LeaderLink,
         listener::Listener,
         platform::{Commit, Failure, Revision, Store, Transaction},
-        term::{self, Candidate, Driver, Ended, Input},
+        term::{Candidate, Driver, Ended, Input, Queued},
     },
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{
+        clock,
         link::{self, Link, Receiver, Sender, Socket},
         tls::Identity,
     },
@@ -66,7 +68,7 @@
 /// Holds the sender to the current term while this entry leads.
 #[derive(Debug, Default)]
 pub(crate) struct Inbox {
-    sender: RefCell<Option<mpsc::Sender<Input>>>,
+    sender: RefCell<Option<mpsc::Sender<Queued>>>,
 }
 
 impl Inbox {
@@ -75,7 +77,11 @@
         let sender = self.sender.borrow().clone();
         if let Some(sender) = sender {
             // Fails only if the term has just ended.
-            let _ = sender.send(input).await;
+            let queued = Queued {
+                since: clock::monotonic(),
+                input,
+            };
+            let _ = sender.send(queued).await;
         }
     }
 
@@ -333,7 +339,7 @@
             address: self.options.address,
             settings: self.options.planner.clone(),
         };
-        let claim = match term::claim(&self.store, &candidate).await {
+        let claim = match claim::claim(&self.store, &candidate).await {
             Ok(Some(claim)) => claim,
             Ok(None) => return,
             Err(error) => {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod agent;
 pub mod backoff;
+mod claim;
 pub mod config_watch;
 mod decision;
 pub mod entry;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -1,17 +1,18 @@
-//! One term of leadership: claims it, reads the stored state back, and runs the
-//! planner until another entry leads or the process shuts down.
+//! One term of leadership: loads the stored state and runs the planner until
+//! another entry leads or the process shuts down.
 
 #[cfg(test)]
 mod tests;
 
 use {
     crate::{
+        claim::{load_snapshot, Claim, Snapshot},
         decision,
         entry::Inbox,
-        journal::{encode, Deposed, Journal},
+        journal::{Deposed, Journal},
         key::{self, Watched},
         load::Load,
-        platform::{Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
+        platform::{Change, Changes, Failure, Item, Lease, Revision, Store},
     },
     filbertbend_state::{time::Instant, unit::Millis},
     filbertbend_transport::clock,
@@ -21,7 +22,7 @@
         job, leadership,
         message::{Query, Reply, Report, Response},
         planner::{Action, Batch, Event, Planner, Settings},
-        record::{Leader, Progress, Term},
+        record::{Leader, Progress},
     },
     metrics::{counter, gauge},
     spdlog::prelude::*,
@@ -47,6 +48,9 @@
 /// A gap of this length between two ticks means that the process was stalled,
 /// which is logged.
 const STALL_THRESHOLD: Millis = Millis(1000);
+/// An input that waited for this long, or a gap of this length between two
+/// ticks, means that the process is behind.
+const DELAY_THRESHOLD: Millis = Millis(250);
 /// How long a leader that shuts down waits for its last writes.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before a failed call to the store is retried.
@@ -84,78 +88,11 @@
     Announce,
 }
 
-/// A claim that succeeded.
-pub(crate) struct Claim {
-    term: Term,
-    revision: Revision,
-    lease: Lease,
-    sent_at: Instant,
-}
-
-/// Claims the next term. Returns `None` if another entry leads.
-pub(crate) async fn claim(
-    store: &impl Store,
-    candidate: &Candidate,
-) -> Result<Option<Claim>, Failure> {
-    let found = store.get(key::TERM).await?;
-    let revision = found.as_ref().map_or(Revision(0), |item| item.revision);
-    let last: Term = match &found {
-        Some(item) => postcard::from_bytes(&item.value).unwrap_or_else(|error| {
-            error!("term cannot be decoded", kv: { error: });
-            Term::default()
-        }),
-        None => Term::default(),
-    };
-    let term = Term {
-        epoch: Epoch(last.epoch.0 + 1),
-        batch: 0,
-        node: candidate.node.clone(),
-    };
-    let leader = Leader {
-        epoch: term.epoch,
-        node: candidate.node.clone(),
-        address: candidate.address,
-    };
-    let sent_at = clock::monotonic();
-    let lease = store.grant(leadership::KEY_TTL).await?;
-    let transaction = Transaction {
-        expect: vec![
-            (key::TERM.into(), revision),
-            (key::LEADER.into(), Revision(0)),
-        ],
-        set: vec![
-            (key::TERM.into(), encode(&term), None),
-            (key::EPOCH.into(), encode(&term.epoch), None),
-            (key::LEADER.into(), encode(&leader), Some(lease)),
-        ],
-        remove: Vec::new(),
-    };
-    match store.commit(&transaction).await? {
-        Commit::Done(revision) => Ok(Some(Claim {
-            term,
-            revision,
-            lease,
-            sent_at,
-        })),
-        Commit::Conflict(_) | Commit::LeaseNotFound => Ok(None),
-    }
-}
-
-/// The stored state that a new leader starts from.
-struct Snapshot {
-    watched: Vec<Item>,
-    progress: Vec<Item>,
-    revision: Revision,
-}
-
-async fn read_snapshot(store: &impl Store) -> Result<Snapshot, Failure> {
-    let (watched, revision) = store.list(key::WATCHED_PREFIX).await?;
-    let (progress, _) = store.list(key::PROGRESS_PREFIX).await?;
-    Ok(Snapshot {
-        watched,
-        progress,
-        revision,
-    })
+/// An input that waits to be processed.
+pub(crate) struct Queued {
+    /// When it was queued.
+    pub(crate) since: Instant,
+    pub(crate) input: Input,
 }
 
 /// A term in progress.
@@ -223,7 +160,7 @@
     /// Runs the term until it ends.
     pub(crate) async fn run(
         mut self,
-        mut inputs: mpsc::Receiver<Input>,
+        mut inputs: mpsc::Receiver<Queued>,
         mut catalog: watch::Receiver<Option<Arc<Catalog>>>,
         mut stop: watch::Receiver<bool>,
     ) -> Ended {
@@ -242,7 +179,10 @@
         let ended = loop {
             tokio::select! {
                 input = inputs.recv() => match input {
-                    Some(input) => if let Some(ended) = self.input(input).await { break ended },
+                    Some(Queued { since, input }) => {
+                        self.note_delay((self.clock)().since(since));
+                        if let Some(ended) = self.input(input).await { break ended }
+                    }
                     None => break Ended::Stopped,
                 },
                 snapshot = &mut loading_snapshot, if watch_task.is_none() => {
@@ -284,10 +224,10 @@
 
     /// Writes all pending progress to the store, so that the next leader starts
     /// from it. No new sessions or orders are handled any more.
-    async fn flush(&mut self, inputs: &mut mpsc::Receiver<Input>) {
+    async fn flush(&mut self, inputs: &mut mpsc::Receiver<Queued>) {
         self.step(Event::Shutdown);
         while !self.planner.is_durable() {
-            match inputs.recv().await {
+            match inputs.recv().await.map(|queued| queued.input) {
                 Some(Input::Written(number, Ok(_))) => self.step(Event::Persisted(number)),
                 Some(Input::Written(_, Err(_))) | None => return,
                 Some(_) => {}
@@ -355,12 +295,21 @@
         }
     }
 
+    /// Tells the planner that the process is behind, if it is.
+    fn note_delay(&mut self, delay: Millis) {
+        if delay >= DELAY_THRESHOLD {
+            self.step(Event::Delayed(delay));
+        }
+    }
+
     fn tick(&mut self) {
         let now = clock::monotonic();
-        if now.since(self.last_tick) > STALL_THRESHOLD {
-            warn!("process was stalled", kv: { ms = now.since(self.last_tick).0 });
+        let gap = now.since(self.last_tick);
+        if gap > STALL_THRESHOLD {
+            warn!("process was stalled", kv: { ms = gap.0 });
         }
         self.last_tick = now;
+        self.note_delay(gap);
         self.load.log(now);
         let (jobs, workers) = self.planner.size();
         gauge!("filbertbend_jobs").set(jobs as f64);
@@ -517,18 +466,6 @@
     }
 }
 
-async fn load_snapshot<S: Store>(store: S) -> Snapshot {
-    loop {
-        match read_snapshot(&store).await {
-            Ok(snapshot) => return snapshot,
-            Err(error) => {
-                warn!("stored state not loaded, retrying", kv: { error: });
-                sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 /// Carries out the journal's orders one at a time, until another entry leads.
 async fn write_orders<S: Store>(
     mut journal: Journal<S>,
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -2,6 +2,7 @@
 
 use {
     super::*,
+    crate::platform::{Commit, Transaction},
     filbertbend_state::{
         room::Room,
         unit::{Bytes, Cores},
@@ -10,6 +11,7 @@
         catalog::Queue,
         id::{Fence, Incarnation},
         message::Inventory,
+        record::Term,
         worker::Profile,
     },
     std::{cell::Cell, future::pending},
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -7,12 +7,13 @@
 //! effect later, so a snapshot must show it or a stop rule it out.
 
 mod call;
+mod report;
 
 use {
     crate::{
         id::{Epoch, Fence, Run, Sequence, Task},
         leadership::LEASE_RENEW_INTERVAL,
-        message::{Inventory, Orders, Outcome, Report, Role, Start, StartStatus},
+        message::{Orders, Outcome, Report, Role, Start, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
     },
@@ -28,8 +29,6 @@
 
 pub use call::{Answer, Call, Refusal, Snapshot};
 
-/// The maximum number of ends in a snapshot; a full list may be incomplete.
-const ENDS_PER_PAGE: usize = 500;
 /// How long a poll waits for an end; service measurements cover half a second.
 const POLL_WAIT: Millis = Millis(500);
 /// The delay between polls while the worker lists unacknowledged ends.
@@ -220,17 +219,6 @@
         self.renew_session(actions);
     }
 
-    fn report_profile(&mut self) {
-        let inventoried = self
-            .session
-            .as_ref()
-            .is_some_and(|session| session.inventoried);
-        if inventoried && !self.profile_reported {
-            self.report.profile.clone_from(&self.profile);
-            self.profile_reported = true;
-        }
-    }
-
     fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
         if self.profile.is_none() {
             self.profile = profile;
@@ -314,6 +302,9 @@
                 }
             }
         }
+        if orders.probe.is_some() {
+            self.report.probe = orders.probe;
+        }
         for weight in &orders.weights {
             self.throttle.merge(now, weight);
         }
@@ -502,39 +493,6 @@
         snapshot.started_ms.is_some() && started_ms.is_some() && snapshot.started_ms != started_ms
     }
 
-    fn report_ends(&mut self, snapshot: &Snapshot) {
-        let Some(session) = &mut self.session else {
-            return;
-        };
-        for end in &snapshot.ends {
-            if end.sequence > session.reported {
-                session.reported = end.sequence;
-                let key = (end.task, end.run);
-                self.issued.remove(&key);
-                self.roles.remove(&key);
-                self.checkpoints.remove(&key);
-                self.report.ends.push(end.clone());
-            }
-        }
-    }
-
-    fn report_inventory(&mut self, snapshot: &Snapshot) {
-        let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
-            return;
-        };
-        if session.inventoried || snapshot.ends.len() >= ENDS_PER_PAGE {
-            return;
-        }
-        session.inventoried = true;
-        self.throttle.reset_reported();
-        self.report.weights = self.throttle.changed_weights();
-        self.report.inventory = Some(Inventory {
-            incarnation: profile.incarnation.clone(),
-            running: snapshot.running.clone(),
-        });
-        self.report_profile();
-    }
-
     /// Resolves uncertain orders; only snapshots requested afterwards count.
     fn resolve(&mut self, sent: Instant, running: &[Running], actions: &mut Vec<Action>) {
         let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
@@ -563,21 +521,6 @@
         }
     }
 
-    fn report_checkpoints(&mut self, running: &[Running]) {
-        for row in running {
-            let Some(new) = &row.checkpoint else {
-                continue;
-            };
-            let key = (row.task, row.run);
-            if self.checkpoints.get(&key) != Some(new) {
-                self.checkpoints.insert(key, new.clone());
-                self.report
-                    .checkpoints
-                    .push((row.task, row.run, new.clone()));
-            }
-        }
-    }
-
     fn apply_throttling(&mut self, now: Instant, running: &[Running], actions: &mut Vec<Action>) {
         let Some(session) = &self.session else {
             return;
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -100,6 +100,9 @@
     pub reading: Option<Reading>,
     /// Requests a lease; the number identifies the request.
     pub renew: Option<u64>,
+    /// The number of the last probe, to show that all earlier reports of the
+    /// session have been sent.
+    pub probe: Option<u64>,
 }
 
 impl Report {
@@ -162,6 +165,8 @@
     /// The granted lease: the number of the request and the duration from when
     /// it was made.
     pub lease: Option<(u64, Millis)>,
+    /// Asks the agent to report this number at once.
+    pub probe: Option<u64>,
 }
 
 impl Orders {
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -1,49 +1,16 @@
-//! The workers, the sessions with their agents, and the reservations on each
-//! worker.
+//! All workers and the sessions with their agents.
 
 use {
-    super::headroom::Headroom,
+    super::worker::{Reservation, Worker},
     crate::{
-        id::{Fence, Incarnation, Job, Link, Node, Run, Sequence, Task},
-        interference::{Model, Service, Weight},
-        message::{Orders, Role, Start},
-        worker::Profile,
-    },
-    filbertbend_state::{
-        room::Room,
-        time::Instant,
-        unit::{Cores, Millis},
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-        sync::Arc,
+        id::{Fence, Incarnation, Job, Link, Node, Run, Task},
+        interference::{Model, Weight},
+        message::{Orders, Start},
     },
+    filbertbend_state::{room::Room, time::Instant, unit::Millis},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
-/// The resources that a run reserves on its worker.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct Reservation {
-    pub(super) room: Room,
-    /// The cores that a best-effort task would use if they were idle; zero for
-    /// others.
-    pub(super) best_effort_cores: Cores,
-    /// The service that the run is a replica of, if it serves users.
-    pub(super) service: Option<Service>,
-    pub(super) image: Arc<str>,
-    pub(super) priority: u8,
-}
-
-/// The recent failures on a worker.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Health {
-    /// Failures since the last success.
-    pub(super) failures: u32,
-    pub(super) last_failure: Instant,
-}
-
-/// The fraction of its reserved cores that a service leaves unused on average:
-/// it reserves for its peak, and the platform's services run at half of that.
-const UNUSED_FRACTION: f64 = 0.5;
 /// The result of ordering a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StopOutcome {
@@ -55,222 +22,6 @@
     NeverOrdered,
 }
 
-/// Consecutive failures after which a worker is on probation.
-const FAILURE_LIMIT: u32 = 3;
-/// How long a worker stays on probation after its last failure.
-const FAILURE_WINDOW: Millis = Millis(6000);
-
-/// One worker and the session with its agent.
-#[derive(Clone, Debug)]
-pub(super) struct Worker {
-    pub(super) link: Option<Link>,
-    pub(super) fence: Fence,
-    pub(super) profile: Option<Profile>,
-    /// The incarnation that the inventory of this session belongs to.
-    pub(super) incarnation: Option<Incarnation>,
-    pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
-    pub(super) used: Room,
-    pub(super) best_effort_cores: Cores,
-    /// When all runs on the worker have certainly ended unless the lease is
-    /// renewed.
-    pub(super) lease_until: Option<Instant>,
-    pub(super) last_report: Instant,
-    /// When the worker leaves, if it is draining.
-    pub(super) leaves_at: Option<Instant>,
-    pub(super) health: Health,
-    /// What the services leave to best-effort tasks; `None` after a change.
-    headroom: Option<Headroom>,
-    orders: Orders,
-    /// Starts whose placement is not durable yet, each with the version of the
-    /// job that contains it.
-    pending_starts: Vec<(Start, u64)>,
-    /// Ends that were processed but are not durable yet, each with the version
-    /// of its job.
-    pending_ends: VecDeque<(Sequence, Job, u64)>,
-    last_end: Sequence,
-    acknowledged: Sequence,
-}
-
-impl Worker {
-    fn new(now: Instant) -> Self {
-        Self {
-            link: None,
-            fence: Fence::default(),
-            profile: None,
-            incarnation: None,
-            reservations: BTreeMap::new(),
-            used: Room::NONE,
-            best_effort_cores: Cores::ZERO,
-            lease_until: None,
-            last_report: now,
-            leaves_at: None,
-            health: Health::default(),
-            headroom: None,
-            orders: Orders::default(),
-            pending_starts: Vec::new(),
-            pending_ends: VecDeque::new(),
-            last_end: Sequence(0),
-            acknowledged: Sequence(0),
-        }
-    }
-
-    /// Returns whether the worker may get tasks.
-    pub(super) fn is_usable(&self, now: Instant, silence_limit: Millis) -> bool {
-        self.link.is_some()
-            && now < self.last_report + silence_limit
-            && self.incarnation.is_some()
-            && self.lease_until.is_some_and(|until| now < until)
-            && self.profile.as_ref().is_some_and(|profile| {
-                !profile.draining && Some(&profile.incarnation) == self.incarnation.as_ref()
-            })
-    }
-
-    /// Returns whether the worker gets only one task at a time because of
-    /// recent failures.
-    pub(super) fn is_on_probation(&self, now: Instant) -> bool {
-        self.health.failures >= FAILURE_LIMIT && now < self.health.last_failure + FAILURE_WINDOW
-    }
-
-    /// Returns the services that have replicas on the worker.
-    pub(super) fn services(&self) -> impl Iterator<Item = &Service> {
-        self.reservations
-            .values()
-            .filter_map(|reservation| reservation.service.as_ref())
-    }
-
-    /// Computes the headroom if it was invalidated.
-    pub(super) fn update_headroom(&mut self, model: &Model) {
-        if self.headroom.is_none() {
-            let mut headroom = Headroom::default();
-            for reservation in self.reservations.values() {
-                if let Some(service) = &reservation.service {
-                    headroom.add_service(model, service);
-                }
-                if reservation.best_effort_cores > Cores::ZERO {
-                    headroom.add_best_effort(
-                        &reservation.image,
-                        self.fraction(reservation.best_effort_cores),
-                    );
-                }
-            }
-            headroom.update_demands(model);
-            self.headroom = Some(headroom);
-        }
-    }
-
-    /// Makes the next [`Worker::update_headroom`] compute the headroom again.
-    pub(super) fn invalidate_headroom(&mut self) {
-        self.headroom = None;
-    }
-
-    fn fraction(&self, cores: Cores) -> f64 {
-        let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
-        cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
-    }
-
-    /// Returns the fraction of a best-effort task that the services on the
-    /// worker tolerate: above 1 if they tolerate more, infinite without
-    /// services, and 0 if the headroom has not been computed.
-    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: Cores) -> f64 {
-        self.headroom.as_ref().map_or(0.0, |headroom| {
-            headroom.tolerance(model, image, self.fraction(cores))
-        })
-    }
-
-    /// Returns the cores that a further best-effort task can expect: unreserved
-    /// cores and those that services reserve but leave unused, less the cores
-    /// that the present best-effort tasks would use.
-    pub(super) fn idle_cores(&self) -> f64 {
-        let serving: u64 = self
-            .reservations
-            .values()
-            .filter(|reservation| reservation.service.is_some())
-            .map(|reservation| reservation.room.cores.0)
-            .sum();
-        let unused = serving as f64 * UNUSED_FRACTION;
-        self.free().cores.0 as f64 + unused - self.best_effort_cores.0 as f64
-    }
-
-    /// Returns the unreserved resources.
-    pub(super) fn free(&self) -> Room {
-        self.profile
-            .as_ref()
-            .map_or(Room::NONE, |profile| profile.room - self.used)
-    }
-
-    fn reserve(&mut self, task: Task, run: Run, reservation: Reservation) {
-        self.headroom = None;
-        self.used += reservation.room;
-        self.best_effort_cores += reservation.best_effort_cores;
-        self.reservations.insert((task, run), reservation);
-    }
-
-    fn release(&mut self, task: Task, run: Run) -> bool {
-        let Some(reservation) = self.reservations.remove(&(task, run)) else {
-            return false;
-        };
-        self.headroom = None;
-        self.used -= reservation.room;
-        self.best_effort_cores -= reservation.best_effort_cores;
-        true
-    }
-
-    /// Records the number of an end; returns whether it is new in this session.
-    pub(super) fn record_end(&mut self, sequence: Sequence) -> bool {
-        let new = sequence > self.last_end;
-        self.last_end = self.last_end.max(sequence);
-        new
-    }
-
-    /// Defers the acknowledgement of an end until the job's version is durable.
-    pub(super) fn defer_acknowledgement(&mut self, sequence: Sequence, job: Job, version: u64) {
-        self.pending_ends.push_back((sequence, job, version));
-    }
-
-    /// Returns whether starts or ends wait for changes to be durable.
-    fn is_pending(&self) -> bool {
-        !self.pending_starts.is_empty() || !self.pending_ends.is_empty()
-    }
-
-    /// Queues the starts whose placement is durable and acknowledges the ends
-    /// whose consequences are durable.
-    fn release_durable(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
-        let ready = self
-            .pending_starts
-            .extract_if(.., |(start, version)| is_durable(start.task.job, *version));
-        self.orders.starts.extend(ready.map(|(start, _)| start));
-        let mut acknowledged = None;
-        while let Some((sequence, job, version)) = self.pending_ends.front() {
-            if !is_durable(*job, *version) {
-                break;
-            }
-            acknowledged = Some(*sequence);
-            self.pending_ends.pop_front();
-        }
-        if let Some(acknowledged) =
-            acknowledged.filter(|acknowledged| *acknowledged > self.acknowledged)
-        {
-            self.acknowledged = acknowledged;
-            self.orders.acknowledged = Some(acknowledged);
-        }
-    }
-
-    /// Queues learned interference weights for the agent.
-    pub(super) fn send_weights(&mut self, weights: Vec<Weight>) {
-        self.orders.weights.extend(weights);
-    }
-
-    /// Queues the role of a run that the agent may not have started itself.
-    pub(super) fn send_role(&mut self, task: Task, run: Run, role: Role) {
-        self.orders.roles.push((task, run, role));
-    }
-
-    pub(super) fn lease(&mut self, request: u64, lease: Millis, until: Instant) {
-        self.orders.lease = Some((request, lease));
-        self.lease_until = self.lease_until.max(Some(until));
-    }
-}
-
 /// All workers, by the node of their agents.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
@@ -366,17 +117,9 @@
             .workers
             .entry(node.clone())
             .or_insert_with(|| Worker::new(now));
-        if let Some(former) = worker.link.replace(link) {
+        if let Some(former) = worker.begin_session(link, fence, now) {
             self.links.remove(&former);
         }
-        worker.fence = fence;
-        worker.last_report = now;
-        worker.incarnation = None;
-        worker.orders = Orders::default();
-        worker.pending_starts.clear();
-        worker.pending_ends.clear();
-        worker.last_end = Sequence(0);
-        worker.acknowledged = Sequence(0);
         self.links.insert(link, node);
     }
 
@@ -466,31 +209,27 @@
 
     /// Frees all resources on a worker and returns the runs that held them.
     pub(super) fn clear(&mut self, node: &Node) -> Vec<(Task, Run)> {
-        let Some(worker) = self.get_mut(node) else {
-            return Vec::new();
-        };
-        worker.headroom = None;
-        worker.used = Room::NONE;
-        worker.best_effort_cores = Cores::ZERO;
-        worker.pending_starts.clear();
-        worker.orders.starts.clear();
-        worker.orders.stops.clear();
-        std::mem::take(&mut worker.reservations)
-            .into_keys()
-            .collect()
+        self.get_mut(node).map(Worker::clear).unwrap_or_default()
     }
 
     /// Lists workers whose leases have expired and that still hold
-    /// reservations.
-    pub(super) fn expired_leases(&self, now: Instant) -> Vec<Node> {
-        self.workers
-            .iter()
-            .filter(|(_, worker)| {
-                !worker.reservations.is_empty()
-                    && worker.lease_until.is_some_and(|until| now >= until)
-            })
-            .map(|(node, _)| node.clone())
-            .collect()
+    /// reservations. An agent with a session is asked first whether its reports
+    /// have all been read: one of them may show the end of a run, or a request
+    /// for another lease.
+    pub(super) fn expired_leases(&mut self, now: Instant) -> Vec<Node> {
+        let mut expired = Vec::new();
+        for (node, worker) in &mut self.workers {
+            let has_expired = worker.lease_until.is_some_and(|until| now >= until);
+            if worker.reservations.is_empty() || !has_expired {
+                continue;
+            }
+            if worker.has_reported_all(now) {
+                expired.push(node.clone());
+            } else {
+                self.changed.insert(node.clone());
+            }
+        }
+        expired
     }
 
     /// Removes workers that are disconnected, hold no reservations and have not
@@ -543,8 +282,3 @@
         taken
     }
 }
-
-/// Returns whether a worker has a label, which is its kind or its rack.
-pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
-    profile.labels.contains(label)
-}
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -1,7 +1,7 @@
 //! The leader's planner: assigns tasks to workers and tracks the state of jobs.
 //!
 //! - `registry` holds jobs with their occurrences, steps and tasks.
-//! - `fleet` holds the workers and the reservations on each.
+//! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `place` selects workers for tasks.
 //! - `preempt` makes room for urgent tasks.
@@ -29,6 +29,7 @@
 mod preempt;
 mod registry;
 mod report;
+mod worker;
 
 use {
     crate::{
@@ -72,6 +73,9 @@
 /// How long the headroom of workers is reused before it is computed again;
 /// readings arrive twice a second.
 const HEADROOM_INTERVAL: Millis = Millis(250);
+/// The time that a process needs to read what arrived during a delay, beyond
+/// the delay itself.
+const READ_TIME: Millis = Millis(300);
 /// How long a new leader waits for workers to report before its first
 /// placement.
 const REPORT_WAIT: Millis = Millis(250);
@@ -120,6 +124,9 @@
     Closed(Link),
     /// The batch with this number is durable.
     Persisted(u64),
+    /// The process was paused, or an input has waited, for this long. What
+    /// agents sent meanwhile may be unread.
+    Delayed(Millis),
     /// The placement pass of the previous step has ended, and its actions have
     /// been carried out.
     Placed,
@@ -161,6 +168,8 @@
     durability_changed: bool,
     last_placement: Instant,
     place_not_before: Instant,
+    /// Until when no lease counts as expired, because the process was behind.
+    conclude_not_before: Instant,
     /// When the headroom of all workers was last invalidated.
     headroom_invalidated: Instant,
     /// How often all workers were searched for a task.
@@ -204,6 +213,7 @@
             durability_changed: false,
             last_placement: Instant::default(),
             place_not_before: Instant::default(),
+            conclude_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
             searches: Cell::new(0),
             examined: Cell::new(0),
@@ -247,6 +257,10 @@
                 let pause = Millis(now.since(self.last_placement).0 * PAUSE_FACTOR);
                 self.place_not_before = self.place_not_before.max(now + pause.min(MAX_PLACE_PAUSE));
             }
+            Event::Delayed(delay) => {
+                let until = now + delay + READ_TIME;
+                self.conclude_not_before = self.conclude_not_before.max(until);
+            }
             Event::Shutdown => self.persist.flush_now(),
             Event::Tick => {
                 // The requirements of steps relax with waiting time.
@@ -462,8 +476,10 @@
             self.fleet.invalidate_headroom();
         }
         self.fleet.send_weights(&self.model.changed_weights());
-        for node in self.fleet.expired_leases(self.now) {
-            self.abandon(&node, Reason::LeasePassed, actions);
+        if self.now >= self.conclude_not_before {
+            for node in self.fleet.expired_leases(self.now) {
+                self.abandon(&node, Reason::LeasePassed, actions);
+            }
         }
         for node in self.fleet.leaving() {
             self.evacuate(&node, actions);
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        fleet::{has_label, Worker},
         pass::{Offer, Pass},
         registry::Execution,
+        worker::{has_label, Worker},
         Action, Decision, Planner, Rank,
     },
     crate::{
--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        fleet::{Reservation, Worker},
         pass::{Offer, Pass},
+        worker::{Reservation, Worker},
         Action, Planner, Rank, Reason,
     },
     crate::id::{Node, Run, Task},
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        fleet::Reservation, policy, registry::Execution, Action, Decision, Instant, Planner, Reason,
+        policy, registry::Execution, worker::Reservation, Action, Decision, Instant, Planner,
+        Reason,
     },
     crate::{
         id::{Link, Node, Run, Task},
@@ -69,6 +70,9 @@
         for task in report.starved {
             self.move_starved(&node, task, actions);
         }
+        if let (Some(number), Some(worker)) = (report.probe, self.fleet.get_mut(&node)) {
+            worker.probe_answered(number);
+        }
         if let Some(request) = report.renew {
             self.renew(until, &node, request);
         }
--- /dev/null
+++ b/crates/workload/src/planner/worker.rs
@@ -0,0 +1,332 @@
+//! A worker, the session with its agent, and the reservations on it.
+
+use {
+    super::headroom::Headroom,
+    crate::{
+        id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
+        interference::{Model, Service, Weight},
+        message::{Orders, Role, Start},
+        worker::Profile,
+    },
+    filbertbend_state::{
+        room::Room,
+        time::Instant,
+        unit::{Cores, Millis},
+    },
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// The resources that a run reserves on its worker.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Reservation {
+    pub(super) room: Room,
+    /// The cores that a best-effort task would use if they were idle; zero for
+    /// others.
+    pub(super) best_effort_cores: Cores,
+    /// The service that the run is a replica of, if it serves users.
+    pub(super) service: Option<Service>,
+    pub(super) image: Arc<str>,
+    pub(super) priority: u8,
+}
+
+/// The recent failures on a worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Health {
+    /// Failures since the last success.
+    pub(super) failures: u32,
+    pub(super) last_failure: Instant,
+}
+
+/// The fraction of its reserved cores that a service leaves unused on average:
+/// it reserves for its peak, and the platform's services run at half of that.
+const UNUSED_FRACTION: f64 = 0.5;
+/// How long an agent may take to answer a probe. One that does not is cut off,
+/// frozen or gone.
+const PROBE_TIMEOUT: Millis = Millis(1000);
+/// Consecutive failures after which a worker is on probation.
+const FAILURE_LIMIT: u32 = 3;
+/// How long a worker stays on probation after its last failure.
+const FAILURE_WINDOW: Millis = Millis(6000);
+
+/// One worker and the session with its agent.
+#[derive(Clone, Debug)]
+pub(super) struct Worker {
+    pub(super) link: Option<Link>,
+    pub(super) fence: Fence,
+    pub(super) profile: Option<Profile>,
+    /// The incarnation that the inventory of this session belongs to.
+    pub(super) incarnation: Option<Incarnation>,
+    pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
+    pub(super) used: Room,
+    pub(super) best_effort_cores: Cores,
+    /// When all runs on the worker have certainly ended unless the lease is
+    /// renewed.
+    pub(super) lease_until: Option<Instant>,
+    pub(super) last_report: Instant,
+    /// When the worker leaves, if it is draining.
+    pub(super) leaves_at: Option<Instant>,
+    pub(super) health: Health,
+    /// What the services leave to best-effort tasks; `None` after a change.
+    headroom: Option<Headroom>,
+    pub(super) orders: Orders,
+    /// Starts whose placement is not durable yet, each with the version of the
+    /// job that contains it.
+    pub(super) pending_starts: Vec<(Start, u64)>,
+    /// Ends that were processed but are not durable yet, each with the version
+    /// of its job.
+    pending_ends: VecDeque<(Sequence, Job, u64)>,
+    last_end: Sequence,
+    acknowledged: Sequence,
+    probe: Option<Probe>,
+}
+
+/// A question to an agent whether its reports have all been read.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    number: u64,
+    sent_at: Instant,
+    answered: bool,
+}
+
+impl Worker {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            link: None,
+            fence: Fence::default(),
+            profile: None,
+            incarnation: None,
+            reservations: BTreeMap::new(),
+            used: Room::NONE,
+            best_effort_cores: Cores::ZERO,
+            lease_until: None,
+            last_report: now,
+            leaves_at: None,
+            health: Health::default(),
+            headroom: None,
+            orders: Orders::default(),
+            pending_starts: Vec::new(),
+            pending_ends: VecDeque::new(),
+            last_end: Sequence(0),
+            acknowledged: Sequence(0),
+            probe: None,
+        }
+    }
+
+    /// Begins a session with the agent. Returns the link of the last session.
+    pub(super) fn begin_session(&mut self, link: Link, fence: Fence, now: Instant) -> Option<Link> {
+        self.fence = fence;
+        self.last_report = now;
+        self.incarnation = None;
+        self.orders = Orders::default();
+        self.pending_starts.clear();
+        self.pending_ends.clear();
+        self.last_end = Sequence(0);
+        self.acknowledged = Sequence(0);
+        self.probe = None;
+        self.link.replace(link)
+    }
+
+    /// Frees all resources and returns the runs that held them.
+    pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
+        self.probe = None;
+        self.headroom = None;
+        self.used = Room::NONE;
+        self.best_effort_cores = Cores::ZERO;
+        self.pending_starts.clear();
+        self.orders.starts.clear();
+        self.orders.stops.clear();
+        std::mem::take(&mut self.reservations).into_keys().collect()
+    }
+
+    /// Returns whether the worker may get tasks.
+    pub(super) fn is_usable(&self, now: Instant, silence_limit: Millis) -> bool {
+        self.link.is_some()
+            && now < self.last_report + silence_limit
+            && self.incarnation.is_some()
+            && self.lease_until.is_some_and(|until| now < until)
+            && self.profile.as_ref().is_some_and(|profile| {
+                !profile.draining && Some(&profile.incarnation) == self.incarnation.as_ref()
+            })
+    }
+
+    /// Returns whether the worker gets only one task at a time because of
+    /// recent failures.
+    pub(super) fn is_on_probation(&self, now: Instant) -> bool {
+        self.health.failures >= FAILURE_LIMIT && now < self.health.last_failure + FAILURE_WINDOW
+    }
+
+    /// Returns the services that have replicas on the worker.
+    pub(super) fn services(&self) -> impl Iterator<Item = &Service> {
+        self.reservations
+            .values()
+            .filter_map(|reservation| reservation.service.as_ref())
+    }
+
+    /// Computes the headroom if it was invalidated.
+    pub(super) fn update_headroom(&mut self, model: &Model) {
+        if self.headroom.is_none() {
+            let mut headroom = Headroom::default();
+            for reservation in self.reservations.values() {
+                if let Some(service) = &reservation.service {
+                    headroom.add_service(model, service);
+                }
+                if reservation.best_effort_cores > Cores::ZERO {
+                    headroom.add_best_effort(
+                        &reservation.image,
+                        self.fraction(reservation.best_effort_cores),
+                    );
+                }
+            }
+            headroom.update_demands(model);
+            self.headroom = Some(headroom);
+        }
+    }
+
+    /// Makes the next [`Worker::update_headroom`] compute the headroom again.
+    pub(super) fn invalidate_headroom(&mut self) {
+        self.headroom = None;
+    }
+
+    fn fraction(&self, cores: Cores) -> f64 {
+        let whole = self.profile.as_ref().map(|profile| profile.room.cores.0);
+        cores.0 as f64 / whole.unwrap_or(0).max(1) as f64
+    }
+
+    /// Returns the fraction of a best-effort task that the services on the
+    /// worker tolerate: above 1 if they tolerate more, infinite without
+    /// services, and 0 if the headroom has not been computed.
+    pub(super) fn tolerance(&self, model: &Model, image: &Arc<str>, cores: Cores) -> f64 {
+        self.headroom.as_ref().map_or(0.0, |headroom| {
+            headroom.tolerance(model, image, self.fraction(cores))
+        })
+    }
+
+    /// Returns the cores that a further best-effort task can expect: unreserved
+    /// cores and those that services reserve but leave unused, less the cores
+    /// that the present best-effort tasks would use.
+    pub(super) fn idle_cores(&self) -> f64 {
+        let serving: u64 = self
+            .reservations
+            .values()
+            .filter(|reservation| reservation.service.is_some())
+            .map(|reservation| reservation.room.cores.0)
+            .sum();
+        let unused = serving as f64 * UNUSED_FRACTION;
+        self.free().cores.0 as f64 + unused - self.best_effort_cores.0 as f64
+    }
+
+    /// Returns the unreserved resources.
+    pub(super) fn free(&self) -> Room {
+        self.profile
+            .as_ref()
+            .map_or(Room::NONE, |profile| profile.room - self.used)
+    }
+
+    pub(super) fn reserve(&mut self, task: Task, run: Run, reservation: Reservation) {
+        self.headroom = None;
+        self.used += reservation.room;
+        self.best_effort_cores += reservation.best_effort_cores;
+        self.reservations.insert((task, run), reservation);
+    }
+
+    pub(super) fn release(&mut self, task: Task, run: Run) -> bool {
+        let Some(reservation) = self.reservations.remove(&(task, run)) else {
+            return false;
+        };
+        self.headroom = None;
+        self.used -= reservation.room;
+        self.best_effort_cores -= reservation.best_effort_cores;
+        true
+    }
+
+    /// Records the number of an end; returns whether it is new in this session.
+    pub(super) fn record_end(&mut self, sequence: Sequence) -> bool {
+        let new = sequence > self.last_end;
+        self.last_end = self.last_end.max(sequence);
+        new
+    }
+
+    /// Defers the acknowledgement of an end until the job's version is durable.
+    pub(super) fn defer_acknowledgement(&mut self, sequence: Sequence, job: Job, version: u64) {
+        self.pending_ends.push_back((sequence, job, version));
+    }
+
+    /// Returns whether starts or ends wait for changes to be durable.
+    pub(super) fn is_pending(&self) -> bool {
+        !self.pending_starts.is_empty() || !self.pending_ends.is_empty()
+    }
+
+    /// Queues the starts whose placement is durable and acknowledges the ends
+    /// whose consequences are durable.
+    pub(super) fn release_durable(&mut self, is_durable: impl Fn(Job, u64) -> bool) {
+        let ready = self
+            .pending_starts
+            .extract_if(.., |(start, version)| is_durable(start.task.job, *version));
+        self.orders.starts.extend(ready.map(|(start, _)| start));
+        let mut acknowledged = None;
+        while let Some((sequence, job, version)) = self.pending_ends.front() {
+            if !is_durable(*job, *version) {
+                break;
+            }
+            acknowledged = Some(*sequence);
+            self.pending_ends.pop_front();
+        }
+        if let Some(acknowledged) =
+            acknowledged.filter(|acknowledged| *acknowledged > self.acknowledged)
+        {
+            self.acknowledged = acknowledged;
+            self.orders.acknowledged = Some(acknowledged);
+        }
+    }
+
+    /// Queues learned interference weights for the agent.
+    pub(super) fn send_weights(&mut self, weights: Vec<Weight>) {
+        self.orders.weights.extend(weights);
+    }
+
+    /// Queues the role of a run that the agent may not have started itself.
+    pub(super) fn send_role(&mut self, task: Task, run: Run, role: Role) {
+        self.orders.roles.push((task, run, role));
+    }
+
+    /// Returns whether all reports that the agent sent before its worker's lease
+    /// expired have certainly been read, or it has no session or does not answer.
+    /// Sends a probe if none was sent yet.
+    pub(super) fn has_reported_all(&mut self, now: Instant) -> bool {
+        if self.link.is_none() {
+            return true;
+        }
+        let Some(probe) = self.probe else {
+            let number = now.0;
+            self.orders.probe = Some(number);
+            self.probe = Some(Probe {
+                number,
+                sent_at: now,
+                answered: false,
+            });
+            return false;
+        };
+        probe.answered || now >= probe.sent_at + PROBE_TIMEOUT
+    }
+
+    /// Records the answer to a probe.
+    pub(super) fn probe_answered(&mut self, number: u64) {
+        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) {
+            probe.answered = true;
+        }
+    }
+
+    pub(super) fn lease(&mut self, request: u64, lease: Millis, until: Instant) {
+        self.probe = None;
+        self.orders.lease = Some((request, lease));
+        self.lease_until = self.lease_until.max(Some(until));
+    }
+}
+
+/// Returns whether a worker has a label, which is its kind or its rack.
+pub(super) fn has_label(profile: &Profile, label: &Arc<str>) -> bool {
+    profile.labels.contains(label)
+}
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -268,3 +268,19 @@
     assert_eq!(harness.hellos, hellos + 1);
     assert!(harness.outcomes().is_empty());
 }
+
+/// Guards against a leader that takes a worker for lost while reports of its
+/// agent are on their way: the answer to a probe follows them.
+#[test]
+fn probe_is_answered_at_once() {
+    let mut harness = Harness::new();
+    harness.reports.clear();
+
+    harness.step(Event::Orders(Orders {
+        probe: Some(9),
+        ..Orders::default()
+    }));
+
+    let answers = harness.reports.iter().filter_map(|report| report.probe);
+    assert_eq!(answers.collect::<Vec<_>>(), [9]);
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -183,6 +183,7 @@
         kept.stops.extend(orders.stops);
         kept.acknowledged = kept.acknowledged.max(orders.acknowledged);
         kept.lease = orders.lease.or(kept.lease);
+        kept.probe = orders.probe.or(kept.probe);
     }
 
     /// Opens a session, reports an inventory and requests a lease.
@@ -300,6 +301,16 @@
         self.orders.get(&Link(number))?.acknowledged
     }
 
+    /// Takes the probe that a worker's agent has been sent since the last call.
+    pub(crate) fn probe(&mut self, number: u64) -> Option<u64> {
+        self.orders.entry(Link(number)).or_default().probe.take()
+    }
+
+    /// Advances the clock without reports.
+    pub(crate) fn idle(&mut self, span: Millis) {
+        self.pass(span, &[]);
+    }
+
     pub(crate) fn started(&mut self, number: u64, start: &Start) {
         let outcome = Outcome {
             task: start.task,
