Place best-effort tasks only where services tolerate them at a higher load

Change: services must tolerate 2.5 times the task. Best-effort tasks that found no worker are searched for again after 150 ms instead of in every pass, since more of them wait and urgent tasks wait behind the searches.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -29,6 +29,7 @@
 mod preempt;
 mod registry;
 mod report;
+mod settings;
 mod worker;
 
 use {
@@ -52,15 +53,9 @@
 pub use {
     decision::{Decision, Reason},
     persist::{Batch, Write},
+    settings::Settings,
 };
 
-/// How much slower a worker's clock may run than the leader's, in percent, from
-/// the platform's description.
-const CLOCK_SLACK_PERCENT: u64 = 2;
-/// Added to a lease to cover the delay between reading a clock and using the
-/// value.
-const LEASE_SLACK: Millis = Millis(200);
-
 /// The minimum time between two placement passes.
 const PLACE_INTERVAL: Millis = Millis(15);
 /// The pause after a placement pass, in multiples of its duration. Passes over
@@ -80,28 +75,6 @@
 /// placement.
 const REPORT_WAIT: Millis = Millis(250);
 
-/// Durations that a [`Planner`] works with.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// The duration of a worker's lease, which covers all of its tasks.
-    pub lease: Millis,
-    /// How long an agent may stay silent before its worker gets no new tasks.
-    pub silence_limit: Millis,
-    /// How long an ended job is kept.
-    pub job_retention: Millis,
-    /// How long a disconnected worker without reservations and lease is kept
-    /// after its last report.
-    pub worker_retention: Millis,
-}
-
-impl Settings {
-    /// Returns the time after which a granted lease has certainly expired on
-    /// the worker.
-    pub fn lease_bound(&self) -> Millis {
-        self.lease + Millis(self.lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
-    }
-}
-
 /// An input of the planner.
 #[derive(Clone, Debug, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -178,6 +151,8 @@
     examined: Cell<u64>,
     /// The number of placement passes.
     passes: u64,
+    /// The requirements that no worker met in the last pass.
+    rejections: Vec<pass::Rejection>,
     /// Steps with startable tasks, most urgent first.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -218,6 +193,7 @@
             searches: Cell::new(0),
             examined: Cell::new(0),
             passes: 0,
+            rejections: Vec::new(),
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
--- a/crates/workload/src/planner/pass.rs
+++ b/crates/workload/src/planner/pass.rs
@@ -1,11 +1,16 @@
 //! What a placement pass has found out about the workers, so that a step that
 //! cannot be placed does not cost an examination of all of them.
 
-use {super::place::Requirements, filbertbend_state::room::Room, std::sync::Arc};
+use {
+    super::place::Requirements,
+    filbertbend_state::{room::Room, time::Instant, unit::Millis},
+    std::sync::Arc,
+};
 
 /// The findings of one placement pass.
 #[derive(Default)]
 pub(super) struct Pass {
+    now: Instant,
     /// The requirements that no worker met; none covers another.
     rejections: Vec<Rejection>,
     bounds: Vec<Bound>,
@@ -15,7 +20,10 @@
 
 /// Requirements that no worker met; a task that requires at least as much is
 /// not searched for again.
-struct Rejection {
+#[derive(Clone, Debug)]
+pub(super) struct Rejection {
+    since: Instant,
+    best_effort: bool,
     pool: Arc<str>,
     image: Option<Arc<str>>,
     room: Room,
@@ -44,7 +52,28 @@
     pub(super) idle_cores: f64,
 }
 
+/// How long best-effort tasks that found no worker are not searched for again.
+/// What they wait for changes with the readings of services.
+const BEST_EFFORT_RETRY_INTERVAL: Millis = Millis(150);
+
 impl Pass {
+    /// Begins a pass that keeps the recent rejections of best-effort tasks.
+    pub(super) fn new(now: Instant, mut rejections: Vec<Rejection>) -> Self {
+        rejections.retain(|rejection| {
+            rejection.best_effort && now < rejection.since + BEST_EFFORT_RETRY_INTERVAL
+        });
+        Self {
+            now,
+            rejections,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the rejections, for the next pass.
+    pub(super) fn into_rejections(self) -> Vec<Rejection> {
+        self.rejections
+    }
+
     /// Returns whether a task requires at least as much as one that found no
     /// worker in this pass.
     pub(super) fn is_rejected(&self, requirements: &Requirements<'_>) -> bool {
@@ -63,7 +92,10 @@
             && placement.label.is_none()
             && placement.most_per_worker.is_none()
         {
-            let new = Rejection::from(requirements);
+            let new = Rejection {
+                since: self.now,
+                ..Rejection::from(requirements)
+            };
             self.rejections.retain(|known| !new.covers(known));
             self.rejections.push(new);
         }
@@ -148,6 +180,8 @@
 impl From<&Requirements<'_>> for Rejection {
     fn from(requirements: &Requirements<'_>) -> Self {
         Self {
+            since: Instant::default(),
+            best_effort: requirements.step.mode.best_effort,
             pool: requirements.pool.clone(),
             image: requirements.step.image.clone(),
             room: requirements.step.room,
@@ -163,6 +197,7 @@
             && (self.any_place || !other.any_place)
             && self.pool == other.pool
             && self.image == other.image
+            && self.best_effort == other.best_effort
     }
 }
 
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -30,9 +30,10 @@
 /// good workers. The platform's rules require progress while half of the pool
 /// is free.
 const BUSY_FRACTION: f64 = 0.6;
-/// The fraction of a best-effort task that the services on a worker must
-/// tolerate.
-const MIN_TOLERANCE: f64 = 0.6;
+/// How many times a best-effort task the services on a worker must tolerate. The
+/// load of a service rises by half within the seconds that a task takes, and a
+/// task that is then throttled makes its whole job late.
+const MIN_TOLERANCE: f64 = 2.5;
 /// Higher tolerance does not improve the score; workers without services reach
 /// this limit.
 const MAX_TOLERANCE: f64 = 4.0;
@@ -108,7 +109,7 @@
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         self.fleet.update_headroom(&self.model);
-        let mut pass = Pass::default();
+        let mut pass = Pass::new(self.now, std::mem::take(&mut self.rejections));
         for rank in ranks {
             let Some(entry) = self.registry.get(rank.job) else {
                 self.ready.remove(&rank);
@@ -121,6 +122,7 @@
                 self.place_step(rank, &mut pass, actions);
             }
         }
+        self.rejections = pass.into_rejections();
     }
 
     /// Lists the tasks of a step that may be started.
--- /dev/null
+++ b/crates/workload/src/planner/settings.rs
@@ -0,0 +1,32 @@
+//! Durations that a planner works with.
+
+use filbertbend_state::unit::Millis;
+
+/// How much slower a worker's clock may run than the leader's, in percent, from
+/// the platform's description.
+const CLOCK_SLACK_PERCENT: u64 = 2;
+/// Added to a lease to cover the delay between reading a clock and using the
+/// value.
+const LEASE_SLACK: Millis = Millis(200);
+
+/// Durations that a [`Planner`](super::Planner) works with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The duration of a worker's lease, which covers all of its tasks.
+    pub lease: Millis,
+    /// How long an agent may stay silent before its worker gets no new tasks.
+    pub silence_limit: Millis,
+    /// How long an ended job is kept.
+    pub job_retention: Millis,
+    /// How long a disconnected worker without reservations and lease is kept
+    /// after its last report.
+    pub worker_retention: Millis,
+}
+
+impl Settings {
+    /// Returns the time after which a granted lease has certainly expired on
+    /// the worker.
+    pub fn lease_bound(&self) -> Millis {
+        self.lease + Millis(self.lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
+    }
+}
--- a/crates/workload/tests/placement.rs
+++ b/crates/workload/tests/placement.rs
@@ -377,3 +377,27 @@
         "{examined} workers examined, at most {limit} allowed"
     );
 }
+
+/// Guards against urgent tasks that wait for a leader that searches in every
+/// pass for best-effort tasks, although nothing that they wait for has changed.
+#[test]
+fn best_effort_tasks_that_found_no_worker_are_not_searched_for_in_every_pass() {
+    let mut harness = Harness::with_workers(WORKERS);
+    let mut filling = step(8 * WORKERS as u16);
+    filling.room = room(1, 4);
+    harness.submit(1, job(vec![filling]));
+    let mut best_effort = step(1);
+    best_effort.mode.best_effort = true;
+    best_effort.image = Some("a".into());
+    harness.submit(2, job(vec![best_effort]));
+    let before = (harness.planner.passes(), harness.planner.examined());
+
+    harness.commit();
+    harness.commit();
+
+    assert_eq!(harness.planner.passes() - before.0, 2);
+    assert_eq!(harness.planner.examined() - before.1, 0);
+    // The next search is due.
+    harness.pass(Millis(200), &[]);
+    assert!(harness.planner.examined() > before.1);
+}
