Log why and on what evidence a lease counts as expired

A run that is abandoned says how long nothing was read from its worker, the question to the agent is a line and a counter of its own, and the leader's work line names the longest delay of an input or a timer.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -46,9 +46,14 @@
             run,
             node,
             reason,
+            silent,
         } => {
             counter!("filbertbend_lost_total", "reason" => reason.to_string()).increment(1);
-            info!("run abandoned", kv: { job: = task.job, task:, run = run.0, node:, reason: });
+            info!("run abandoned", kv: { job: = task.job, task:, run = run.0, node:, reason:, silent_ms = silent.0 });
+        }
+        Decision::Probed { node, silent } => {
+            counter!("filbertbend_probes_total").increment(1);
+            info!("lease seems expired, agent asked", kv: { node:, silent_ms = silent.0 });
         }
         Decision::Job { job, state } => info!("job ended", kv: { job:, state: }),
         Decision::Joined {
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -3,7 +3,7 @@
 
 use {
     filbertbend_state::{time::Instant, unit::Millis},
-    metrics::counter,
+    metrics::{counter, gauge},
     spdlog::prelude::*,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -23,6 +23,8 @@
 pub(crate) struct Load {
     logged: Instant,
     work: BTreeMap<&'static str, Work>,
+    /// The longest delay of an input or a tick.
+    delay: Millis,
 }
 
 impl Load {
@@ -33,6 +35,11 @@
         work.time += time;
     }
 
+    /// Records that an input or a tick was late.
+    pub(crate) fn delayed(&mut self, delay: Millis) {
+        self.delay = self.delay.max(delay);
+    }
+
     /// Logs and clears the work if [`LOG_INTERVAL`] has passed.
     pub(crate) fn log(&mut self, now: Instant) {
         if now < self.logged + LOG_INTERVAL {
@@ -49,6 +56,8 @@
             counter!("filbertbend_leader_work_microseconds_total", "kind" => kind)
                 .increment(work.time.as_micros() as u64);
         }
-        info!("leader's work, in steps and microseconds", kv: { work: = described.join(", ") });
+        let delay = std::mem::take(&mut self.delay);
+        gauge!("filbertbend_leader_delay_seconds").set(delay.duration().as_secs_f64());
+        info!("leader's work, in steps and microseconds", kv: { work: = described.join(", "), delay_ms = delay.0 });
     }
 }
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -297,9 +297,11 @@
 
     /// Tells the planner that the process is behind, if it is.
     fn note_delay(&mut self, delay: Millis) {
-        if delay >= DELAY_THRESHOLD {
-            self.step(Event::Delayed(delay));
+        if delay < DELAY_THRESHOLD {
+            return;
         }
+        self.load.delayed(delay);
+        self.step(Event::Delayed(delay));
     }
 
     fn tick(&mut self) {
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -59,6 +59,16 @@
         node: Node,
         /// Why it was stopped or removed.
         reason: Reason,
+        /// The time since the last report of the worker.
+        silent: Millis,
+    },
+    /// The lease of a worker seems to have expired, so its agent is asked whether
+    /// all of its reports have been read.
+    Probed {
+        /// The node of the worker's agent.
+        node: Node,
+        /// The time since the last report of the worker.
+        silent: Millis,
     },
     /// A job has changed its state.
     Job {
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -1,7 +1,7 @@
 //! All workers and the sessions with their agents.
 
 use {
-    super::worker::{Reservation, Worker},
+    super::worker::{Expiry, Reservation, Worker},
     crate::{
         id::{Fence, Incarnation, Job, Link, Node, Run, Task},
         interference::{Model, Weight},
@@ -213,23 +213,20 @@
     }
 
     /// Lists workers whose leases have expired and that still hold
-    /// reservations. An agent with a session is asked first whether its reports
-    /// have all been read: one of them may show the end of a run, or a request
-    /// for another lease.
-    pub(super) fn expired_leases(&mut self, now: Instant) -> Vec<Node> {
-        let mut expired = Vec::new();
+    /// reservations.
+    pub(super) fn expired_leases(&mut self, now: Instant) -> Vec<(Node, Expiry)> {
+        let mut found = Vec::new();
         for (node, worker) in &mut self.workers {
             let has_expired = worker.lease_until.is_some_and(|until| now >= until);
             if worker.reservations.is_empty() || !has_expired {
                 continue;
             }
-            if worker.has_reported_all(now) {
-                expired.push(node.clone());
-            } else {
+            if let Some(expiry) = worker.judge_expiry(now) {
                 self.changed.insert(node.clone());
+                found.push((node.clone(), expiry));
             }
         }
-        expired
+        found
     }
 
     /// Removes workers that are disconnected, hold no reservations and have not
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -48,6 +48,7 @@
     fleet::{Fleet, StopOutcome},
     registry::Registry,
     std::{cell::Cell, collections::BTreeSet, sync::Arc},
+    worker::Expiry,
 };
 
 pub use {
@@ -453,8 +454,14 @@
         }
         self.fleet.send_weights(&self.model.changed_weights());
         if self.now >= self.conclude_not_before {
-            for node in self.fleet.expired_leases(self.now) {
-                self.abandon(&node, Reason::LeasePassed, actions);
+            for (node, expiry) in self.fleet.expired_leases(self.now) {
+                match expiry {
+                    Expiry::Certain => self.abandon(&node, actions),
+                    Expiry::Probed => actions.push(Action::Decided(Decision::Probed {
+                        silent: self.silence(&node),
+                        node,
+                    })),
+                }
             }
         }
         for node in self.fleet.leaving() {
@@ -471,20 +478,28 @@
         }
     }
 
-    /// Removes every run on a worker, all of which have certainly ended.
-    fn abandon(&mut self, node: &Node, reason: Reason, actions: &mut Vec<Action>) {
+    /// Removes every run on a worker whose lease has certainly expired.
+    fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
+        let silent = self.silence(node);
         for (task, run) in self.fleet.clear(node) {
             self.remove_execution(task, run);
             actions.push(Action::Decided(Decision::Lost {
                 task,
                 run,
                 node: node.clone(),
-                reason,
+                reason: Reason::LeasePassed,
+                silent,
             }));
             self.refresh(task.job, actions);
         }
     }
 
+    /// Returns the time since the last report of a worker.
+    fn silence(&self, node: &Node) -> Millis {
+        let worker = self.fleet.get(node);
+        worker.map_or(Millis::ZERO, |worker| self.now.since(worker.last_report))
+    }
+
     /// Returns the next run number of a task, higher than those of earlier
     /// terms.
     fn next_run(&self, last: Run) -> Run {
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -177,6 +177,7 @@
             run,
             node: node.clone(),
             reason: Reason::Refused,
+            silent: Millis::ZERO,
         }));
         self.refresh(task.job, actions);
     }
@@ -396,6 +397,7 @@
                 run: *run,
                 node: node.clone(),
                 reason: Reason::Missing,
+                silent: Millis::ZERO,
             }));
             self.refresh(task.job, actions);
         }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -83,6 +83,16 @@
     probe: Option<Probe>,
 }
 
+/// What is known about an expired lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Expiry {
+    /// The agent has just been asked.
+    Probed,
+    /// All reports that the agent sent before the lease expired have been read,
+    /// or it has no session or does not answer.
+    Certain,
+}
+
 /// A question to an agent whether its reports have all been read.
 #[derive(Clone, Copy, Debug)]
 struct Probe {
@@ -292,12 +302,13 @@
         self.orders.roles.push((task, run, role));
     }
 
-    /// Returns whether all reports that the agent sent before its worker's lease
-    /// expired have certainly been read, or it has no session or does not answer.
-    /// Sends a probe if none was sent yet.
-    pub(super) fn has_reported_all(&mut self, now: Instant) -> bool {
+    /// Judges a lease that has expired by the leader's count. An agent with a
+    /// session is asked first whether its reports have all been read: one of
+    /// them may show the end of a run, or a request for another lease. Returns
+    /// `None` while its answer is awaited.
+    pub(super) fn judge_expiry(&mut self, now: Instant) -> Option<Expiry> {
         if self.link.is_none() {
-            return true;
+            return Some(Expiry::Certain);
         }
         let Some(probe) = self.probe else {
             let number = now.0;
@@ -307,9 +318,10 @@
                 sent_at: now,
                 answered: false,
             });
-            return false;
+            return Some(Expiry::Probed);
         };
-        probe.answered || now >= probe.sent_at + PROBE_TIMEOUT
+        let decided = probe.answered || now >= probe.sent_at + PROBE_TIMEOUT;
+        decided.then_some(Expiry::Certain)
     }
 
     /// Records the answer to a probe.
--- a/crates/workload/tests/lease_evidence.rs
+++ b/crates/workload/tests/lease_evidence.rs
@@ -50,6 +50,8 @@
     harness.pass(LEASE_OVER, &[OTHER]);
     let probe = harness.probe(0);
     assert!(probe.is_some(), "the agent was not asked");
+    let probed = |decision: &&Decision| matches!(decision, Decision::Probed { silent, .. } if *silent > Millis(5000));
+    assert_eq!(harness.decisions.iter().filter(probed).count(), 1);
     assert_eq!(abandoned(&harness), 0);
     // The reports are read in the order in which they were sent.
     harness.end(0, 1, &start, Exit::Done);
