Count suspended time in the clock that permissions are measured with

Cause: leases and leadership were measured on CLOCK_MONOTONIC, which stands still while an instance is suspended. An agent that wakes adds what it takes for the rest of its lease to the worker's present clock, and so extends the lease by the time of the suspension, although the leader has counted it and may have started the tasks elsewhere. A leader that wakes takes its leadership for confirmed.

Change: CLOCK_BOOTTIME.

--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -7,9 +7,11 @@
     std::time::SystemTime,
 };
 
-/// Reads the monotonic clock, which all processes of the instance share.
+/// Reads the monotonic clock, which all processes of the instance share. It
+/// counts the time in which the instance was suspended: a lease or leadership
+/// that was granted before may have run out meanwhile.
 pub fn monotonic() -> Instant {
-    let now = clock_gettime(ClockId::Monotonic);
+    let now = clock_gettime(ClockId::Boottime);
     Instant(now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000)
 }
 
