--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -33,10 +33,10 @@
 /// How many times a best-effort task the services on a worker must tolerate. The
 /// load of a service rises by half within the seconds that a task takes, and a
 /// task that is then throttled makes its whole job late.
-const MIN_TOLERANCE: f64 = 2.5;
+const MIN_TOLERANCE: f64 = 4.0;
 /// Higher tolerance does not improve the score; workers without services reach
 /// this limit.
-const MAX_TOLERANCE: f64 = 4.0;
+const MAX_TOLERANCE: f64 = 8.0;
 /// The score of the rack that holds the data or the other tasks of the step,
 /// relative to free cores: tasks take half as long again on other racks.
 const RACK_SCORE: f64 = 10.0;
