--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -337,7 +337,7 @@
         let mut stops = HashSet::new();
         for item in &snapshot.watched {
             match Watched::parse(&item.key) {
-                Some(Watched::Job(id)) => match postcard::from_bytes::<job::Job>(&item.value) {
+                Some(Watched::Job(id)) => match decode_job(&item.value) {
                     Ok(found) => {
                         let progress = progress.remove(&id).unwrap_or_default();
                         self.step(Event::Recovered(id, Arc::new(found), progress));
@@ -400,7 +400,7 @@
         match Watched::parse(&item.key) {
             Some(Watched::Epoch) if self.supersedes(item) => return Some(Ended::Deposed),
             Some(Watched::Epoch) => {}
-            Some(Watched::Job(id)) => match postcard::from_bytes::<job::Job>(&item.value) {
+            Some(Watched::Job(id)) => match decode_job(&item.value) {
                 Ok(job) => self.step(Event::Submitted(id, Arc::new(job))),
                 Err(error) => warn!("job cannot be decoded", kv: { key: = &*item.key, error: }),
             },
@@ -468,6 +468,23 @@
     }
 }
 
+/// Why a stored job cannot be used.
+#[derive(Debug, thiserror::Error)]
+enum JobError {
+    #[error(transparent)]
+    Encoding(#[from] postcard::Error),
+    #[error(transparent)]
+    Steps(#[from] job::Error),
+}
+
+/// Decodes a stored job. It is validated again, because it may come from another
+/// writer, and a job that the planner cannot carry out would end every leader.
+fn decode_job(value: &[u8]) -> Result<job::Job, JobError> {
+    let found: job::Job = postcard::from_bytes(value)?;
+    found.check()?;
+    Ok(found)
+}
+
 /// Carries out the journal's orders one at a time, until another entry leads.
 async fn write_orders<S: Store>(
     mut journal: Journal<S>,
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -2,7 +2,10 @@
 
 use {
     super::*,
-    crate::platform::{Commit, Transaction},
+    crate::{
+        journal::encode,
+        platform::{Commit, Transaction},
+    },
     filbertbend_state::{
         room::Room,
         unit::{Bytes, Cores},
@@ -193,3 +196,37 @@
     })
     .await;
 }
+
+/// Guards against a leader that ends, and every leader after it, because of a
+/// stored value that another writer has damaged.
+#[tokio::test]
+async fn damaged_jobs_in_the_store_are_passed_over() {
+    let set = LocalSet::new();
+    set.run_until(async {
+        let (mut driver, _orders) = driver();
+        let mut invalid = job();
+        invalid.steps[0].after = vec![3];
+        let valid = encode(&job());
+        let mut values = vec![encode(&invalid), Vec::new(), vec![0xff; 64]];
+        values.extend((0..valid.len()).map(|length| valid[..length].to_vec()));
+
+        for (number, value) in values.into_iter().enumerate() {
+            let item = Item {
+                key: key::job(Job(number as u64)),
+                value,
+                revision: Revision(2),
+            };
+            assert!(driver.apply_item(&item).is_none());
+        }
+        assert_eq!(driver.planner.size().0, 0);
+
+        let item = Item {
+            key: key::job(Job(1000)),
+            value: valid,
+            revision: Revision(3),
+        };
+        driver.apply_item(&item);
+        assert_eq!(driver.planner.size().0, 1);
+    })
+    .await;
+}
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -144,8 +144,7 @@
         if self.steps.is_empty() || self.steps.iter().any(|step| step.tasks == 0) {
             return Err(Error::Empty);
         }
-        let tasks: usize = self.steps.iter().map(|step| usize::from(step.tasks)).sum();
-        if tasks > TASK_LIMIT {
+        if self.tasks() > TASK_LIMIT {
             return Err(Error::TooLarge);
         }
         for (index, step) in self.steps.iter().enumerate() {
@@ -160,6 +159,11 @@
         Ok(())
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn tasks(&self) -> usize {
+        self.steps.iter().map(|step| usize::from(step.tasks)).sum()
+    }
+
     /// Returns the number of occurrences; 1 for a job without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -100,6 +100,11 @@
         self.steps.iter().all(|step| step.remaining == 0)
     }
 
+    fn is_step_complete(&self, step: u16) -> bool {
+        let step = self.steps.get(usize::from(step));
+        step.is_some_and(|step| step.remaining == 0)
+    }
+
     /// Opens the steps whose predecessors have completed.
     fn open_steps(&mut self, job: &job::Job, now: Instant) {
         for (index, step) in job.steps.iter().enumerate() {
@@ -107,7 +112,7 @@
                 && step
                     .after
                     .iter()
-                    .all(|earlier| self.steps[usize::from(*earlier)].remaining == 0);
+                    .all(|earlier| self.is_step_complete(*earlier));
             if ready {
                 self.steps[index].open = true;
                 for task in &mut self.steps[index].tasks {
@@ -203,7 +208,7 @@
         if self.state.is_final() {
             return;
         }
-        while self.next < self.job.occurrences() {
+        while self.next < self.job.occurrences() && self.may_open() {
             let due = self
                 .job
                 .schedule
@@ -229,6 +234,14 @@
         }
     }
 
+    /// Returns whether another due occurrence may be opened. Occurrences may
+    /// overlap, but those of one job have at most [`job::TASK_LIMIT`] tasks at a
+    /// time, so that a schedule without pauses does not exhaust the leader.
+    fn may_open(&self) -> bool {
+        let tasks = self.job.tasks() * (self.occurrences.len() + 1);
+        self.occurrences.is_empty() || tasks <= job::TASK_LIMIT
+    }
+
     /// Returns whether every occurrence has completed.
     pub(super) fn is_complete(&self) -> bool {
         self.completed >= self.job.occurrences()
