--- a/crates/bench/benches/leader.rs
+++ b/crates/bench/benches/leader.rs
@@ -10,7 +10,7 @@
 use {filbertbend_bench::figure::Figure, simulation::Simulation};
 
 /// The numbers of workers that are measured.
-const SIZES: [u64; 2] = [60, 240];
+const SIZES: [u64; 4] = [60, 240, 1000, 2250];
 /// The simulated time before the measurement begins, in seconds.
 const WARM_UP_S: u64 = 6;
 /// The simulated time of the measurement, in seconds.
@@ -18,6 +18,7 @@
 
 fn main() {
     let mut per_start = Vec::new();
+    let mut figures = Vec::new();
     for workers in SIZES {
         let mut simulation = Simulation::new(workers);
         simulation.run(WARM_UP_S);
@@ -37,12 +38,12 @@
             println!("    {kind}: {steps} steps, {mean:.1} us each");
         }
         per_start.push(total / starts);
+        let placement = work.get("placement").map_or(0.0, |(_, micros)| *micros);
+        let name = format!("leader.placement.mean.{workers}");
+        figures.push(Figure::at_most(name, placement / starts, "us", 20.0));
     }
     let growth = per_start[SIZES.len() - 1] / per_start[0];
-    let figures = [
-        Figure::at_most("leader.start.mean.240", per_start[1], "us", 100.0),
-        Figure::at_most("leader.start.growth", growth, "ratio", 1.3),
-    ];
+    figures.push(Figure::at_most("leader.start.growth", growth, "ratio", 1.3));
     for figure in figures {
         println!("{figure}");
     }
