--- a/crates/workload/src/planner/pass.rs
+++ b/crates/workload/src/planner/pass.rs
@@ -22,6 +22,7 @@
 /// not searched for again.
 #[derive(Clone, Debug)]
 pub(super) struct Rejection {
+    /// When no worker was found.
     since: Instant,
     best_effort: bool,
     pool: Arc<str>,
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -30,9 +30,9 @@
 /// good workers. The platform's rules require progress while half of the pool
 /// is free.
 const BUSY_FRACTION: f64 = 0.6;
-/// How many times a best-effort task the services on a worker must tolerate. The
-/// load of a service rises by half within the seconds that a task takes, and a
-/// task that is then throttled makes its whole job late.
+/// The services on a worker must tolerate this many times the best-effort task
+/// that is placed there. Their load rises by half within the seconds that a task
+/// takes, and a task that is then throttled makes its whole job late.
 const MIN_TOLERANCE: f64 = 4.0;
 /// Higher tolerance does not improve the score; workers without services reach
 /// this limit.
