--- a/crates/workload/tests/placement.rs
+++ b/crates/workload/tests/placement.rs
@@ -18,7 +18,7 @@
         worker::Exit,
     },
     std::{collections::BTreeMap, sync::Arc},
-    support::{catalog, end, job, node, room, step, task, Harness, QUEUE},
+    support::{catalog, end, job, node, room, service, step, task, Harness, QUEUE},
 };
 
 const WORKERS: u64 = 60;
@@ -329,11 +329,7 @@
 #[test]
 fn use_of_a_pool_counts_tasks_placed_in_the_same_pass() {
     let mut harness = Harness::with_workers(1);
-    let mut service = step(1);
-    service.mode.long_running = true;
-    service.latency_target = Some(Millis(50));
-    service.image = Some("service".into());
-    harness.submit(1, job(vec![service]));
+    harness.submit(1, job(vec![service()]));
     assert_eq!(harness.starts(0).len(), 1);
     let reading = Reading {
         latencies: vec![(task(1, 0, 0), Millis(49))],
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -14,8 +14,8 @@
     },
     std::sync::Arc,
     support::{
-        catalog, end, incarnation, job, node, placed, profile, progress, room, running, step, task,
-        Harness,
+        catalog, end, incarnation, job, node, placed, profile, progress, room, running, service,
+        step, task, Harness,
     },
 };
 
@@ -264,11 +264,7 @@
 #[test]
 fn best_effort_tasks_are_placed_anywhere_after_a_while() {
     let mut harness = Harness::with_workers(1);
-    let mut service = step(1);
-    service.mode.long_running = true;
-    service.latency_target = Some(Millis(50));
-    service.image = Some("service".into());
-    harness.submit(1, job(vec![service]));
+    harness.submit(1, job(vec![service()]));
     let mut best_effort = step(3);
     best_effort.mode.best_effort = true;
     best_effort.room = room(6, 1);
@@ -293,11 +289,7 @@
 #[test]
 fn throttled_task_does_not_keep_harmless_ones_away() {
     let mut harness = Harness::with_workers(1);
-    let mut service = step(1);
-    service.mode.long_running = true;
-    service.latency_target = Some(Millis(50));
-    service.image = Some("service".into());
-    harness.submit(1, job(vec![service]));
+    harness.submit(1, job(vec![service()]));
     let best_effort = |image: &str| {
         let mut best_effort = step(1);
         best_effort.mode.best_effort = true;
@@ -337,11 +329,7 @@
 #[test]
 fn best_effort_task_that_a_rising_load_would_throttle_waits() {
     let mut harness = Harness::with_workers(1);
-    let mut service = step(1);
-    service.mode.long_running = true;
-    service.latency_target = Some(Millis(50));
-    service.image = Some("service".into());
-    harness.submit(1, job(vec![service]));
+    harness.submit(1, job(vec![service()]));
     let weight = Weight {
         service: "service".into(),
         aggressor: "harmful".into(),
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -68,6 +68,15 @@
     }
 }
 
+/// Returns a step of one task that serves users, with a target of 50 ms.
+pub(crate) fn service() -> Step {
+    let mut service = step(1);
+    service.mode.long_running = true;
+    service.latency_target = Some(Millis(50));
+    service.image = Some("service".into());
+    service
+}
+
 pub(crate) fn job(steps: Vec<Step>) -> Arc<job::Job> {
     Arc::new(job::Job {
         queue: QUEUE.into(),
