--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -19,7 +19,8 @@
 /// at most after the leader's key is gone.
 pub const TAKEOVER_TIME: Millis = Millis(2500);
 /// The duration of a worker's lease, which covers all of its tasks. Tasks
-/// survive a change of leader although the lease was not renewed just before.
+/// survive a change of leader although the lease was not renewed just before. A
+/// longer lease would free the tasks of a lost worker later.
 const TASK_LEASE: Millis = Millis(KEY_TTL.0 + LEASE_RENEW_INTERVAL.0 + TAKEOVER_TIME.0);
 /// The largest part of the platform's limit that a lease uses, in percent. The
 /// rest covers clocks that differ.
