Log and measure what the leader waits for

A task that does not start could not be explained: no line told a task that finds no worker from one whose run is believed to exist, and none told that conclusions about expired leases were put off. Once a second the leader now logs the most urgent task that has waited for 2 s with what it needs and what the freest worker has, the runs of former leaders on workers that have not reported, and the expired leases that are not acted on. Three gauges show the same. No change of what is decided.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -2,8 +2,8 @@
 //! holds the task, what was decided, and the reason.
 
 use {
-    filbertbend_workload::planner::Decision,
-    metrics::{counter, histogram},
+    filbertbend_workload::planner::{Backlog, Decision},
+    metrics::{counter, gauge, histogram},
     spdlog::prelude::*,
 };
 
@@ -64,5 +64,38 @@
         } => {
             info!("worker joined", kv: { node:, life: = incarnation, fence = fence.0, adopted = *adopted });
         }
+        Decision::Waiting(backlog) => log_backlog(backlog),
+    }
+}
+
+/// Logs what the planner waits for and updates its metrics.
+fn log_backlog(backlog: &Backlog) {
+    let Backlog {
+        blocked,
+        awaited_runs,
+        overdue_workers,
+        overdue,
+    } = backlog;
+    let waited = blocked
+        .as_ref()
+        .map_or(0.0, |blocked| blocked.waited.duration().as_secs_f64());
+    gauge!("filbertbend_blocked_seconds").set(waited);
+    gauge!("filbertbend_awaited_runs").set(*awaited_runs as f64);
+    gauge!("filbertbend_overdue_workers").set(*overdue_workers as f64);
+    if let Some(blocked) = blocked {
+        let task = blocked.task;
+        let cores = blocked.required.cores.0;
+        let memory = blocked.required.memory.0 >> 20;
+        let (node, free_cores, free_memory) = match &blocked.freest {
+            Some((node, free)) => (&*node.0, free.cores.0, free.memory.0 >> 20),
+            None => ("", 0, 0),
+        };
+        info!("task finds no worker", kv: { job: = task.job, task:, waited_ms = blocked.waited.0, millicores = cores, mib = memory, freest: = node, free_millicores = free_cores, free_mib = free_memory });
+    }
+    if *awaited_runs > 0 {
+        info!("runs of a former leader await their workers' reports", kv: { runs = *awaited_runs });
+    }
+    if *overdue_workers > 0 {
+        info!("expired leases not acted on yet", kv: { workers = *overdue_workers, longest_ms = overdue.0 });
     }
 }
--- /dev/null
+++ b/crates/workload/src/planner/backlog.rs
@@ -0,0 +1,79 @@
+//! What the planner waits for, so that a task that does not start can be
+//! explained from the log.
+
+use {
+    super::{
+        decision::{Backlog, Blocked},
+        Action, Decision, Instant, Planner,
+    },
+    filbertbend_state::{room::Room, unit::Millis},
+};
+
+/// The interval at which waiting work is reported.
+const REPORT_INTERVAL: Millis = Millis(1000);
+/// How long a task that may start has waited when it is reported.
+const LONG_WAIT: Millis = Millis(2000);
+/// The maximum number of steps that are examined for a task that has waited.
+const MAX_EXAMINED: usize = 64;
+
+impl Planner {
+    /// Reports what is waited for, once in [`REPORT_INTERVAL`].
+    pub(super) fn report_backlog(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.backlog_reported + REPORT_INTERVAL {
+            return;
+        }
+        self.backlog_reported = self.now;
+        let overdue = self.overdue_leases();
+        let backlog = Backlog {
+            blocked: self.blocked(),
+            awaited_runs: self.awaited_runs(),
+            overdue_workers: overdue.len(),
+            overdue: overdue
+                .iter()
+                .min()
+                .map_or(Millis::ZERO, |until| self.now.since(*until)),
+        };
+        actions.push(Action::Decided(Decision::Waiting(backlog)));
+    }
+
+    fn blocked(&self) -> Option<Blocked> {
+        self.ready.iter().take(MAX_EXAMINED).find_map(|rank| {
+            let task = self.startable(*rank).next()?;
+            let entry = self.registry.get(rank.job)?;
+            let waited = self.now.since(entry.task(task)?.ready_since?);
+            (waited >= LONG_WAIT).then_some(Blocked {
+                task,
+                waited,
+                required: entry.step(rank.step)?.reserved(),
+                freest: self.freest(),
+            })
+        })
+    }
+
+    fn freest(&self) -> Option<(super::Node, Room)> {
+        self.fleet
+            .iter()
+            .filter(|(_, worker)| worker.is_usable(self.now, self.settings.silence_limit))
+            .map(|(node, worker)| (node, worker.free()))
+            .max_by_key(|(_, free)| free.cores)
+            .map(|(node, free)| (node.clone(), free))
+    }
+
+    fn awaited_runs(&self) -> usize {
+        self.fleet
+            .iter()
+            .filter(|(_, worker)| worker.incarnation.is_none())
+            .map(|(_, worker)| worker.reservations.len())
+            .sum()
+    }
+
+    /// Lists when the leases expired that are not acted on yet.
+    fn overdue_leases(&self) -> Vec<Instant> {
+        self.fleet
+            .iter()
+            .filter(|(_, worker)| !worker.reservations.is_empty())
+            .filter_map(|(_, worker)| worker.lease_until)
+            .filter(|until| *until < self.now)
+            .collect()
+    }
+}
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -6,7 +6,7 @@
         record::State,
         worker::Exit,
     },
-    filbertbend_state::unit::Millis,
+    filbertbend_state::{room::Room, unit::Millis},
 };
 
 /// A decision with its grounds.
@@ -88,6 +88,37 @@
         /// How many runs of former leaders were adopted.
         adopted: usize,
     },
+    /// What the planner waits for, repeated once a second.
+    Waiting(Backlog),
+}
+
+/// What the planner waits for, so that a task that does not start can be
+/// explained.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Backlog {
+    /// The most urgent task that has waited for long although it may start.
+    pub blocked: Option<Blocked>,
+    /// The runs of former leaders on workers that have not reported in this
+    /// term.
+    pub awaited_runs: usize,
+    /// The workers whose expired leases are not acted on yet, because the
+    /// leader is behind.
+    pub overdue_workers: usize,
+    /// For how long the first of these leases has been expired.
+    pub overdue: Millis,
+}
+
+/// A task that may start but finds no worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Blocked {
+    /// The task.
+    pub task: Task,
+    /// How long it has waited.
+    pub waited: Millis,
+    /// The resources that it requires.
+    pub required: Room,
+    /// The worker with the most free cores, and its free resources.
+    pub freest: Option<(Node, Room)>,
 }
 
 /// Why a run is stopped or removed.
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -8,7 +8,8 @@
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
-//! - `decision` describes decisions for the log.
+//! - `decision` describes decisions for the log, and `backlog` what is waited
+//!   for.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
 //!
@@ -20,6 +21,7 @@
 //! has reported otherwise or the last lease that a former leader can have
 //! granted has expired.
 
+mod backlog;
 mod decision;
 mod fleet;
 mod headroom;
@@ -52,7 +54,7 @@
 };
 
 pub use {
-    decision::{Decision, Reason},
+    decision::{Backlog, Blocked, Decision, Reason},
     persist::{Batch, Write},
     settings::Settings,
 };
@@ -146,6 +148,8 @@
     conclude_not_before: Instant,
     /// When the headroom of all workers was last invalidated.
     headroom_invalidated: Instant,
+    /// When waiting work was last reported.
+    backlog_reported: Instant,
     /// How often all workers were searched for a task.
     searches: Cell<u64>,
     /// How often a worker was examined during placement.
@@ -191,6 +195,7 @@
             place_not_before: Instant::default(),
             conclude_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
+            backlog_reported: now,
             searches: Cell::new(0),
             examined: Cell::new(0),
             passes: 0,
@@ -243,6 +248,7 @@
                 // The requirements of steps relax with waiting time.
                 self.changed = true;
                 self.tick(actions);
+                self.report_backlog(actions);
             }
         }
         if self.may_place(until) {
