Write changed jobs in the order in which they changed

Cause: a placement is sent once it is durable, and a batch took the changed jobs with the lowest ids first. While more jobs change than fit into the batches, those with the highest ids are never written.

Evidence: time from placement to the worker's answer by the first digit of the job's id: 0.2 s for 0 to 8, up to 13 s for f; all lost tasks have ids that begin with e or f.

Ruled out, for these tasks: no room on one worker (no such line for them), a run of a former leader (none awaited after 34 s).

The new test failed before: not written in 20 batches, 4 needed.

--- a/crates/workload/src/planner/persist.rs
+++ b/crates/workload/src/planner/persist.rs
@@ -4,7 +4,7 @@
     super::registry::Registry,
     crate::{id::Job, record::Progress},
     filbertbend_state::{time::Instant, unit::Millis},
-    std::collections::BTreeSet,
+    std::collections::{BTreeSet, VecDeque},
 };
 
 /// The maximum number of changes in a batch. The platform's store accepts 32
@@ -45,6 +45,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     dirty: BTreeSet<Job>,
+    /// The jobs in `dirty`, the one that has waited longest first, and some that
+    /// have been removed since.
+    order: VecDeque<Job>,
     urgent: bool,
     dirty_since: Option<Instant>,
     removed: BTreeSet<Job>,
@@ -55,7 +58,9 @@
 impl Queue {
     /// Marks a job's progress as changed; `urgent` if a caller waits for it.
     pub(super) fn mark_dirty(&mut self, now: Instant, job: Job, urgent: bool) {
-        self.dirty.insert(job);
+        if self.dirty.insert(job) {
+            self.order.push_back(job);
+        }
         self.urgent |= urgent;
         self.dirty_since.get_or_insert(now);
     }
@@ -91,9 +96,12 @@
         let mut writes = Vec::new();
         let mut jobs = Vec::new();
         while writes.len() < BATCH_LIMIT {
-            let Some(id) = self.dirty.pop_first() else {
+            let Some(id) = self.order.pop_front() else {
                 break;
             };
+            if !self.dirty.remove(&id) {
+                continue;
+            }
             if let Some(entry) = registry.get(id) {
                 jobs.push((id, entry.version));
                 writes.push(Write::Progress(id, entry.progress()));
--- /dev/null
+++ b/crates/workload/tests/durability.rs
@@ -0,0 +1,73 @@
+//! The planner: the order in which progress becomes durable.
+
+mod support;
+
+use {
+    filbertbend_state::unit::Millis,
+    filbertbend_workload::{id::Job, message::Start, planner::Event, worker::Exit},
+    std::collections::BTreeMap,
+    support::{job, step, Harness},
+};
+
+const WORKERS: u64 = 10;
+/// Twice as many jobs as fit into a batch.
+const BUSY_JOBS: u64 = 60;
+const WAITING: u64 = u64::MAX;
+/// Batches until a job that has just changed must have been written: all jobs
+/// that changed before it, and the batch in progress.
+const MAX_BATCHES: usize = 4;
+
+/// Runs of tasks that are stopped and placed again without end, and the ends
+/// that their workers have reported.
+#[derive(Default)]
+struct Churn {
+    running: Vec<(u64, Start)>,
+    ends: BTreeMap<u64, u64>,
+}
+
+impl Churn {
+    /// Ends all runs, and takes the starts that are ordered meanwhile.
+    fn turn_over(&mut self, harness: &mut Harness) {
+        for (worker, start) in std::mem::take(&mut self.running) {
+            let sequence = self.ends.entry(worker).or_default();
+            *sequence += 1;
+            harness.end(worker, *sequence, &start, Exit::Stopped);
+        }
+        harness.pass(Millis(200), &(0..WORKERS).collect::<Vec<_>>());
+        self.running = harness.all_starts();
+    }
+}
+
+/// Guards against a task that does not start because the progress of its job is
+/// never written: jobs with lower identifiers keep changing.
+#[test]
+fn job_with_a_high_identifier_is_written_while_others_keep_changing() {
+    let mut harness = Harness::with_workers(WORKERS);
+    for id in 1..=BUSY_JOBS {
+        harness.step(Event::Submitted(Job(id), job(vec![step(1)])));
+    }
+    harness.commit();
+    let mut churn = Churn::default();
+    churn.turn_over(&mut harness);
+    assert_eq!(churn.running.len(), BUSY_JOBS as usize);
+    churn.turn_over(&mut harness);
+    harness.step(Event::Submitted(Job(WAITING), job(vec![step(1)])));
+
+    let mut batches = 0;
+    let mut started = false;
+    while !started && batches < 20 {
+        churn.turn_over(&mut harness);
+        if let Some(batch) = harness.batches.pop() {
+            harness.step(Event::Persisted(batch.number));
+            batches += 1;
+        }
+        let starts = harness.all_starts();
+        started = starts
+            .iter()
+            .any(|(_, start)| start.task.job == Job(WAITING));
+        churn.running.extend(starts);
+    }
+
+    assert!(started, "not started after {batches} batches");
+    assert!(batches <= MAX_BATCHES, "started after {batches} batches");
+}
