Place a task again after its start was withdrawn

Cause: a start that is not durable yet is withdrawn when its worker drains or more urgent work needs the room. That removed the run but did not list the step as startable, which each caller of remove_execution had to do by itself. The task waited until something else about its job changed.

Change: remove_execution updates the list of startable steps.

Ruled out: the other callers did so already.

The new test failed before: no start on the second worker.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -402,7 +402,7 @@
                     execution.stopping = true;
                 }
             }
-            StopOutcome::NeverOrdered => self.remove_execution(task, run),
+            StopOutcome::NeverOrdered => self.remove_execution(task, run, actions),
         }
         actions.push(Action::Decided(Decision::Stopped {
             task,
@@ -412,16 +412,17 @@
         }));
     }
 
-    /// Removes a run that has certainly ended. This is persisted; otherwise a
-    /// later leader would wait until the last lease that the worker can hold
-    /// has expired.
-    fn remove_execution(&mut self, task: Task, run: Run) {
+    /// Removes a run that has certainly ended, so that its task may be placed
+    /// again. This is persisted; otherwise a later leader would wait until the
+    /// last lease that the worker can hold has expired.
+    fn remove_execution(&mut self, task: Task, run: Run, actions: &mut Vec<Action>) {
         self.registry.remove_execution(task, run, self.now);
         let live = self.registry.get_mut(task.job);
         if let Some(entry) = live.filter(|entry| !entry.state.is_final()) {
             entry.version += 1;
             self.persist.mark_dirty(self.now, task.job, false);
         }
+        self.refresh(task.job, actions);
     }
 
     /// Opens the due steps of a job, updates its entries in the list of ready
@@ -488,7 +489,7 @@
     fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
         let silent = self.silence(node);
         for (task, run) in self.fleet.clear(node) {
-            self.remove_execution(task, run);
+            self.remove_execution(task, run, actions);
             actions.push(Action::Decided(Decision::Lost {
                 task,
                 run,
@@ -496,7 +497,6 @@
                 reason: Reason::LeasePassed,
                 silent,
             }));
-            self.refresh(task.job, actions);
         }
     }
 
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -162,7 +162,7 @@
         if !self.fleet.release(node, task, run) {
             return;
         }
-        self.remove_execution(task, run);
+        self.remove_execution(task, run, actions);
         if let Some(entry) = self.registry.task_mut(task) {
             entry.avoid = Some(node.clone());
         }
@@ -179,7 +179,6 @@
             reason: Reason::Refused,
             silent: Millis::ZERO,
         }));
-        self.refresh(task.job, actions);
     }
 
     fn count_worker_failure(&mut self, node: &Node) {
@@ -209,8 +208,7 @@
         } = end;
         self.fleet.release(node, task, run);
         if self.apply_end(node, task, run, exit, checkpoint, actions) {
-            self.remove_execution(task, run);
-            self.refresh(task.job, actions);
+            self.remove_execution(task, run, actions);
         }
         let version = self.registry.get(task.job).map_or(0, |entry| entry.version);
         if let Some(worker) = self.fleet.get_mut(node) {
@@ -233,7 +231,7 @@
             return false;
         };
         if entry.state.is_final() {
-            self.remove_execution(task, run);
+            self.remove_execution(task, run, actions);
             return false;
         }
         let Some(step) = entry.step(task.step) else {
@@ -391,7 +389,7 @@
         }
         for (task, run) in known.difference(&listed) {
             self.fleet.release(node, *task, *run);
-            self.remove_execution(*task, *run);
+            self.remove_execution(*task, *run, actions);
             actions.push(Action::Decided(Decision::Lost {
                 task: *task,
                 run: *run,
@@ -399,7 +397,6 @@
                 reason: Reason::Missing,
                 silent: Millis::ZERO,
             }));
-            self.refresh(task.job, actions);
         }
         actions.push(Action::Decided(Decision::Joined {
             node: node.clone(),
--- a/crates/workload/tests/durability.rs
+++ b/crates/workload/tests/durability.rs
@@ -6,7 +6,7 @@
     filbertbend_state::unit::Millis,
     filbertbend_workload::{id::Job, message::Start, planner::Event, worker::Exit},
     std::collections::BTreeMap,
-    support::{job, step, Harness},
+    support::{job, service, step, Harness},
 };
 
 const WORKERS: u64 = 10;
@@ -71,3 +71,22 @@
     assert!(started, "not started after {batches} batches");
     assert!(batches <= MAX_BATCHES, "started after {batches} batches");
 }
+
+/// Guards against a task that is never placed again after its start was
+/// withdrawn, because its step is not listed as startable.
+#[test]
+fn withdrawn_start_is_placed_on_another_worker() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Submitted(Job(1), job(vec![service()])));
+    harness.now = harness.now + Millis(20);
+    harness.step(Event::Tick);
+    assert!(harness.starts(0).is_empty(), "ordered before it is durable");
+
+    harness.drain(0);
+    harness.join(1, Vec::new());
+    harness.pass(Millis(1000), &[0, 1]);
+    harness.commit();
+
+    assert!(harness.starts(0).is_empty());
+    assert_eq!(harness.starts(1).len(), 1);
+}
