Hold a worker for a service or gang that waits for room

Cause: room becomes free in small amounts, and in the same pass later tasks of the same priority take it. Starvation again, by size instead of id.

Change: after 5 s a worker is held for such a step, one for each member of a gang, on an eighth of the workers at most. The line about a task that finds no worker now names the freest of those that suit otherwise.

--- a/crates/workload/src/planner/backlog.rs
+++ b/crates/workload/src/planner/backlog.rs
@@ -4,7 +4,9 @@
 use {
     super::{
         decision::{Backlog, Blocked},
-        Action, Decision, Instant, Planner,
+        pass::Pass,
+        place::Requirements,
+        Action, Decision, Instant, Node, Planner,
     },
     filbertbend_state::{room::Room, unit::Millis},
 };
@@ -37,23 +39,25 @@
     }
 
     fn blocked(&self) -> Option<Blocked> {
+        let mut pass = Pass::default();
         self.ready.iter().take(MAX_EXAMINED).find_map(|rank| {
             let task = self.startable(*rank).next()?;
-            let entry = self.registry.get(rank.job)?;
-            let waited = self.now.since(entry.task(task)?.ready_since?);
-            (waited >= LONG_WAIT).then_some(Blocked {
+            let requirements = self.requirements(task, &mut pass)?;
+            (requirements.waited >= LONG_WAIT).then(|| Blocked {
                 task,
-                waited,
-                required: entry.step(rank.step)?.reserved(),
-                freest: self.freest(),
+                waited: requirements.waited,
+                required: requirements.step.reserved(),
+                freest: self.freest(&requirements),
             })
         })
     }
 
-    fn freest(&self) -> Option<(super::Node, Room)> {
+    /// Returns the worker with the most free cores of those that a task may run
+    /// on.
+    fn freest(&self, requirements: &Requirements<'_>) -> Option<(Node, Room)> {
         self.fleet
             .iter()
-            .filter(|(_, worker)| worker.is_usable(self.now, self.settings.silence_limit))
+            .filter(|(node, worker)| self.is_feasible(requirements, node, worker))
             .map(|(node, worker)| (node, worker.free()))
             .max_by_key(|(_, free)| free.cores)
             .map(|(node, free)| (node.clone(), free))
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -117,7 +117,8 @@
     pub waited: Millis,
     /// The resources that it requires.
     pub required: Room,
-    /// The worker with the most free cores, and its free resources.
+    /// The worker with the most free cores of those that the task may run on, and
+    /// its free resources.
     pub freest: Option<(Node, Room)>,
 }
 
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -38,6 +38,11 @@
         self.workers.iter()
     }
 
+    /// Returns all workers, for changes that cause no orders.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&Node, &mut Worker)> {
+        self.workers.iter_mut()
+    }
+
     /// Returns the number of known workers, usable or not.
     pub(super) fn len(&self) -> usize {
         self.workers.len()
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -4,7 +4,8 @@
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `place` selects workers for tasks.
-//! - `preempt` makes room for urgent tasks.
+//! - `preempt` makes room for urgent tasks, and `hold` keeps it for tasks that
+//!   need much.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
@@ -25,6 +26,7 @@
 mod decision;
 mod fleet;
 mod headroom;
+mod hold;
 mod pass;
 mod persist;
 mod place;
--- a/crates/workload/src/planner/pass.rs
+++ b/crates/workload/src/planner/pass.rs
@@ -2,7 +2,7 @@
 //! cannot be placed does not cost an examination of all of them.
 
 use {
-    super::place::Requirements,
+    super::{hold::Holds, place::Requirements},
     filbertbend_state::{room::Room, time::Instant, unit::Millis},
     std::sync::Arc,
 };
@@ -16,6 +16,8 @@
     bounds: Vec<Bound>,
     /// The used fraction of pools since reservations last changed.
     used_fractions: Vec<(Arc<str>, f64)>,
+    /// The workers that are held for steps.
+    pub(super) holds: Holds,
 }
 
 /// Requirements that no worker met; a task that requires at least as much is
@@ -59,13 +61,14 @@
 
 impl Pass {
     /// Begins a pass that keeps the recent rejections of best-effort tasks.
-    pub(super) fn new(now: Instant, mut rejections: Vec<Rejection>) -> Self {
+    pub(super) fn new(now: Instant, mut rejections: Vec<Rejection>, holds: Holds) -> Self {
         rejections.retain(|rejection| {
             rejection.best_effort && now < rejection.since + BEST_EFFORT_RETRY_INTERVAL
         });
         Self {
             now,
             rejections,
+            holds,
             ..Self::default()
         }
     }
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        hold::Hold,
         pass::{Offer, Pass},
+        policy,
         registry::Execution,
         worker::{has_label, Worker},
         Action, Decision, Planner, Rank,
@@ -46,6 +48,7 @@
 
 /// What a task requires of its worker.
 pub(super) struct Requirements<'a> {
+    pub(super) rank: Rank,
     pub(super) step: &'a Step,
     pub(super) pool: &'a Arc<str>,
     /// The number of tasks of the same step on each worker, if the step
@@ -55,6 +58,8 @@
     /// one, otherwise that of the data.
     rack: Option<Arc<str>>,
     pub(super) avoid: Option<&'a Node>,
+    /// How long the task has been startable.
+    pub(super) waited: Millis,
     /// Whether any worker with enough resources is accepted: nothing of the job
     /// runs, it has waited for [`GOOD_PLACE_WAIT`] and much of the pool is
     /// free.
@@ -109,7 +114,8 @@
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         self.fleet.update_headroom(&self.model);
-        let mut pass = Pass::new(self.now, std::mem::take(&mut self.rejections));
+        let holds = self.review_holds();
+        let mut pass = Pass::new(self.now, std::mem::take(&mut self.rejections), holds);
         for rank in ranks {
             let Some(entry) = self.registry.get(rank.job) else {
                 self.ready.remove(&rank);
@@ -156,6 +162,7 @@
         let Some(node) = self.search(&requirements, pass) else {
             pass.reject(&requirements);
             self.preempt(rank, pass, actions);
+            self.hold(rank, pass);
             return;
         };
         let tasks: Vec<Task> = self.startable(rank).skip(1).collect();
@@ -280,6 +287,7 @@
         self.fleet.update_headroom(&self.model);
         if chosen.len() < tasks.len() {
             self.preempt(rank, pass, actions);
+            self.hold(rank, pass);
             return;
         }
         for (task, node) in chosen {
@@ -317,16 +325,25 @@
         } else {
             step.placement.data_rack.clone()
         };
-        let since = found.ready_since.unwrap_or(self.now);
-        let any_place = self.now >= since + GOOD_PLACE_WAIT
+        let waited = self.now.since(found.ready_since.unwrap_or(self.now));
+        let any_place = waited >= GOOD_PLACE_WAIT
             && entry.is_idle()
             && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION;
+        let rank = Rank {
+            priority: policy(&self.catalog, &entry.job).priority,
+            accepted: entry.job.accepted,
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        };
         Some(Requirements {
+            rank,
             step,
             pool,
             siblings,
             rack,
             avoid: found.avoid.as_ref(),
+            waited,
             any_place,
         })
     }
@@ -461,8 +478,13 @@
             .placement
             .most_per_worker
             .is_none_or(|most| siblings < usize::from(most));
+        let need = requirements.step.reserved();
+        let is_kept = |hold: &Hold| hold.excludes(worker, requirements.rank, need);
         let healthy = !worker.is_on_probation(self.now) || worker.reservations.is_empty();
-        below_limit && healthy && self.is_eligible(requirements, worker)
+        below_limit
+            && healthy
+            && !worker.hold.as_ref().is_some_and(is_kept)
+            && self.is_eligible(requirements, worker)
     }
 
     /// Returns whether a worker may run tasks of this kind. This does not
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,7 +1,7 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::headroom::Headroom,
+    super::{headroom::Headroom, hold::Hold},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
@@ -69,6 +69,8 @@
     /// When the worker leaves, if it is draining.
     pub(super) leaves_at: Option<Instant>,
     pub(super) health: Health,
+    /// The room that is kept for a step.
+    pub(super) hold: Option<Hold>,
     /// What the services leave to best-effort tasks; `None` after a change.
     headroom: Option<Headroom>,
     pub(super) orders: Orders,
@@ -115,6 +117,7 @@
             last_report: now,
             leaves_at: None,
             health: Health::default(),
+            hold: None,
             headroom: None,
             orders: Orders::default(),
             pending_starts: Vec::new(),
