Act on an expired lease although the leader stays behind

Cause: each delay of the leader of 250 ms or more moves the time before which no lease counts as expired, so a leader that is behind all the time never gives up a worker without a session.

Change: an expired lease is acted on after 5 s at the latest. An agent that hears nothing has closed its link by then, so its unread reports are gone.

Ruled out: that this starts a task twice; the lease has expired by the leader's count, which outlasts the worker's.

The new test failed before: not given up in 12.5 s.

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -11,6 +11,11 @@
     std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
+/// How long an expired lease is not acted on because the leader is behind. An
+/// agent that hears nothing closes its link after 1.6 s and opens another within
+/// 3 s, so its earlier reports are gone by then.
+const MAX_POSTPONEMENT: Millis = Millis(5000);
+
 /// The result of ordering a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StopOutcome {
@@ -218,12 +223,18 @@
     }
 
     /// Lists workers whose leases have expired and that still hold
-    /// reservations.
-    pub(super) fn expired_leases(&mut self, now: Instant) -> Vec<(Node, Expiry)> {
+    /// reservations. While the leader is behind, only those for which it has
+    /// waited for [`MAX_POSTPONEMENT`].
+    pub(super) fn expired_leases(&mut self, now: Instant, is_behind: bool) -> Vec<(Node, Expiry)> {
         let mut found = Vec::new();
         for (node, worker) in &mut self.workers {
             let has_expired = worker.lease_until.is_some_and(|until| now >= until);
             if worker.reservations.is_empty() || !has_expired {
+                worker.overdue_since = None;
+                continue;
+            }
+            let overdue_since = *worker.overdue_since.get_or_insert(now);
+            if is_behind && now < overdue_since + MAX_POSTPONEMENT {
                 continue;
             }
             if let Some(expiry) = worker.judge_expiry(now) {
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -146,7 +146,8 @@
     durability_changed: bool,
     last_placement: Instant,
     place_not_before: Instant,
-    /// Until when no lease counts as expired, because the process was behind.
+    /// Until when expired leases are not acted on, because the process was
+    /// behind.
     conclude_not_before: Instant,
     /// When the headroom of all workers was last invalidated.
     headroom_invalidated: Instant,
@@ -462,15 +463,14 @@
             self.fleet.invalidate_headroom();
         }
         self.fleet.send_weights(&self.model.changed_weights());
-        if self.now >= self.conclude_not_before {
-            for (node, expiry) in self.fleet.expired_leases(self.now) {
-                match expiry {
-                    Expiry::Certain => self.abandon(&node, actions),
-                    Expiry::Probed => actions.push(Action::Decided(Decision::Probed {
-                        silent: self.silence(&node),
-                        node,
-                    })),
-                }
+        let is_behind = self.now < self.conclude_not_before;
+        for (node, expiry) in self.fleet.expired_leases(self.now, is_behind) {
+            match expiry {
+                Expiry::Certain => self.abandon(&node, actions),
+                Expiry::Probed => actions.push(Action::Decided(Decision::Probed {
+                    silent: self.silence(&node),
+                    node,
+                })),
             }
         }
         for node in self.fleet.leaving() {
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -65,6 +65,8 @@
     /// When all runs on the worker have certainly ended unless the lease is
     /// renewed.
     pub(super) lease_until: Option<Instant>,
+    /// When the lease was first seen to have expired.
+    pub(super) overdue_since: Option<Instant>,
     pub(super) last_report: Instant,
     /// When the worker leaves, if it is draining.
     pub(super) leaves_at: Option<Instant>,
@@ -114,6 +116,7 @@
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
             lease_until: None,
+            overdue_since: None,
             last_report: now,
             leaves_at: None,
             health: Health::default(),
--- a/crates/workload/tests/lease_evidence.rs
+++ b/crates/workload/tests/lease_evidence.rs
@@ -127,3 +127,24 @@
         assert!(harness.all_starts().is_empty(), "after a pause of {pause}");
     }
 }
+
+/// Guards against tasks that are never restarted, because a leader that is
+/// behind all the time keeps putting off what it concludes.
+#[test]
+fn leader_that_is_always_behind_gives_a_lost_worker_up_after_a_while() {
+    let (mut harness, _) = one_running_task();
+    harness.step(Event::Closed(Link(0)));
+
+    for _ in 0..25 {
+        harness.step(Event::Delayed(Millis(400)));
+        harness.pass(Millis(500), &[OTHER]);
+    }
+    harness.commit();
+
+    assert_eq!(
+        abandoned(&harness),
+        1,
+        "after 12.5 s, the lease of 6.3 s over"
+    );
+    assert_eq!(harness.starts(OTHER).len(), 1);
+}
