Remove ended jobs while batches are full

What callers would see: nothing at first; the store fills, and each new leader loads what should be gone.

Change: a batch keeps room for one removal, and the oldest goes first.

The new test failed before: not removed in 20 batches.

--- a/crates/workload/src/planner/persist.rs
+++ b/crates/workload/src/planner/persist.rs
@@ -50,7 +50,7 @@
     order: VecDeque<Job>,
     urgent: bool,
     dirty_since: Option<Instant>,
-    removed: BTreeSet<Job>,
+    removed: VecDeque<Job>,
     in_flight: Option<InFlight>,
     number: u64,
 }
@@ -79,7 +79,7 @@
     pub(super) fn remove_job(&mut self, now: Instant, job: Job) {
         self.dirty_since.get_or_insert(now);
         self.dirty.remove(&job);
-        self.removed.insert(job);
+        self.removed.push_back(job);
     }
 
     /// Starts the next batch if one is due and none is being written.
@@ -95,7 +95,12 @@
         }
         let mut writes = Vec::new();
         let mut jobs = Vec::new();
-        while writes.len() < BATCH_LIMIT {
+        let reserved = if self.removed.is_empty() {
+            0
+        } else {
+            KEYS_PER_REMOVAL
+        };
+        while writes.len() < BATCH_LIMIT - reserved {
             let Some(id) = self.order.pop_front() else {
                 break;
             };
@@ -109,7 +114,7 @@
         }
         let mut remaining = BATCH_LIMIT - writes.len();
         while remaining >= KEYS_PER_REMOVAL {
-            let Some(id) = self.removed.pop_first() else {
+            let Some(id) = self.removed.pop_front() else {
                 break;
             };
             writes.push(Write::Remove(id));
--- a/crates/workload/tests/durability.rs
+++ b/crates/workload/tests/durability.rs
@@ -4,7 +4,12 @@
 
 use {
     filbertbend_state::unit::Millis,
-    filbertbend_workload::{id::Job, message::Start, planner::Event, worker::Exit},
+    filbertbend_workload::{
+        id::Job,
+        message::Start,
+        planner::{Event, Write},
+        worker::Exit,
+    },
     std::collections::BTreeMap,
     support::{job, service, step, Harness},
 };
@@ -38,10 +43,8 @@
     }
 }
 
-/// Guards against a task that does not start because the progress of its job is
-/// never written: jobs with lower identifiers keep changing.
-#[test]
-fn job_with_a_high_identifier_is_written_while_others_keep_changing() {
+/// Returns workers on which [`BUSY_JOBS`] keep changing.
+fn busy_workers() -> (Harness, Churn) {
     let mut harness = Harness::with_workers(WORKERS);
     for id in 1..=BUSY_JOBS {
         harness.step(Event::Submitted(Job(id), job(vec![step(1)])));
@@ -50,6 +53,14 @@
     let mut churn = Churn::default();
     churn.turn_over(&mut harness);
     assert_eq!(churn.running.len(), BUSY_JOBS as usize);
+    (harness, churn)
+}
+
+/// Guards against a task that does not start because the progress of its job is
+/// never written: jobs with lower identifiers keep changing.
+#[test]
+fn job_with_a_high_identifier_is_written_while_others_keep_changing() {
+    let (mut harness, mut churn) = busy_workers();
     churn.turn_over(&mut harness);
     harness.step(Event::Submitted(Job(WAITING), job(vec![step(1)])));
 
@@ -72,6 +83,33 @@
     assert!(batches <= MAX_BATCHES, "started after {batches} batches");
 }
 
+/// Guards against a store that fills with jobs that ended long ago, because they
+/// are removed only while few others change.
+#[test]
+fn ended_job_is_removed_while_others_keep_changing() {
+    let (mut harness, mut churn) = busy_workers();
+    harness.submit(WAITING, job(vec![step(1)]));
+    harness.step(Event::Cancelled(Job(WAITING)));
+    harness.commit();
+    let workers: Vec<u64> = (0..WORKERS).collect();
+    harness.pass(support::settings().job_retention, &workers);
+
+    let mut batches = 0;
+    let mut removed = false;
+    while !removed && batches < 20 {
+        churn.turn_over(&mut harness);
+        if let Some(batch) = harness.batches.pop() {
+            harness.step(Event::Persisted(batch.number));
+            batches += 1;
+            removed = batch.writes.contains(&Write::Remove(Job(WAITING)));
+        }
+        churn.running.extend(harness.all_starts());
+    }
+
+    assert!(removed, "not removed after {batches} batches");
+    assert!(batches <= MAX_BATCHES, "removed after {batches} batches");
+}
+
 /// Guards against a task that is never placed again after its start was
 /// withdrawn, because its step is not listed as startable.
 #[test]
