Stop a gang as a whole when one of its starts is withdrawn or refused

Members of a gang waited for another that never came, held their room for gang_ms and ended 'alone', which the platform's rules forbid without a disruption. The start of one member was withdrawn, by preemption or because its worker drains, or its worker refused it; the starts of the others were sent, or went on, nevertheless. A gang can only begin again once all members have ended, so nothing is gained by waiting.

A run that has no reservation on the worker, such as a member that was withdrawn with another, is not stopped.

Failed before: gang_is_withdrawn_as_a_whole (starts of jobs [2, 1] instead of [2]) and gang_is_stopped_when_a_member_is_refused (no stop). Failed without the last change: withdrawn_members_of_a_gang_are_not_stopped_as_well. The fixtures that the new file shares with placement.rs move to the support module unchanged.

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -21,7 +21,7 @@
 pub(super) enum StopOutcome {
     /// The stop will be sent to the agent.
     Ordered,
-    /// The stop is already pending, or there is no such worker.
+    /// The stop is already pending, or there is no such run or worker.
     Repeated,
     /// The start was not sent yet and has been withdrawn.
     NeverOrdered,
@@ -196,7 +196,8 @@
         let Some(worker) = self.get_mut(node) else {
             return StopOutcome::Repeated;
         };
-        if worker.orders.stops.contains(&(task, run)) {
+        let is_unknown = !worker.reservations.contains_key(&(task, run));
+        if is_unknown || worker.orders.stops.contains(&(task, run)) {
             return StopOutcome::Repeated;
         }
         let withdrawn = worker
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -6,6 +6,7 @@
 //! - `place` selects workers for tasks.
 //! - `preempt` makes room for urgent tasks, and `hold` keeps it for tasks that
 //!   need much.
+//! - `stop` stops runs and withdraws starts.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
@@ -34,6 +35,7 @@
 mod registry;
 mod report;
 mod settings;
+mod stop;
 mod worker;
 
 use {
@@ -49,7 +51,7 @@
         time::{Instant, Wall},
         unit::Millis,
     },
-    fleet::{Fleet, StopOutcome},
+    fleet::Fleet,
     registry::Registry,
     std::{cell::Cell, collections::BTreeSet, sync::Arc},
     worker::Expiry,
@@ -389,32 +391,6 @@
         self.refresh(id, actions);
     }
 
-    /// Orders a run to stop, or withdraws its start if that has not been sent.
-    fn stop(
-        &mut self,
-        task: Task,
-        run: Run,
-        node: &Node,
-        reason: Reason,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.fleet.stop(node, task, run) {
-            StopOutcome::Repeated => return,
-            StopOutcome::Ordered => {
-                if let Some(execution) = self.registry.execution_mut(task, run) {
-                    execution.stopping = true;
-                }
-            }
-            StopOutcome::NeverOrdered => self.remove_execution(task, run, actions),
-        }
-        actions.push(Action::Decided(Decision::Stopped {
-            task,
-            run,
-            node: node.clone(),
-            reason,
-        }));
-    }
-
     /// Removes a run that has certainly ended, so that its task may be placed
     /// again. This is persisted; otherwise a later leader would wait until the
     /// last lease that the worker can hold has expired.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -179,6 +179,7 @@
             reason: Reason::Refused,
             silent: Millis::ZERO,
         }));
+        self.stop_gang(task, run, actions);
     }
 
     fn count_worker_failure(&mut self, node: &Node) {
--- /dev/null
+++ b/crates/workload/tests/capacity.rs
@@ -0,0 +1,111 @@
+//! The planner: starts that are withdrawn before they are sent, and workers
+//! whose room changes.
+
+mod support;
+
+use {
+    filbertbend_workload::{
+        id::Job,
+        job,
+        message::{Outcome, Report, Start, StartStatus},
+        planner::Event,
+        worker::Exit,
+    },
+    std::sync::Arc,
+    support::{job, room, single, step, two_queues, Harness, LESS_URGENT, QUEUE},
+};
+
+/// Lists the jobs that the starts belong to.
+fn jobs(starts: &[Start]) -> Vec<u64> {
+    starts.iter().map(|start| start.task.job.0).collect()
+}
+
+/// Guards against a task that is never placed again: its start was withdrawn in
+/// favour of a more urgent task.
+#[test]
+fn preempted_start_is_placed_again() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    harness.step(Event::Submitted(Job(1), single(LESS_URGENT, room(8, 8))));
+    harness.place();
+
+    harness.step(Event::Submitted(Job(2), single(QUEUE, room(8, 8))));
+    harness.commit();
+    harness.commit();
+    let urgent = harness.starts(0);
+    assert_eq!(jobs(&urgent), [2]);
+    harness.end(0, 1, &urgent[0], Exit::Done);
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [1]);
+}
+
+/// Creates a job of a gang of two tasks that do not fit on one worker.
+fn pair(queue: &str) -> Arc<job::Job> {
+    let mut gang = step(2);
+    gang.mode.gang = true;
+    gang.room = room(5, 1);
+    let mut submitted = (*job(vec![gang])).clone();
+    submitted.queue = queue.into();
+    Arc::new(submitted)
+}
+
+/// Guards against members of a gang that wait for another whose start was
+/// withdrawn, and end without having worked.
+#[test]
+fn gang_is_withdrawn_as_a_whole() {
+    let mut harness = Harness::with_workers(2);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    harness.step(Event::Submitted(Job(1), pair(LESS_URGENT)));
+    harness.place();
+
+    harness.step(Event::Submitted(Job(2), single(QUEUE, room(8, 1))));
+    harness.commit();
+    harness.commit();
+
+    let started = harness.all_starts();
+    let started: Vec<u64> = started.iter().map(|(_, start)| start.task.job.0).collect();
+    assert_eq!(started, [2]);
+}
+
+/// Guards against stops of runs that were never ordered: a withdrawn gang had
+/// several members on the worker.
+#[test]
+fn withdrawn_members_of_a_gang_are_not_stopped_as_well() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    let mut gang = (*pair(LESS_URGENT)).clone();
+    gang.steps[0].room = room(3, 1);
+    harness.step(Event::Submitted(Job(1), Arc::new(gang)));
+    harness.place();
+
+    harness.step(Event::Submitted(Job(2), single(QUEUE, room(8, 1))));
+    harness.commit();
+
+    assert_eq!(harness.stops(0), []);
+}
+
+/// Guards against members of a gang that wait for another that its worker has
+/// refused, and end without having worked.
+#[test]
+fn gang_is_stopped_when_a_member_is_refused() {
+    let mut harness = Harness::with_workers(2);
+    harness.submit(1, pair(QUEUE));
+    let started = harness.all_starts();
+    assert_eq!(started.len(), 2);
+    let (first, second) = (&started[0], &started[1]);
+    harness.started(first.0, &first.1);
+
+    let refused = Outcome {
+        task: second.1.task,
+        run: second.1.run,
+        status: StartStatus::NoRoom,
+    };
+    let report = Report {
+        outcomes: vec![refused],
+        ..Report::default()
+    };
+    harness.report(second.0, report);
+
+    assert_eq!(harness.stops(first.0), [(first.1.task, first.1.run)]);
+}
--- a/crates/workload/tests/placement.rs
+++ b/crates/workload/tests/placement.rs
@@ -9,7 +9,6 @@
         unit::{Accelerators, Bytes, Cores, Millis},
     },
     filbertbend_workload::{
-        catalog::Catalog,
         id::{Job, Node},
         interference::Reading,
         job,
@@ -18,7 +17,9 @@
         worker::Exit,
     },
     std::{collections::BTreeMap, sync::Arc},
-    support::{catalog, end, job, node, room, service, step, task, Harness, QUEUE},
+    support::{
+        end, job, node, room, service, single, step, task, two_queues, Harness, LESS_URGENT, QUEUE,
+    },
 };
 
 const WORKERS: u64 = 60;
@@ -27,7 +28,6 @@
 /// How often a pass may examine each worker for each image.
 const EXAMINATION_LIMIT: u64 = 2;
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
-const LESS_URGENT: &str = "batches";
 const SMALL_FLEET: u64 = 6;
 const ROUNDS: usize = 30;
 
@@ -180,17 +180,6 @@
     }
 }
 
-/// Creates the catalog of an urgent and a less urgent queue.
-fn two_queues() -> Catalog {
-    let mut two = catalog(0, 2);
-    two.version = 2;
-    let mut less_urgent = two.queues[QUEUE].clone();
-    less_urgent.name = LESS_URGENT.into();
-    less_urgent.priority = 1;
-    two.queues.insert(less_urgent.name.clone(), less_urgent);
-    two
-}
-
 fn worker_of(found: &Node) -> usize {
     (0..WORKERS)
         .position(|number| node(number) == *found)
@@ -274,15 +263,6 @@
     }
 }
 
-/// Creates a job of one task.
-fn single(queue: &str, room: Room) -> Arc<job::Job> {
-    let mut one = step(1);
-    one.room = room;
-    let mut submitted = (*job(vec![one])).clone();
-    submitted.queue = queue.into();
-    Arc::new(submitted)
-}
-
 /// Guards against a step that waits although a preempted start was withdrawn,
 /// which frees its room within the pass.
 #[test]
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -24,6 +24,8 @@
 
 pub(crate) const QUEUE: &str = "checks";
 pub(crate) const POOL: &str = "pool";
+/// The queue of [`two_queues`] with the lower priority.
+pub(crate) const LESS_URGENT: &str = "batches";
 
 pub(crate) fn settings() -> Settings {
     Settings {
@@ -51,6 +53,17 @@
     }
 }
 
+/// Creates the catalog of an urgent and a less urgent queue.
+pub(crate) fn two_queues() -> Catalog {
+    let mut two = catalog(0, 2);
+    two.version = 2;
+    let mut less_urgent = two.queues[QUEUE].clone();
+    less_urgent.name = LESS_URGENT.into();
+    less_urgent.priority = 1;
+    two.queues.insert(less_urgent.name.clone(), less_urgent);
+    two
+}
+
 pub(crate) fn room(cores: u64, gib: u64) -> Room {
     Room {
         cores: Cores(cores * 1000),
@@ -92,6 +105,15 @@
     })
 }
 
+/// Creates a job of one task.
+pub(crate) fn single(queue: &str, room: Room) -> Arc<job::Job> {
+    let mut one = step(1);
+    one.room = room;
+    let mut submitted = (*job(vec![one])).clone();
+    submitted.queue = queue.into();
+    Arc::new(submitted)
+}
+
 pub(crate) fn incarnation(node: u64) -> Incarnation {
     Incarnation {
         worker: format!("w-{node}").into(),
@@ -216,6 +238,12 @@
         self.report(number, report);
     }
 
+    /// Runs a placement pass whose decisions are not durable yet.
+    pub(crate) fn place(&mut self) {
+        self.now = self.now + Millis(20);
+        self.step(Event::Tick);
+    }
+
     /// Runs a placement pass and makes every batch durable, including those
     /// that follow.
     pub(crate) fn commit(&mut self) -> Vec<Batch> {
