Withdraw unsent starts that a worker no longer has room for

A profile with less room now withdraws the latest of the unsent starts until the rest fits together with everything that runs or is being stopped; the tasks are placed again. Runs are left alone: the rule is about starts, and stopping them would cost work and the availability of services.

starts_waiting_for_the_store_are_withdrawn_when_the_worker_shrinks failed before: four starts of two cores each went to a worker of five.

--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -147,6 +147,8 @@
     LeasePassed,
     /// The worker refused the start.
     Refused,
+    /// The worker's room has shrunk, so that the start no longer fits.
+    WorkerShrunk,
     /// Another member of the gang was withdrawn or refused.
     GangIncomplete,
     /// The worker's inventory does not contain the run.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -111,6 +111,7 @@
             (false, _) => None,
         };
         worker.profile = Some(profile);
+        self.withdraw_excess(node, actions);
         self.evacuate(node, actions);
     }
 
--- a/crates/workload/src/planner/stop.rs
+++ b/crates/workload/src/planner/stop.rs
@@ -1,7 +1,7 @@
 //! Stops of runs, and withdrawal of starts that have not been sent.
 
 use {
-    super::{fleet::StopOutcome, Action, Decision, Planner, Reason},
+    super::{fleet::StopOutcome, worker::Worker, Action, Decision, Planner, Reason},
     crate::id::{Node, Run, Task},
 };
 
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Withdraws the starts that have not been sent and no longer fit on a
+    /// worker, which may have shrunk. What already runs is left alone.
+    pub(super) fn withdraw_excess(&mut self, node: &Node, actions: &mut Vec<Action>) {
+        let excess = self.fleet.get(node).map(Worker::excess_starts);
+        for (task, run) in excess.unwrap_or_default() {
+            self.stop(task, run, node, Reason::WorkerShrunk, actions);
+        }
+    }
+
     fn stop_run(
         &mut self,
         task: Task,
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -258,6 +258,25 @@
         true
     }
 
+    /// Lists the latest starts that have not been sent, as far as the room does
+    /// not hold them together with all other runs.
+    pub(super) fn excess_starts(&self) -> Vec<(Task, Run)> {
+        let whole = self.profile.as_ref().map(|profile| profile.room);
+        let mut used = self.used;
+        let mut found = Vec::new();
+        for (start, _) in self.pending_starts.iter().rev() {
+            if whole.is_some_and(|whole| whole.fits(&used)) {
+                break;
+            }
+            let key = (start.task, start.run);
+            if let Some(reservation) = self.reservations.get(&key) {
+                used -= reservation.room;
+            }
+            found.push(key);
+        }
+        found
+    }
+
     /// Records the number of an end; returns whether it is new in this session.
     pub(super) fn record_end(&mut self, sequence: Sequence) -> bool {
         let new = sequence > self.last_end;
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -109,3 +109,22 @@
 
     assert_eq!(harness.stops(first.0), [(first.1.task, first.1.run)]);
 }
+
+/// Guards against starts that exceed the room of a worker: they were placed
+/// before it shrank, and sent once the store had answered.
+#[test]
+fn starts_waiting_for_the_store_are_withdrawn_when_the_worker_shrinks() {
+    let mut harness = Harness::with_workers(1);
+    for id in 1..=4 {
+        harness.step(Event::Submitted(Job(id), single(QUEUE, room(2, 2))));
+    }
+    harness.place();
+
+    harness.resize(0, room(5, 32));
+    harness.commit();
+    assert_eq!(jobs(&harness.starts(0)), [1, 2]);
+    harness.resize(0, room(8, 32));
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [3, 4]);
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -297,6 +297,18 @@
         self.report(number, report);
     }
 
+    /// Reports that the total resources of a worker have changed.
+    pub(crate) fn resize(&mut self, number: u64, room: Room) {
+        let report = Report {
+            profile: Some(Profile {
+                room,
+                ..profile(number)
+            }),
+            ..Report::default()
+        };
+        self.report(number, report);
+    }
+
     /// Reports the interference weights that a worker's agent has learned.
     pub(crate) fn weights(&mut self, number: u64, weights: Vec<Weight>) {
         let report = Report {
