Preempt only what makes an urgent task fit on a shrunken worker

A less urgent task was stopped for nothing, or too few were stopped at first, on a worker that had shrunk below what runs there. Free room saturates at zero, so the room of the victims counted in full although part of it was owed to what already exceeded the worker. Victims are now counted off the used room, and the rest must fit together with the urgent task.

Failed before: nothing_is_preempted_where_the_urgent_task_would_not_fit_ afterwards (one stop instead of none) and preemption_on_a_shrunken_worker_frees_ enough_at_once (one stop instead of three).

--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -69,12 +69,12 @@
         if !reclaimable(worker, priority).fits(&need) {
             return None;
         }
-        let mut free = worker.free();
+        let mut used = worker.used;
         let mut victims = Vec::new();
         let mut candidates: Vec<_> = preemptible(worker, priority).collect();
         candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
         for ((task, run), reservation) in candidates {
-            if free.fits(&need) {
+            if worker.fits_beside(used, need) {
                 break;
             }
             let entry = self
@@ -87,12 +87,12 @@
                     .iter()
                     .any(|execution| execution.run == *run && execution.stopping)
             });
-            free += reservation.room;
+            used -= reservation.room;
             if !stopping {
                 victims.push((*task, *run));
             }
         }
-        free.fits(&need).then_some(victims)
+        worker.fits_beside(used, need).then_some(victims)
     }
 }
 
@@ -108,7 +108,9 @@
 
 /// Returns the resources that are free once everything less urgent has ended.
 fn reclaimable(worker: &Worker, priority: u8) -> Room {
-    preemptible(worker, priority).fold(worker.free(), |room, (_, reservation)| {
-        room + reservation.room
-    })
+    let whole = worker.profile.as_ref().map(|profile| profile.room);
+    let remaining = preemptible(worker, priority).fold(worker.used, |used, (_, reservation)| {
+        used - reservation.room
+    });
+    whole.unwrap_or(Room::NONE) - remaining
 }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -241,6 +241,13 @@
             .map_or(Room::NONE, |profile| profile.room - self.used)
     }
 
+    /// Returns whether a task fits beside runs that use `used` together.
+    pub(super) fn fits_beside(&self, used: Room, need: Room) -> bool {
+        self.profile
+            .as_ref()
+            .is_some_and(|profile| profile.room.fits(&(used + need)))
+    }
+
     pub(super) fn reserve(&mut self, task: Task, run: Run, reservation: Reservation) {
         self.headroom = None;
         self.used += reservation.room;
@@ -261,11 +268,10 @@
     /// Lists the latest starts that have not been sent, as far as the room does
     /// not hold them together with all other runs.
     pub(super) fn excess_starts(&self) -> Vec<(Task, Run)> {
-        let whole = self.profile.as_ref().map(|profile| profile.room);
         let mut used = self.used;
         let mut found = Vec::new();
         for (start, _) in self.pending_starts.iter().rev() {
-            if whole.is_some_and(|whole| whole.fits(&used)) {
+            if self.fits_beside(used, Room::NONE) {
                 break;
             }
             let key = (start.task, start.run);
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use {
+    filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::Job,
         job,
@@ -128,3 +129,38 @@
 
     assert_eq!(jobs(&harness.starts(0)), [3, 4]);
 }
+
+/// Guards against preemption that frees nothing for the urgent task: the worker
+/// has shrunk, and what is left running exceeds its room.
+#[test]
+fn nothing_is_preempted_where_the_urgent_task_would_not_fit_afterwards() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    harness.submit(1, single(QUEUE, room(4, 4)));
+    harness.submit(2, single(LESS_URGENT, room(4, 4)));
+    assert_eq!(jobs(&harness.starts(0)), [1, 2]);
+
+    harness.resize(0, room(4, 32));
+    harness.submit(3, single(QUEUE, room(4, 4)));
+    harness.pass(Millis(1000), &[0]);
+
+    assert_eq!(harness.stops(0), []);
+}
+
+/// Guards against preemption that stops too little on a worker that has shrunk
+/// below what runs, so that the urgent task waits for a second stop.
+#[test]
+fn preemption_on_a_shrunken_worker_frees_enough_at_once() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    for id in 1..=4 {
+        harness.submit(id, single(LESS_URGENT, room(2, 4)));
+    }
+    let started = harness.starts(0);
+    assert_eq!(started.len(), 4);
+
+    harness.resize(0, room(4, 32));
+    harness.submit(5, single(QUEUE, room(2, 4)));
+
+    assert_eq!(harness.stops(0).len(), 3);
+}
