Start nothing on a worker that runs more than it has room for

A worker that had shrunk below what runs there still got tasks that need none of the exceeded resource, and best-effort tasks, whose cores are not reserved: the unreserved room saturates at zero, and zero fits into zero. Each such start leaves the worker over its capacity. A task now has to fit together with all runs. A worker that grows is used in the next pass, which a second test shows and which held before.

worker_that_exceeds_its_room_gets_no_tasks failed before: a task without cores was started on a worker of two cores that ran four.

--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -426,7 +426,7 @@
     fn score(&self, requirements: &Requirements<'_>, node: &Node, worker: &Worker) -> Option<f64> {
         let profile = worker.profile.as_ref()?;
         let free = worker.free();
-        if !free.fits(&requirements.step.reserved())
+        if !worker.fits(requirements.step.reserved())
             || !self.is_feasible(requirements, node, worker)
         {
             return None;
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -241,6 +241,12 @@
             .map_or(Room::NONE, |profile| profile.room - self.used)
     }
 
+    /// Returns whether a task fits beside all runs. A worker that has shrunk
+    /// below what runs gets nothing, whatever the task needs.
+    pub(super) fn fits(&self, need: Room) -> bool {
+        self.fits_beside(self.used, need)
+    }
+
     /// Returns whether a task fits beside runs that use `used` together.
     pub(super) fn fits_beside(&self, used: Room, need: Room) -> bool {
         self.profile
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -164,3 +164,43 @@
 
     assert_eq!(harness.stops(0).len(), 3);
 }
+
+/// Guards against starts on a worker that runs more than it has room for since
+/// it has shrunk: they need none of what is exceeded.
+#[test]
+fn worker_that_exceeds_its_room_gets_no_tasks() {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, single(QUEUE, room(4, 4)));
+    let first = harness.starts(0);
+    let mut best_effort = step(1);
+    best_effort.mode.best_effort = true;
+
+    harness.resize(0, room(2, 32));
+    harness.submit(2, job(vec![best_effort]));
+    harness.submit(3, single(QUEUE, room(0, 1)));
+    harness.pass(Millis(2000), &[0]);
+    harness.commit();
+    assert_eq!(jobs(&harness.starts(0)), []);
+    harness.end(0, 1, &first[0], Exit::Done);
+    harness.pass(Millis(200), &[0]);
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)).len(), 2);
+}
+
+/// Guards against waiting tasks that miss the room of a worker that has grown.
+#[test]
+fn room_that_has_grown_is_used_in_the_next_pass() {
+    let mut harness = Harness::with_workers(1);
+    harness.resize(0, room(0, 0));
+    harness.submit(1, single(QUEUE, room(8, 8)));
+    harness.submit(2, single(QUEUE, room(4, 4)));
+    assert_eq!(jobs(&harness.starts(0)), []);
+    let passes = harness.planner.passes();
+
+    harness.resize(0, room(8, 32));
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [1]);
+    assert_eq!(harness.planner.passes(), passes + 1);
+}
