Reserve a worker for a run of an unknown job also when it grows

A run that a former leader started and whose job is unknown reserves the whole worker until it ends, because its size is unknown. The room was fixed when the run was adopted: a worker that had shrunk before and grew again got tasks beside it, perhaps more than it has room for. The reservation now follows the profile, and the headroom for best-effort tasks, which is a part of the cores, is computed again as well.

worker_with_an_unknown_run_that_grows_gets_no_tasks failed before: a task was started beside the run.

--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -110,7 +110,7 @@
             (true, remaining) => Some(self.now + Millis(remaining.unwrap_or(0))),
             (false, _) => None,
         };
-        worker.profile = Some(profile);
+        worker.set_profile(profile);
         self.withdraw_excess(node, actions);
         self.evacuate(node, actions);
     }
@@ -442,6 +442,7 @@
                 service: None,
                 image: Arc::default(),
                 priority: u8::MAX,
+                is_unknown: true,
             }
         });
         self.fleet.adopt(node, row.task, row.run, reservation);
@@ -494,6 +495,7 @@
             service: Role::of(step).service(task),
             image: step.image.clone().unwrap_or_default(),
             priority: policy(&self.catalog, &entry.job).priority,
+            is_unknown: false,
         })
     }
 
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -30,6 +30,9 @@
     pub(super) service: Option<Service>,
     pub(super) image: Arc<str>,
     pub(super) priority: u8,
+    /// Whether the job of the run is unknown, so that the whole worker is
+    /// reserved.
+    pub(super) is_unknown: bool,
 }
 
 /// The recent failures on a worker.
@@ -145,6 +148,20 @@
         self.link.replace(link)
     }
 
+    /// Replaces the profile. Runs of unknown size go on reserving the whole
+    /// worker.
+    pub(super) fn set_profile(&mut self, profile: Profile) {
+        self.headroom = None;
+        for reservation in self.reservations.values_mut() {
+            if reservation.is_unknown {
+                self.used -= reservation.room;
+                reservation.room = profile.room;
+                self.used += reservation.room;
+            }
+        }
+        self.profile = Some(profile);
+    }
+
     /// Frees all resources and returns the runs that held them.
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -6,14 +6,17 @@
 use {
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
-        id::Job,
+        id::{Job, Link, Run},
         job,
-        message::{Outcome, Report, Start, StartStatus},
+        message::{Inventory, Outcome, Report, Start, StartStatus},
         planner::Event,
-        worker::Exit,
+        worker::{Exit, Profile},
     },
     std::sync::Arc,
-    support::{job, room, single, step, two_queues, Harness, LESS_URGENT, QUEUE},
+    support::{
+        end, incarnation, job, node, profile, room, running, single, step, task, two_queues,
+        Harness, LESS_URGENT, QUEUE,
+    },
 };
 
 /// Lists the jobs that the starts belong to.
@@ -204,3 +207,37 @@
     assert_eq!(jobs(&harness.starts(0)), [1]);
     assert_eq!(harness.planner.passes(), passes + 1);
 }
+
+/// Guards against starts beside a run of unknown size, for which the room of the
+/// worker was reserved while it was small.
+#[test]
+fn worker_with_an_unknown_run_that_grows_gets_no_tasks() {
+    let mut harness = Harness::with_workers(1);
+    let unknown = task(9, 0, 0);
+    harness.step(Event::Opened(Link(0), node(0)));
+    let report = Report {
+        profile: Some(Profile {
+            room: room(2, 8),
+            ..profile(0)
+        }),
+        inventory: Some(Inventory {
+            incarnation: incarnation(0),
+            running: vec![running(unknown, Run(1))],
+        }),
+        renew: Some(1),
+        ..Report::default()
+    };
+    harness.report(0, report);
+
+    harness.resize(0, room(8, 32));
+    harness.submit(1, single(QUEUE, room(1, 1)));
+    assert_eq!(jobs(&harness.starts(0)), []);
+    let report = Report {
+        ends: vec![end(1, unknown, Run(1), Exit::Stopped)],
+        ..Report::default()
+    };
+    harness.report(0, report);
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [1]);
+}
