Order the stop of an unknown run once

A leader sent a stop of the same run with every placement pass, and the agent a call to the worker for each, while an urgent task waited for room beside a run whose job is unknown or whose task runs elsewhere. Such a run is stopped when it is found in the inventory, but no task remembers that, so preemption took it for one that goes on. It now counts as stopping, as in evacuations.

--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -77,16 +77,11 @@
             if worker.fits_beside(used, need) {
                 break;
             }
-            let entry = self
+            // A run that no task counts as its own was stopped when it was found.
+            let stopping = self
                 .registry
-                .get(task.job)
-                .and_then(|entry| entry.task(*task));
-            let stopping = entry.is_some_and(|entry| {
-                entry
-                    .executions
-                    .iter()
-                    .any(|execution| execution.run == *run && execution.stopping)
-            });
+                .execution(*task, *run)
+                .is_none_or(|execution| execution.stopping);
             used -= reservation.room;
             if !stopping {
                 victims.push((*task, *run));
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -457,6 +457,14 @@
         self.jobs.get_mut(&task.job)?.task_mut(task)
     }
 
+    pub(super) fn execution(&self, task: Task, run: Run) -> Option<&Execution> {
+        self.get(task.job)?
+            .task(task)?
+            .executions
+            .iter()
+            .find(|execution| execution.run == run)
+    }
+
     pub(super) fn execution_mut(&mut self, task: Task, run: Run) -> Option<&mut Execution> {
         self.task_mut(task)?
             .executions
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -241,3 +241,17 @@
 
     assert_eq!(jobs(&harness.starts(0)), [1]);
 }
+
+/// Guards against a stop that is sent with every placement pass, because the
+/// job of the run is unknown and an urgent task needs its room.
+#[test]
+fn unknown_run_is_stopped_once() {
+    let mut harness = Harness::with_workers(0);
+    harness.join(0, vec![running(task(9, 0, 0), Run(1))]);
+    assert_eq!(harness.stops(0).len(), 1);
+
+    harness.submit(1, single(QUEUE, room(8, 8)));
+    harness.pass(Millis(1000), &[0]);
+
+    assert_eq!(harness.stops(0), []);
+}
