Refuse a start that the worker's newest profile has no room for

A worker could be started on beyond its capacity (LIMIT) by a start that the leader had decided before the worker shrank: the agent sent on whatever arrived while the lease lasted. The agent now checks each start against the newest profile, counting listed runs, starts that were carried out but are not listed yet, orders without an outcome and stops in progress, and answers no_room, upon which the leader places the task again.

For this, the role of a task, which the leader sends with a start or after an inventory, contains the room that the task reserves. Messages between processes change, stored records do not. Inputs of the driver are boxed because of the size of a start.

Failed before: start_is_refused_if_the_worker_has_shrunk_since_it_was_ordered and start_is_refused_beside_an_unknown_run, both with the start sent.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -49,7 +49,7 @@
 /// An input to the driver of the state machine.
 #[derive(Debug)]
 enum Input {
-    Event(Event),
+    Event(Box<Event>),
     LinkOpened(mpsc::Sender<Request>),
     LinkClosed,
 }
@@ -66,7 +66,7 @@
         // Fails only when the process ends.
         let _ = self
             .inbox
-            .send(Input::Event(Event::Heartbeat(profile)))
+            .send(Input::Event(Box::new(Event::Heartbeat(profile))))
             .await;
     }
 }
@@ -130,7 +130,7 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::Event(event) => self.step(event),
+            Input::Event(event) => self.step(*event),
             Input::LinkOpened(outbox) => {
                 self.outbox = Some(outbox);
                 self.step(Event::Connected);
@@ -188,7 +188,7 @@
             log_answer(&call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
             // Fails only when the process ends.
-            let _ = inbox.send(Input::Event(event)).await;
+            let _ = inbox.send(Input::Event(Box::new(event))).await;
         });
     }
 }
@@ -333,7 +333,7 @@
                 None => return Ok(None),
             };
             // Fails only when the process ends.
-            let _ = inbox.send(Input::Event(event)).await;
+            let _ = inbox.send(Input::Event(Box::new(event))).await;
         }
     };
     debug!("link to the leader opened", kv: { address:, node: });
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod report;
+mod room;
 
 use {
     crate::{
@@ -79,11 +80,14 @@
     Call(Call),
 }
 
-/// The state of an order whose outcome is not certain.
+/// The state of an order that the worker's list may not show yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Order {
     /// A start is in progress.
     Starting,
+    /// A start was carried out at this time; a list that was requested earlier
+    /// may lack it.
+    Started(Instant),
     /// A start failed without an answer at this time.
     Unanswered(Instant),
     /// A stop is in progress, or will be repeated at this time.
@@ -331,6 +335,9 @@
         if !leased || draining {
             return self.outcome(task, run, StartStatus::Withdrawn);
         }
+        if !self.has_room(&start) {
+            return self.outcome(task, run, StartStatus::NoRoom);
+        }
         self.issued.insert((task, run), Order::Starting);
         self.roles.insert((task, run), start.role.clone());
         actions.push(Action::Call(Call::Start {
@@ -439,9 +446,11 @@
             Answer::Refused(Refusal::Invalid) => StartStatus::Invalid,
             Answer::Refused(_) => StartStatus::Withdrawn,
         };
-        self.issued.remove(&(task, run));
         if status == StartStatus::Started {
+            self.issued.insert((task, run), Order::Started(now));
             self.throttle.started(task, run);
+        } else {
+            self.issued.remove(&(task, run));
         }
         self.outcome(task, run, status);
     }
@@ -503,6 +512,9 @@
             .collect();
         for (key, order) in issued {
             match order {
+                Order::Started(at) if sent >= at => {
+                    self.issued.remove(&key);
+                }
                 Order::Unanswered(at) if sent >= at => {
                     if listed(&key) {
                         self.issued.remove(&key);
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -8,7 +8,10 @@
         record::State,
         worker::{End, Profile, Running},
     },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_state::{
+        room::Room,
+        unit::{Cores, Millis},
+    },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
 };
@@ -191,7 +194,8 @@
     pub role: Role,
 }
 
-/// The role of a task in the interference between tasks on a worker.
+/// What an agent knows about a task beyond its instructions: its part in the
+/// interference between tasks on a worker, and its size.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Role {
     /// The image that the task runs.
@@ -202,6 +206,8 @@
     pub best_effort: bool,
     /// The cores that the task requires.
     pub cores: Cores,
+    /// The resources that the task reserves.
+    pub room: Room,
 }
 
 impl Role {
@@ -221,6 +227,7 @@
             latency_target: step.latency_target,
             best_effort: step.mode.best_effort,
             cores: step.room.cores,
+            room: step.reserved(),
         }
     }
 }
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -1,7 +1,11 @@
 //! The agent beside a worker: sessions, leases, and orders without an answer.
 
 use {
-    filbertbend_state::{room::Room, time::Instant, unit::Millis},
+    filbertbend_state::{
+        room::Room,
+        time::Instant,
+        unit::{Cores, Millis},
+    },
     filbertbend_workload::{
         agent::{Action, Agent, Answer, Call, Event, Refusal, Snapshot},
         id::{Epoch, Fence, Incarnation, Job, Run, Task},
@@ -137,13 +141,17 @@
     }
 
     fn order(&mut self) -> Call {
+        self.order_start(start()).expect("the start is sent")
+    }
+
+    /// Orders a start and returns the call to the worker, if there is one.
+    fn order_start(&mut self, start: Start) -> Option<Call> {
         let orders = Orders {
-            starts: vec![start()],
+            starts: vec![start],
             ..Orders::default()
         };
         self.step(Event::Orders(orders));
         self.take(|call| matches!(call, Call::Start { .. }))
-            .expect("the start is sent")
     }
 
     fn take(&mut self, matches: impl Fn(&Call) -> bool) -> Option<Call> {
@@ -269,6 +277,72 @@
     assert!(harness.outcomes().is_empty());
 }
 
+/// Creates a start of a task of a step, which needs this many cores.
+fn start_of(index: u16, cores: u64) -> Start {
+    Start {
+        task: Task { index, ..task() },
+        role: Role {
+            room: cores_only(cores),
+            ..Role::default()
+        },
+        ..start()
+    }
+}
+
+fn cores_only(cores: u64) -> Room {
+    Room {
+        cores: Cores(cores * 1000),
+        ..Room::NONE
+    }
+}
+
+fn resized(cores: u64) -> Profile {
+    Profile {
+        room: cores_only(cores),
+        ..profile(1)
+    }
+}
+
+/// Guards against starts that exceed the room of a worker that has shrunk since
+/// the leader decided: what runs, is being stopped or may still start counts.
+#[test]
+fn start_is_refused_if_the_worker_has_shrunk_since_it_was_ordered() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(8)));
+    let first = harness.order_start(start_of(0, 2)).expect("it fits");
+    harness.answer(first, Answer::Done);
+    let second = harness.order_start(start_of(1, 2)).expect("it fits");
+    harness.answer(second, Answer::Lost);
+    harness.order_start(start_of(2, 2)).expect("it fits");
+    harness.step(Event::Orders(Orders {
+        stops: vec![(start_of(0, 2).task, Run(1))],
+        ..Orders::default()
+    }));
+    harness.outcomes();
+
+    harness.step(Event::Heartbeat(resized(7)));
+    let refused = harness.order_start(start_of(3, 2));
+
+    assert_eq!(refused, None);
+    assert_eq!(harness.outcomes()[0].status, StartStatus::NoRoom);
+    assert!(harness.order_start(start_of(4, 1)).is_some());
+}
+
+/// Guards against starts beside a run whose size is unknown.
+#[test]
+fn start_is_refused_beside_an_unknown_run() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(8)));
+    harness.pass(Millis(500));
+    harness.poll(snapshot(1, vec![row()]));
+
+    assert_eq!(harness.order_start(start_of(1, 1)), None);
+    harness.pass(Millis(500));
+    harness.poll(snapshot(1, Vec::new()));
+
+    assert!(harness.order_start(start_of(1, 1)).is_some());
+}
+
 /// Guards against a leader that takes a worker for lost while reports of its
 /// agent are on their way: the answer to a probe follows them.
 #[test]
