Decide about a start when it is sent, not when it arrives

A start that waited behind calls which the worker left unanswered was sent seconds later although the worker had shrunk, was draining or its lease had nearly expired meanwhile (LIMIT). The agent decided when the order arrived; after that the call waited in the driver for one of four permits, each of which an unanswered call holds for 700 ms.

The queue of orders moves from the driver into the agent's state machine, with the same limit of four at a time, and a start is checked when its turn comes. A stop withdraws a start that still waits, and the end of a session drops what waits, which the worker would refuse anyway.

Failed before, with the limit in the driver: start_that_waits_for_other_calls_ is_refused_once_the_worker_has_shrunk, start_that_waits_for_other_calls_is_ withdrawn_by_a_stop (all five calls made at once) and calls_of_an_earlier_ session_make_way_for_others (six).

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -25,9 +25,9 @@
     },
     metrics::counter,
     spdlog::prelude::*,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, time::Duration},
     tokio::{
-        sync::{mpsc, watch, Semaphore},
+        sync::{mpsc, watch},
         time::{interval, timeout, timeout_at, MissedTickBehavior},
     },
 };
@@ -42,9 +42,6 @@
 /// gone. It renews leases once a second, so it sends at least one message per
 /// second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Maximum number of concurrent orders to the worker. The call that extends the
-/// lease and lists the worker's tasks doesn't count towards it.
-const MAX_CONCURRENT_ORDERS: usize = 4;
 
 /// An input to the driver of the state machine.
 #[derive(Debug)]
@@ -96,7 +93,6 @@
         node,
         inbox,
         outbox: None,
-        order_permits: Rc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
     };
     tokio::task::spawn_local(driver.run(inputs, stop));
     handle
@@ -109,7 +105,6 @@
     node: Node,
     inbox: mpsc::Sender<Input>,
     outbox: Option<mpsc::Sender<Request>>,
-    order_permits: Rc<Semaphore>,
 }
 
 impl<W: Worker> Driver<W> {
@@ -175,16 +170,9 @@
         };
         let worker = self.worker.clone();
         let inbox = self.inbox.clone();
-        let order_permits = self.order_permits.clone();
         tokio::task::spawn_local(async move {
-            let permit = match &call {
-                Call::Poll { .. } => None,
-                // Never fails, because the semaphore is never closed.
-                _ => order_permits.acquire().await.ok(),
-            };
             let sent = clock::monotonic();
             let answer = worker.call(&profile, &call).await;
-            drop(permit);
             log_answer(&call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
             // Fails only when the process ends.
--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -52,6 +52,17 @@
     },
 }
 
+impl Call {
+    /// Returns whether the call is an order, of which only a few are made at a
+    /// time.
+    pub fn is_order(&self) -> bool {
+        matches!(
+            self,
+            Self::Start { .. } | Self::Stop { .. } | Self::Throttle { .. }
+        )
+    }
+}
+
 /// The result of a call to the worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -7,6 +7,7 @@
 //! effect later, so a snapshot must show it or a stop rule it out.
 
 mod call;
+mod queue;
 mod report;
 mod room;
 
@@ -14,7 +15,7 @@
     crate::{
         id::{Epoch, Fence, Run, Sequence, Task},
         leadership::LEASE_RENEW_INTERVAL,
-        message::{Orders, Outcome, Report, Role, Start, StartStatus},
+        message::{Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
     },
@@ -22,6 +23,7 @@
         time::Instant,
         unit::{Cores, Millis},
     },
+    queue::{Queue, Waiting},
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -126,6 +128,7 @@
     last_renewal: Option<Instant>,
     last_ping: Option<Instant>,
     issued: BTreeMap<(Task, Run), Order>,
+    queue: Queue,
     roles: BTreeMap<(Task, Run), Role>,
     checkpoints: BTreeMap<(Task, Run), Arc<str>>,
     running: Vec<Running>,
@@ -153,7 +156,7 @@
                 self.renew_session(actions);
             }
             Event::Welcome(_, fence, profile) => self.welcome(now, fence, profile),
-            Event::Orders(orders) => self.orders(now, orders, actions),
+            Event::Orders(orders) => self.orders(now, orders),
             Event::Disconnected => {
                 self.connected = false;
                 self.end_session();
@@ -165,7 +168,8 @@
         }
         self.renew(now, actions);
         self.poll(now, actions);
-        self.repeat_stops(now, actions);
+        self.repeat_stops(now);
+        self.send_orders(now, actions);
         if let Some(session) = self.session.as_ref().filter(|_| !self.report.is_empty()) {
             let mut report = std::mem::take(&mut self.report);
             report.fence = session.fence;
@@ -180,6 +184,7 @@
         self.last_renewal = None;
         self.last_ping = None;
         self.issued.clear();
+        self.queue.clear();
     }
 
     /// Ends the session and requests a new one if the leader is connected.
@@ -291,7 +296,7 @@
         }));
     }
 
-    fn orders(&mut self, now: Instant, orders: Orders, actions: &mut Vec<Action>) {
+    fn orders(&mut self, now: Instant, orders: Orders) {
         let Some(session) = &mut self.session else {
             return;
         };
@@ -316,51 +321,36 @@
             self.roles.insert((task, run), role);
         }
         for start in orders.starts {
-            self.start(now, start, actions);
+            self.queue.push(Waiting::Start(start));
         }
         for (task, run) in orders.stops {
-            self.stop(task, run, actions);
+            self.stop(task, run);
         }
     }
 
-    fn start(&mut self, now: Instant, start: Start, actions: &mut Vec<Action>) {
-        let (task, run) = (start.task, start.run);
-        let leased = self
-            .lease_until
-            .is_some_and(|until| until > now + LEASE_MARGIN);
-        let draining = self.profile.as_ref().is_none_or(|profile| profile.draining);
-        let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
-            return self.outcome(task, run, StartStatus::Withdrawn);
-        };
-        if !leased || draining {
-            return self.outcome(task, run, StartStatus::Withdrawn);
-        }
-        if !self.has_room(&start) {
-            return self.outcome(task, run, StartStatus::NoRoom);
-        }
-        self.issued.insert((task, run), Order::Starting);
-        self.roles.insert((task, run), start.role.clone());
-        actions.push(Action::Call(Call::Start {
-            fence: session.fence,
-            deadline,
-            start,
-        }));
+    /// Returns whether enough of the lease is left to send a start.
+    fn is_leased(&self, now: Instant) -> bool {
+        self.lease_until
+            .is_some_and(|until| until > now + LEASE_MARGIN)
     }
 
-    fn stop(&mut self, task: Task, run: Run, actions: &mut Vec<Action>) {
+    fn stop(&mut self, task: Task, run: Run) {
         let Some(session) = &self.session else {
             return;
         };
+        if self.queue.withdraw(task, run) {
+            return self.outcome(task, run, StartStatus::Withdrawn);
+        }
         self.issued
             .insert((task, run), Order::Stopping { again: None });
-        actions.push(Action::Call(Call::Stop {
+        self.queue.push(Waiting::Other(Call::Stop {
             fence: session.fence,
             task,
             run,
         }));
     }
 
-    fn repeat_stops(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    fn repeat_stops(&mut self, now: Instant) {
         let due: Vec<(Task, Run)> = self
             .issued
             .iter()
@@ -370,7 +360,7 @@
             .map(|(key, _)| *key)
             .collect();
         for (task, run) in due {
-            self.stop(task, run, actions);
+            self.stop(task, run);
         }
     }
 
@@ -386,6 +376,9 @@
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
+        if call.is_order() {
+            self.queue.answered();
+        }
         let fence = match &call {
             Call::Poll { fence, .. }
             | Call::Start { fence, .. }
@@ -491,9 +484,9 @@
         self.polled = Some(now);
         self.report_ends(&snapshot);
         self.report_inventory(&snapshot);
-        self.resolve(sent, &snapshot.running, actions);
+        self.resolve(sent, &snapshot.running);
         self.report_checkpoints(&snapshot.running);
-        self.apply_throttling(now, &snapshot.running, actions);
+        self.apply_throttling(now, &snapshot.running);
         self.running = snapshot.running;
     }
 
@@ -503,7 +496,7 @@
     }
 
     /// Resolves uncertain orders; only snapshots requested afterwards count.
-    fn resolve(&mut self, sent: Instant, running: &[Running], actions: &mut Vec<Action>) {
+    fn resolve(&mut self, sent: Instant, running: &[Running]) {
         let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
         let issued: Vec<((Task, Run), Order)> = self
             .issued
@@ -520,7 +513,7 @@
                         self.issued.remove(&key);
                         self.outcome(key.0, key.1, StartStatus::Started);
                     } else {
-                        self.stop(key.0, key.1, actions);
+                        self.stop(key.0, key.1);
                     }
                 }
                 Order::Stopped(at) if sent >= at && !listed(&key) => {
@@ -533,7 +526,7 @@
         }
     }
 
-    fn apply_throttling(&mut self, now: Instant, running: &[Running], actions: &mut Vec<Action>) {
+    fn apply_throttling(&mut self, now: Instant, running: &[Running]) {
         let Some(session) = &self.session else {
             return;
         };
@@ -542,7 +535,7 @@
             .as_ref()
             .map_or(Cores::ZERO, |profile| profile.room.cores);
         for change in self.throttle.update(now, whole, running, &self.roles) {
-            actions.push(Action::Call(Call::Throttle {
+            self.queue.push(Waiting::Other(Call::Throttle {
                 fence: session.fence,
                 change,
             }));
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -146,12 +146,18 @@
 
     /// Orders a start and returns the call to the worker, if there is one.
     fn order_start(&mut self, start: Start) -> Option<Call> {
+        self.order_starts([start]).pop()
+    }
+
+    /// Orders starts and returns the calls to the worker.
+    fn order_starts(&mut self, starts: impl IntoIterator<Item = Start>) -> Vec<Call> {
         let orders = Orders {
-            starts: vec![start],
+            starts: starts.into_iter().collect(),
             ..Orders::default()
         };
         self.step(Event::Orders(orders));
-        self.take(|call| matches!(call, Call::Start { .. }))
+        let is_start = |call: &mut Call| matches!(call, Call::Start { .. });
+        self.calls.extract_if(.., is_start).collect()
     }
 
     fn take(&mut self, matches: impl Fn(&Call) -> bool) -> Option<Call> {
@@ -328,6 +334,75 @@
     assert!(harness.order_start(start_of(4, 1)).is_some());
 }
 
+/// Guards against starts that exceed the room of a worker that has shrunk while
+/// they waited for calls that it leaves unanswered.
+#[test]
+fn start_that_waits_for_other_calls_is_refused_once_the_worker_has_shrunk() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(5)));
+    let sent = harness.order_starts((0..5).map(|index| start_of(index, 1)));
+    assert_eq!(sent.len(), 4);
+
+    harness.step(Event::Heartbeat(resized(4)));
+    harness.answer(sent[0].clone(), Answer::Lost);
+
+    assert_eq!(
+        harness.take(|call| matches!(call, Call::Start { .. })),
+        None
+    );
+    let refused = Outcome {
+        task: start_of(4, 1).task,
+        run: Run(1),
+        status: StartStatus::NoRoom,
+    };
+    assert_eq!(harness.outcomes(), [refused]);
+}
+
+/// Guards against a start that is sent although it was stopped while it waited.
+#[test]
+fn start_that_waits_for_other_calls_is_withdrawn_by_a_stop() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(5)));
+    let sent = harness.order_starts((0..5).map(|index| start_of(index, 1)));
+    let waiting = start_of(4, 1).task;
+
+    harness.step(Event::Orders(Orders {
+        stops: vec![(waiting, Run(1))],
+        ..Orders::default()
+    }));
+    assert_eq!(harness.outcomes()[0].status, StartStatus::Withdrawn);
+    harness.answer(sent[0].clone(), Answer::Done);
+
+    assert_eq!(
+        harness.take(|call| !matches!(call, Call::Poll { .. })),
+        None
+    );
+}
+
+/// Guards against an agent that sends nothing any more because calls of an
+/// earlier session were not counted as answered.
+#[test]
+fn calls_of_an_earlier_session_make_way_for_others() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(8)));
+    let sent = harness.order_starts((0..6).map(|index| start_of(index, 1)));
+    assert_eq!(sent.len(), 4);
+    harness.step(Event::Disconnected);
+    harness.step(Event::Connected);
+    harness.step(Event::Welcome(Epoch(1), Fence(8), None));
+    harness.calls.clear();
+
+    harness.step(Event::Orders(Orders {
+        stops: vec![(task(), Run(1))],
+        ..Orders::default()
+    }));
+    assert_eq!(harness.take(|call| matches!(call, Call::Stop { .. })), None);
+    harness.answer(sent[0].clone(), Answer::Lost);
+
+    let next = harness.take(|call| !matches!(call, Call::Poll { .. }));
+    assert!(matches!(next, Some(Call::Stop { .. })), "{next:?}");
+}
+
 /// Guards against starts beside a run whose size is unknown.
 #[test]
 fn start_is_refused_beside_an_unknown_run() {
