Use a worker only after a heartbeat to its present agent

A new agent gets the last profile that the leader knows, so that it can renew the lease before the first heartbeat, and reported it back as if the worker had said so; the leader also went on with the profile of the last session. How old either is, nobody knows.

An agent now reports a profile, and sends starts, only if a heartbeat of that incarnation has reached it, and the planner uses a worker only once a profile was reported in the session. A restarted agent's worker thus gets new tasks up to one heartbeat later; its lease is renewed as before.

Failed before: restarted_agent_reports_a_profile_only_after_a_heartbeat (the leader's profile is reported) and worker_gets_no_tasks_until_its_session_has_ reported_a_profile (a start).

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -13,7 +13,7 @@
 
 use {
     crate::{
-        id::{Epoch, Fence, Run, Sequence, Task},
+        id::{Epoch, Fence, Incarnation, Run, Sequence, Task},
         leadership::LEASE_RENEW_INTERVAL,
         message::{Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
@@ -115,6 +115,9 @@
     profile: Option<Profile>,
     /// Another incarnation that sent a heartbeat, until a snapshot decides.
     candidate: Option<Profile>,
+    /// The incarnation that sent the last heartbeat. The profile may be older
+    /// than this process, if it came from the leader.
+    heard: Option<Incarnation>,
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
@@ -147,10 +150,20 @@
         self.profile.as_ref()
     }
 
+    /// Returns whether the profile came from a heartbeat.
+    fn is_heard(&self) -> bool {
+        self.profile
+            .as_ref()
+            .is_some_and(|profile| self.heard.as_ref() == Some(&profile.incarnation))
+    }
+
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Heartbeat(profile) => self.heartbeat(profile, actions),
+            Event::Heartbeat(profile) => {
+                self.heard = Some(profile.incarnation.clone());
+                self.heartbeat(profile, actions);
+            }
             Event::Connected => {
                 self.connected = true;
                 self.renew_session(actions);
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -104,7 +104,7 @@
         let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
             return Err(StartStatus::Withdrawn);
         };
-        if !self.is_leased(now) || draining {
+        if !self.is_leased(now) || draining || !self.is_heard() {
             return Err(StartStatus::Withdrawn);
         }
         if !self.has_room(start) {
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -13,7 +13,7 @@
             .session
             .as_ref()
             .is_some_and(|session| session.inventoried);
-        if inventoried && !self.profile_reported {
+        if inventoried && !self.profile_reported && self.is_heard() {
             self.report.profile.clone_from(&self.profile);
             self.profile_reported = true;
         }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -60,6 +60,9 @@
     pub(super) link: Option<Link>,
     pub(super) fence: Fence,
     pub(super) profile: Option<Profile>,
+    /// Whether the profile was reported in this session. It may have changed
+    /// while there was none.
+    profile_reported: bool,
     /// The incarnation that the inventory of this session belongs to.
     pub(super) incarnation: Option<Incarnation>,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
@@ -114,6 +117,7 @@
             link: None,
             fence: Fence::default(),
             profile: None,
+            profile_reported: false,
             incarnation: None,
             reservations: BTreeMap::new(),
             used: Room::NONE,
@@ -138,6 +142,7 @@
     pub(super) fn begin_session(&mut self, link: Link, fence: Fence, now: Instant) -> Option<Link> {
         self.fence = fence;
         self.last_report = now;
+        self.profile_reported = false;
         self.incarnation = None;
         self.orders = Orders::default();
         self.pending_starts.clear();
@@ -160,6 +165,7 @@
             }
         }
         self.profile = Some(profile);
+        self.profile_reported = true;
     }
 
     /// Frees all resources and returns the runs that held them.
@@ -178,6 +184,7 @@
     pub(super) fn is_usable(&self, now: Instant, silence_limit: Millis) -> bool {
         self.link.is_some()
             && now < self.last_report + silence_limit
+            && self.profile_reported
             && self.incarnation.is_some()
             && self.lease_until.is_some_and(|until| now < until)
             && self.profile.as_ref().is_some_and(|profile| {
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -79,15 +79,20 @@
 }
 
 impl Harness {
-    /// Creates an agent with an open session and a lease.
-    fn new() -> Self {
-        let mut harness = Self {
+    /// Creates an agent that knows nothing.
+    fn idle() -> Self {
+        Self {
             agent: Agent::default(),
             now: Instant(10_000),
             calls: Vec::new(),
             reports: Vec::new(),
             hellos: 0,
-        };
+        }
+    }
+
+    /// Creates an agent with an open session and a lease.
+    fn new() -> Self {
+        let mut harness = Self::idle();
         harness.step(Event::Heartbeat(profile(1)));
         harness.step(Event::Connected);
         harness.step(Event::Welcome(Epoch(1), FENCE, None));
@@ -403,6 +408,31 @@
     assert!(matches!(next, Some(Call::Stop { .. })), "{next:?}");
 }
 
+/// Guards against starts that exceed the room of a worker that shrank while its
+/// agent was down: the leader's profile is older.
+#[test]
+fn restarted_agent_reports_a_profile_only_after_a_heartbeat() {
+    let mut harness = Harness::idle();
+    harness.step(Event::Connected);
+    harness.step(Event::Welcome(Epoch(1), FENCE, Some(resized(8))));
+    harness.poll(snapshot(1, Vec::new()));
+    harness.step(Event::Tick);
+    harness.grant();
+
+    let reports = std::mem::take(&mut harness.reports);
+    assert!(reports.iter().any(|report| report.inventory.is_some()));
+    assert!(reports.iter().all(|report| report.profile.is_none()));
+    assert_eq!(harness.order_start(start_of(0, 1)), None);
+    harness.step(Event::Heartbeat(resized(2)));
+
+    let profiles = harness
+        .reports
+        .iter()
+        .filter_map(|report| report.profile.clone());
+    assert_eq!(profiles.collect::<Vec<_>>(), [resized(2)]);
+    assert!(harness.order_start(start_of(0, 1)).is_some());
+}
+
 /// Guards against starts beside a run whose size is unknown.
 #[test]
 fn start_is_refused_beside_an_unknown_run() {
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -255,3 +255,27 @@
 
     assert_eq!(harness.stops(0), []);
 }
+
+/// Guards against starts that exceed the room of a worker that shrank while its
+/// agent was down: the new session has not reported a profile yet.
+#[test]
+fn worker_gets_no_tasks_until_its_session_has_reported_a_profile() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Opened(Link(0), node(0)));
+    let report = Report {
+        inventory: Some(Inventory {
+            incarnation: incarnation(0),
+            running: Vec::new(),
+        }),
+        renew: Some(1),
+        ..Report::default()
+    };
+    harness.report(0, report);
+
+    harness.submit(1, single(QUEUE, room(8, 8)));
+    assert_eq!(jobs(&harness.starts(0)), []);
+    harness.resize(0, room(8, 32));
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [1]);
+}
