Begin a new session after an agent was stalled

An agent that was frozen for some seconds went on with the orders that had waited, on the profile of the last heartbeat before, although the worker may have shrunk meanwhile (LIMIT): nobody takes a heartbeat of the worker while its agent is frozen. After a gap of 2 s between two steps, the agent now drops what waits, opens a new session, whose inventory tells the leader what runs, and starts nothing before the next heartbeat. The leader closes a link that is silent for so long in most cases anyway.

thawed_agent_starts_nothing_before_a_heartbeat failed before: the waiting start was sent 4.5 s after the last heartbeat.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -40,6 +40,8 @@
 const STALE_AFTER: Millis = Millis(900);
 /// The remaining lease that is required to send a start.
 const LEASE_MARGIN: Millis = Millis(300);
+/// A gap of this length between two steps means that the process was stalled.
+const STALL_LIMIT: Millis = Millis(2000);
 /// The delay before an unanswered or refused call is repeated.
 const RETRY_DELAY: Millis = Millis(100);
 
@@ -118,6 +120,7 @@
     /// The incarnation that sent the last heartbeat. The profile may be older
     /// than this process, if it came from the leader.
     heard: Option<Incarnation>,
+    last_step: Option<Instant>,
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
@@ -159,6 +162,12 @@
 
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        let last = self.last_step.replace(now);
+        if last.is_some_and(|last| now >= last + STALL_LIMIT) {
+            // Heartbeats may have been missed, and orders may be old.
+            self.heard = None;
+            self.renew_session(actions);
+        }
         match event {
             Event::Heartbeat(profile) => {
                 self.heard = Some(profile.incarnation.clone());
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -433,6 +433,41 @@
     assert!(harness.order_start(start_of(0, 1)).is_some());
 }
 
+/// Guards against starts that exceed the room of a worker that shrank while its
+/// agent was frozen: heartbeats did not arrive meanwhile.
+#[test]
+fn thawed_agent_starts_nothing_before_a_heartbeat() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(resized(8)));
+    let sent = harness.order_starts((0..5).map(|index| start_of(index, 1)));
+    assert_eq!(sent.len(), 4);
+    let hellos = harness.hellos;
+
+    harness.now = harness.now + Millis(4500);
+    harness.answer(sent[0].clone(), Answer::Lost);
+
+    assert_eq!(
+        harness.take(|call| matches!(call, Call::Start { .. })),
+        None
+    );
+    assert_eq!(harness.hellos, hellos + 1);
+    harness.reports.clear();
+    harness.calls.clear();
+    harness.step(Event::Welcome(Epoch(1), Fence(8), None));
+    harness.poll(snapshot(1, Vec::new()));
+    assert!(harness
+        .reports
+        .iter()
+        .all(|report| report.profile.is_none()));
+    harness.step(Event::Heartbeat(resized(2)));
+
+    let profiles = harness
+        .reports
+        .iter()
+        .filter_map(|report| report.profile.clone());
+    assert_eq!(profiles.collect::<Vec<_>>(), [resized(2)]);
+}
+
 /// Guards against starts beside a run whose size is unknown.
 #[test]
 fn start_is_refused_beside_an_unknown_run() {
