--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses some of the fixtures.
 #![allow(dead_code)]
 
+pub(crate) mod machine;
+
 use {
     filbertbend_state::{
         room::Room,
