Give the room of a withdrawn start to the task that it was withdrawn for

While the store did not answer, two tasks were placed and withdrawn in turn in every pass, up to the rate of passes, each with a change to write, and the urgent task that preempted them kept waiting: the room of a start that has not been sent is free at once, the urgent task had had its turn in that pass, and a less urgent one took it.

Preemption now returns the worker if the room is free at once, and the urgent task is placed there in the same step of the pass. Unsent starts are withdrawn only where that suffices, otherwise what runs is stopped as before; for a gang, of which one member would get the room, they are left alone.

Failed before: room_of_a_withdrawn_start_goes_to_the_urgent_task (four decisions instead of two) and starts_are_not_withdrawn_for_a_gang_that_does_not_fit. Not solved: room of runs that are being stopped one after the other can still go to less urgent tasks while the last of them ends.

--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -159,9 +159,11 @@
         if pass.is_rejected(&requirements) {
             return;
         }
-        let Some(node) = self.search(&requirements, pass) else {
+        let found = self.search(&requirements, pass);
+        if found.is_none() {
             pass.reject(&requirements);
-            self.preempt(rank, pass, actions);
+        }
+        let Some(node) = found.or_else(|| self.preempt(rank, pass, actions)) else {
             self.hold(rank, pass);
             return;
         };
--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -8,26 +8,30 @@
     },
     crate::id::{Node, Run, Task},
     filbertbend_state::room::Room,
+    std::collections::BTreeSet,
 };
 
 impl Planner {
     /// Preempts less urgent tasks on the worker where the fewest must be
     /// stopped to fit a task of `rank`. Tasks that are already being stopped
-    /// count as free, so nothing more is stopped while they end.
-    pub(super) fn preempt(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
-        let Some(task) = self.startable(rank).next() else {
-            return;
-        };
-        let Some(requirements) = self.requirements(task, pass) else {
-            return;
-        };
+    /// count as free, so nothing more is stopped while they end. Returns the
+    /// worker if the task fits there at once.
+    pub(super) fn preempt(
+        &mut self,
+        rank: Rank,
+        pass: &mut Pass,
+        actions: &mut Vec<Action>,
+    ) -> Option<Node> {
+        let task = self.startable(rank).next()?;
+        let requirements = self.requirements(task, pass)?;
         if requirements.step.mode.best_effort {
-            return;
+            return None;
         }
+        let is_gang = requirements.step.mode.gang;
         let need = requirements.step.reserved();
         let preempting = Some(rank.priority);
         if pass.is_excluded(&requirements, preempting, |offer| offer.room.fits(&need)) {
-            return;
+            return None;
         }
         let mut best: Option<(Vec<(Task, Run)>, Node)> = None;
         for (node, worker) in self.fleet.iter() {
@@ -35,11 +39,11 @@
             if !self.is_feasible(&requirements, node, worker) {
                 continue;
             }
-            let Some(victims) = self.victims(worker, need, rank.priority) else {
+            let Some(victims) = self.victims(worker, need, rank.priority, is_gang) else {
                 continue;
             };
             if victims.is_empty() {
-                return;
+                return None;
             }
             if best
                 .as_ref()
@@ -53,25 +57,57 @@
                 room: reclaimable(worker, rank.priority),
                 idle_cores: 0.0,
             });
-            return;
+            return None;
         };
         for (victim, run) in victims {
             self.stop(victim, run, &node, Reason::Preempted, actions);
         }
         // A stop releases the resources of a start that has not been sent.
         pass.released();
+        let worker = self.fleet.get(&node)?;
+        worker.fits(need).then_some(node)
     }
 
     /// Returns the less urgent tasks that must be stopped on a worker to free
-    /// `need`, or `None` if that is not enough. Tasks that are already being
-    /// stopped count as free and are not returned.
-    fn victims(&self, worker: &Worker, need: Room, priority: u8) -> Option<Vec<(Task, Run)>> {
+    /// `need`, or `None` if that is not enough.
+    ///
+    /// Starts that have not been sent are withdrawn only if that suffices, since
+    /// their room is free at once and others would take it, and not for one
+    /// member of a gang.
+    fn victims(
+        &self,
+        worker: &Worker,
+        need: Room,
+        priority: u8,
+        is_gang: bool,
+    ) -> Option<Vec<(Task, Run)>> {
         if !reclaimable(worker, priority).fits(&need) {
             return None;
         }
+        let unsent: BTreeSet<(Task, Run)> = worker
+            .pending_starts
+            .iter()
+            .map(|(start, _)| (start.task, start.run))
+            .collect();
+        let (withdrawable, sent): (Vec<_>, Vec<_>) =
+            preemptible(worker, priority).partition(|(key, _)| unsent.contains(key));
+        Some(withdrawable)
+            .filter(|_| !is_gang)
+            .and_then(|candidates| self.choose(worker, need, candidates))
+            .or_else(|| self.choose(worker, need, sent))
+    }
+
+    /// Chooses the candidates that must be stopped to free `need`, those with
+    /// the most memory first, or returns `None` if all are not enough. Those
+    /// that are already being stopped count as free and are not returned.
+    fn choose(
+        &self,
+        worker: &Worker,
+        need: Room,
+        mut candidates: Vec<(&(Task, Run), &Reservation)>,
+    ) -> Option<Vec<(Task, Run)>> {
         let mut used = worker.used;
         let mut victims = Vec::new();
-        let mut candidates: Vec<_> = preemptible(worker, priority).collect();
         candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
         for ((task, run), reservation) in candidates {
             if worker.fits_beside(used, need) {
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -44,6 +44,47 @@
     assert_eq!(jobs(&harness.starts(0)), [1]);
 }
 
+/// Guards against tasks that take the room of one another in every pass while
+/// the store does not answer: what was withdrawn for an urgent task went to the
+/// next less urgent one.
+#[test]
+fn room_of_a_withdrawn_start_goes_to_the_urgent_task() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    harness.step(Event::Submitted(Job(1), single(LESS_URGENT, room(8, 8))));
+    harness.step(Event::Submitted(Job(2), single(LESS_URGENT, room(4, 4))));
+    harness.place();
+
+    harness.step(Event::Submitted(Job(3), single(QUEUE, room(8, 8))));
+    harness.decisions.clear();
+    for _ in 0..10 {
+        harness.place();
+    }
+    assert_eq!(harness.decisions.len(), 2, "{:?}", harness.decisions);
+    harness.commit();
+
+    assert_eq!(jobs(&harness.starts(0)), [3]);
+}
+
+/// Guards against starts that are withdrawn in every pass for a gang that does
+/// not fit, while the store does not answer.
+#[test]
+fn starts_are_not_withdrawn_for_a_gang_that_does_not_fit() {
+    let mut harness = Harness::with_workers(1);
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    harness.step(Event::Submitted(Job(1), single(LESS_URGENT, room(8, 8))));
+    harness.step(Event::Submitted(Job(2), single(LESS_URGENT, room(8, 8))));
+    harness.place();
+
+    harness.step(Event::Submitted(Job(3), pair(QUEUE)));
+    harness.decisions.clear();
+    for _ in 0..10 {
+        harness.place();
+    }
+
+    assert_eq!(harness.decisions, []);
+}
+
 /// Creates a job of a gang of two tasks that do not fit on one worker.
 fn pair(queue: &str) -> Arc<job::Job> {
     let mut gang = step(2);
