Make room for all members of a gang at once, and keep it

Less urgent tasks were stopped again and again for a gang that did not start: preemption made room for its first member only, others took that room in the next passes, and it was made again. It also stopped tasks for a gang that does not fit even without them.

The members are now assigned together, to free room and to room of less urgent tasks that have been sent; nothing is stopped unless all fit. The workers of such a plan are held for the gang until the next pass plans again, so that what is freed first is still there when the last stop has ended. These holds do not count towards the limit of holds for tasks that wait for ends of their own. Each worker is examined once for a gang and once more for each member it gets.

Failed before: room_preempted_for_a_gang_is_kept_until_all_members_fit (stops on one worker only) and nothing_is_preempted_for_a_gang_that_never_fits.

--- a/crates/workload/src/planner/hold.rs
+++ b/crates/workload/src/planner/hold.rs
@@ -24,6 +24,8 @@
 pub(super) struct Hold {
     rank: Rank,
     room: Room,
+    /// Whether others are stopped there for the step.
+    preempting: bool,
 }
 
 /// The holds in a placement pass.
@@ -48,11 +50,17 @@
         self.of_step.values().sum::<usize>() >= self.limit
     }
 
+    fn remove(&mut self, rank: Rank) {
+        if let Some(count) = self.of_step.get_mut(&rank) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Counts a hold, which may replace one for another step.
     fn add(&mut self, rank: Rank, replaced: Option<Rank>) {
         *self.of_step.entry(rank).or_default() += 1;
-        if let Some(count) = replaced.and_then(|rank| self.of_step.get_mut(&rank)) {
-            *count -= 1;
+        if let Some(rank) = replaced {
+            self.remove(rank);
         }
     }
 }
@@ -137,12 +145,43 @@
                 if worker.hold.is_none() && pass.holds.is_full() {
                     continue;
                 }
-                let replaced = worker.hold.replace(Hold { rank, room });
+                let replaced = worker.hold.replace(Hold {
+                    rank,
+                    room,
+                    preempting: false,
+                });
                 pass.holds.add(rank, replaced.map(|hold| hold.rank));
             }
         }
     }
 
+    /// Holds a worker on which others are stopped for a step, unless it is held
+    /// for a more urgent one. Such holds are short, so they are not limited.
+    pub(super) fn keep(&mut self, node: &Node, rank: Rank, room: Room, pass: &mut Pass) {
+        let Some(worker) = self.fleet.get_mut(node) else {
+            return;
+        };
+        if worker.hold.is_none_or(|hold| hold.rank >= rank) {
+            let hold = Hold {
+                rank,
+                room,
+                preempting: true,
+            };
+            let replaced = worker.hold.replace(hold);
+            pass.holds.add(rank, replaced.map(|hold| hold.rank));
+        }
+    }
+
+    /// Releases the workers on which others were stopped for a step.
+    pub(super) fn drop_kept(&mut self, rank: Rank, pass: &mut Pass) {
+        for (_, worker) in self.fleet.iter_mut() {
+            let is_kept = |hold: &mut Hold| hold.preempting && hold.rank == rank;
+            if worker.hold.take_if(is_kept).is_some() {
+                pass.holds.remove(rank);
+            }
+        }
+    }
+
     /// Lists up to `count` workers that will have room for a task and are not
     /// held for a more urgent one: those that are held for a less urgent one, then
     /// those with the most free cores.
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -4,8 +4,8 @@
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `place` selects workers for tasks.
-//! - `preempt` makes room for urgent tasks, and `hold` keeps it for tasks that
-//!   need much.
+//! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
+//!   keeps it for tasks that need much.
 //! - `stop` stops runs and withdraws starts.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
@@ -26,6 +26,7 @@
 mod backlog;
 mod decision;
 mod fleet;
+mod gang;
 mod headroom;
 mod hold;
 mod pass;
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -288,7 +288,7 @@
         }
         self.fleet.update_headroom(&self.model);
         if chosen.len() < tasks.len() {
-            self.preempt(rank, pass, actions);
+            self.preempt_for_gang(rank, &tasks, pass, actions);
             self.hold(rank, pass);
             return;
         }
--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -8,7 +8,6 @@
     },
     crate::id::{Node, Run, Task},
     filbertbend_state::room::Room,
-    std::collections::BTreeSet,
 };
 
 impl Planner {
@@ -27,7 +26,6 @@
         if requirements.step.mode.best_effort {
             return None;
         }
-        let is_gang = requirements.step.mode.gang;
         let need = requirements.step.reserved();
         let preempting = Some(rank.priority);
         if pass.is_excluded(&requirements, preempting, |offer| offer.room.fits(&need)) {
@@ -39,7 +37,7 @@
             if !self.is_feasible(&requirements, node, worker) {
                 continue;
             }
-            let Some(victims) = self.victims(worker, need, rank.priority, is_gang) else {
+            let Some(victims) = self.victims(worker, need, rank.priority) else {
                 continue;
             };
             if victims.is_empty() {
@@ -72,45 +70,38 @@
     /// `need`, or `None` if that is not enough.
     ///
     /// Starts that have not been sent are withdrawn only if that suffices, since
-    /// their room is free at once and others would take it, and not for one
-    /// member of a gang.
-    fn victims(
-        &self,
-        worker: &Worker,
-        need: Room,
-        priority: u8,
-        is_gang: bool,
-    ) -> Option<Vec<(Task, Run)>> {
+    /// their room is free at once and others would take it.
+    fn victims(&self, worker: &Worker, need: Room, priority: u8) -> Option<Vec<(Task, Run)>> {
         if !reclaimable(worker, priority).fits(&need) {
             return None;
         }
-        let unsent: BTreeSet<(Task, Run)> = worker
-            .pending_starts
-            .iter()
-            .map(|(start, _)| (start.task, start.run))
-            .collect();
+        let unsent = worker.unsent();
         let (withdrawable, sent): (Vec<_>, Vec<_>) =
             preemptible(worker, priority).partition(|(key, _)| unsent.contains(key));
-        Some(withdrawable)
-            .filter(|_| !is_gang)
-            .and_then(|candidates| self.choose(worker, need, candidates))
-            .or_else(|| self.choose(worker, need, sent))
+        let choice = self
+            .choose(worker, worker.used, need, withdrawable)
+            .or_else(|| self.choose(worker, worker.used, need, sent))?;
+        Some(choice.victims)
     }
 
-    /// Chooses the candidates that must be stopped to free `need`, those with
-    /// the most memory first, or returns `None` if all are not enough. Those
-    /// that are already being stopped count as free and are not returned.
-    fn choose(
+    /// Chooses which of the candidates must end to free `need` beside runs that
+    /// use `used` together, those with the most memory first, or returns `None`
+    /// if all are not enough.
+    pub(super) fn choose(
         &self,
         worker: &Worker,
+        used: Room,
         need: Room,
         mut candidates: Vec<(&(Task, Run), &Reservation)>,
-    ) -> Option<Vec<(Task, Run)>> {
-        let mut used = worker.used;
-        let mut victims = Vec::new();
+    ) -> Option<Choice> {
+        let mut choice = Choice {
+            used,
+            ending: Vec::new(),
+            victims: Vec::new(),
+        };
         candidates.sort_by_key(|(_, reservation)| std::cmp::Reverse(reservation.room.memory));
         for ((task, run), reservation) in candidates {
-            if worker.fits_beside(used, need) {
+            if worker.fits_beside(choice.used, need) {
                 break;
             }
             // A run that no task counts as its own was stopped when it was found.
@@ -118,17 +109,27 @@
                 .registry
                 .execution(*task, *run)
                 .is_none_or(|execution| execution.stopping);
-            used -= reservation.room;
+            choice.used -= reservation.room;
+            choice.ending.push((*task, *run));
             if !stopping {
-                victims.push((*task, *run));
+                choice.victims.push((*task, *run));
             }
         }
-        worker.fits_beside(used, need).then_some(victims)
+        worker.fits_beside(choice.used, need).then_some(choice)
     }
 }
 
+/// Runs that make room on a worker by ending.
+pub(super) struct Choice {
+    /// What the other runs use.
+    pub(super) used: Room,
+    pub(super) ending: Vec<(Task, Run)>,
+    /// Those that must be stopped; the others are already being stopped.
+    pub(super) victims: Vec<(Task, Run)>,
+}
+
 /// Lists the reservations that a task of a priority may preempt.
-fn preemptible(
+pub(super) fn preemptible(
     worker: &Worker,
     priority: u8,
 ) -> impl Iterator<Item = (&(Task, Run), &Reservation)> {
@@ -138,7 +139,7 @@
 }
 
 /// Returns the resources that are free once everything less urgent has ended.
-fn reclaimable(worker: &Worker, priority: u8) -> Room {
+pub(super) fn reclaimable(worker: &Worker, priority: u8) -> Room {
     let whole = worker.profile.as_ref().map(|profile| profile.room);
     let remaining = preemptible(worker, priority).fold(worker.used, |used, (_, reservation)| {
         used - reservation.room
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -14,7 +14,7 @@
         unit::{Cores, Millis},
     },
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
 };
@@ -295,6 +295,12 @@
         true
     }
 
+    /// Lists the starts that have not been sent.
+    pub(super) fn unsent(&self) -> BTreeSet<(Task, Run)> {
+        let starts = self.pending_starts.iter().map(|(start, _)| start);
+        starts.map(|start| (start.task, start.run)).collect()
+    }
+
     /// Lists the latest starts that have not been sent, as far as the room does
     /// not hold them together with all other runs.
     pub(super) fn excess_starts(&self) -> Vec<(Task, Run)> {
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -320,3 +320,57 @@
 
     assert_eq!(jobs(&harness.starts(0)), [1]);
 }
+
+/// Creates a job of a gang that needs a whole worker for each of its members.
+fn wide_gang(members: u16) -> Arc<job::Job> {
+    let mut gang = (*pair(QUEUE)).clone();
+    gang.steps[0].tasks = members;
+    gang.steps[0].room = room(8, 8);
+    Arc::new(gang)
+}
+
+/// Creates less urgent tasks that fill two workers, and returns their starts.
+fn fill(harness: &mut Harness) -> Vec<(u64, Start)> {
+    harness.step(Event::Configured(Arc::new(two_queues())));
+    for id in 1..=4 {
+        harness.submit(id, single(LESS_URGENT, room(4, 4)));
+    }
+    harness.all_starts()
+}
+
+/// Guards against less urgent tasks that are stopped again and again for a
+/// gang: they took the room of its first member before the others had theirs.
+#[test]
+fn room_preempted_for_a_gang_is_kept_until_all_members_fit() {
+    let mut harness = Harness::with_workers(2);
+    let filling = fill(&mut harness);
+    assert_eq!(filling.len(), 4);
+
+    harness.submit(5, wide_gang(2));
+    assert_eq!((harness.stops(0).len(), harness.stops(1).len()), (2, 2));
+    for worker in [0, 1] {
+        assert!(harness.all_starts().is_empty(), "a member is missing");
+        let stopped = filling.iter().filter(|(found, _)| *found == worker);
+        for (sequence, (_, start)) in (1..).zip(stopped) {
+            harness.end(worker, sequence, start, Exit::Stopped);
+        }
+        harness.commit();
+    }
+
+    let started = harness.all_starts();
+    let started: Vec<u64> = started.iter().map(|(_, start)| start.task.job.0).collect();
+    assert_eq!(started, [5, 5]);
+}
+
+/// Guards against tasks that are stopped for a gang that does not fit even
+/// without them.
+#[test]
+fn nothing_is_preempted_for_a_gang_that_never_fits() {
+    let mut harness = Harness::with_workers(2);
+    fill(&mut harness);
+
+    harness.submit(5, wide_gang(3));
+    harness.pass(Millis(1000), &[0, 1]);
+
+    assert_eq!((harness.stops(0), harness.stops(1)), (vec![], vec![]));
+}
