Do not acknowledge ends by the numbers of a former incarnation

Callers saw a task started again after it had completed, although its worker had stayed up and leased and had discarded the end as acknowledged (TWICE).

A worker that restarts under its name numbers its ends anew and has seen no fence, so it carries out the calls of the session that its agent still has with the former incarnation. A start runs there, and the next poll names the last end that was acknowledged to the former incarnation: the worker discards the end of the new run before any agent has read it. The new session's inventory lists neither the run nor its end, and the leader starts the task again as missing.

The test failed before: the poll acknowledged 5 with a start in progress.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -101,6 +101,24 @@
     acknowledged: Sequence,
     polling: bool,
     poll_at: Instant,
+    /// The number of starts that have not been answered.
+    starting: usize,
+    /// When a start was last sent or answered, until a later snapshot shows that
+    /// the worker has not restarted before.
+    last_start: Option<Instant>,
+}
+
+impl Session {
+    /// Returns the ends that the worker may discard. If it has restarted since
+    /// its last snapshot, these numbers belong to its former incarnation, so
+    /// they are withheld while a start may have begun to give ends the same
+    /// numbers again.
+    fn acknowledgement(&self) -> Sequence {
+        match self.last_start {
+            Some(_) => Sequence(0),
+            None => self.acknowledged,
+        }
+    }
 }
 
 /// The state machine of an agent.
@@ -230,6 +248,8 @@
             acknowledged: Sequence(0),
             polling: false,
             poll_at: now,
+            starting: 0,
+            last_start: None,
         });
         self.profile_reported = false;
     }
@@ -282,7 +302,7 @@
         actions.push(Action::Call(Call::Poll {
             fence: session.fence,
             deadline,
-            acknowledged: session.acknowledged,
+            acknowledged: session.acknowledgement(),
             wait,
         }));
     }
@@ -325,12 +345,15 @@
             .lease_until
             .is_some_and(|until| until > now + LEASE_MARGIN);
         let draining = self.profile.as_ref().is_none_or(|profile| profile.draining);
-        let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
+        let deadline = self.deadline(now);
+        let (Some(session), Some(deadline)) = (&mut self.session, deadline) else {
             return self.outcome(task, run, StartStatus::Withdrawn);
         };
         if !leased || draining {
             return self.outcome(task, run, StartStatus::Withdrawn);
         }
+        session.starting += 1;
+        session.last_start = Some(now);
         self.issued.insert((task, run), Order::Starting);
         self.roles.insert((task, run), start.role.clone());
         actions.push(Action::Call(Call::Start {
@@ -423,6 +446,10 @@
     }
 
     fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
+        if let Some(session) = &mut self.session {
+            session.starting = session.starting.saturating_sub(1);
+            session.last_start = Some(now);
+        }
         if self.issued.get(&(task, run)) != Some(&Order::Starting) {
             // A stop was ordered meanwhile; its outcome decides.
             return;
@@ -483,6 +510,7 @@
         self.report_ends(&snapshot);
         self.report_inventory(&snapshot);
         self.resolve(sent, &snapshot.running, actions);
+        self.confirm_starts(sent);
         self.report_checkpoints(&snapshot.running);
         self.apply_throttling(now, &snapshot.running, actions);
         self.running = snapshot.running;
@@ -521,6 +549,18 @@
         }
     }
 
+    /// Records that the starts so far have reached the incarnation whose snapshot
+    /// was requested at `sent`, if all of their outcomes are known.
+    fn confirm_starts(&mut self, sent: Instant) {
+        let unanswered = |order: &Order| matches!(order, Order::Unanswered(_));
+        let uncertain = self.issued.values().any(unanswered);
+        if let Some(session) = self.session.as_mut().filter(|_| !uncertain) {
+            if session.starting == 0 && session.last_start.is_some_and(|last| sent > last) {
+                session.last_start = None;
+            }
+        }
+    }
+
     fn apply_throttling(&mut self, now: Instant, running: &[Running], actions: &mut Vec<Action>) {
         let Some(session) = &self.session else {
             return;
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -4,7 +4,7 @@
     filbertbend_state::{room::Room, time::Instant, unit::Millis},
     filbertbend_workload::{
         agent::{Action, Agent, Answer, Call, Event, Refusal, Snapshot},
-        id::{Epoch, Fence, Incarnation, Job, Run, Task},
+        id::{Epoch, Fence, Incarnation, Job, Run, Sequence, Task},
         message::{Orders, Outcome, Report, Role, Start, StartStatus},
         worker::{Profile, Running},
     },
@@ -111,14 +111,16 @@
         self.step(Event::Tick);
     }
 
+    /// Takes the pending poll.
+    fn pending_poll(&mut self) -> Call {
+        self.take(|call| matches!(call, Call::Poll { .. }))
+            .expect("the agent polls")
+    }
+
     /// Answers the pending poll.
     fn poll(&mut self, answer: Answer) {
         let sent = self.now;
-        let position = self
-            .calls
-            .iter()
-            .position(|call| matches!(call, Call::Poll { .. }));
-        let call = self.calls.remove(position.expect("the agent polls"));
+        let call = self.pending_poll();
         self.now = self.now + Millis(1);
         self.step(Event::Answered { call, sent, answer });
     }
@@ -284,3 +286,39 @@
     let answers = harness.reports.iter().filter_map(|report| report.probe);
     assert_eq!(answers.collect::<Vec<_>>(), [9]);
 }
+
+fn acknowledged(call: &Call) -> Option<Sequence> {
+    match call {
+        Call::Poll { acknowledged, .. } => Some(*acknowledged),
+        _ => None,
+    }
+}
+
+/// Guards against the loss of an end: the worker has restarted under its name
+/// and discards an end by the numbers of its former incarnation.
+#[test]
+fn ends_are_not_acknowledged_by_the_numbers_of_a_former_incarnation() {
+    let mut harness = Harness::new();
+    harness.step(Event::Orders(Orders {
+        acknowledged: Some(Sequence(5)),
+        ..Orders::default()
+    }));
+    harness.poll(snapshot(1, Vec::new()));
+
+    // The worker may have restarted after its last answer.
+    let start = harness.order();
+    let poll = harness.pending_poll();
+    harness.answer(poll, Answer::Lost);
+    harness.pass(Millis(100));
+    let poll = harness.pending_poll();
+    assert_eq!(acknowledged(&poll), Some(Sequence(0)), "start in progress");
+    harness.answer(start, Answer::Done);
+    harness.answer(poll, Answer::Lost);
+    harness.pass(Millis(100));
+    let poll = harness.pending_poll();
+    assert_eq!(acknowledged(&poll), Some(Sequence(0)), "start answered");
+
+    harness.answer(poll, snapshot(1, vec![row()]));
+    let poll = harness.pending_poll();
+    assert_eq!(acknowledged(&poll), Some(Sequence(5)), "same incarnation");
+}
