Forget the clock of a worker that has restarted

A worker that restarts under its name counts its clock anew. It kept the lease and the clock of the former incarnation, and the leader's welcome names that incarnation until the heartbeat has arrived, so each poll in between passed on a deadline by the former clock. A task could be started elsewhere while it still ran.

The test failed before: the first poll of the new session had the deadline 56000, by the clock of the former incarnation.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -225,7 +225,15 @@
     }
 
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        self.forget_incarnation();
         self.profile = Some(profile);
+        self.renew_session(actions);
+    }
+
+    /// Drops what is known about the worker: its clock, for one, begins anew, so
+    /// that a deadline by the former clock would lie far in the future.
+    fn forget_incarnation(&mut self) {
+        self.profile = None;
         self.candidate = None;
         self.clock = None;
         self.polled = None;
@@ -234,7 +242,6 @@
         self.checkpoints.clear();
         self.running.clear();
         self.throttle = Controller::default();
-        self.renew_session(actions);
     }
 
     fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
@@ -435,7 +442,7 @@
         if restarted {
             match self.candidate.take() {
                 Some(candidate) => return self.begin_incarnation(candidate, actions),
-                None => self.profile = None,
+                None => self.forget_incarnation(),
             }
         }
         if let Some(session) = &mut self.session {
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -322,3 +322,20 @@
     let poll = harness.pending_poll();
     assert_eq!(acknowledged(&poll), Some(Sequence(5)), "same incarnation");
 }
+
+/// Guards against a worker that keeps its tasks longer than the leader counts:
+/// a deadline on the clock of a former incarnation lies far in the future.
+#[test]
+fn lease_is_not_passed_on_to_another_incarnation() {
+    let mut harness = Harness::new();
+
+    harness.poll(snapshot(2, Vec::new()));
+    // The leader does not know of the restart yet.
+    harness.step(Event::Welcome(Epoch(1), Fence(8), Some(profile(1))));
+
+    let poll = harness.pending_poll();
+    assert!(
+        matches!(poll, Call::Poll { deadline: None, .. }),
+        "{poll:?}"
+    );
+}
