Count the longest lease for a worker that has restarted under its name

A task could run twice, or again after its end, if its worker had restarted under its name a few seconds before its agent was cut off. Up to the first poll of the next session the worker carries out calls that were meant for its former incarnation. Their deadlines lie far in the future of its new clock, so it takes the longest lease that it accepts, and a lease never gets shorter.

The agent cannot prevent that, as it knows of the restart from the answers to these calls. The leader now counts the longest lease from the first inventory of an incarnation that has taken over the name of one it knew; calls of earlier sessions have no effect from then on. Others keep the shorter count, so the tasks of a lost worker wait no longer than before.

The test failed before: the task was started elsewhere 10 s after the link had closed ("its lease may not have expired").

Not covered: a restart that only a former leader has seen, and a worker whose agent is cut off between the restart and the next inventory.

--- a/crates/bench/benches/leader/simulation.rs
+++ b/crates/bench/benches/leader/simulation.rs
@@ -75,6 +75,7 @@
         let now = Instant(1_000_000);
         let settings = Settings {
             lease: Millis(5500),
+            lease_limit: Millis(10_000),
             silence_limit: Millis(2200),
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -74,6 +74,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         settings: Settings {
             lease: Millis(6000),
+            lease_limit: Millis(10_000),
             silence_limit: Millis(2200),
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
--- a/crates/dispatch/tests/entry_links.rs
+++ b/crates/dispatch/tests/entry_links.rs
@@ -62,6 +62,7 @@
         processor: Cores(500),
         planner: Settings {
             lease: Millis(5500),
+            lease_limit: Millis(10_000),
             silence_limit: Millis(2200),
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -3,7 +3,7 @@
 use {
     super::worker::{Expiry, Reservation, Worker},
     crate::{
-        id::{Fence, Incarnation, Job, Link, Node, Run, Task},
+        id::{Fence, Job, Link, Node, Run, Task},
         interference::{Model, Weight},
         message::{Orders, Start},
     },
@@ -134,13 +134,6 @@
         }
     }
 
-    /// Records that the inventory of a worker has arrived in this session.
-    pub(super) fn confirm_inventory(&mut self, node: &Node, incarnation: &Incarnation) {
-        if let Some(worker) = self.get_mut(node) {
-            worker.incarnation = Some(incarnation.clone());
-        }
-    }
-
     /// Reserves resources for a run that is already on the worker.
     pub(super) fn adopt(&mut self, node: &Node, task: Task, run: Run, reservation: Reservation) {
         if let Some(worker) = self.get_mut(node) {
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -363,12 +363,10 @@
     /// earlier sessions no longer have an effect, so a run that is not listed
     /// does not exist.
     fn inventory(&mut self, node: &Node, inventory: &Inventory, actions: &mut Vec<Action>) {
-        let bound = self.now + self.settings.lease_bound();
-        self.fleet.confirm_inventory(node, &inventory.incarnation);
         let Some(worker) = self.fleet.get_mut(node) else {
             return;
         };
-        worker.lease_until = Some(bound);
+        worker.confirm_inventory(&inventory.incarnation, self.now, &self.settings);
         let fence = worker.fence;
         let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
         let mut adopted = 0;
--- a/crates/workload/src/planner/settings.rs
+++ b/crates/workload/src/planner/settings.rs
@@ -14,6 +14,8 @@
 pub struct Settings {
     /// The duration of a worker's lease, which covers all of its tasks.
     pub lease: Millis,
+    /// The longest lease that a worker accepts.
+    pub lease_limit: Millis,
     /// How long an agent may stay silent before its worker gets no new tasks.
     pub silence_limit: Millis,
     /// How long an ended job is kept.
@@ -27,6 +29,16 @@
     /// Returns the time after which a granted lease has certainly expired on
     /// the worker.
     pub fn lease_bound(&self) -> Millis {
-        self.lease + Millis(self.lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
+        bound(self.lease)
     }
+
+    /// Returns the time after which every lease that a worker has accepted has
+    /// certainly expired.
+    pub(super) fn longest_lease_bound(&self) -> Millis {
+        bound(self.lease_limit)
+    }
+}
+
+fn bound(lease: Millis) -> Millis {
+    lease + Millis(lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
 }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,7 +1,7 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::headroom::Headroom,
+    super::{headroom::Headroom, Settings},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
@@ -59,6 +59,11 @@
     pub(super) profile: Option<Profile>,
     /// The incarnation that the inventory of this session belongs to.
     pub(super) incarnation: Option<Incarnation>,
+    /// The incarnation of the last inventory of any session.
+    last_incarnation: Option<Incarnation>,
+    /// Until when a lease may last that the worker has accepted by the clock of
+    /// its former incarnation.
+    foreign_lease_until: Instant,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
     pub(super) used: Room,
     pub(super) best_effort_cores: Cores,
@@ -108,6 +113,8 @@
             fence: Fence::default(),
             profile: None,
             incarnation: None,
+            last_incarnation: None,
+            foreign_lease_until: Instant::default(),
             reservations: BTreeMap::new(),
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
@@ -139,6 +146,30 @@
         self.link.replace(link)
     }
 
+    /// Records that the inventory of an incarnation has arrived in this session.
+    ///
+    /// A worker that has restarted under its name has accepted the calls of the
+    /// session with its former incarnation. Their deadlines lie far in the
+    /// future of its new clock, so it may hold the longest lease there is.
+    pub(super) fn confirm_inventory(
+        &mut self,
+        incarnation: &Incarnation,
+        now: Instant,
+        settings: &Settings,
+    ) {
+        let restarted = self
+            .last_incarnation
+            .as_ref()
+            .is_some_and(|last| last.worker == incarnation.worker && last != incarnation);
+        if restarted {
+            self.foreign_lease_until = now + settings.longest_lease_bound();
+        }
+        self.incarnation = Some(incarnation.clone());
+        self.last_incarnation = Some(incarnation.clone());
+        let granted_until = now + settings.lease_bound();
+        self.lease_until = Some(granted_until.max(self.foreign_lease_until));
+    }
+
     /// Frees all resources and returns the runs that held them.
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -5,12 +5,12 @@
 use {
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
-        id::{Job, Link, Run, Sequence},
+        id::{Incarnation, Job, Link, Run, Sequence},
         interference::{Reading, Weight},
         message::{Inventory, Query, Reply, Report},
         planner::Event,
         record::{Progress, State},
-        worker::Exit,
+        worker::{Exit, Profile},
     },
     std::sync::Arc,
     support::{
@@ -466,3 +466,44 @@
 
     assert_eq!(harness.starts(0).len(), 1);
 }
+
+/// Guards against a task that runs twice: its worker has restarted under its
+/// name and holds a long lease by the clock of its former incarnation.
+#[test]
+fn tasks_of_a_restarted_worker_wait_for_its_longest_lease() {
+    let mut harness = Harness::with_workers(1);
+    let restarted = Incarnation {
+        started_ms: 2,
+        ..incarnation(0)
+    };
+    harness.step(Event::Opened(Link(0), node(0)));
+    let report = Report {
+        profile: Some(Profile {
+            incarnation: restarted.clone(),
+            ..profile(0)
+        }),
+        inventory: Some(Inventory {
+            incarnation: restarted,
+            running: Vec::new(),
+        }),
+        renew: Some(1),
+        ..Report::default()
+    };
+    harness.report(0, report);
+    harness.submit(1, job(vec![step(1)]));
+    let start = harness.starts(0).remove(0);
+    harness.started(0, &start);
+    harness.join(1, Vec::new());
+
+    harness.step(Event::Closed(Link(0)));
+    harness.pass(Millis(10_000), &[1]);
+    harness.commit();
+    assert!(
+        harness.all_starts().is_empty(),
+        "its lease may not have expired"
+    );
+    harness.pass(Millis(1000), &[1]);
+    harness.commit();
+
+    assert_eq!(harness.starts(1).len(), 1);
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) fn settings() -> Settings {
     Settings {
         lease: Millis(6000),
+        lease_limit: Millis(10_000),
         silence_limit: Millis(2200),
         job_retention: Millis(120_000),
         worker_retention: Millis(12_000),
