Do not take a removed job for a new one when the watch starts anew

A job could run a second time from its beginning two minutes after it had ended. Its retention period was over and the planner had dropped it, but the batch that deletes its keys was not durable yet, or the listing was older than that. If the store discards its history at that moment, the leader lists all watched keys, finds the job and submits it as unknown.

The listing replaces the changes after the last revision that the watch has delivered. Only items that were written after it can be new, so the others are now passed over; the key of a removed job is always among them. A job that is submitted again under the same identifier is newer and still taken.

The test failed before: the planner answered `Queued` for the removed job.

--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -78,8 +78,9 @@
     Ask(Query, oneshot::Sender<Reply>),
     /// Changes to the watched keys, and when the poll for them was sent.
     Changed(Instant, Changes),
-    /// A full listing of the watched keys, and when the poll before it was sent.
-    Relisted(Instant, Vec<Item>),
+    /// A full listing of the watched keys, when the poll before it was sent, and
+    /// the revision up to which changes have been delivered.
+    Relisted(Instant, Revision, Vec<Item>),
     /// The batch with this number was written by an attempt sent at this time,
     /// or another entry leads. The number is 0 for the leader's key.
     Written(u64, Result<Instant, Deposed>),
@@ -252,7 +253,9 @@
                 let _ = reply.send(self.planner.answer(&question));
             }
             Input::Changed(sent_at, changes) => return self.apply_changes(sent_at, changes),
-            Input::Relisted(sent_at, items) => return self.apply_listing(sent_at, items),
+            Input::Relisted(sent_at, after, items) => {
+                return self.apply_listing(sent_at, after, &items);
+            }
             Input::Written(number, Ok(sent_at)) => {
                 self.leadership.confirm(sent_at);
                 self.step(Event::Persisted(number));
@@ -377,13 +380,21 @@
     }
 
     /// Applies a full listing of the watched keys, which replaces a watch whose
-    /// history was compacted.
-    fn apply_listing(&mut self, sent_at: Instant, items: Vec<Item>) -> Option<Ended> {
+    /// history was compacted after the revision `after`. Items up to there have
+    /// been applied. A job among them that the planner no longer knows has ended,
+    /// and its removal from the store may not have taken effect yet.
+    fn apply_listing(
+        &mut self,
+        sent_at: Instant,
+        after: Revision,
+        items: &[Item],
+    ) -> Option<Ended> {
         let newest = items.iter().find(|item| *item.key == *key::EPOCH);
         if newest.is_none_or(|item| self.supersedes(item)) {
             return Some(Ended::Deposed);
         }
-        for item in items.iter().filter(|item| *item.key != *key::EPOCH) {
+        let missed = |item: &&Item| item.revision > after && *item.key != *key::EPOCH;
+        for item in items.iter().filter(missed) {
             self.apply_item(item);
         }
         self.leadership.confirm(sent_at);
@@ -533,8 +544,8 @@
             Err(Failure::Compacted) => match store.list(key::WATCHED_PREFIX).await {
                 Ok((items, newest)) => {
                     info!("history compacted, watched keys listed in full", kv: { items = items.len() });
-                    revision = newest;
-                    inbox.send(Input::Relisted(sent_at, items)).await;
+                    let after = std::mem::replace(&mut revision, newest);
+                    inbox.send(Input::Relisted(sent_at, after, items)).await;
                 }
                 Err(error) => {
                     warn!("watched keys not listed, retrying", kv: { error: });
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -231,3 +231,37 @@
     })
     .await;
 }
+
+/// Guards against a job that runs again after it has ended: it is removed after
+/// its retention period, but still listed when the watch starts anew.
+#[tokio::test]
+async fn removed_job_that_is_still_listed_is_not_run_again() {
+    let set = LocalSet::new();
+    set.run_until(async {
+        let (mut driver, _orders) = driver();
+        let listed = |id, revision| Item {
+            key: key::job(Job(id)),
+            value: encode(&job()),
+            revision: Revision(revision),
+        };
+        driver.apply_item(&listed(1, 5));
+        driver.step(Event::Cancelled(Job(1)));
+        NOW.set(NOW.get() + Millis(120_000));
+        driver.leadership.confirm(NOW.get());
+        driver.step(Event::Tick);
+
+        let epoch = Item {
+            key: key::EPOCH.into(),
+            value: encode(&Epoch(1)),
+            revision: Revision(1),
+        };
+        let items = [epoch, listed(1, 5), listed(2, 6)];
+        let ended = driver.apply_listing(NOW.get(), Revision(5), &items);
+
+        assert_eq!(ended, None);
+        let state = |id| driver.planner.answer(&Query::State(Job(id)));
+        assert_eq!(state(1), Reply::State(None), "known again");
+        assert_ne!(state(2), Reply::State(None), "the missed job is unknown");
+    })
+    .await;
+}
