Wait for the last page of ends before a run counts as withdrawn

A task could be started again although it had completed. A worker lists at most 500 ends at a time. Inventories already waited for the last page.

The test failed before: the agent reported the run as withdrawn from a full page ("its end may be listed later").

--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -100,3 +100,14 @@
     /// The ends that have not been acknowledged.
     pub ends: Vec<End>,
 }
+
+/// The maximum number of ends in a snapshot.
+const ENDS_PER_PAGE: usize = 500;
+
+impl Snapshot {
+    /// Returns whether the snapshot certainly holds all ends. A full list may
+    /// continue.
+    pub(super) fn lists_all_ends(&self) -> bool {
+        self.ends.len() < ENDS_PER_PAGE
+    }
+}
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -516,7 +516,7 @@
         self.polled = Some(now);
         self.report_ends(&snapshot);
         self.report_inventory(&snapshot);
-        self.resolve(sent, &snapshot.running, actions);
+        self.resolve(sent, &snapshot, actions);
         self.confirm_starts(sent);
         self.report_checkpoints(&snapshot.running);
         self.apply_throttling(now, &snapshot.running, actions);
@@ -528,9 +528,14 @@
         snapshot.started_ms.is_some() && started_ms.is_some() && snapshot.started_ms != started_ms
     }
 
-    /// Resolves uncertain orders; only snapshots requested afterwards count.
-    fn resolve(&mut self, sent: Instant, running: &[Running], actions: &mut Vec<Action>) {
-        let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
+    /// Resolves uncertain orders; only snapshots requested afterwards count. A run
+    /// that is not running has not been withdrawn if its end may yet be listed.
+    fn resolve(&mut self, sent: Instant, snapshot: &Snapshot, actions: &mut Vec<Action>) {
+        let listed = |key: &(Task, Run)| {
+            let mut rows = snapshot.running.iter();
+            rows.any(|row| (row.task, row.run) == *key)
+        };
+        let complete = snapshot.lists_all_ends();
         let issued: Vec<((Task, Run), Order)> = self
             .issued
             .iter()
@@ -546,7 +551,7 @@
                         self.stop(key.0, key.1, actions);
                     }
                 }
-                Order::Stopped(at) if sent >= at && !listed(&key) => {
+                Order::Stopped(at) if complete && sent >= at && !listed(&key) => {
                     self.issued.remove(&key);
                     self.roles.remove(&key);
                     self.outcome(key.0, key.1, StartStatus::Withdrawn);
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -5,8 +5,6 @@
     crate::{message::Inventory, worker::Running},
 };
 
-/// The maximum number of ends in a snapshot; a full list may be incomplete.
-const ENDS_PER_PAGE: usize = 500;
 impl Agent {
     pub(super) fn report_profile(&mut self) {
         let inventoried = self
@@ -39,7 +37,7 @@
         let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
             return;
         };
-        if session.inventoried || snapshot.ends.len() >= ENDS_PER_PAGE {
+        if session.inventoried || !snapshot.lists_all_ends() {
             return;
         }
         session.inventoried = true;
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -6,7 +6,7 @@
         agent::{Action, Agent, Answer, Call, Event, Refusal, Snapshot},
         id::{Epoch, Fence, Incarnation, Job, Run, Sequence, Task},
         message::{Orders, Outcome, Report, Role, Start, StartStatus},
-        worker::{Profile, Running},
+        worker::{End, Exit, Profile, Running},
     },
 };
 
@@ -339,3 +339,49 @@
         "{poll:?}"
     );
 }
+
+/// Returns a snapshot with a full page of ends of other tasks.
+fn full_page() -> Answer {
+    let end = |number| End {
+        sequence: Sequence(number),
+        task: Task {
+            job: Job(2),
+            occurrence: number as u32,
+            ..task()
+        },
+        run: Run(1),
+        exit: Exit::Done,
+        checkpoint: None,
+    };
+    Answer::Snapshot(Snapshot {
+        started_ms: Some(1),
+        clock: 50_000,
+        running: Vec::new(),
+        ends: (1..=500).map(end).collect(),
+    })
+}
+
+/// Guards against a task that is started again after it has completed: its end
+/// is on the next page when a stop has been confirmed.
+#[test]
+fn run_whose_end_may_be_on_the_next_page_does_not_count_as_withdrawn() {
+    let mut harness = Harness::new();
+    let start = harness.order();
+    harness.answer(start, Answer::Done);
+    harness.poll(snapshot(1, vec![row()]));
+    harness.outcomes();
+    harness.step(Event::Orders(Orders {
+        stops: vec![(task(), Run(1))],
+        ..Orders::default()
+    }));
+    let stop = harness.take(|call| matches!(call, Call::Stop { .. }));
+    harness.answer(stop.expect("the stop is sent"), Answer::Done);
+    harness.poll(snapshot(1, vec![row()]));
+
+    harness.poll(full_page());
+    assert!(harness.outcomes().is_empty(), "its end may be listed later");
+    harness.pass(Millis(100));
+    harness.poll(snapshot(1, Vec::new()));
+
+    assert_eq!(harness.outcomes()[0].status, StartStatus::Withdrawn);
+}
