--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -8,10 +8,11 @@
 
 mod call;
 mod report;
+mod session;
 
 use {
     crate::{
-        id::{Epoch, Fence, Run, Sequence, Task},
+        id::{Epoch, Fence, Run, Task},
         leadership::LEASE_RENEW_INTERVAL,
         message::{Orders, Outcome, Report, Role, Start, StartStatus},
         throttle::Controller,
@@ -21,6 +22,7 @@
         time::Instant,
         unit::{Cores, Millis},
     },
+    session::Session,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -92,35 +94,6 @@
     Stopped(Instant),
 }
 
-#[derive(Debug)]
-struct Session {
-    fence: Fence,
-    inventoried: bool,
-    /// The last end that was reported to the leader.
-    reported: Sequence,
-    acknowledged: Sequence,
-    polling: bool,
-    poll_at: Instant,
-    /// The number of starts that have not been answered.
-    starting: usize,
-    /// When a start was last sent or answered, until a later snapshot shows that
-    /// the worker has not restarted before.
-    last_start: Option<Instant>,
-}
-
-impl Session {
-    /// Returns the ends that the worker may discard. If it has restarted since
-    /// its last snapshot, these numbers belong to its former incarnation, so
-    /// they are withheld while a start may have begun to give ends the same
-    /// numbers again.
-    fn acknowledgement(&self) -> Sequence {
-        match self.last_start {
-            Some(_) => Sequence(0),
-            None => self.acknowledged,
-        }
-    }
-}
-
 /// The state machine of an agent.
 #[derive(Debug, Default)]
 pub struct Agent {
@@ -248,16 +221,7 @@
         if self.profile.is_none() {
             self.profile = profile;
         }
-        self.session = Some(Session {
-            fence,
-            inventoried: false,
-            reported: Sequence(0),
-            acknowledged: Sequence(0),
-            polling: false,
-            poll_at: now,
-            starting: 0,
-            last_start: None,
-        });
+        self.session = Some(Session::new(now, fence));
         self.profile_reported = false;
     }
 
@@ -359,8 +323,7 @@
         if !leased || draining {
             return self.outcome(task, run, StartStatus::Withdrawn);
         }
-        session.starting += 1;
-        session.last_start = Some(now);
+        session.start_sent(now);
         self.issued.insert((task, run), Order::Starting);
         self.roles.insert((task, run), start.role.clone());
         actions.push(Action::Call(Call::Start {
@@ -454,8 +417,7 @@
 
     fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
         if let Some(session) = &mut self.session {
-            session.starting = session.starting.saturating_sub(1);
-            session.last_start = Some(now);
+            session.start_answered(now);
         }
         if self.issued.get(&(task, run)) != Some(&Order::Starting) {
             // A stop was ordered meanwhile; its outcome decides.
@@ -567,9 +529,7 @@
         let unanswered = |order: &Order| matches!(order, Order::Unanswered(_));
         let uncertain = self.issued.values().any(unanswered);
         if let Some(session) = self.session.as_mut().filter(|_| !uncertain) {
-            if session.starting == 0 && session.last_start.is_some_and(|last| sent > last) {
-                session.last_start = None;
-            }
+            session.confirm_starts(sent);
         }
     }
 
--- /dev/null
+++ b/crates/workload/src/agent/session.rs
@@ -0,0 +1,66 @@
+//! The session of an agent with the leader.
+
+use {
+    crate::id::{Fence, Sequence},
+    filbertbend_state::time::Instant,
+};
+
+#[derive(Debug)]
+pub(super) struct Session {
+    pub(super) fence: Fence,
+    pub(super) inventoried: bool,
+    /// The last end that was reported to the leader.
+    pub(super) reported: Sequence,
+    pub(super) acknowledged: Sequence,
+    pub(super) polling: bool,
+    pub(super) poll_at: Instant,
+    /// The number of starts that have not been answered.
+    starting: usize,
+    /// When a start was last sent or answered, until a later snapshot shows that
+    /// the worker has not restarted before.
+    last_start: Option<Instant>,
+}
+
+impl Session {
+    pub(super) fn new(now: Instant, fence: Fence) -> Self {
+        Self {
+            fence,
+            inventoried: false,
+            reported: Sequence(0),
+            acknowledged: Sequence(0),
+            polling: false,
+            poll_at: now,
+            starting: 0,
+            last_start: None,
+        }
+    }
+
+    pub(super) fn start_sent(&mut self, now: Instant) {
+        self.starting += 1;
+        self.last_start = Some(now);
+    }
+
+    pub(super) fn start_answered(&mut self, now: Instant) {
+        self.starting = self.starting.saturating_sub(1);
+        self.last_start = Some(now);
+    }
+
+    /// Records that the starts so far have reached the incarnation whose snapshot
+    /// was requested at `sent`, unless one has not been answered.
+    pub(super) fn confirm_starts(&mut self, sent: Instant) {
+        if self.starting == 0 && self.last_start.is_some_and(|last| sent > last) {
+            self.last_start = None;
+        }
+    }
+
+    /// Returns the ends that the worker may discard. If it has restarted since
+    /// its last snapshot, these numbers belong to its former incarnation, so
+    /// they are withheld while a start may have begun to give ends the same
+    /// numbers again.
+    pub(super) fn acknowledgement(&self) -> Sequence {
+        match self.last_start {
+            Some(_) => Sequence(0),
+            None => self.acknowledged,
+        }
+    }
+}
