Space the sessions with a worker that has restarted

The agent then asks for the next session, and so on until the first heartbeat of the new incarnation has arrived: a session for each round trip. The delay that was meant to prevent that was set on the session that ended, so it had no effect, neither here nor after a refused fence.

The delay is now kept by the agent and applies to the first poll of the next session.

The test failed before: 100 sessions in 1 s, with an answer each 10 ms. The test of the deadline after a restart lets the delay pass first; with the former behaviour put back it still fails.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -103,6 +103,8 @@
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
+    /// The earliest time of the next session's first poll.
+    poll_not_before: Instant,
     /// The worker's clock, with the agent's clock when the answer arrived.
     clock: Option<(Instant, u64)>,
     /// When the last snapshot of the worker arrived.
@@ -221,7 +223,7 @@
         if self.profile.is_none() {
             self.profile = profile;
         }
-        self.session = Some(Session::new(now, fence));
+        self.session = Some(Session::new(fence, now.max(self.poll_not_before)));
         self.profile_reported = false;
     }
 
@@ -408,10 +410,8 @@
                 None => self.forget_incarnation(),
             }
         }
-        if let Some(session) = &mut self.session {
-            // Avoids a busy loop of polls while the worker refuses.
-            session.poll_at = now + RETRY_DELAY;
-        }
+        // Avoids a busy loop of sessions while the worker refuses.
+        self.poll_not_before = now + RETRY_DELAY;
         self.renew_session(actions);
     }
 
--- a/crates/workload/src/agent/session.rs
+++ b/crates/workload/src/agent/session.rs
@@ -22,14 +22,14 @@
 }
 
 impl Session {
-    pub(super) fn new(now: Instant, fence: Fence) -> Self {
+    pub(super) fn new(fence: Fence, poll_at: Instant) -> Self {
         Self {
             fence,
             inventoried: false,
             reported: Sequence(0),
             acknowledged: Sequence(0),
             polling: false,
-            poll_at: now,
+            poll_at,
             starting: 0,
             last_start: None,
         }
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -332,6 +332,7 @@
     harness.poll(snapshot(2, Vec::new()));
     // The leader does not know of the restart yet.
     harness.step(Event::Welcome(Epoch(1), Fence(8), Some(profile(1))));
+    harness.pass(Millis(100));
 
     let poll = harness.pending_poll();
     assert!(
@@ -385,3 +386,23 @@
 
     assert_eq!(harness.outcomes()[0].status, StartStatus::Withdrawn);
 }
+
+/// Guards against a leader that is kept busy by the agents of restarted workers:
+/// they open sessions without a pause until the first heartbeat arrives.
+#[test]
+fn sessions_with_an_unknown_incarnation_are_spaced() {
+    let mut harness = Harness::new();
+    let hellos = harness.hellos;
+
+    for fence in 0..100 {
+        harness.pass(Millis(10));
+        if harness.calls.is_empty() {
+            continue;
+        }
+        harness.poll(snapshot(2, Vec::new()));
+        harness.step(Event::Welcome(Epoch(1), Fence(8 + fence), Some(profile(1))));
+    }
+
+    let opened = harness.hellos - hellos;
+    assert!((1..=10).contains(&opened), "{opened} sessions in 1 s");
+}
