--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -21,6 +21,7 @@
         let Some(session) = &mut self.session else {
             return;
         };
+        session.first_listed = snapshot.ends.iter().map(|end| end.sequence).min();
         for end in &snapshot.ends {
             if end.sequence > session.reported {
                 session.reported = end.sequence;
--- a/crates/workload/src/agent/session.rs
+++ b/crates/workload/src/agent/session.rs
@@ -12,6 +12,8 @@
     /// The last end that was reported to the leader.
     pub(super) reported: Sequence,
     pub(super) acknowledged: Sequence,
+    /// The first end in the last snapshot.
+    pub(super) first_listed: Option<Sequence>,
     pub(super) polling: bool,
     pub(super) poll_at: Instant,
     /// The number of starts that have not been answered.
@@ -28,6 +30,7 @@
             inventoried: false,
             reported: Sequence(0),
             acknowledged: Sequence(0),
+            first_listed: None,
             polling: false,
             poll_at,
             starting: 0,
@@ -53,14 +56,19 @@
         }
     }
 
-    /// Returns the ends that the worker may discard. If it has restarted since
-    /// its last snapshot, these numbers belong to its former incarnation, so
-    /// they are withheld while a start may have begun to give ends the same
-    /// numbers again.
+    /// Returns the last end that the worker may discard. If it has restarted
+    /// since its last snapshot, this number belongs to its former incarnation. It
+    /// is therefore withheld while a start may have begun to give ends the same
+    /// numbers again, and once the worker no longer lists the ends, since a poll
+    /// may be carried out later than it is sent.
     pub(super) fn acknowledgement(&self) -> Sequence {
-        match self.last_start {
-            Some(_) => Sequence(0),
-            None => self.acknowledged,
+        let listed = self
+            .first_listed
+            .is_some_and(|first| first <= self.acknowledged);
+        if listed && self.last_start.is_none() {
+            self.acknowledged
+        } else {
+            Sequence(0)
         }
     }
 }
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -55,6 +55,27 @@
     })
 }
 
+/// Returns a snapshot that lists ends of other tasks with these numbers.
+fn ends(numbers: std::ops::RangeInclusive<u64>) -> Answer {
+    let end = |number| End {
+        sequence: Sequence(number),
+        task: Task {
+            job: Job(2),
+            occurrence: number as u32,
+            ..task()
+        },
+        run: Run(1),
+        exit: Exit::Done,
+        checkpoint: None,
+    };
+    Answer::Snapshot(Snapshot {
+        started_ms: Some(1),
+        clock: 50_000,
+        running: Vec::new(),
+        ends: numbers.map(end).collect(),
+    })
+}
+
 fn row() -> Running {
     Running {
         task: task(),
@@ -299,11 +320,12 @@
 #[test]
 fn ends_are_not_acknowledged_by_the_numbers_of_a_former_incarnation() {
     let mut harness = Harness::new();
+    harness.poll(ends(1..=5));
     harness.step(Event::Orders(Orders {
         acknowledged: Some(Sequence(5)),
         ..Orders::default()
     }));
-    harness.poll(snapshot(1, Vec::new()));
+    harness.pass(Millis(100));
 
     // The worker may have restarted after its last answer.
     let start = harness.order();
@@ -318,11 +340,32 @@
     let poll = harness.pending_poll();
     assert_eq!(acknowledged(&poll), Some(Sequence(0)), "start answered");
 
-    harness.answer(poll, snapshot(1, vec![row()]));
+    harness.answer(poll, ends(1..=5));
+    harness.pass(Millis(100));
     let poll = harness.pending_poll();
     assert_eq!(acknowledged(&poll), Some(Sequence(5)), "same incarnation");
 }
 
+/// Guards against the loss of an end, like the test above: the worker carries out
+/// a poll late that was sent before the start.
+#[test]
+fn ends_that_are_no_longer_listed_are_not_acknowledged_again() {
+    let mut harness = Harness::new();
+    harness.poll(ends(1..=5));
+    harness.step(Event::Orders(Orders {
+        acknowledged: Some(Sequence(5)),
+        ..Orders::default()
+    }));
+    harness.pass(Millis(100));
+    let poll = harness.pending_poll();
+    assert_eq!(acknowledged(&poll), Some(Sequence(5)));
+
+    harness.answer(poll, snapshot(1, Vec::new()));
+
+    let poll = harness.pending_poll();
+    assert_eq!(acknowledged(&poll), Some(Sequence(0)));
+}
+
 /// Guards against a worker that keeps its tasks longer than the leader counts:
 /// a deadline on the clock of a former incarnation lies far in the future.
 #[test]
@@ -341,27 +384,6 @@
     );
 }
 
-/// Returns a snapshot with a full page of ends of other tasks.
-fn full_page() -> Answer {
-    let end = |number| End {
-        sequence: Sequence(number),
-        task: Task {
-            job: Job(2),
-            occurrence: number as u32,
-            ..task()
-        },
-        run: Run(1),
-        exit: Exit::Done,
-        checkpoint: None,
-    };
-    Answer::Snapshot(Snapshot {
-        started_ms: Some(1),
-        clock: 50_000,
-        running: Vec::new(),
-        ends: (1..=500).map(end).collect(),
-    })
-}
-
 /// Guards against a task that is started again after it has completed: its end
 /// is on the next page when a stop has been confirmed.
 #[test]
@@ -379,7 +401,7 @@
     harness.answer(stop.expect("the stop is sent"), Answer::Done);
     harness.poll(snapshot(1, vec![row()]));
 
-    harness.poll(full_page());
+    harness.poll(ends(1..=500));
     assert!(harness.outcomes().is_empty(), "its end may be listed later");
     harness.pass(Millis(100));
     harness.poll(snapshot(1, Vec::new()));
