Count the longest lease when an agent reopens its session

Between the restart of a worker under its name and the next session a start still reaches it, with a lease by the clock of its former incarnation. If the inventory of the next session then fails to arrive, the leader concluded from the leases that it had granted, 4 s too early, that the run was gone.

An agent opens another session on an open link only if it has found signs of a restart. From then on the leader counts the longest lease, until an inventory shows which incarnation there is. After an ordinary reconnection, and for a worker that just stops answering, the count is as before.

--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -1,7 +1,10 @@
 //! All workers and the sessions with their agents.
 
 use {
-    super::worker::{Expiry, Reservation, Worker},
+    super::{
+        worker::{Expiry, Reservation, Worker},
+        Settings,
+    },
     crate::{
         id::{Fence, Job, Link, Node, Run, Task},
         interference::{Model, Weight},
@@ -112,12 +115,19 @@
     }
 
     /// Opens a session and replaces an earlier one with the same agent.
-    pub(super) fn open(&mut self, link: Link, node: Node, fence: Fence, now: Instant) {
+    pub(super) fn open(
+        &mut self,
+        link: Link,
+        node: Node,
+        fence: Fence,
+        now: Instant,
+        settings: &Settings,
+    ) {
         let worker = self
             .workers
             .entry(node.clone())
             .or_insert_with(|| Worker::new(now));
-        if let Some(former) = worker.begin_session(link, fence, now) {
+        if let Some(former) = worker.begin_session(link, fence, now, settings) {
             self.links.remove(&former);
         }
         self.links.insert(link, node);
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -526,7 +526,8 @@
         }
         self.sessions += 1;
         let fence = Fence::new(self.epoch, self.sessions);
-        self.fleet.open(link, node.clone(), fence, self.now);
+        self.fleet
+            .open(link, node.clone(), fence, self.now, &self.settings);
         let welcome = Response::Welcome {
             epoch: self.epoch,
             fence,
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -133,7 +133,20 @@
     }
 
     /// Begins a session with the agent. Returns the link of the last session.
-    pub(super) fn begin_session(&mut self, link: Link, fence: Fence, now: Instant) -> Option<Link> {
+    ///
+    /// An agent that opens another session on its link has found signs of a
+    /// restart of its worker.
+    pub(super) fn begin_session(
+        &mut self,
+        link: Link,
+        fence: Fence,
+        now: Instant,
+        settings: &Settings,
+    ) -> Option<Link> {
+        if self.link == Some(link) {
+            let longest = now + settings.longest_lease_bound();
+            self.lease_until = self.lease_until.max(Some(longest));
+        }
         self.fence = fence;
         self.last_report = now;
         self.incarnation = None;
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -507,3 +507,27 @@
 
     assert_eq!(harness.starts(1).len(), 1);
 }
+
+/// Guards against a task that runs twice: a start has reached an incarnation
+/// that its agent had yet to discover, and the next inventory fails to arrive.
+#[test]
+fn reopened_session_counts_as_a_restart_until_its_inventory() {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, job(vec![step(1)]));
+    let start = harness.starts(0).remove(0);
+    harness.started(0, &start);
+    harness.join(1, Vec::new());
+
+    harness.step(Event::Opened(Link(0), node(0)));
+    harness.step(Event::Closed(Link(0)));
+    harness.pass(Millis(10_000), &[1]);
+    harness.commit();
+    assert!(
+        harness.all_starts().is_empty(),
+        "its lease may not have expired"
+    );
+    harness.pass(Millis(1000), &[1]);
+    harness.commit();
+
+    assert_eq!(harness.starts(1).len(), 1);
+}
