Tell a new leader that a worker has restarted

A task could run twice if its worker had restarted under its name, the leader had changed within the seconds that followed, and the worker's agent was then cut off: only the former leader had seen both incarnations, so the next one counted the lease that it had granted, while the worker held the longest one by the clock of its former incarnation.

The agent, which lives on through a change of leader, now says with each inventory how long ago it made the first one of an incarnation that has begun under the former name. The leader's own knowledge is kept, for agents that have restarted meanwhile. This adds a field to a message between processes.

Two tests, both failed before: the agent reported no restart, and the planner started the task elsewhere within 9 s.

--- a/crates/bench/benches/leader/simulation.rs
+++ b/crates/bench/benches/leader/simulation.rs
@@ -99,6 +99,7 @@
                 profile: Some(profile(number)),
                 inventory: Some(Inventory {
                     incarnation: profile(number).incarnation,
+                    restarted: None,
                     running: Vec::new(),
                 }),
                 ..Report::default()
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -162,6 +162,7 @@
         }),
         inventory: Some(Inventory {
             incarnation,
+            restarted: None,
             running: Vec::new(),
         }),
         renew: Some(1),
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -98,6 +98,12 @@
 #[derive(Debug, Default)]
 pub struct Agent {
     profile: Option<Profile>,
+    /// The name of the worker before the present incarnation.
+    former: Option<Arc<str>>,
+    /// Whether the present incarnation has begun under the former name.
+    restarted: bool,
+    /// When the first inventory of the incarnation was made.
+    first_listed: Option<Instant>,
     /// Another incarnation that sent a heartbeat, until a snapshot decides.
     candidate: Option<Profile>,
     profile_reported: bool,
@@ -201,6 +207,7 @@
 
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
         self.forget_incarnation();
+        self.restarted = self.former.as_ref() == Some(&profile.incarnation.worker);
         self.profile = Some(profile);
         self.renew_session(actions);
     }
@@ -208,7 +215,10 @@
     /// Drops what is known about the worker: its clock, for one, begins anew, so
     /// that a deadline by the former clock would lie far in the future.
     fn forget_incarnation(&mut self) {
-        self.profile = None;
+        if let Some(profile) = self.profile.take() {
+            self.former = Some(profile.incarnation.worker);
+        }
+        self.first_listed = None;
         self.candidate = None;
         self.clock = None;
         self.polled = None;
@@ -477,7 +487,7 @@
         self.clock = Some((now, snapshot.clock));
         self.polled = Some(now);
         self.report_ends(&snapshot);
-        self.report_inventory(&snapshot);
+        self.report_inventory(now, &snapshot);
         self.resolve(sent, &snapshot, actions);
         self.confirm_starts(sent);
         self.report_checkpoints(&snapshot.running);
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -3,6 +3,7 @@
 use {
     super::{call::Snapshot, Agent},
     crate::{message::Inventory, worker::Running},
+    filbertbend_state::time::Instant,
 };
 
 impl Agent {
@@ -34,7 +35,7 @@
         }
     }
 
-    pub(super) fn report_inventory(&mut self, snapshot: &Snapshot) {
+    pub(super) fn report_inventory(&mut self, now: Instant, snapshot: &Snapshot) {
         let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
             return;
         };
@@ -42,10 +43,12 @@
             return;
         }
         session.inventoried = true;
+        let first = *self.first_listed.get_or_insert(now);
         self.throttle.reset_reported();
         self.report.weights = self.throttle.changed_weights();
         self.report.inventory = Some(Inventory {
             incarnation: profile.incarnation.clone(),
+            restarted: self.restarted.then(|| now.since(first)),
             running: snapshot.running.clone(),
         });
         self.report_profile();
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -117,6 +117,9 @@
 pub struct Inventory {
     /// The worker's incarnation.
     pub incarnation: Incarnation,
+    /// How long ago the first inventory of the incarnation was made, if it began
+    /// under the name of the one that the agent knew before.
+    pub restarted: Option<Millis>,
     /// The running tasks.
     pub running: Vec<Running>,
 }
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -366,7 +366,7 @@
         let Some(worker) = self.fleet.get_mut(node) else {
             return;
         };
-        worker.confirm_inventory(&inventory.incarnation, self.now, &self.settings);
+        worker.confirm_inventory(inventory, self.now, &self.settings);
         let fence = worker.fence;
         let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
         let mut adopted = 0;
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -5,7 +5,7 @@
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
-        message::{Orders, Role, Start},
+        message::{Inventory, Orders, Role, Start},
         worker::Profile,
     },
     filbertbend_state::{
@@ -159,23 +159,25 @@
         self.link.replace(link)
     }
 
-    /// Records that the inventory of an incarnation has arrived in this session.
+    /// Records that an inventory has arrived in this session.
     ///
     /// A worker that has restarted under its name has accepted the calls of the
     /// session with its former incarnation. Their deadlines lie far in the
     /// future of its new clock, so it may hold the longest lease there is.
     pub(super) fn confirm_inventory(
         &mut self,
-        incarnation: &Incarnation,
+        inventory: &Inventory,
         now: Instant,
         settings: &Settings,
     ) {
-        let restarted = self
+        let incarnation = &inventory.incarnation;
+        let changed = self
             .last_incarnation
             .as_ref()
             .is_some_and(|last| last.worker == incarnation.worker && last != incarnation);
-        if restarted {
-            self.foreign_lease_until = now + settings.longest_lease_bound();
+        if let Some(age) = inventory.restarted.or(changed.then_some(Millis::ZERO)) {
+            let until = now + settings.longest_lease_bound() - age;
+            self.foreign_lease_until = self.foreign_lease_until.max(until);
         }
         self.incarnation = Some(incarnation.clone());
         self.last_incarnation = Some(incarnation.clone());
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -428,3 +428,27 @@
     let opened = harness.hellos - hellos;
     assert!((1..=10).contains(&opened), "{opened} sessions in 1 s");
 }
+
+/// Guards against a new leader that does not learn of a restart, after which the
+/// worker may hold a lease by the clock of its former incarnation.
+#[test]
+fn restart_is_reported_in_later_sessions() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(profile(2)));
+    for fence in [8, 9] {
+        harness.step(Event::Disconnected);
+        harness.step(Event::Connected);
+        harness.calls.clear();
+        harness.step(Event::Welcome(Epoch(1), Fence(fence), None));
+        harness.poll(snapshot(2, Vec::new()));
+        harness.now = harness.now + Millis(3000);
+    }
+
+    let ages = harness
+        .reports
+        .iter()
+        .filter_map(|report| report.inventory.as_ref())
+        .map(|inventory| inventory.restarted);
+    let expected = [None, Some(Millis(0)), Some(Millis(3001))];
+    assert_eq!(ages.collect::<Vec<_>>(), expected);
+}
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -89,6 +89,7 @@
                 starved: vec![task],
                 inventory: Some(Inventory {
                     incarnation: incarnation(0),
+                    restarted: None,
                     running: vec![running(task, Run(3)), running(known.task, known.run)],
                 }),
                 probe: Some(u64::MAX),
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -449,6 +449,7 @@
 
     let list = Inventory {
         incarnation: incarnation(0),
+        restarted: None,
         running: Vec::new(),
     };
     let report = |fence| Report {
@@ -484,6 +485,7 @@
         }),
         inventory: Some(Inventory {
             incarnation: restarted,
+            restarted: None,
             running: Vec::new(),
         }),
         renew: Some(1),
@@ -531,3 +533,40 @@
 
     assert_eq!(harness.starts(1).len(), 1);
 }
+
+/// Guards against a task that runs twice: its worker has restarted under the
+/// former leader, and only the agent knows of that.
+#[test]
+fn restart_under_a_former_leader_is_taken_into_account() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Configured(Arc::new(catalog(0, 2))));
+    harness.step(Event::Loaded);
+    harness.step(Event::Opened(Link(0), node(0)));
+    let report = Report {
+        profile: Some(profile(0)),
+        inventory: Some(Inventory {
+            incarnation: incarnation(0),
+            restarted: Some(Millis(1000)),
+            running: Vec::new(),
+        }),
+        renew: Some(1),
+        ..Report::default()
+    };
+    harness.report(0, report);
+    harness.submit(1, job(vec![step(1)]));
+    let start = harness.starts(0).remove(0);
+    harness.started(0, &start);
+    harness.join(1, Vec::new());
+
+    harness.step(Event::Closed(Link(0)));
+    harness.pass(Millis(9000), &[1]);
+    harness.commit();
+    assert!(
+        harness.all_starts().is_empty(),
+        "its lease may not have expired"
+    );
+    harness.pass(Millis(1000), &[1]);
+    harness.commit();
+
+    assert_eq!(harness.starts(1).len(), 1);
+}
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -208,6 +208,7 @@
             profile: Some(profile(number)),
             inventory: Some(Inventory {
                 incarnation: incarnation(number),
+                restarted: None,
                 running,
             }),
             ends,
