Simulate planners, agents and workers with seeded interleavings

The planner and the agents were tested apart, each against scripted messages, so nothing showed what restarts, late calls and changes of leader do together. The simulation joins the real `Planner` (two successive terms, of which the former may live on, with batches that are late), real `Agent`s and models of workers with what the platform describes: leases on a clock that is up to 2% slow, fences, ends by page, stops that take 200 ms, restarts under the same name. Links break, go silent in one direction and lose what is under way; calls get no answer or take effect seconds later; the leader is paused or reads late.

It checks by the models' own account that no task runs twice at once or is started after an end that was acknowledged under an unbroken lease, that the lease of a run that counts as lost has expired, and that all jobs complete and all ends are acknowledged.

--- /dev/null
+++ b/crates/workload/tests/interleavings/cluster.rs
@@ -0,0 +1,512 @@
+//! Planners of successive terms, agents and model workers, joined by links and
+//! calls that are late, lost or silent in one direction.
+
+mod leader;
+
+use {
+    crate::{
+        support::profile,
+        worker::{Truth, Worker},
+    },
+    filbertbend_state::time::Instant,
+    filbertbend_workload::{
+        agent::{Action as Effect, Agent, Answer, Call, Event as Input},
+        id::{Job, Run, Task},
+        job,
+        message::{Query, Reply, Report, Response},
+        planner::{Batch, Event},
+        record::{Progress, State},
+        worker::{Exit, Profile},
+    },
+    leader::Leader,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+const CALL_TIMEOUT: u64 = 700;
+const LEADER_TIMEOUT: u64 = 1600;
+const WELCOME_TIMEOUT: u64 = 3000;
+
+/// A message to a leader.
+pub(crate) enum Message {
+    Hello,
+    Report(Box<Report>),
+    Ping,
+    Closed,
+}
+
+/// Something that happens at a time.
+enum Happening {
+    Agent(usize, u64, Box<Input>),
+    AgentTick(usize),
+    Dial(usize, u64),
+    Response(usize, Box<Response>),
+    Message(usize, Message),
+    LeaderTick(usize),
+    Persist(usize, Batch),
+    Arrive(u64),
+    Answer(u64, Answer),
+    Wait(usize),
+    Timeout(u64),
+    Heartbeat(usize),
+    Finish(usize, u64, Task, Run, Exit),
+    Expire(usize),
+    Restart(usize),
+    Submit(Job, Arc<job::Job>),
+}
+
+struct Session {
+    agent: usize,
+    generation: u64,
+    leader: usize,
+    open: bool,
+    welcomed: bool,
+    heard: u64,
+    /// Until when nothing arrives at the leader and at the agent.
+    silent: [u64; 2],
+    /// When the last message arrives at the leader and at the agent.
+    arrived: [u64; 2],
+}
+
+struct Side {
+    agent: Agent,
+    generation: u64,
+    link: Option<usize>,
+    cut_until: u64,
+}
+
+struct Pending {
+    side: usize,
+    generation: u64,
+    call: Call,
+    sent: u64,
+    open: bool,
+}
+
+/// How often calls and messages are late or lost, in percent.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Disorder {
+    pub(crate) late: u32,
+    pub(crate) lost: u32,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) now: u64,
+    rng: ChaCha8Rng,
+    order: u64,
+    queue: BTreeMap<(u64, u64), Happening>,
+    pub(crate) workers: Vec<Worker>,
+    sides: Vec<Side>,
+    links: Vec<Session>,
+    leaders: Vec<Leader>,
+    calls: BTreeMap<u64, Pending>,
+    /// The polls that wait for an end of each worker.
+    waiting: Vec<Vec<u64>>,
+    jobs: BTreeMap<Job, Arc<job::Job>>,
+    stored: BTreeMap<Job, Progress>,
+    pub(crate) truth: Truth,
+    pub(crate) disorder: Disorder,
+}
+
+impl Cluster {
+    pub(crate) fn new(seed: u64, workers: usize) -> Self {
+        let mut cluster = Self {
+            now: 100_000,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            order: 0,
+            queue: BTreeMap::new(),
+            workers: Vec::new(),
+            sides: Vec::new(),
+            links: Vec::new(),
+            leaders: Vec::new(),
+            calls: BTreeMap::new(),
+            waiting: vec![Vec::new(); workers],
+            jobs: BTreeMap::new(),
+            stored: BTreeMap::new(),
+            truth: Truth::default(),
+            disorder: Disorder::default(),
+        };
+        cluster.lead();
+        for number in 0..workers {
+            let mut worker = Worker::new(number, profile(number as u64));
+            worker.speed = cluster.pick(980, 1000);
+            let age = cluster.pick(1, 90_000);
+            worker.restart(cluster.now - age);
+            cluster.workers.push(worker);
+            cluster.sides.push(Side {
+                agent: Agent::default(),
+                generation: 0,
+                link: None,
+                cut_until: 0,
+            });
+            cluster.at(0, Happening::Heartbeat(number));
+            cluster.at(1, Happening::AgentTick(number));
+            cluster.at(5, Happening::Dial(number, 0));
+        }
+        cluster
+    }
+
+    pub(crate) fn pick(&mut self, low: u64, high: u64) -> u64 {
+        self.rng.random_range(low..=high)
+    }
+
+    pub(crate) fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn at(&mut self, delay: u64, happening: Happening) {
+        self.order += 1;
+        self.queue.insert((self.now + delay, self.order), happening);
+    }
+
+    pub(crate) fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(entry) = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= end)
+        {
+            self.now = entry.key().0;
+            let happening = entry.remove();
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    pub(crate) fn submit(&mut self, delay: u64, id: u64, job: Arc<job::Job>) {
+        self.at(delay, Happening::Submit(Job(id), job));
+    }
+
+    /// Lists the jobs that the newest leader does not show as complete.
+    pub(crate) fn open(&self) -> Vec<Job> {
+        let planner = &self.leaders[self.leaders.len() - 1].planner;
+        let complete = Reply::State(Some(State::Complete));
+        let is_open = |id: &Job| planner.answer(&Query::State(*id)) != complete;
+        self.jobs.keys().copied().filter(is_open).collect()
+    }
+
+    /// Returns whether all jobs are complete and all ends acknowledged.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.open().is_empty() && !self.workers.iter().any(Worker::has_ends)
+    }
+
+    pub(crate) fn cut(&mut self, side: usize, span: u64) {
+        self.sides[side].cut_until = self.now + span;
+        if let Some(link) = self.sides[side].link {
+            self.links[link].silent = [self.now + span; 2];
+        }
+    }
+
+    /// Makes a link silent towards the leader (0) or the agent (1).
+    pub(crate) fn mute(&mut self, side: usize, direction: usize, span: u64) {
+        if let Some(link) = self.sides[side].link {
+            self.links[link].silent[direction] = self.now + span;
+        }
+    }
+
+    pub(crate) fn drop_link(&mut self, side: usize) {
+        if let Some(link) = self.sides[side].link {
+            self.break_link(link);
+        }
+    }
+
+    pub(crate) fn kill_agent(&mut self, side: usize) {
+        self.drop_link(side);
+        let found = &mut self.sides[side];
+        found.agent = Agent::default();
+        found.generation += 1;
+        found.link = None;
+        let generation = found.generation;
+        let delay = self.pick(100, 2500);
+        self.at(delay, Happening::Dial(side, generation));
+    }
+
+    pub(crate) fn restart_worker(&mut self, side: usize, delay: u64) {
+        if self.workers[side].up {
+            self.workers[side].crash();
+            self.waiting[side].clear();
+            self.at(delay, Happening::Restart(side));
+        }
+    }
+
+    /// Closes a link. What is under way is lost.
+    fn break_link(&mut self, link: usize) {
+        let found = &mut self.links[link];
+        if !std::mem::take(&mut found.open) {
+            return;
+        }
+        let (side, generation, silent) = (found.agent, found.generation, found.silent[0]);
+        let seen = silent.saturating_sub(self.now) + self.pick(1, 300);
+        self.at(seen.min(6000), Happening::Message(link, Message::Closed));
+        if self.sides[side].generation == generation && self.sides[side].link == Some(link) {
+            self.sides[side].link = None;
+            self.agent(side, Input::Disconnected);
+            let delay = self.pick(50, 400);
+            self.at(delay, Happening::Dial(side, generation));
+        }
+    }
+
+    fn dial(&mut self, side: usize, generation: u64) {
+        let leader = self.leaders.len() - 1;
+        if self.sides[side].generation != generation || self.sides[side].link.is_some() {
+            return;
+        }
+        if self.sides[side].cut_until > self.now || self.leaders[leader].ended {
+            return self.at(100, Happening::Dial(side, generation));
+        }
+        self.links.push(Session {
+            agent: side,
+            generation,
+            leader,
+            open: true,
+            welcomed: false,
+            heard: self.now,
+            silent: [0; 2],
+            arrived: [0; 2],
+        });
+        self.sides[side].link = Some(self.links.len() - 1);
+        self.agent(side, Input::Connected);
+    }
+
+    /// Returns after which delay a message on a link arrives.
+    fn transfer(&mut self, link: usize, direction: usize) -> u64 {
+        let late = self.chance(self.disorder.late / 4);
+        let delay = if late {
+            self.pick(10, 1500)
+        } else {
+            self.pick(1, 4)
+        };
+        let now = self.now;
+        let found = &mut self.links[link];
+        let sent = now.max(found.silent[direction]) + delay;
+        found.arrived[direction] = found.arrived[direction].max(sent);
+        found.arrived[direction] - now
+    }
+
+    fn message(&mut self, side: usize, message: Message) {
+        if let Some(link) = self.sides[side].link {
+            let delay = self.transfer(link, 0);
+            self.at(delay, Happening::Message(link, message));
+        }
+    }
+
+    fn agent(&mut self, side: usize, input: Input) {
+        let mut effects = Vec::new();
+        let now = Instant(self.now);
+        self.sides[side].agent.step(now, input, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Hello => self.message(side, Message::Hello),
+                Effect::Send(report) => self.message(side, Message::Report(report)),
+                Effect::Ping => self.message(side, Message::Ping),
+                Effect::Call(call) => self.call(side, call),
+            }
+        }
+    }
+
+    fn call(&mut self, side: usize, call: Call) {
+        let wait = match &call {
+            Call::Poll { wait, .. } => wait.0,
+            _ => 0,
+        };
+        self.order += 1;
+        let id = self.order;
+        self.calls.insert(
+            id,
+            Pending {
+                side,
+                generation: self.sides[side].generation,
+                call,
+                sent: self.now,
+                open: true,
+            },
+        );
+        let late = self.chance(self.disorder.late);
+        let delay = if late {
+            self.pick(5, 4000)
+        } else {
+            self.pick(1, 3)
+        };
+        if !self.chance(self.disorder.lost) {
+            self.at(delay, Happening::Arrive(id));
+        }
+        self.at(CALL_TIMEOUT + wait, Happening::Timeout(id));
+    }
+
+    fn arrive(&mut self, id: u64) {
+        let Some(found) = self.calls.get(&id) else {
+            return;
+        };
+        let (side, sent, call) = (found.side, found.sent, found.call.clone());
+        let worker = &mut self.workers[side];
+        // Nothing in a call tells a later incarnation of the same name that it
+        // was sent before the restart.
+        if !worker.up || sent < worker.started_ms() {
+            return self.at(1, Happening::Answer(id, Answer::Lost));
+        }
+        let answer = worker.call(self.now, &call, &mut self.truth);
+        let (started_ms, remaining) = (worker.started_ms(), worker.remaining(self.now));
+        self.at(remaining, Happening::Expire(side));
+        match (&call, &answer) {
+            (Call::Poll { wait, .. }, Answer::Done) => {
+                self.waiting[side].push(id);
+                return self.at(wait.0, Happening::Wait(side));
+            }
+            (Call::Start { start, .. }, Answer::Done) => self.started(side, start.task, start.run),
+            (Call::Stop { task, run, .. }, Answer::Done) => {
+                let delay = self.pick(0, 200);
+                let stopped = Happening::Finish(side, started_ms, *task, *run, Exit::Stopped);
+                self.at(delay, stopped);
+            }
+            _ => {}
+        }
+        self.answer(id, answer);
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer) {
+        if !self.chance(self.disorder.lost) {
+            let delay = self.pick(1, 3);
+            self.at(delay, Happening::Answer(id, answer));
+        }
+    }
+
+    fn started(&mut self, side: usize, task: Task, run: Run) {
+        let others = (0..self.workers.len()).filter(|other| *other != side);
+        for other in others.filter(|other| self.workers[*other].is_running(task)) {
+            let found = format!("{task} runs on {other} and, as run {run}, on {side}");
+            self.truth.violations.push(found);
+        }
+        let exit = match self.chance(10) {
+            true => Exit::Failed,
+            false => Exit::Done,
+        };
+        let span = self.pick(200, 5000);
+        let started_ms = self.workers[side].started_ms();
+        self.at(span, Happening::Finish(side, started_ms, task, run, exit));
+    }
+
+    /// Answers the polls that wait for an end.
+    fn wake(&mut self, side: usize) {
+        for id in std::mem::take(&mut self.waiting[side]) {
+            let answer = self.workers[side].snapshot(self.now);
+            self.answer(id, answer);
+        }
+    }
+
+    /// Delivers the result of a call unless it has timed out.
+    fn answered(&mut self, id: u64, answer: Answer) {
+        let Some(found) = self.calls.get_mut(&id).filter(|found| found.open) else {
+            return;
+        };
+        found.open = false;
+        let (side, generation) = (found.side, found.generation);
+        let input = Input::Answered {
+            call: found.call.clone(),
+            sent: Instant(found.sent),
+            answer,
+        };
+        if self.sides[side].generation == generation {
+            self.agent(side, input);
+        }
+    }
+
+    fn agent_tick(&mut self, side: usize) {
+        if let Some(link) = self.sides[side].link {
+            let found = &self.links[link];
+            let limit = if found.welcomed {
+                LEADER_TIMEOUT
+            } else {
+                WELCOME_TIMEOUT
+            };
+            let replaced = found.leader < self.leaders.len() - 1 && self.chance(5);
+            if replaced || self.now > self.links[link].heard + limit {
+                self.break_link(link);
+            }
+        }
+        self.agent(side, Input::Tick);
+        self.at(60, Happening::AgentTick(side));
+    }
+
+    fn heartbeat(&mut self, side: usize) {
+        if self.workers[side].up {
+            let late = self.chance(self.disorder.late);
+            let delay = if late { self.pick(5, 2500) } else { 2 };
+            let profile: Profile = self.workers[side].profile.clone();
+            let generation = self.sides[side].generation;
+            let heartbeat = Box::new(Input::Heartbeat(profile));
+            self.at(delay, Happening::Agent(side, generation, heartbeat));
+        }
+        self.at(700, Happening::Heartbeat(side));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Agent(side, generation, input) => {
+                if self.sides[side].generation == generation {
+                    self.agent(side, *input);
+                }
+            }
+            Happening::AgentTick(side) => self.agent_tick(side),
+            Happening::Dial(side, generation) => self.dial(side, generation),
+            Happening::Response(link, response) => {
+                let found = &mut self.links[link];
+                if !found.open {
+                    return;
+                }
+                found.heard = self.now;
+                found.welcomed |= matches!(*response, Response::Welcome { .. });
+                let side = found.agent;
+                match *response {
+                    Response::Welcome {
+                        epoch,
+                        fence,
+                        profile,
+                    } => self.agent(side, Input::Welcome(epoch, fence, profile)),
+                    Response::Orders(orders) => self.agent(side, Input::Orders(orders)),
+                    _ => {}
+                }
+            }
+            Happening::Message(link, message) => {
+                let leader = self.links[link].leader;
+                if self.links[link].open || matches!(message, Message::Closed) {
+                    if matches!(message, Message::Ping) {
+                        let delay = self.transfer(link, 1);
+                        let pong = Box::new(Response::Pong);
+                        self.at(delay, Happening::Response(link, pong));
+                    }
+                    let entry = (self.now, link, message);
+                    self.leaders[leader].inbox.push_back(entry);
+                    self.read(leader);
+                }
+            }
+            Happening::LeaderTick(leader) => self.leader_tick(leader),
+            Happening::Persist(leader, batch) => self.persist(leader, batch),
+            Happening::Arrive(id) => self.arrive(id),
+            Happening::Answer(id, answer) => self.answered(id, answer),
+            Happening::Wait(side) => self.wake(side),
+            Happening::Timeout(id) => self.answered(id, Answer::Lost),
+            Happening::Heartbeat(side) => self.heartbeat(side),
+            Happening::Finish(side, started_ms, task, run, exit) => {
+                if self.workers[side].started_ms() == started_ms {
+                    self.workers[side].finish(task, run, exit, &mut self.truth);
+                    if self.workers[side].has_ends() {
+                        self.wake(side);
+                    }
+                }
+            }
+            Happening::Expire(side) => self.workers[side].expire(self.now, &mut self.truth),
+            Happening::Restart(side) => {
+                self.workers[side].restart(self.now);
+                self.heartbeat(side);
+            }
+            Happening::Submit(id, job) => {
+                self.jobs.insert(id, job.clone());
+                let leader = self.leaders.len() - 1;
+                if !self.leaders[leader].ended {
+                    self.plan(leader, Event::Submitted(id, job));
+                }
+            }
+        }
+    }
+}
--- a/crates/workload/tests/lease_evidence.rs
+++ b/crates/workload/tests/lease_evidence.rs
@@ -127,3 +127,29 @@
         assert!(harness.all_starts().is_empty(), "after a pause of {pause}");
     }
 }
+
+/// Guards against a task that runs twice: its agent has asked for a lease in a
+/// new session before the worker answered, so no inventory has been read.
+#[test]
+fn lease_granted_before_the_inventory_is_waited_for() {
+    let (mut harness, _) = one_running_task();
+    harness.step(Event::Closed(Link(0)));
+    harness.pass(Millis(3000), &[OTHER]);
+
+    let link = Link(7);
+    harness.step(Event::Opened(link, node(0)));
+    let renewal = Report {
+        fence: harness.fences[&link],
+        renew: Some(2),
+        ..Report::default()
+    };
+    harness.step(Event::Report(link, Box::new(renewal)));
+    harness.step(Event::Closed(link));
+    harness.pass(Millis(6000), &[OTHER]);
+    harness.commit();
+    assert!(harness.all_starts().is_empty(), "the lease has not expired");
+    harness.pass(Millis(500), &[OTHER]);
+    harness.commit();
+
+    assert_eq!(harness.starts(OTHER).len(), 1);
+}
