Begin a new session when a connected worker has lost its runs

Two runs of a task could execute at once without any restart. The worker does not answer for some seconds, so its agent asks for no lease, while the link to the leader stays up. The leader concludes from the expired lease that the runs are gone, one whose start had no answer among them, and starts the task elsewhere. When the worker answers again, the agent continues the session and its lease is renewed. A start that was sent before is then carried out late: it has the fence of the present session and finds a lease, and nobody has stopped it, because the leader holds the run for gone.

What makes earlier orders ineffective is a new fence. The leader now opens a new session when it gives up the runs of a connected worker, by a welcome on the same link, and grants no lease in the former one. The agent drops what belongs to the former session when it is welcomed, as it does when it asks for one.

Two tests, both failed before: the planner kept the fence, and the agent stopped an order of the former session with the new fence.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -230,6 +230,8 @@
     }
 
     fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
+        // The leader may open a session by itself.
+        self.end_session();
         if self.profile.is_none() {
             self.profile = profile;
         }
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -478,7 +478,9 @@
         }
     }
 
-    /// Removes every run on a worker whose lease has certainly expired.
+    /// Removes every run on a worker whose lease has certainly expired. If its
+    /// agent is connected, it gets a new session: a start of the present one
+    /// could still take effect once the worker has a lease again.
     fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
         let silent = self.silence(node);
         for (task, run) in self.fleet.clear(node) {
@@ -492,6 +494,9 @@
             }));
             self.refresh(task.job, actions);
         }
+        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
+            self.open(link, node.clone(), actions);
+        }
     }
 
     /// Returns the time since the last report of a worker.
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -452,3 +452,30 @@
     let expected = [None, Some(Millis(0)), Some(Millis(3001))];
     assert_eq!(ages.collect::<Vec<_>>(), expected);
 }
+
+/// Guards against a start of an earlier session that is resolved in a later one,
+/// which the leader has opened by itself.
+#[test]
+fn session_that_the_leader_opens_replaces_the_present_one() {
+    let mut harness = Harness::new();
+    let start = harness.order();
+    harness.answer(start, Answer::Lost);
+    harness.calls.clear();
+    harness.reports.clear();
+
+    harness.step(Event::Welcome(Epoch(1), Fence(8), None));
+    harness.poll(snapshot(1, Vec::new()));
+
+    assert!(
+        harness
+            .take(|call| matches!(call, Call::Stop { .. }))
+            .is_none(),
+        "the new fence rules it out"
+    );
+    let fences = harness.reports.iter().map(|report| report.fence);
+    assert!(fences.into_iter().all(|fence| fence == Fence(8)));
+    assert!(harness
+        .reports
+        .iter()
+        .any(|report| report.inventory.is_some()));
+}
--- a/crates/workload/tests/lease_evidence.rs
+++ b/crates/workload/tests/lease_evidence.rs
@@ -153,3 +153,16 @@
 
     assert_eq!(harness.starts(OTHER).len(), 1);
 }
+
+/// Guards against a task that runs twice at once: a start that the agent sent
+/// before the lease expired takes effect once the worker has a lease again.
+#[test]
+fn worker_that_lost_its_runs_gets_a_new_session() {
+    let (mut harness, _) = one_running_task();
+    let former = harness.fences[&Link(0)];
+
+    harness.pass(LEASE_OVER + Millis(1200), &[OTHER]);
+    assert_eq!(abandoned(&harness), 1);
+
+    assert!(harness.fences[&Link(0)] > former, "orders keep their fence");
+}
