--- a/crates/workload/tests/interleavings/cluster.rs
+++ b/crates/workload/tests/interleavings/cluster.rs
@@ -324,7 +324,7 @@
         );
         let late = self.chance(self.disorder.late);
         let delay = if late {
-            self.pick(5, 4000)
+            self.pick(5, 12_000)
         } else {
             self.pick(1, 3)
         };
