--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -10,10 +10,11 @@
 mod queue;
 mod report;
 mod room;
+mod session;
 
 use {
     crate::{
-        id::{Epoch, Fence, Incarnation, Run, Sequence, Task},
+        id::{Epoch, Fence, Incarnation, Run, Task},
         leadership::LEASE_RENEW_INTERVAL,
         message::{Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
@@ -24,6 +25,7 @@
         unit::{Cores, Millis},
     },
     queue::{Queue, Waiting},
+    session::Session,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -100,21 +102,16 @@
     Stopped(Instant),
 }
 
-#[derive(Debug)]
-struct Session {
-    fence: Fence,
-    inventoried: bool,
-    /// The last end that was reported to the leader.
-    reported: Sequence,
-    acknowledged: Sequence,
-    polling: bool,
-    poll_at: Instant,
-}
-
 /// The state machine of an agent.
 #[derive(Debug, Default)]
 pub struct Agent {
     profile: Option<Profile>,
+    /// The name of the worker before the present incarnation.
+    former: Option<Arc<str>>,
+    /// Whether the present incarnation has begun under the former name.
+    restarted: bool,
+    /// When the first inventory of the incarnation was made.
+    first_listed: Option<Instant>,
     /// Another incarnation that sent a heartbeat, until a snapshot decides.
     candidate: Option<Profile>,
     /// The incarnation that sent the last heartbeat. The profile may be older
@@ -124,6 +121,8 @@
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
+    /// The earliest time of the next session's first poll.
+    poll_not_before: Instant,
     /// The worker's clock, with the agent's clock when the answer arrived.
     clock: Option<(Instant, u64)>,
     /// When the last snapshot of the worker arrived.
@@ -238,7 +237,19 @@
     }
 
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        self.forget_incarnation();
+        self.restarted = self.former.as_ref() == Some(&profile.incarnation.worker);
         self.profile = Some(profile);
+        self.renew_session(actions);
+    }
+
+    /// Drops what is known about the worker: its clock, for one, begins anew, so
+    /// that a deadline by the former clock would lie far in the future.
+    fn forget_incarnation(&mut self) {
+        if let Some(profile) = self.profile.take() {
+            self.former = Some(profile.incarnation.worker);
+        }
+        self.first_listed = None;
         self.candidate = None;
         self.clock = None;
         self.polled = None;
@@ -247,21 +258,15 @@
         self.checkpoints.clear();
         self.running.clear();
         self.throttle = Controller::default();
-        self.renew_session(actions);
     }
 
     fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
+        // The leader may open a session by itself.
+        self.end_session();
         if self.profile.is_none() {
             self.profile = profile;
         }
-        self.session = Some(Session {
-            fence,
-            inventoried: false,
-            reported: Sequence(0),
-            acknowledged: Sequence(0),
-            polling: false,
-            poll_at: now,
-        });
+        self.session = Some(Session::new(fence, now.max(self.poll_not_before)));
         self.profile_reported = false;
     }
 
@@ -313,7 +318,7 @@
         actions.push(Action::Call(Call::Poll {
             fence: session.fence,
             deadline,
-            acknowledged: session.acknowledged,
+            acknowledged: session.acknowledgement(),
             wait,
         }));
     }
@@ -434,17 +439,18 @@
         if restarted {
             match self.candidate.take() {
                 Some(candidate) => return self.begin_incarnation(candidate, actions),
-                None => self.profile = None,
+                None => self.forget_incarnation(),
             }
         }
-        if let Some(session) = &mut self.session {
-            // Avoids a busy loop of polls while the worker refuses.
-            session.poll_at = now + RETRY_DELAY;
-        }
+        // Avoids a busy loop of sessions while the worker refuses.
+        self.poll_not_before = now + RETRY_DELAY;
         self.renew_session(actions);
     }
 
     fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
+        if let Some(session) = &mut self.session {
+            session.start_answered(now);
+        }
         if self.issued.get(&(task, run)) != Some(&Order::Starting) {
             // A stop was ordered meanwhile; its outcome decides.
             return;
@@ -505,8 +511,9 @@
         self.clock = Some((now, snapshot.clock));
         self.polled = Some(now);
         self.report_ends(&snapshot);
-        self.report_inventory(&snapshot);
-        self.resolve(sent, &snapshot.running);
+        self.report_inventory(now, &snapshot);
+        self.resolve(sent, &snapshot);
+        self.confirm_starts(sent);
         self.report_checkpoints(&snapshot.running);
         self.apply_throttling(now, &snapshot.running);
         self.running = snapshot.running;
@@ -517,9 +524,14 @@
         snapshot.started_ms.is_some() && started_ms.is_some() && snapshot.started_ms != started_ms
     }
 
-    /// Resolves uncertain orders; only snapshots requested afterwards count.
-    fn resolve(&mut self, sent: Instant, running: &[Running]) {
-        let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
+    /// Resolves uncertain orders; only snapshots requested afterwards count. A run
+    /// that is not running has not been withdrawn if its end may yet be listed.
+    fn resolve(&mut self, sent: Instant, snapshot: &Snapshot) {
+        let listed = |key: &(Task, Run)| {
+            let mut rows = snapshot.running.iter();
+            rows.any(|row| (row.task, row.run) == *key)
+        };
+        let complete = snapshot.lists_all_ends();
         let issued: Vec<((Task, Run), Order)> = self
             .issued
             .iter()
@@ -538,7 +550,7 @@
                         self.stop(key.0, key.1);
                     }
                 }
-                Order::Stopped(at) if sent >= at && !listed(&key) => {
+                Order::Stopped(at) if complete && sent >= at && !listed(&key) => {
                     self.issued.remove(&key);
                     self.roles.remove(&key);
                     self.outcome(key.0, key.1, StartStatus::Withdrawn);
@@ -548,6 +560,16 @@
         }
     }
 
+    /// Records that the starts so far have reached the incarnation whose snapshot
+    /// was requested at `sent`, if all of their outcomes are known.
+    fn confirm_starts(&mut self, sent: Instant) {
+        let unanswered = |order: &Order| matches!(order, Order::Unanswered(_));
+        let uncertain = self.issued.values().any(unanswered);
+        if let Some(session) = self.session.as_mut().filter(|_| !uncertain) {
+            session.confirm_starts(sent);
+        }
+    }
+
     fn apply_throttling(&mut self, now: Instant, running: &[Running]) {
         let Some(session) = &self.session else {
             return;
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -80,6 +80,9 @@
             };
             match self.permit(now, &start) {
                 Ok((fence, deadline)) => {
+                    if let Some(session) = &mut self.session {
+                        session.start_sent(now);
+                    }
                     let key = (start.task, start.run);
                     self.issued.insert(key, Order::Starting);
                     self.roles.insert(key, start.role.clone());
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -3,10 +3,9 @@
 use {
     super::{call::Snapshot, Agent},
     crate::{message::Inventory, worker::Running},
+    filbertbend_state::time::Instant,
 };
 
-/// The maximum number of ends in a snapshot; a full list may be incomplete.
-const ENDS_PER_PAGE: usize = 500;
 impl Agent {
     pub(super) fn report_profile(&mut self) {
         let inventoried = self
@@ -23,6 +22,7 @@
         let Some(session) = &mut self.session else {
             return;
         };
+        session.first_listed = snapshot.ends.iter().map(|end| end.sequence).min();
         for end in &snapshot.ends {
             if end.sequence > session.reported {
                 session.reported = end.sequence;
@@ -35,18 +35,20 @@
         }
     }
 
-    pub(super) fn report_inventory(&mut self, snapshot: &Snapshot) {
+    pub(super) fn report_inventory(&mut self, now: Instant, snapshot: &Snapshot) {
         let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
             return;
         };
-        if session.inventoried || snapshot.ends.len() >= ENDS_PER_PAGE {
+        if session.inventoried || !snapshot.lists_all_ends() {
             return;
         }
         session.inventoried = true;
+        let first = *self.first_listed.get_or_insert(now);
         self.throttle.reset_reported();
         self.report.weights = self.throttle.changed_weights();
         self.report.inventory = Some(Inventory {
             incarnation: profile.incarnation.clone(),
+            restarted: self.restarted.then(|| now.since(first)),
             running: snapshot.running.clone(),
         });
         self.report_profile();
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -1,9 +1,12 @@
 //! All workers and the sessions with their agents.
 
 use {
-    super::worker::{Expiry, Reservation, Worker},
+    super::{
+        worker::{Expiry, Reservation, Worker},
+        Settings,
+    },
     crate::{
-        id::{Fence, Incarnation, Job, Link, Node, Run, Task},
+        id::{Fence, Job, Link, Node, Run, Task},
         interference::{Model, Weight},
         message::{Orders, Start},
     },
@@ -122,12 +125,19 @@
     }
 
     /// Opens a session and replaces an earlier one with the same agent.
-    pub(super) fn open(&mut self, link: Link, node: Node, fence: Fence, now: Instant) {
+    pub(super) fn open(
+        &mut self,
+        link: Link,
+        node: Node,
+        fence: Fence,
+        now: Instant,
+        settings: &Settings,
+    ) {
         let worker = self
             .workers
             .entry(node.clone())
             .or_insert_with(|| Worker::new(now));
-        if let Some(former) = worker.begin_session(link, fence, now) {
+        if let Some(former) = worker.begin_session(link, fence, now, settings) {
             self.links.remove(&former);
         }
         self.links.insert(link, node);
@@ -144,13 +154,6 @@
         }
     }
 
-    /// Records that the inventory of a worker has arrived in this session.
-    pub(super) fn confirm_inventory(&mut self, node: &Node, incarnation: &Incarnation) {
-        if let Some(worker) = self.get_mut(node) {
-            worker.incarnation = Some(incarnation.clone());
-        }
-    }
-
     /// Reserves resources for a run that is already on the worker.
     pub(super) fn adopt(&mut self, node: &Node, task: Task, run: Run, reservation: Reservation) {
         if let Some(worker) = self.get_mut(node) {
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -464,7 +464,9 @@
         }
     }
 
-    /// Removes every run on a worker whose lease has certainly expired.
+    /// Removes every run on a worker whose lease has certainly expired. If its
+    /// agent is connected, it gets a new session: a start of the present one
+    /// could still take effect once the worker has a lease again.
     fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
         let silent = self.silence(node);
         for (task, run) in self.fleet.clear(node) {
@@ -477,6 +479,9 @@
                 silent,
             }));
         }
+        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
+            self.open(link, node.clone(), actions);
+        }
     }
 
     /// Returns the time since the last report of a worker.
@@ -511,7 +516,8 @@
         }
         self.sessions += 1;
         let fence = Fence::new(self.epoch, self.sessions);
-        self.fleet.open(link, node.clone(), fence, self.now);
+        self.fleet
+            .open(link, node.clone(), fence, self.now, &self.settings);
         let welcome = Response::Welcome {
             epoch: self.epoch,
             fence,
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,11 +1,11 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::{headroom::Headroom, hold::Hold},
+    super::{headroom::Headroom, hold::Hold, Settings},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
-        message::{Orders, Role, Start},
+        message::{Inventory, Orders, Role, Start},
         worker::Profile,
     },
     filbertbend_state::{
@@ -65,6 +65,11 @@
     profile_reported: bool,
     /// The incarnation that the inventory of this session belongs to.
     pub(super) incarnation: Option<Incarnation>,
+    /// The incarnation of the last inventory of any session.
+    last_incarnation: Option<Incarnation>,
+    /// Until when a lease may last that the worker has accepted by the clock of
+    /// its former incarnation.
+    foreign_lease_until: Instant,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
     pub(super) used: Room,
     pub(super) best_effort_cores: Cores,
@@ -119,6 +124,8 @@
             profile: None,
             profile_reported: false,
             incarnation: None,
+            last_incarnation: None,
+            foreign_lease_until: Instant::default(),
             reservations: BTreeMap::new(),
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
@@ -139,7 +146,20 @@
     }
 
     /// Begins a session with the agent. Returns the link of the last session.
-    pub(super) fn begin_session(&mut self, link: Link, fence: Fence, now: Instant) -> Option<Link> {
+    ///
+    /// An agent that opens another session on its link has found signs of a
+    /// restart of its worker.
+    pub(super) fn begin_session(
+        &mut self,
+        link: Link,
+        fence: Fence,
+        now: Instant,
+        settings: &Settings,
+    ) -> Option<Link> {
+        if self.link == Some(link) {
+            let longest = now + settings.longest_lease_bound();
+            self.lease_until = self.lease_until.max(Some(longest));
+        }
         self.fence = fence;
         self.last_report = now;
         self.profile_reported = false;
@@ -168,6 +188,32 @@
         self.profile_reported = true;
     }
 
+    /// Records that an inventory has arrived in this session.
+    ///
+    /// A worker that has restarted under its name has accepted the calls of the
+    /// session with its former incarnation. Their deadlines lie far in the
+    /// future of its new clock, so it may hold the longest lease there is.
+    pub(super) fn confirm_inventory(
+        &mut self,
+        inventory: &Inventory,
+        now: Instant,
+        settings: &Settings,
+    ) {
+        let incarnation = &inventory.incarnation;
+        let changed = self
+            .last_incarnation
+            .as_ref()
+            .is_some_and(|last| last.worker == incarnation.worker && last != incarnation);
+        if let Some(age) = inventory.restarted.or(changed.then_some(Millis::ZERO)) {
+            let until = now + settings.longest_lease_bound() - age;
+            self.foreign_lease_until = self.foreign_lease_until.max(until);
+        }
+        self.incarnation = Some(incarnation.clone());
+        self.last_incarnation = Some(incarnation.clone());
+        let granted_until = now + settings.lease_bound();
+        self.lease_until = Some(granted_until.max(self.foreign_lease_until));
+    }
+
     /// Frees all resources and returns the runs that held them.
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -262,6 +262,7 @@
             ..profile(0)
         }),
         inventory: Some(Inventory {
+            restarted: None,
             incarnation: incarnation(0),
             running: vec![running(unknown, Run(1))],
         }),
@@ -305,6 +306,7 @@
     harness.step(Event::Opened(Link(0), node(0)));
     let report = Report {
         inventory: Some(Inventory {
+            restarted: None,
             incarnation: incarnation(0),
             running: Vec::new(),
         }),
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -32,6 +32,7 @@
 pub(crate) fn settings() -> Settings {
     Settings {
         lease: Millis(6000),
+        lease_limit: Millis(10_000),
         silence_limit: Millis(2200),
         job_retention: Millis(120_000),
         worker_retention: Millis(12_000),
@@ -231,6 +232,7 @@
             profile: Some(profile(number)),
             inventory: Some(Inventory {
                 incarnation: incarnation(number),
+                restarted: None,
                 running,
             }),
             ends,
