Ask the worker before a heartbeat replaces its incarnation

One heartbeat of another id, or of the worker's own with a later start, was taken for a restart at once: the session, the lease and the list of tasks were dropped and came back with the profile that the leader remembered, two sessions later, or with the worker's next heartbeat. A series of such heartbeats asked for a session with each.

Cause: a heartbeat was believed by itself. The protocol says that one may be late, or come from another writer; it then names no worker to use. Only the worker can say which incarnation runs: it refuses a call that is meant for another id, and its lists hold its start.

Change: a heartbeat of another incarnation makes a candidate, and the agent asks the worker with a call that is meant for the candidate and carries no lease and no acknowledgement, because both belong to the known incarnation. Only a list with the candidate's start confirms it. An agent that knows no worker takes the first heartbeat as before; its first poll refutes an odd one, and the next heartbeat is confirmed at once.

Ruled out: to compare starts only, since an odd one may be later; to ask the worker about the known incarnation, since its refusal says nothing about which of several candidates runs.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -170,7 +170,12 @@
     }
 
     fn call(&self, call: Call) {
-        let Some(profile) = self.agent.profile().cloned() else {
+        let known = self.agent.profile().map(|profile| &profile.incarnation);
+        let addressee = match &call {
+            Call::Identify { incarnation, .. } => Some(incarnation),
+            _ => known,
+        };
+        let Some(addressee) = addressee.cloned() else {
             return;
         };
         let worker = self.worker.clone();
@@ -178,12 +183,12 @@
         let order_permits = self.order_permits.clone();
         tokio::task::spawn_local(async move {
             let permit = match &call {
-                Call::Poll { .. } => None,
+                Call::Poll { .. } | Call::Identify { .. } => None,
                 // Never fails, because the semaphore is never closed.
                 _ => order_permits.acquire().await.ok(),
             };
             let sent = clock::monotonic();
-            let answer = worker.call(&profile, &call).await;
+            let answer = worker.call(&addressee, &call).await;
             drop(permit);
             log_answer(&call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
@@ -193,9 +198,9 @@
     }
 }
 
-fn log_answer(call: &Call, answer: &Answer, sent: Instant) {
+fn log_answer(call: &Call, found: &Answer, sent: Instant) {
     let ms = clock::monotonic().since(sent).0;
-    let answer = match answer {
+    let answer = match found {
         Answer::Snapshot(_) | Answer::Done => "done".to_owned(),
         Answer::Refused(refusal) => refusal.to_string(),
         Answer::Lost => "lost".to_owned(),
@@ -207,6 +212,13 @@
                 info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), ms });
             }
         }
+        Call::Identify { incarnation, .. } => {
+            let born = match found {
+                Answer::Snapshot(snapshot) => snapshot.started_ms,
+                _ => None,
+            };
+            info!("worker asked whether it is another life", kv: { life: = incarnation, answer: = answer.as_str(), born:?, ms });
+        }
         Call::Start { start, fence, .. } => {
             info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, answer: = answer.as_str(), ms });
         }
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -5,7 +5,7 @@
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         agent::{Answer, Call},
-        worker::Profile,
+        id::Incarnation,
     },
     std::{future::Future, sync::Arc},
 };
@@ -121,6 +121,6 @@
 
 /// The worker beside an agent.
 pub trait Worker: Clone + 'static {
-    /// Sends one call to `worker` and waits for its answer.
-    fn call(&self, worker: &Profile, call: &Call) -> impl Future<Output = Answer>;
+    /// Sends one call that is meant for `worker` and waits for its answer.
+    fn call(&self, worker: &Incarnation, call: &Call) -> impl Future<Output = Answer>;
 }
--- a/crates/dispatch/tests/agent_links.rs
+++ b/crates/dispatch/tests/agent_links.rs
@@ -8,9 +8,8 @@
     filbertbend_transport::{link::Link, tls::Identity},
     filbertbend_workload::{
         agent::{Answer, Call},
-        id::{Epoch, Fence, Node},
+        id::{Epoch, Fence, Incarnation, Node},
         message::Response,
-        worker::Profile,
     },
     std::{
         cell::Cell, collections::BTreeSet, future::Future, net::SocketAddr, rc::Rc, time::Duration,
@@ -51,7 +50,7 @@
 struct NoWorker;
 
 impl Worker for NoWorker {
-    async fn call(&self, _: &Profile, _: &Call) -> Answer {
+    async fn call(&self, _: &Incarnation, _: &Call) -> Answer {
         Answer::Lost
     }
 }
--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        id::{Fence, Run, Sequence, Task},
+        id::{Fence, Incarnation, Run, Sequence, Task},
         message::Start,
         throttle::Change,
         worker::{End, Running},
@@ -25,6 +25,14 @@
         /// The maximum time to wait for an end.
         wait: Millis,
     },
+    /// Asks whether an incarnation is running, without any other effect than
+    /// that the worker sees the fence; answered by a snapshot.
+    Identify {
+        /// The fence of the session.
+        fence: Fence,
+        /// The incarnation, which the agent does not take for the running one.
+        incarnation: Incarnation,
+    },
     /// Starts a task.
     Start {
         /// The fence of the session.
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -7,6 +7,7 @@
 //! effect later, so a snapshot must show it or a stop rule it out.
 
 mod call;
+mod identity;
 mod report;
 
 use {
@@ -21,6 +22,7 @@
         time::Instant,
         unit::{Cores, Millis},
     },
+    identity::Candidate,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -107,8 +109,8 @@
 #[derive(Debug, Default)]
 pub struct Agent {
     profile: Option<Profile>,
-    /// Another incarnation that sent a heartbeat, until a snapshot decides.
-    candidate: Option<Profile>,
+    /// Other incarnations that sent a heartbeat, oldest first.
+    candidates: VecDeque<Candidate>,
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
@@ -143,7 +145,7 @@
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Heartbeat(profile) => self.heartbeat(profile, actions),
+            Event::Heartbeat(profile) => self.heartbeat(now, profile, actions),
             Event::Connected => {
                 self.connected = true;
                 self.renew_session(actions);
@@ -161,6 +163,7 @@
         }
         self.renew(now, actions);
         self.poll(now, actions);
+        self.identify(now, actions);
         self.repeat_stops(now, actions);
         if let Some(session) = self.session.as_ref().filter(|_| !self.report.is_empty()) {
             let mut report = std::mem::take(&mut self.report);
@@ -186,29 +189,9 @@
         }
     }
 
-    fn heartbeat(&mut self, profile: Profile, actions: &mut Vec<Action>) {
-        match &self.profile {
-            Some(known) if known.incarnation == profile.incarnation => {
-                if *known != profile {
-                    self.profile = Some(profile);
-                    self.profile_reported = false;
-                }
-                self.report_profile();
-            }
-            Some(known)
-                if self.session.is_some()
-                    && profile.incarnation.started_ms < known.incarnation.started_ms =>
-            {
-                // This may be a delayed heartbeat of an earlier incarnation.
-                self.candidate = Some(profile);
-            }
-            _ => self.begin_incarnation(profile, actions),
-        }
-    }
-
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
         self.profile = Some(profile);
-        self.candidate = None;
+        self.candidates.clear();
         self.clock = None;
         self.polled = None;
         self.lease_until = None;
@@ -380,6 +363,9 @@
         actions: &mut Vec<Action>,
     ) {
         let fence = match &call {
+            Call::Identify { incarnation, .. } => {
+                return self.identified(now, incarnation, &answer, actions);
+            }
             Call::Poll { fence, .. }
             | Call::Start { fence, .. }
             | Call::Stop { fence, .. }
@@ -397,6 +383,7 @@
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
         }
         match call {
+            Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
@@ -410,10 +397,7 @@
 
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
-            match self.candidate.take() {
-                Some(candidate) => return self.begin_incarnation(candidate, actions),
-                None => self.profile = None,
-            }
+            self.profile = None;
         }
         if let Some(session) = &mut self.session {
             // Avoids a busy loop of polls while the worker refuses.
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -233,6 +233,12 @@
     let call = harness.order();
 
     harness.step(Event::Heartbeat(profile(2)));
+    assert_eq!(harness.hellos, hellos, "the heartbeat alone proves nothing");
+    let question = harness.take(|call| matches!(call, Call::Identify { .. }));
+    harness.answer(
+        question.expect("the worker is asked"),
+        snapshot(2, Vec::new()),
+    );
     assert_eq!(harness.hellos, hellos + 1);
     harness.answer(call, Answer::Done);
     assert!(
