Take no profile from the leader that the worker has refuted

An agent whose worker had restarted without a heartbeat yet, for instance because both had lost power, asked for one session after the other: 137 in 1.5 s with a leader at 10 ms, until the worker's first heartbeat arrived. With sixty such agents the leader would be busy with welcomes. An odd heartbeat that the leader has been told of would have done the same.

Cause: the worker refused the first poll of each session, as meant for another incarnation; the agent forgot the profile and asked for a session, whose welcome brought the same profile back. The delay that was to prevent such a loop was written into the session that had just been dropped.

Change: the agent remembers the last incarnation that its worker has shown not to be, and does not take its profile from a welcome.

The test failed before: 137 sessions instead of 2.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -12,7 +12,7 @@
 
 use {
     crate::{
-        id::{Epoch, Fence, Run, Sequence, Task},
+        id::{Epoch, Fence, Incarnation, Run, Sequence, Task},
         leadership::LEASE_RENEW_INTERVAL,
         message::{Orders, Outcome, Report, Role, Start, StartStatus},
         throttle::Controller,
@@ -111,6 +111,8 @@
     profile: Option<Profile>,
     /// Other incarnations that sent a heartbeat, oldest first.
     candidates: VecDeque<Candidate>,
+    /// The last incarnation that the worker has shown not to be.
+    refuted: Option<Incarnation>,
     profile_reported: bool,
     connected: bool,
     session: Option<Session>,
@@ -204,7 +206,8 @@
 
     fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
         if self.profile.is_none() {
-            self.profile = profile;
+            self.profile =
+                profile.filter(|profile| self.refuted.as_ref() != Some(&profile.incarnation));
         }
         self.session = Some(Session {
             fence,
@@ -397,7 +400,7 @@
 
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
-            self.profile = None;
+            self.refuted = self.profile.take().map(|profile| profile.incarnation);
         }
         if let Some(session) = &mut self.session {
             // Avoids a busy loop of polls while the worker refuses.
--- a/crates/workload/tests/incarnations.rs
+++ b/crates/workload/tests/incarnations.rs
@@ -11,7 +11,7 @@
         id::{Incarnation, Job, Run, Task},
         worker::Running,
     },
-    support::{incarnation, Simulation, CALL, ROUND_TRIP},
+    support::{incarnation, profile, Simulation, CALL, ROUND_TRIP},
 };
 
 const HEARTBEAT_INTERVAL: Millis = Millis(1500);
@@ -217,3 +217,22 @@
 
     assert!(simulation.inventoried(since, &next).is_some());
 }
+
+/// Guards against an agent that asks for one session after the other because the
+/// leader remembers an incarnation that is gone, and the next has not sent a
+/// heartbeat.
+#[test]
+fn remembered_incarnation_that_is_gone_costs_one_session() {
+    let mut simulation = Simulation::new(worker());
+    simulation.known = Some(profile(incarnation("w-0", 500)));
+
+    simulation.step(Event::Connected);
+    simulation.pass(HEARTBEAT_INTERVAL);
+    assert_eq!(simulation.hellos, 2);
+    let since = simulation.now;
+    simulation.heartbeat(&worker());
+    simulation.pass(Millis(1000));
+
+    let took = simulation.inventoried(since, &worker());
+    assert!(took.is_some_and(|took| took <= RESTART_LIMIT), "{took:?}");
+}
