Wait before the first poll after a refused fence

A worker that has seen a higher fence than its leader gives, after the stored term was damaged or in the moment in which two agents run, made its agent ask for a session after each refusal: 454 in 5 s with a leader at 10 ms.

Cause: the delay that was to prevent this was written into the session that was dropped in the same call, so it had no effect.

Change: the delay belongs to the agent, and the next session's first poll waits for it. A refusal that shows another incarnation has no delay, because the next poll is meant for another one.

The test failed before with 454 sessions; it now allows 50, one for each retry delay of 100 ms.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -121,6 +121,8 @@
     /// When the last snapshot of the worker arrived.
     polled: Option<Instant>,
     lease_until: Option<Instant>,
+    /// The earliest time of the next session's first poll.
+    poll_not_before: Instant,
     renewals: VecDeque<(u64, Instant)>,
     renewal_number: u64,
     last_renewal: Option<Instant>,
@@ -215,7 +217,7 @@
             reported: Sequence(0),
             acknowledged: Sequence(0),
             polling: false,
-            poll_at: now,
+            poll_at: self.poll_not_before.max(now),
         });
         self.profile_reported = false;
     }
@@ -402,9 +404,9 @@
         if restarted {
             self.refuted = self.profile.take().map(|profile| profile.incarnation);
         }
-        if let Some(session) = &mut self.session {
-            // Avoids a busy loop of polls while the worker refuses.
-            session.poll_at = now + RETRY_DELAY;
+        if !restarted {
+            // Avoids a busy loop of sessions while the worker refuses.
+            self.poll_not_before = now + RETRY_DELAY;
         }
         self.renew_session(actions);
     }
--- a/crates/workload/tests/incarnations.rs
+++ b/crates/workload/tests/incarnations.rs
@@ -236,3 +236,17 @@
     let took = simulation.inventoried(since, &worker());
     assert!(took.is_some_and(|took| took <= RESTART_LIMIT), "{took:?}");
 }
+
+/// Guards against an agent that asks for one session after the other because its
+/// worker has seen a higher fence than the leader gives.
+#[test]
+fn worker_that_refuses_the_fence_is_polled_after_a_delay() {
+    let mut simulation = Simulation::in_session(worker(), Vec::new());
+    let hellos = simulation.hellos;
+
+    simulation.raise_fence();
+    simulation.pass(Millis(5000));
+
+    let sessions = simulation.hellos - hellos;
+    assert!((1..=50).contains(&sessions), "{sessions} sessions in 5 s");
+}
--- a/crates/workload/tests/support/agent.rs
+++ b/crates/workload/tests/support/agent.rs
@@ -115,6 +115,11 @@
         self.running.clear();
     }
 
+    /// Makes the worker refuse all fences that the leader gives.
+    pub(crate) fn raise_fence(&mut self) {
+        self.seen = Fence(u64::MAX);
+    }
+
     /// Advances the clock and delivers what is due.
     pub(crate) fn pass(&mut self, span: Millis) {
         let end = self.now + span;
