Keep the epoch when the stored term is damaged

With the record of the term damaged, or with an epoch too large for a fence, the next leader began at the first epoch. Its fences were lower than those that the workers had seen, so they refused all its orders, and those of the leaders after it; the largest epoch ended the claim by an overflow where that is checked, and began at zero otherwise.

Cause: a term that could not be decoded counted as none, and nothing bounded the epoch, of which a fence holds 40 bits.

Change: a claim also reads the key of the epoch, which each claim writes with the term, at the same time. The higher of the two that are in range counts.

The test failed before: the claim had epoch 1 instead of 42. odd_epoch_is_passed_over holds what must stay. Stored records are unchanged.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -14,6 +14,7 @@
         leadership,
         record::{Leader, Term},
     },
+    serde::de::DeserializeOwned,
     spdlog::prelude::*,
     std::time::Duration,
     tokio::time::sleep,
@@ -31,22 +32,37 @@
     pub(crate) sent_at: Instant,
 }
 
+/// Decodes a record that holds an epoch. Another writer may have changed it, and
+/// an epoch that is lost would make workers refuse the next leader's fences, so
+/// the epoch is stored in two records.
+fn decode_epoch<T: DeserializeOwned>(item: &Item, epoch: impl Fn(T) -> Epoch) -> Option<Epoch> {
+    match postcard::from_bytes(&item.value).map(epoch) {
+        Ok(epoch) if epoch <= Epoch::MAX => Some(epoch),
+        Ok(epoch) => {
+            error!("epoch out of range", kv: { key: = &*item.key, epoch = epoch.0 });
+            None
+        }
+        Err(error) => {
+            error!("epoch cannot be decoded", kv: { key: = &*item.key, error: });
+            None
+        }
+    }
+}
+
 /// Claims the next term. Returns `None` if another entry leads.
 pub(crate) async fn claim(
     store: &impl Store,
     candidate: &Candidate,
 ) -> Result<Option<Claim>, Failure> {
-    let found = store.get(key::TERM).await?;
-    let revision = found.as_ref().map_or(Revision(0), |item| item.revision);
-    let last: Term = match &found {
-        Some(item) => postcard::from_bytes(&item.value).unwrap_or_else(|error| {
-            error!("term cannot be decoded", kv: { error: });
-            Term::default()
-        }),
-        None => Term::default(),
-    };
+    let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
+    let (stored, newest) = (stored?, newest?);
+    let revision = stored.as_ref().map_or(Revision(0), |item| item.revision);
+    let last = stored
+        .and_then(|item| decode_epoch(&item, |term: Term| term.epoch))
+        .max(newest.and_then(|item| decode_epoch(&item, |epoch: Epoch| epoch)))
+        .unwrap_or_default();
     let term = Term {
-        epoch: Epoch(last.epoch.0 + 1),
+        epoch: last.next(),
         batch: 0,
         node: candidate.node.clone(),
     };
--- /dev/null
+++ b/crates/dispatch/tests/claims.rs
@@ -0,0 +1,125 @@
+//! Claims of the leadership with records that another writer has changed.
+
+#[allow(dead_code, reason = "these tests open no links")]
+mod support;
+
+use {
+    filbertbend_dispatch::{
+        entry::{Entry, Options},
+        key, link_identity,
+    },
+    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_workload::{
+        id::Epoch,
+        planner::Settings,
+        record::{Leader, Term},
+    },
+    serde::Serialize,
+    std::{future::Future, time::Duration},
+    support::Memory,
+    tokio::{
+        sync::watch,
+        task::LocalSet,
+        time::{sleep, timeout},
+    },
+};
+
+const LIMIT: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(10);
+
+fn encode(record: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(record).unwrap()
+}
+
+fn term(epoch: u64) -> Vec<u8> {
+    encode(&Term {
+        epoch: Epoch(epoch),
+        batch: 3,
+        node: "entry-9".into(),
+    })
+}
+
+async fn run(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// Starts an entry, and returns the term that it claims.
+async fn claimed_term(store: &Memory) -> Option<Term> {
+    let identity = link_identity::load_or_create(store).await;
+    let options = Options {
+        node: "entry-1".into(),
+        address: ([127, 0, 0, 1], 0).into(),
+        processor: Cores(500),
+        planner: Settings {
+            lease: Millis(5500),
+            silence_limit: Millis(2200),
+            job_retention: Millis(120_000),
+            worker_retention: Millis(12_000),
+        },
+    };
+    let (_catalog, catalog) = watch::channel(None);
+    let (_stopper, stop) = watch::channel(false);
+    let _entry = Entry::start(store.clone(), options, identity, catalog, stop).unwrap();
+    let claimed = async {
+        loop {
+            let leader: Option<Leader> = store
+                .item(key::LEADER)
+                .and_then(|item| postcard::from_bytes(&item.value).ok());
+            if leader.is_some_and(|leader| &*leader.node == "entry-1") {
+                let term = store.item(key::TERM).expect("a leader has a term");
+                return postcard::from_bytes(&term.value).unwrap();
+            }
+            sleep(POLL).await;
+        }
+    };
+    timeout(LIMIT, claimed).await.ok()
+}
+
+/// Guards against a leader whose fences are lower than those that the workers
+/// have seen, because the stored term was damaged: they refuse all its orders.
+#[tokio::test]
+async fn damaged_term_does_not_lower_the_epoch() {
+    for odd in [
+        vec![],
+        vec![0xff; 20],
+        term(u64::MAX),
+        term(1 << 40),
+        term(0),
+    ] {
+        run(async move {
+            let store = Memory::default();
+            store.put(key::EPOCH, encode(&Epoch(41)));
+            store.put(key::TERM, odd.clone());
+
+            let claimed = claimed_term(&store).await.expect("the term is claimed");
+
+            assert_eq!(claimed.epoch, Epoch(42), "{odd:?}");
+            let epoch = store.item(key::EPOCH).unwrap();
+            assert_eq!(epoch.value, encode(&Epoch(42)));
+        })
+        .await;
+    }
+}
+
+/// Guards against an odd epoch that makes the leaders' fences overflow, or that
+/// ends every leader.
+#[tokio::test]
+async fn odd_epoch_is_passed_over() {
+    for odd in [
+        vec![],
+        vec![0xff; 20],
+        encode(&Epoch(u64::MAX)),
+        encode(&Epoch(1 << 40)),
+    ] {
+        run(async move {
+            let store = Memory::default();
+            store.put(key::EPOCH, odd.clone());
+            store.put(key::TERM, term(41));
+
+            let claimed = claimed_term(&store).await.expect("the term is claimed");
+
+            assert_eq!(claimed.epoch, Epoch(42), "{odd:?}");
+        })
+        .await;
+    }
+}
--- a/crates/workload/src/id.rs
+++ b/crates/workload/src/id.rs
@@ -130,6 +130,17 @@
 /// the epoch.
 const SESSION_BITS: u32 = 24;
 
+impl Epoch {
+    /// The highest epoch that a fence can hold and that leaves room for another.
+    pub const MAX: Self = Self((1 << (u64::BITS - SESSION_BITS)) - 2);
+
+    /// Returns the epoch of the next leader.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.min(Self::MAX.0) + 1)
+    }
+}
+
 impl Fence {
     /// Returns the fence of a leader's session with one agent.
     pub fn new(epoch: Epoch, session: u64) -> Self {
