Replace a leader's key that names no leader

With bytes that cannot be read under the leader's key, and no lease that removes them, no entry could ever lead: each took the leadership for vacant and claimed it, and each claim expected that the key did not exist. A leader in office went on, but agents and entries that started could not find it.

Change: a claim that finds such a key expects its revision instead. The term decides as before who leads, so a leader in office is replaced by its next write.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -73,7 +73,7 @@
     };
     let sent_at = clock::monotonic();
     let lease = store.grant(leadership::KEY_TTL).await?;
-    let transaction = Transaction {
+    let mut transaction = Transaction {
         expect: vec![
             (key::TERM.into(), revision),
             (key::LEADER.into(), Revision(0)),
@@ -85,7 +85,16 @@
         ],
         remove: Vec::new(),
     };
-    match store.commit(&transaction).await? {
+    let mut committed = store.commit(&transaction).await?;
+    if let Some(unreadable) = unreadable_leader(&committed) {
+        warn!("leader's key cannot be decoded, replacing it", kv: { revision = unreadable.0 });
+        transaction.expect = vec![
+            (key::TERM.into(), revision),
+            (key::LEADER.into(), unreadable),
+        ];
+        committed = store.commit(&transaction).await?;
+    }
+    match committed {
         Commit::Done(revision) => Ok(Some(Claim {
             term,
             revision,
@@ -96,6 +105,20 @@
     }
 }
 
+/// Returns the revision of a leader's key that names no leader. It may be bound
+/// to no lease, so that it would prevent all claims for good.
+fn unreadable_leader(committed: &Commit) -> Option<Revision> {
+    let Commit::Conflict(items) = committed else {
+        return None;
+    };
+    items
+        .iter()
+        .find(|item| {
+            *item.key == *key::LEADER && postcard::from_bytes::<Leader>(&item.value).is_err()
+        })
+        .map(|item| item.revision)
+}
+
 /// The stored state that a new leader starts from.
 pub(crate) struct Snapshot {
     pub(crate) watched: Vec<Item>,
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -123,3 +123,20 @@
         .await;
     }
 }
+
+/// Guards against a deployment without a leader for good because nobody can read
+/// the leader's key, which is bound to no lease.
+#[tokio::test]
+async fn unreadable_key_of_the_leader_does_not_prevent_a_claim() {
+    for odd in [vec![], vec![0xff; 20]] {
+        run(async move {
+            let store = Memory::default();
+            store.put(key::LEADER, odd);
+
+            let claimed = claimed_term(&store).await;
+
+            assert!(claimed.is_some());
+        })
+        .await;
+    }
+}
