Bear stored progress with numbers that are too large

Progress of one job with 4,294,967,295 failures of a task, as many failures in a gang, the largest run or the largest occurrence ended the leader where overflow is checked, and every leader after it, because each restores all jobs. Where it is not, numbers began again at zero: an occurrence that was listed hid all others, and runs had numbers that workers refuse.

Cause: what is stored was taken to be what a leader had written.

Change: occurrences that the job does not have, or that have completed, are passed over; failures are restored up to a number that can still be added up for the largest gang, far above any limit on attempts; run numbers saturate.

The test failed before: attempt to add with overflow. Stored records are unchanged.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -503,7 +503,8 @@
     /// Returns the next run number of a task, higher than those of earlier
     /// terms.
     fn next_run(&self, last: Run) -> Run {
-        Run(last.0.max((self.epoch.0 - 1) << RUN_BITS) + 1)
+        let first = self.epoch.0.saturating_sub(1) << RUN_BITS;
+        Run(last.0.max(first).saturating_add(1))
     }
 
     /// Starts planning once all jobs have been loaded from the store.
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -14,6 +14,10 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
+/// The largest number of failures that is restored for a task. Those of the
+/// largest gang can still be added up.
+const RESTORED_FAILURE_LIMIT: u32 = u32::MAX / 2 / job::TASK_LIMIT as u32;
+
 /// A run of a task that has not certainly ended.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Execution {
@@ -151,6 +155,10 @@
             return;
         }
         for stored in &progress.occurrences {
+            let exists = (self.completed..self.job.occurrences()).contains(&stored.number);
+            if !exists {
+                continue;
+            }
             let mut occurrence = Occurrence::new(&self.job);
             for (step, bits) in occurrence.steps.iter_mut().zip(&stored.done) {
                 for (index, task) in step.tasks.iter_mut().enumerate() {
@@ -163,7 +171,7 @@
                 let step = occurrence.steps.get_mut(usize::from(recorded.step));
                 let task = step.and_then(|step| step.tasks.get_mut(usize::from(recorded.index)));
                 if let Some(task) = task {
-                    task.failures = recorded.failures;
+                    task.failures = recorded.failures.min(RESTORED_FAILURE_LIMIT);
                     task.failed_run = recorded.failed_run;
                     task.run = recorded.failed_run;
                     task.checkpoint.clone_from(&recorded.checkpoint);
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -7,12 +7,13 @@
     filbertbend_workload::{
         id::{Job, Run, Task},
         job::{Schedule, TASK_LIMIT},
-        message::{Inventory, Outcome, Report, StartStatus},
+        message::{Inventory, Outcome, Query, Reply, Report, StartStatus},
         planner::Event,
+        record::{Occurrence, Progress, State, Unfinished},
         worker::Exit,
     },
     std::sync::Arc,
-    support::{end, incarnation, job, running, step, Harness},
+    support::{catalog, end, incarnation, job, running, step, Harness},
 };
 
 const UNKNOWN: Task = Task {
@@ -105,3 +106,65 @@
     );
     assert!(stops.iter().any(|(task, _)| *task == UNKNOWN), "{stops:?}");
 }
+
+/// Returns the progress of a job whose first occurrence has one failed task.
+fn failed(failures: u32, run: Run, number: u32) -> Progress {
+    let mark = Unfinished {
+        failures,
+        failed_run: run,
+        runs: vec![(support::node(0), run)],
+        ..Unfinished::default()
+    };
+    Progress {
+        state: State::Running,
+        occurrences: vec![Occurrence {
+            number,
+            done: vec![vec![0]],
+            unfinished: vec![mark],
+        }],
+        ..Progress::default()
+    }
+}
+
+/// Guards against a leader that ends, and every leader after it, because a
+/// number in a job's stored progress overflows.
+#[test]
+fn progress_with_numbers_too_large_ends_no_leader() {
+    let mut gang = step(2);
+    gang.mode.gang = true;
+    let mut periodic = (*job(vec![step(1)])).clone();
+    periodic.schedule = Some(Schedule {
+        first: Wall(0),
+        interval: Millis(1),
+        occurrences: u32::MAX,
+    });
+    let cases = [
+        (job(vec![step(1)]), failed(u32::MAX, Run(1), 0)),
+        (job(vec![gang]), failed(u32::MAX, Run(1), 0)),
+        (job(vec![step(1)]), failed(0, Run(u64::MAX), 0)),
+        (job(vec![step(1)]), failed(0, Run(1), u32::MAX)),
+        (Arc::new(periodic), failed(0, Run(1), u32::MAX)),
+    ];
+    for (number, (odd, progress)) in cases.into_iter().enumerate() {
+        let mut harness = Harness::new(1);
+        harness.step(Event::Configured(Arc::new(catalog(0, 2))));
+        harness.step(Event::Recovered(Job(1), odd, progress));
+        let healthy = job(vec![step(1)]);
+        harness.step(Event::Recovered(Job(2), healthy, Progress::default()));
+        harness.step(Event::Loaded);
+        harness.join(0, Vec::new());
+
+        let mut ends = 0;
+        for _ in 0..20 {
+            harness.idle(Millis(20));
+            harness.commit();
+            for start in harness.starts(0) {
+                ends += 1;
+                harness.end(0, ends, &start, Exit::Failed);
+            }
+        }
+
+        let state = harness.planner.answer(&Query::State(Job(2)));
+        assert_eq!(state, Reply::State(Some(State::Failed)), "case {number}");
+    }
+}
