Restore no more occurrences than can be open

Stored progress of 1 MB can list 200,000 occurrences, and a job may have 10,000 tasks in each: a leader that restored it ran out of memory, and every leader after it. Occurrences that are due were already opened within a limit of tasks; those that are listed were not counted.

Change: the limit holds for them too. Progress that a leader has written keeps within it.

--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -156,7 +156,7 @@
         }
         for stored in &progress.occurrences {
             let exists = (self.completed..self.job.occurrences()).contains(&stored.number);
-            if !exists {
+            if !exists || !self.may_open() {
                 continue;
             }
             let mut occurrence = Occurrence::new(&self.job);
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -168,3 +168,30 @@
         assert_eq!(state, Reply::State(Some(State::Failed)), "case {number}");
     }
 }
+
+/// Guards against leaders that run out of memory one after the other because the
+/// stored progress of a job lists more occurrences than can be open.
+#[test]
+fn progress_with_too_many_occurrences_is_restored_within_the_limit_of_tasks() {
+    let mut large = (*job(vec![step(10_000)])).clone();
+    large.schedule = Some(Schedule {
+        first: Wall(0),
+        interval: Millis(0),
+        occurrences: u32::MAX,
+    });
+    let occurrences = (0..200_000).map(|number| Occurrence {
+        number,
+        ..Occurrence::default()
+    });
+    let progress = Progress {
+        state: State::Running,
+        occurrences: occurrences.collect(),
+        ..Progress::default()
+    };
+    let mut harness = Harness::with_workers(1);
+
+    harness.step(Event::Recovered(Job(1), Arc::new(large), progress));
+    harness.commit();
+
+    assert!(!harness.starts(0).is_empty());
+}
