--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -226,7 +226,7 @@
     fn deadline(&self, now: Instant) -> Option<u64> {
         let until = self.lease_until.filter(|until| *until > now)?;
         let (read, clock) = self.clock?;
-        Some(clock + until.since(read).0)
+        Some(clock.saturating_add(until.since(read).0))
     }
 
     /// Requests a lease while the worker answers. If the worker is gone for
