Test leaders with damaged progress in the store

Each byte of a stored record replaced, by large numbers too, or cut off there: the leader restores the other jobs.

--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -12,9 +12,9 @@
     },
     filbertbend_workload::{
         catalog::Queue,
-        id::{Fence, Incarnation},
+        id::{Fence, Incarnation, Run},
         message::Inventory,
-        record::Term,
+        record::{Occurrence, State, Term, Unfinished},
         worker::Profile,
     },
     std::{cell::Cell, future::pending},
@@ -230,3 +230,82 @@
     })
     .await;
 }
+
+/// Returns a record with each byte in turn replaced by others, or cut off there.
+fn damage(record: &[u8]) -> Vec<Vec<u8>> {
+    let mut values: Vec<Vec<u8>> = (0..record.len())
+        .map(|length| record[..length].to_vec())
+        .collect();
+    for position in 0..record.len() {
+        for byte in [0, 1, 0x7f, 0x80, 0xff] {
+            let mut value = record.to_vec();
+            value[position] = byte;
+            values.push(value);
+        }
+    }
+    // A number of several bytes that is as large as can be.
+    for position in 0..record.len() {
+        for large in [&[0xff, 0xff, 0xff, 0xff, 0x0f][..], &[0xff; 9]] {
+            let mut value = record[..position].to_vec();
+            value.extend_from_slice(large);
+            value.push(1);
+            value.extend_from_slice(&record[position + 1..]);
+            values.push(value);
+        }
+    }
+    values
+}
+
+/// Guards against a leader that ends, and every leader after it, because of a
+/// job's progress that another writer has damaged.
+#[tokio::test]
+async fn damaged_progress_in_the_store_ends_no_leader() {
+    let set = LocalSet::new();
+    set.run_until(async {
+        let (mut driver, _orders) = driver();
+        let unfinished = Unfinished {
+            failures: 1,
+            failed_run: Run(3),
+            checkpoint: Some("saved".into()),
+            runs: vec![(Node("side-1".into()), Run(4))],
+            ..Unfinished::default()
+        };
+        let progress = encode(&Progress {
+            state: State::Running,
+            occurrences: vec![Occurrence {
+                number: 0,
+                done: vec![vec![0]],
+                unfinished: vec![unfinished],
+            }],
+            ..Progress::default()
+        });
+        let damaged = damage(&progress);
+        let item = |key, value| Item {
+            key,
+            value,
+            revision: Revision(2),
+        };
+        let jobs = 0..=damaged.len() as u64;
+        let snapshot = Snapshot {
+            watched: jobs
+                .map(|number| item(key::job(Job(number)), encode(&job())))
+                .collect(),
+            progress: (0_u64..)
+                .zip(damaged)
+                .map(|(number, value)| item(key::progress(Job(number)), value))
+                .collect(),
+            revision: Revision(2),
+        };
+        let last = Job(snapshot.progress.len() as u64);
+
+        driver.restore(snapshot);
+        for _ in 0..100 {
+            NOW.set(NOW.get() + Millis(500));
+            driver.step(Event::Tick);
+        }
+
+        let state = driver.planner.answer(&Query::State(last));
+        assert_eq!(state, Reply::State(Some(State::Queued)));
+    })
+    .await;
+}
