--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -165,14 +165,19 @@
     }
 
     fn call(&self, call: Call) {
-        let Some(profile) = self.agent.profile().cloned() else {
+        let known = self.agent.profile().map(|profile| &profile.incarnation);
+        let addressee = match &call {
+            Call::Identify { incarnation, .. } => Some(incarnation),
+            _ => known,
+        };
+        let Some(addressee) = addressee.cloned() else {
             return;
         };
         let worker = self.worker.clone();
         let inbox = self.inbox.clone();
         tokio::task::spawn_local(async move {
             let sent = clock::monotonic();
-            let answer = worker.call(&profile, &call).await;
+            let answer = worker.call(&addressee, &call).await;
             log_answer(&call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
             // Fails only when the process ends.
@@ -181,9 +186,9 @@
     }
 }
 
-fn log_answer(call: &Call, answer: &Answer, sent: Instant) {
+fn log_answer(call: &Call, found: &Answer, sent: Instant) {
     let ms = clock::monotonic().since(sent).0;
-    let answer = match answer {
+    let answer = match found {
         Answer::Snapshot(_) | Answer::Done => "done".to_owned(),
         Answer::Refused(refusal) => refusal.to_string(),
         Answer::Lost => "lost".to_owned(),
@@ -195,6 +200,13 @@
                 info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), ms });
             }
         }
+        Call::Identify { incarnation, .. } => {
+            let born = match found {
+                Answer::Snapshot(snapshot) => snapshot.started_ms,
+                _ => None,
+            };
+            info!("worker asked whether it is another life", kv: { life: = incarnation, answer: = answer.as_str(), born:?, ms });
+        }
         Call::Start { start, fence, .. } => {
             info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, answer: = answer.as_str(), ms });
         }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -7,6 +7,7 @@
 //! effect later, so a snapshot must show it or a stop rule it out.
 
 mod call;
+mod identity;
 mod queue;
 mod report;
 mod room;
@@ -24,6 +25,7 @@
         time::Instant,
         unit::{Cores, Millis},
     },
+    identity::Candidate,
     queue::{Queue, Waiting},
     session::Session,
     std::{
@@ -112,11 +114,13 @@
     restarted: bool,
     /// When the first inventory of the incarnation was made.
     first_listed: Option<Instant>,
-    /// Another incarnation that sent a heartbeat, until a snapshot decides.
-    candidate: Option<Profile>,
-    /// The incarnation that sent the last heartbeat. The profile may be older
-    /// than this process, if it came from the leader.
-    heard: Option<Incarnation>,
+    /// Other incarnations that sent a heartbeat, oldest first.
+    candidates: VecDeque<Candidate>,
+    /// The last incarnation that the worker has shown not to be.
+    refuted: Option<Incarnation>,
+    /// Whether the profile came from a heartbeat. One from the leader may be out
+    /// of date.
+    heard: bool,
     last_step: Option<Instant>,
     profile_reported: bool,
     connected: bool,
@@ -152,26 +156,16 @@
         self.profile.as_ref()
     }
 
-    /// Returns whether the profile came from a heartbeat.
-    fn is_heard(&self) -> bool {
-        self.profile
-            .as_ref()
-            .is_some_and(|profile| self.heard.as_ref() == Some(&profile.incarnation))
-    }
-
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         let last = self.last_step.replace(now);
         if last.is_some_and(|last| now >= last + STALL_LIMIT) {
             // Heartbeats may have been missed, and orders may be old.
-            self.heard = None;
+            self.heard = false;
             self.renew_session(actions);
         }
         match event {
-            Event::Heartbeat(profile) => {
-                self.heard = Some(profile.incarnation.clone());
-                self.heartbeat(profile, actions);
-            }
+            Event::Heartbeat(profile) => self.heartbeat(now, profile, actions),
             Event::Connected => {
                 self.connected = true;
                 self.renew_session(actions);
@@ -189,6 +183,7 @@
         }
         self.renew(now, actions);
         self.poll(now, actions);
+        self.identify(now, actions);
         self.repeat_stops(now);
         self.send_orders(now, actions);
         if let Some(session) = self.session.as_ref().filter(|_| !self.report.is_empty()) {
@@ -216,30 +211,12 @@
         }
     }
 
-    fn heartbeat(&mut self, profile: Profile, actions: &mut Vec<Action>) {
-        match &self.profile {
-            Some(known) if known.incarnation == profile.incarnation => {
-                if *known != profile {
-                    self.profile = Some(profile);
-                    self.profile_reported = false;
-                }
-                self.report_profile();
-            }
-            Some(known)
-                if self.session.is_some()
-                    && profile.incarnation.started_ms < known.incarnation.started_ms =>
-            {
-                // This may be a delayed heartbeat of an earlier incarnation.
-                self.candidate = Some(profile);
-            }
-            _ => self.begin_incarnation(profile, actions),
-        }
-    }
-
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
         self.forget_incarnation();
         self.restarted = self.former.as_ref() == Some(&profile.incarnation.worker);
         self.profile = Some(profile);
+        self.heard = true;
+        self.candidates.clear();
         self.renew_session(actions);
     }
 
@@ -250,7 +227,6 @@
             self.former = Some(profile.incarnation.worker);
         }
         self.first_listed = None;
-        self.candidate = None;
         self.clock = None;
         self.polled = None;
         self.lease_until = None;
@@ -264,7 +240,9 @@
         // The leader may open a session by itself.
         self.end_session();
         if self.profile.is_none() {
-            self.profile = profile;
+            self.profile =
+                profile.filter(|profile| self.refuted.as_ref() != Some(&profile.incarnation));
+            self.heard = false;
         }
         self.session = Some(Session::new(fence, now.max(self.poll_not_before)));
         self.profile_reported = false;
@@ -274,7 +252,7 @@
     fn deadline(&self, now: Instant) -> Option<u64> {
         let until = self.lease_until.filter(|until| *until > now)?;
         let (read, clock) = self.clock?;
-        Some(clock + until.since(read).0)
+        Some(clock.saturating_add(until.since(read).0))
     }
 
     /// Requests a lease while the worker answers. If the worker is gone for
@@ -407,6 +385,9 @@
             self.queue.answered();
         }
         let fence = match &call {
+            Call::Identify { incarnation, .. } => {
+                return self.identified(now, incarnation, &answer, actions);
+            }
             Call::Poll { fence, .. }
             | Call::Start { fence, .. }
             | Call::Stop { fence, .. }
@@ -424,6 +405,7 @@
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
         }
         match call {
+            Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
@@ -437,13 +419,12 @@
 
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
-            match self.candidate.take() {
-                Some(candidate) => return self.begin_incarnation(candidate, actions),
-                None => self.forget_incarnation(),
-            }
+            self.refuted = self.profile.as_ref().map(|own| own.incarnation.clone());
+            self.forget_incarnation();
+        } else {
+            // Avoids a busy loop of sessions while the worker refuses.
+            self.poll_not_before = now + RETRY_DELAY;
         }
-        // Avoids a busy loop of sessions while the worker refuses.
-        self.poll_not_before = now + RETRY_DELAY;
         self.renew_session(actions);
     }
 
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -107,7 +107,7 @@
         let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
             return Err(StartStatus::Withdrawn);
         };
-        if !self.is_leased(now) || draining || !self.is_heard() {
+        if !self.is_leased(now) || draining || !self.heard {
             return Err(StartStatus::Withdrawn);
         }
         if !self.has_room(start) {
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -275,6 +275,12 @@
     let call = harness.order();
 
     harness.step(Event::Heartbeat(profile(2)));
+    assert_eq!(harness.hellos, hellos, "the heartbeat alone proves nothing");
+    let question = harness.take(|call| matches!(call, Call::Identify { .. }));
+    harness.answer(
+        question.expect("the worker is asked"),
+        snapshot(2, Vec::new()),
+    );
     assert_eq!(harness.hellos, hellos + 1);
     harness.answer(call, Answer::Done);
     assert!(
@@ -590,6 +596,10 @@
     // The leader does not know of the restart yet.
     harness.step(Event::Welcome(Epoch(1), Fence(8), Some(profile(1))));
     harness.pass(Millis(100));
+    assert!(harness.calls.is_empty(), "{:?}", harness.calls);
+    harness.step(Event::Heartbeat(profile(2)));
+    harness.step(Event::Welcome(Epoch(1), Fence(9), Some(profile(1))));
+    harness.pass(Millis(100));
 
     let poll = harness.pending_poll();
     assert!(
@@ -649,6 +659,11 @@
 fn restart_is_reported_in_later_sessions() {
     let mut harness = Harness::new();
     harness.step(Event::Heartbeat(profile(2)));
+    let question = harness.take(|call| matches!(call, Call::Identify { .. }));
+    harness.answer(
+        question.expect("the worker is asked"),
+        snapshot(2, Vec::new()),
+    );
     for fence in [8, 9] {
         harness.step(Event::Disconnected);
         harness.step(Event::Connected);
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -238,7 +238,8 @@
     /// have to wait.
     pub(crate) fn call(&mut self, now: u64, call: &Call, truth: &mut Truth) -> Answer {
         self.expire(now, truth);
-        let (Call::Poll { fence, .. }
+        let (Call::Identify { fence, .. }
+        | Call::Poll { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -247,6 +248,7 @@
         }
         self.fence = *fence;
         match call {
+            Call::Identify { .. } => self.snapshot(now),
             Call::Poll {
                 deadline,
                 acknowledged,
--- a/crates/workload/tests/support/machine.rs
+++ b/crates/workload/tests/support/machine.rs
@@ -107,7 +107,8 @@
     /// Carries out a call. A start that is carried out runs until `until` and
     /// ends as `exit`.
     pub(crate) fn call(&mut self, now: Instant, call: &Call, until: Instant, exit: Exit) -> Answer {
-        let (Call::Poll { fence, .. }
+        let (Call::Identify { fence, .. }
+        | Call::Poll { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -116,6 +117,7 @@
         }
         self.fence = *fence;
         match call {
+            Call::Identify { .. } => self.snapshot(now),
             Call::Poll {
                 deadline,
                 acknowledged,
