Report crashes of workers with the runs that they interrupted

The agent, which lives beside the worker, now keeps which runs may be on it, and tells of a crash when the next incarnation appears and the former one was not draining. After a loss of power, or its own restart, it knows of none. The leader logs and counts the report; its decisions are unchanged.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -19,7 +19,7 @@
     filbertbend_workload::{
         agent::{Action, Agent, Answer, Call, Event},
         id::Node,
-        message::{Request, Response},
+        message::{Crash, Request, Response},
         record::Leader,
         worker::Profile,
     },
@@ -151,6 +151,7 @@
                 Action::Ping => self.send(Request::Ping),
                 Action::Send(report) => self.send(Request::Report(report)),
                 Action::Call(call) => self.call(call),
+                Action::Crashed(crash) => log_crash(&crash),
             }
         }
     }
@@ -193,6 +194,15 @@
     }
 }
 
+/// Logs a crash with each run that it interrupted.
+fn log_crash(crash: &Crash) {
+    counter!("filbertbend_worker_restarts_total").increment(1);
+    info!("worker restarted without notice", kv: { life: = crash.incarnation, runs = crash.losses.len() });
+    for loss in &crash.losses {
+        info!("run lost with the worker", kv: { job: = loss.task.job, task: = loss.task, run = loss.run.0, lasted_ms = loss.lasted.0 });
+    }
+}
+
 fn log_answer(call: &Call, answer: &Answer, sent: Instant) {
     let ms = clock::monotonic().since(sent).0;
     let answer = match answer {
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -64,5 +64,13 @@
         } => {
             info!("worker joined", kv: { node:, life: = incarnation, fence = fence.0, adopted = *adopted });
         }
+        Decision::Crashed {
+            node,
+            incarnation,
+            runs,
+        } => {
+            counter!("filbertbend_worker_crashes_total").increment(1);
+            info!("worker has crashed", kv: { node:, life: = incarnation, runs = *runs });
+        }
     }
 }
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -162,6 +162,7 @@
         inventory: Some(Inventory {
             incarnation,
             running: Vec::new(),
+            crash: None,
         }),
         renew: Some(1),
         ..Report::default()
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -7,13 +7,14 @@
 //! effect later, so a snapshot must show it or a stop rule it out.
 
 mod call;
+mod presence;
 mod report;
 
 use {
     crate::{
         id::{Epoch, Fence, Run, Sequence, Task},
         leadership::LEASE_RENEW_INTERVAL,
-        message::{Orders, Outcome, Report, Role, Start, StartStatus},
+        message::{Crash, Orders, Outcome, Report, Role, Start, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
     },
@@ -21,6 +22,7 @@
         time::Instant,
         unit::{Cores, Millis},
     },
+    presence::Presence,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -77,6 +79,8 @@
     Ping,
     /// Makes a call to the worker; answered by [`Event::Answered`].
     Call(Call),
+    /// Logs that the worker has crashed.
+    Crashed(Crash),
 }
 
 /// The state of an order whose outcome is not certain.
@@ -125,6 +129,9 @@
     roles: BTreeMap<(Task, Run), Role>,
     checkpoints: BTreeMap<(Task, Run), Arc<str>>,
     running: Vec<Running>,
+    presence: Presence,
+    /// How the incarnation before the present one ended, if it crashed.
+    crash: Option<Crash>,
     throttle: Controller,
     report: Report,
 }
@@ -206,7 +213,26 @@
         }
     }
 
+    /// Records a crash of the present incarnation, unless it was about to leave.
+    fn end_incarnation(&mut self, actions: &mut Vec<Action>) {
+        let Some(profile) = self.profile.take() else {
+            return;
+        };
+        let ended = |crash: &Crash| crash.incarnation == profile.incarnation;
+        if self.crash.as_ref().is_some_and(ended) {
+            // A new session has brought back the profile of the crashed
+            // incarnation.
+            return;
+        }
+        let crash = self.presence.take(profile.incarnation);
+        self.crash = crash.filter(|_| !profile.draining);
+        if let Some(crash) = &self.crash {
+            actions.push(Action::Crashed(crash.clone()));
+        }
+    }
+
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        self.end_incarnation(actions);
         self.profile = Some(profile);
         self.candidate = None;
         self.clock = None;
@@ -332,6 +358,7 @@
             return self.outcome(task, run, StartStatus::Withdrawn);
         }
         self.issued.insert((task, run), Order::Starting);
+        self.presence.ordered(now, task, run);
         self.roles.insert((task, run), start.role.clone());
         actions.push(Action::Call(Call::Start {
             fence: session.fence,
@@ -396,6 +423,7 @@
             // There is a later session or a later incarnation.
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
         }
+        self.observe(now, sent, &call, &answer);
         match call {
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
@@ -408,11 +436,26 @@
         }
     }
 
+    /// Updates which runs a crash of the worker would interrupt.
+    fn observe(&mut self, now: Instant, sent: Instant, call: &Call, answer: &Answer) {
+        match (call, answer) {
+            (Call::Start { start, .. }, Answer::Lost) => {
+                self.presence.start_lost(now, sent, start.task, start.run);
+            }
+            (_, Answer::Lost) => self.presence.unanswered(now),
+            (Call::Start { start, .. }, Answer::Refused(_)) => {
+                self.presence.answered(now);
+                self.presence.ended(start.task, start.run);
+            }
+            _ => self.presence.answered(now),
+        }
+    }
+
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
             match self.candidate.take() {
                 Some(candidate) => return self.begin_incarnation(candidate, actions),
-                None => self.profile = None,
+                None => self.end_incarnation(actions),
             }
         }
         if let Some(session) = &mut self.session {
@@ -480,6 +523,7 @@
         // Reading the clock as late as possible makes a lease expire early.
         self.clock = Some((now, snapshot.clock));
         self.polled = Some(now);
+        self.presence.listed(now, sent, &snapshot.running);
         self.report_ends(&snapshot);
         self.report_inventory(&snapshot);
         self.resolve(sent, &snapshot.running, actions);
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -27,6 +27,7 @@
             if end.sequence > session.reported {
                 session.reported = end.sequence;
                 let key = (end.task, end.run);
+                self.presence.ended(end.task, end.run);
                 self.issued.remove(&key);
                 self.roles.remove(&key);
                 self.checkpoints.remove(&key);
@@ -48,6 +49,7 @@
         self.report.inventory = Some(Inventory {
             incarnation: profile.incarnation.clone(),
             running: snapshot.running.clone(),
+            crash: self.crash.clone(),
         });
         self.report_profile();
     }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -119,6 +119,30 @@
     pub incarnation: Incarnation,
     /// The running tasks.
     pub running: Vec<Running>,
+    /// How the worker's former incarnation ended, if it crashed while the agent
+    /// was there. Every session of the incarnation repeats it, because the
+    /// leader may change before it has recorded the crash.
+    pub crash: Option<Crash>,
+}
+
+/// The end of a worker's incarnation that was not announced.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The incarnation that ended.
+    pub incarnation: Incarnation,
+    /// The runs that it interrupted.
+    pub losses: Vec<Loss>,
+}
+
+/// A run that was interrupted by a crash.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Loss {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+    /// How long the run had lasted at least.
+    pub lasted: Millis,
 }
 
 /// The outcome of a start.
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -88,6 +88,15 @@
         /// How many runs of former leaders were adopted.
         adopted: usize,
     },
+    /// An agent has reported that its worker crashed.
+    Crashed {
+        /// Its agent's node.
+        node: Node,
+        /// The incarnation that ended.
+        incarnation: Incarnation,
+        /// How many runs the crash interrupted.
+        runs: usize,
+    },
 }
 
 /// Why a run is stopped or removed.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -401,6 +401,13 @@
             }));
             self.refresh(task.job, actions);
         }
+        if let Some(crash) = &inventory.crash {
+            actions.push(Action::Decided(Decision::Crashed {
+                node: node.clone(),
+                incarnation: crash.incarnation.clone(),
+                runs: crash.losses.len(),
+            }));
+        }
         actions.push(Action::Decided(Decision::Joined {
             node: node.clone(),
             incarnation: inventory.incarnation.clone(),
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -5,7 +5,7 @@
     filbertbend_workload::{
         agent::{Action, Agent, Answer, Call, Event, Refusal, Snapshot},
         id::{Epoch, Fence, Incarnation, Job, Run, Task},
-        message::{Orders, Outcome, Report, Role, Start, StartStatus},
+        message::{Crash, Loss, Orders, Outcome, Report, Role, Start, StartStatus},
         worker::{Profile, Running},
     },
 };
@@ -101,7 +101,7 @@
                 Action::Call(call) => self.calls.push(call),
                 Action::Send(report) => self.reports.push(*report),
                 Action::Hello => self.hellos += 1,
-                Action::Ping => {}
+                Action::Ping | Action::Crashed(_) => {}
             }
         }
     }
@@ -284,3 +284,113 @@
     let answers = harness.reports.iter().filter_map(|report| report.probe);
     assert_eq!(answers.collect::<Vec<_>>(), [9]);
 }
+
+/// Returns a crash of the worker's first incarnation.
+fn crash(losses: Vec<Loss>) -> Option<Crash> {
+    Some(Crash {
+        incarnation: profile(1).incarnation,
+        losses,
+    })
+}
+
+impl Harness {
+    /// Begins the worker's next incarnation, opens a session, and returns the
+    /// crash that the inventory tells of.
+    fn restart(&mut self, started_ms: u64) -> Option<Crash> {
+        self.step(Event::Heartbeat(profile(started_ms)));
+        self.session(started_ms)
+    }
+
+    fn session(&mut self, started_ms: u64) -> Option<Crash> {
+        self.calls.clear();
+        self.reports.clear();
+        self.step(Event::Welcome(Epoch(1), FENCE, None));
+        self.poll(snapshot(started_ms, Vec::new()));
+        let mut inventories = self
+            .reports
+            .iter()
+            .filter_map(|report| report.inventory.clone());
+        inventories.next().expect("an inventory is sent").crash
+    }
+}
+
+/// Guards against a task that crashes every worker: nobody knows which runs a
+/// crash has interrupted.
+#[test]
+fn crash_of_the_worker_is_reported_with_its_runs_in_each_session() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Done);
+    harness.pass(Millis(400));
+    harness.poll(snapshot(1, vec![row()]));
+    harness.pass(Millis(700));
+    harness.poll(Answer::Lost);
+
+    let first = harness.restart(2);
+    harness.step(Event::Disconnected);
+    harness.step(Event::Connected);
+    let second = harness.session(2);
+
+    let loss = Loss {
+        task: task(),
+        run: Run(1),
+        lasted: Millis(402),
+    };
+    assert_eq!(first, crash(vec![loss]));
+    assert_eq!(second, first);
+}
+
+/// Guards against blame for tasks that never reached the crashed worker.
+#[test]
+fn start_after_the_worker_fell_silent_is_not_part_of_its_crash() {
+    let mut harness = Harness::new();
+    harness.poll(Answer::Lost);
+    harness.now = harness.now + Millis(10);
+    let call = harness.order();
+    harness.answer(call, Answer::Lost);
+
+    assert_eq!(harness.restart(2), None);
+}
+
+/// Guards against a task that crashes its worker before the start is answered
+/// and is therefore never suspected.
+#[test]
+fn unanswered_start_that_silenced_the_worker_is_part_of_its_crash() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Lost);
+
+    let loss = Loss {
+        task: task(),
+        run: Run(1),
+        lasted: Millis::ZERO,
+    };
+    assert_eq!(harness.restart(2), crash(vec![loss]));
+}
+
+/// Guards against blame for tasks of a worker that left as announced.
+#[test]
+fn end_of_a_draining_worker_is_no_crash() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Done);
+    let draining = Profile {
+        draining: true,
+        ..profile(1)
+    };
+    harness.step(Event::Heartbeat(draining));
+
+    assert_eq!(harness.restart(2), None);
+}
+
+/// Guards against blame for tasks after a loss of power, in which the agent
+/// ended, too.
+#[test]
+fn agent_that_has_restarted_reports_no_crash() {
+    let mut harness = Harness::new();
+    harness.agent = Agent::default();
+    harness.step(Event::Connected);
+    harness.step(Event::Welcome(Epoch(1), FENCE, Some(profile(1))));
+
+    assert_eq!(harness.restart(2), None);
+}
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -90,6 +90,7 @@
                 inventory: Some(Inventory {
                     incarnation: incarnation(0),
                     running: vec![running(task, Run(3)), running(known.task, known.run)],
+                    crash: None,
                 }),
                 probe: Some(u64::MAX),
                 ..Report::default()
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -450,6 +450,7 @@
     let list = Inventory {
         incarnation: incarnation(0),
         running: Vec::new(),
+        crash: None,
     };
     let report = |fence| Report {
         fence,
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -208,6 +208,7 @@
             inventory: Some(Inventory {
                 incarnation: incarnation(number),
                 running,
+                crash: None,
             }),
             ends,
             renew: Some(1),
