Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker was removed without a trace, neither in the task nor in its stored record, so each crash was the first.

The agent's report of a crash now blames the tasks whose runs had begun shortly before. Blamed tasks are suspects: they are placed on workers without another suspect for up to 2 s, so that the next crash tells which it was, and the other tasks of their step do not wait behind them. Three crashes of a run that had just begun, or up to five if the evidence is weaker each time, fail the job. A run that lasts for a second clears its task.

Unfinished, a stored record, and Inventory, a message, have new fields.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -199,7 +199,7 @@
     counter!("filbertbend_worker_restarts_total").increment(1);
     info!("worker restarted without notice", kv: { life: = crash.incarnation, runs = crash.losses.len() });
     for loss in &crash.losses {
-        info!("run lost with the worker", kv: { job: = loss.task.job, task: = loss.task, run = loss.run.0, lasted_ms = loss.lasted.0 });
+        info!("run lost with the worker", kv: { job: = loss.task.job, task: = loss.task, run = loss.run.0, lasted_ms = loss.lasted.0, certain = loss.certain });
     }
 }
 
@@ -208,6 +208,7 @@
     let answer = match answer {
         Answer::Snapshot(_) | Answer::Done => "done".to_owned(),
         Answer::Refused(refusal) => refusal.to_string(),
+        Answer::Unreachable => "unreachable".to_owned(),
         Answer::Lost => "lost".to_owned(),
     };
     match call {
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -72,5 +72,19 @@
             counter!("filbertbend_worker_crashes_total").increment(1);
             info!("worker has crashed", kv: { node:, life: = incarnation, runs = *runs });
         }
+        Decision::Blamed {
+            task,
+            run,
+            node,
+            lasted,
+            blame,
+        } => {
+            counter!("filbertbend_blamed_total").increment(1);
+            info!("task blamed for a crash", kv: { job: = task.job, task:, run = run.0, node:, lasted_ms = lasted.0, blame = *blame });
+        }
+        Decision::GivenUp { task, run, node } => {
+            counter!("filbertbend_given_up_total").increment(1);
+            warn!("task crashes its workers, job given up", kv: { job: = task.job, task:, run = run.0, node: });
+        }
     }
 }
--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -61,6 +61,8 @@
     Done,
     /// The call was not carried out and never will be.
     Refused(Refusal),
+    /// No connection could be opened, so the call was certainly not carried out.
+    Unreachable,
     /// No answer arrived; the call may have been carried out, or may be later.
     Lost,
 }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -423,34 +423,19 @@
             // There is a later session or a later incarnation.
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
         }
-        self.observe(now, sent, &call, &answer);
+        self.presence.observe(now, sent, &call, &answer);
         match call {
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
             Call::Throttle { change, .. } => {
-                if answer == Answer::Lost {
+                if matches!(answer, Answer::Lost | Answer::Unreachable) {
                     self.throttle.failed(change.task, change.run);
                 }
             }
         }
     }
 
-    /// Updates which runs a crash of the worker would interrupt.
-    fn observe(&mut self, now: Instant, sent: Instant, call: &Call, answer: &Answer) {
-        match (call, answer) {
-            (Call::Start { start, .. }, Answer::Lost) => {
-                self.presence.start_lost(now, sent, start.task, start.run);
-            }
-            (_, Answer::Lost) => self.presence.unanswered(now),
-            (Call::Start { start, .. }, Answer::Refused(_)) => {
-                self.presence.answered(now);
-                self.presence.ended(start.task, start.run);
-            }
-            _ => self.presence.answered(now),
-        }
-    }
-
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
             match self.candidate.take() {
@@ -471,7 +456,7 @@
             return;
         }
         let status = match answer {
-            Answer::Lost => {
+            Answer::Lost | Answer::Unreachable => {
                 self.issued.insert((task, run), Order::Unanswered(now));
                 return;
             }
--- a/crates/workload/src/agent/presence.rs
+++ b/crates/workload/src/agent/presence.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        agent::{Answer, Call, POLL_WAIT},
         id::{Incarnation, Run, Task},
         message::{Crash, Loss},
         worker::Running,
@@ -13,34 +14,61 @@
 /// The runs that may be on the worker's present incarnation.
 #[derive(Debug, Default)]
 pub(super) struct Presence {
-    /// When each run was ordered or first listed.
-    runs: BTreeMap<(Task, Run), Instant>,
+    runs: BTreeMap<(Task, Run), Stay>,
     /// When the worker last answered.
     answered: Instant,
     /// When the first call since then failed.
     silent: Option<Instant>,
 }
 
+/// A run that may be on the worker.
+#[derive(Clone, Copy, Debug)]
+struct Stay {
+    /// When the run was ordered or first listed.
+    since: Instant,
+    /// Whether the worker has answered the start or listed the run.
+    certain: bool,
+}
+
 impl Presence {
     pub(super) fn ordered(&mut self, now: Instant, task: Task, run: Run) {
-        self.runs.entry((task, run)).or_insert(now);
+        let stay = Stay {
+            since: now,
+            certain: false,
+        };
+        self.runs.entry((task, run)).or_insert(stay);
     }
 
-    /// Records that a start remained unanswered. One that was sent after the
-    /// worker had fallen silent cannot be the cause.
-    pub(super) fn start_lost(&mut self, now: Instant, sent: Instant, task: Task, run: Run) {
-        if sent > *self.silent.get_or_insert(now) {
-            self.runs.remove(&(task, run));
+    /// Takes the outcome of a call into account that was sent at `sent`.
+    pub(super) fn observe(&mut self, now: Instant, sent: Instant, call: &Call, answer: &Answer) {
+        let is_silent = matches!(answer, Answer::Lost | Answer::Unreachable);
+        if let Call::Start { start, .. } = call {
+            let key = (start.task, start.run);
+            // A start that was sent after the worker had fallen silent cannot
+            // be the cause.
+            let late = self.silent.is_some_and(|silent| sent > silent);
+            match answer {
+                Answer::Lost if !late => {}
+                Answer::Unreachable | Answer::Refused(_) | Answer::Lost => {
+                    self.runs.remove(&key);
+                }
+                Answer::Done | Answer::Snapshot(_) => {
+                    if let Some(stay) = self.runs.get_mut(&key) {
+                        *stay = Stay {
+                            since: sent,
+                            certain: true,
+                        };
+                    }
+                }
+            }
+        }
+        if is_silent {
+            self.silent.get_or_insert(now);
+        } else {
+            // An answer may have been read late.
+            self.answered = self.answered.max(now.min(sent + POLL_WAIT));
+            self.silent = None;
         }
-    }
-
-    pub(super) fn answered(&mut self, now: Instant) {
-        self.answered = now;
-        self.silent = None;
-    }
-
-    pub(super) fn unanswered(&mut self, now: Instant) {
-        self.silent.get_or_insert(now);
     }
 
     pub(super) fn ended(&mut self, task: Task, run: Run) {
@@ -50,9 +78,15 @@
     /// Applies a list that was requested at `sent`.
     pub(super) fn listed(&mut self, now: Instant, sent: Instant, running: &[Running]) {
         let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
-        self.runs.retain(|key, since| *since >= sent || listed(key));
+        self.runs
+            .retain(|key, stay| stay.since >= sent || listed(key));
         for row in running {
-            self.runs.entry((row.task, row.run)).or_insert(now);
+            let stay = Stay {
+                since: now,
+                certain: true,
+            };
+            let entry = self.runs.entry((row.task, row.run));
+            entry.or_insert(stay).certain = true;
         }
     }
 
@@ -62,10 +96,11 @@
         let losses: Vec<Loss> = std::mem::take(self)
             .runs
             .into_iter()
-            .map(|((task, run), since)| Loss {
+            .map(|((task, run), stay)| Loss {
                 task,
                 run,
-                lasted: answered.since(since),
+                lasted: answered.since(stay.since),
+                certain: stay.certain,
             })
             .collect();
         (!losses.is_empty()).then_some(Crash {
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -143,6 +143,9 @@
     pub run: Run,
     /// How long the run had lasted at least.
     pub lasted: Millis,
+    /// Whether the worker had accepted the start. Without an answer it may not
+    /// have reached the worker.
+    pub certain: bool,
 }
 
 /// The outcome of a start.
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -97,6 +97,28 @@
         /// How many runs the crash interrupted.
         runs: usize,
     },
+    /// A task was blamed for the crash of its worker.
+    Blamed {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The node of the worker's agent.
+        node: Node,
+        /// How long the run had lasted at least.
+        lasted: Millis,
+        /// The task's blame so far.
+        blame: u32,
+    },
+    /// A job is failed because a task crashes the workers that start it.
+    GivenUp {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The node of the last worker that it crashed.
+        node: Node,
+    },
 }
 
 /// Why a run is stopped or removed.
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -9,6 +9,7 @@
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
 //! - `decision` describes decisions for the log.
+//! - `suspicion` finds tasks that crash their workers.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
 //!
@@ -30,6 +31,7 @@
 mod registry;
 mod report;
 mod settings;
+mod suspicion;
 mod worker;
 
 use {
--- a/crates/workload/src/planner/pass.rs
+++ b/crates/workload/src/planner/pass.rs
@@ -90,6 +90,7 @@
         // tasks.
         let placement = &requirements.step.placement;
         if requirements.avoid.is_none()
+            && !requirements.isolated
             && placement.label.is_none()
             && placement.most_per_worker.is_none()
         {
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -59,6 +59,9 @@
     /// runs, it has waited for [`GOOD_PLACE_WAIT`] and much of the pool is
     /// free.
     pub(super) any_place: bool,
+    /// Whether the task is a suspect that still waits for a worker without
+    /// another.
+    pub(super) isolated: bool,
 }
 
 impl Requirements<'_> {
@@ -67,6 +70,7 @@
     fn is_individual(&self) -> bool {
         let placement = &self.step.placement;
         self.any_place
+            || self.isolated
             || self.avoid.is_some()
             || placement.same_rack
             || placement.most_per_worker.is_some()
@@ -143,7 +147,7 @@
     }
 
     fn place_step(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
-        let Some(first) = self.startable(rank).next() else {
+        let Some(first) = self.first_startable(rank) else {
             self.ready.remove(&rank);
             return;
         };
@@ -158,7 +162,8 @@
             self.preempt(rank, pass, actions);
             return;
         };
-        let tasks: Vec<Task> = self.startable(rank).skip(1).collect();
+        let mut tasks = self.suspects_last(rank);
+        tasks.retain(|task| *task != first);
         self.start(first, &node, None, pass, actions);
         let mut ranking = None;
         for task in tasks {
@@ -328,6 +333,7 @@
             rack,
             avoid: found.avoid.as_ref(),
             any_place,
+            isolated: found.is_isolated(self.now),
         })
     }
 
@@ -462,7 +468,8 @@
             .most_per_worker
             .is_none_or(|most| siblings < usize::from(most));
         let healthy = !worker.is_on_probation(self.now) || worker.reservations.is_empty();
-        below_limit && healthy && self.is_eligible(requirements, worker)
+        let separate = !requirements.isolated || !worker.has_suspect(self.now);
+        below_limit && healthy && separate && self.is_eligible(requirements, worker)
     }
 
     /// Returns whether a worker may run tasks of this kind. This does not
--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -15,7 +15,7 @@
     /// stopped to fit a task of `rank`. Tasks that are already being stopped
     /// count as free, so nothing more is stopped while they end.
     pub(super) fn preempt(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
-        let Some(task) = self.startable(rank).next() else {
+        let Some(task) = self.first_startable(rank) else {
             return;
         };
         let Some(requirements) = self.requirements(task, pass) else {
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -31,6 +31,10 @@
     pub(super) done: bool,
     pub(super) failures: u32,
     pub(super) failed_run: Run,
+    /// The blame for crashes of workers.
+    pub(super) blame: u32,
+    /// The last run that was blamed.
+    pub(super) blamed_run: Run,
     /// The highest run number used so far.
     pub(super) run: Run,
     pub(super) checkpoint: Option<Arc<str>>,
@@ -165,7 +169,9 @@
                 if let Some(task) = task {
                     task.failures = recorded.failures;
                     task.failed_run = recorded.failed_run;
-                    task.run = recorded.failed_run;
+                    task.blame = recorded.blame;
+                    task.blamed_run = recorded.blamed_run;
+                    task.run = recorded.failed_run.max(recorded.blamed_run);
                     task.checkpoint.clone_from(&recorded.checkpoint);
                     for (node, run) in &recorded.runs {
                         task.run = task.run.max(*run);
@@ -363,13 +369,18 @@
         for (index, task) in entry.tasks.iter().enumerate() {
             if task.done {
                 bits[index / 64] |= 1 << (index % 64);
-            } else if task.failures > 0 || task.checkpoint.is_some() || !task.executions.is_empty()
+            } else if task.failures > 0
+                || task.blame > 0
+                || task.checkpoint.is_some()
+                || !task.executions.is_empty()
             {
                 unfinished.push(Unfinished {
                     step: step as u16,
                     index: index as u16,
                     failures: task.failures,
                     failed_run: task.failed_run,
+                    blame: task.blame,
+                    blamed_run: task.blamed_run,
                     checkpoint: task.checkpoint.clone(),
                     runs: task
                         .executions
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -240,6 +240,7 @@
             return false;
         };
         let (long_running, gang) = (step.mode.long_running, step.mode.gang);
+        self.clear_after_trial(task, run);
         match exit {
             Exit::Done if !long_running => self.done(node, task, run, gang, actions),
             Exit::Failed if !long_running => {
@@ -407,6 +408,7 @@
                 incarnation: crash.incarnation.clone(),
                 runs: crash.losses.len(),
             }));
+            self.blame(node, crash, actions);
         }
         actions.push(Action::Decided(Decision::Joined {
             node: node.clone(),
@@ -450,6 +452,7 @@
                 service: None,
                 image: Arc::default(),
                 priority: u8::MAX,
+                suspect_until: None,
             }
         });
         self.fleet.adopt(node, row.task, row.run, reservation);
@@ -502,6 +505,7 @@
             service: Role::of(step).service(task),
             image: step.image.clone().unwrap_or_default(),
             priority: policy(&self.catalog, &entry.job).priority,
+            suspect_until: entry.task(task)?.suspect_until(self.now),
         })
     }
 
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -30,6 +30,8 @@
     pub(super) service: Option<Service>,
     pub(super) image: Arc<str>,
     pub(super) priority: u8,
+    /// Until when the run may still crash its worker, if it is a suspect.
+    pub(super) suspect_until: Option<Instant>,
 }
 
 /// The recent failures on a worker.
@@ -60,6 +62,8 @@
     /// The incarnation that the inventory of this session belongs to.
     pub(super) incarnation: Option<Incarnation>,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
+    /// Until when each suspect may still crash the worker.
+    suspects: BTreeMap<(Task, Run), Instant>,
     pub(super) used: Room,
     pub(super) best_effort_cores: Cores,
     /// When all runs on the worker have certainly ended unless the lease is
@@ -109,6 +113,7 @@
             profile: None,
             incarnation: None,
             reservations: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
             lease_until: None,
@@ -143,6 +148,7 @@
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
         self.headroom = None;
+        self.suspects.clear();
         self.used = Room::NONE;
         self.best_effort_cores = Cores::ZERO;
         self.pending_starts.clear();
@@ -168,6 +174,12 @@
         self.health.failures >= FAILURE_LIMIT && now < self.health.last_failure + FAILURE_WINDOW
     }
 
+    /// Returns whether a suspect has not shown yet that it does not crash the
+    /// worker.
+    pub(super) fn has_suspect(&self, now: Instant) -> bool {
+        self.suspects.values().any(|until| now < *until)
+    }
+
     /// Returns the services that have replicas on the worker.
     pub(super) fn services(&self) -> impl Iterator<Item = &Service> {
         self.reservations
@@ -239,6 +251,9 @@
         self.headroom = None;
         self.used += reservation.room;
         self.best_effort_cores += reservation.best_effort_cores;
+        if let Some(until) = reservation.suspect_until {
+            self.suspects.insert((task, run), until);
+        }
         self.reservations.insert((task, run), reservation);
     }
 
@@ -247,6 +262,7 @@
             return false;
         };
         self.headroom = None;
+        self.suspects.remove(&(task, run));
         self.used -= reservation.room;
         self.best_effort_cores -= reservation.best_effort_cores;
         true
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -52,7 +52,7 @@
     pub number: u32,
     /// A bit set of the completed tasks for each step.
     pub done: Vec<Vec<u64>>,
-    /// The incomplete tasks with failures, a checkpoint or runs.
+    /// The incomplete tasks with failures, blame, a checkpoint or runs.
     pub unfinished: Vec<Unfinished>,
 }
 
@@ -67,6 +67,10 @@
     pub failures: u32,
     /// The last run whose failure was counted; prevents counting it twice.
     pub failed_run: Run,
+    /// The blame for crashes of workers.
+    pub blame: u32,
+    /// The last run that was blamed; prevents counting a crash twice.
+    pub blamed_run: Run,
     /// The newest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// The runs that were ordered and have not certainly ended. They are
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -335,6 +335,7 @@
         task: task(),
         run: Run(1),
         lasted: Millis(402),
+        certain: true,
     };
     assert_eq!(first, crash(vec![loss]));
     assert_eq!(second, first);
@@ -364,6 +365,7 @@
         task: task(),
         run: Run(1),
         lasted: Millis::ZERO,
+        certain: false,
     };
     assert_eq!(harness.restart(2), crash(vec![loss]));
 }
@@ -394,3 +396,14 @@
 
     assert_eq!(harness.restart(2), None);
 }
+
+/// Guards against an innocent job that is shown as failed: its starts never
+/// reached the workers that crashed.
+#[test]
+fn start_that_cannot_be_sent_is_not_part_of_a_crash() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Unreachable);
+
+    assert_eq!(harness.restart(2), None);
+}
--- a/crates/workload/tests/crashes.rs
+++ b/crates/workload/tests/crashes.rs
@@ -55,13 +55,19 @@
 
     /// Lets a worker crash and come back.
     fn crash(&mut self, worker: u64, lasted: Millis) {
+        self.crash_with(worker, |_| lasted);
+    }
+
+    /// Lets a worker crash whose runs have lasted for different times.
+    fn crash_with(&mut self, worker: u64, lasted: impl Fn(Task) -> Millis) {
         let losses = self.present.remove(&worker).unwrap_or_default();
         let losses = losses
             .into_iter()
             .map(|start| Loss {
                 task: start.task,
                 run: start.run,
-                lasted,
+                lasted: lasted(start.task),
+                certain: true,
             })
             .collect();
         let started_ms = self.started_ms.entry(worker).or_insert(1);
@@ -201,6 +207,7 @@
             task: victim,
             run,
             lasted: BEGUN,
+            certain: true,
         }],
     };
 
@@ -315,3 +322,49 @@
         .filter(|(_, start)| start.task.job == Job(2) && start.task.index >= 7);
     assert_eq!(unsuspected.count(), 5);
 }
+
+/// Guards against an innocent job that is shown as failed: it was at work each
+/// time that a task which had just begun crashed the worker.
+#[test]
+fn older_run_is_blamed_less_than_one_that_had_just_begun() {
+    let mut site = Site::new(1);
+    site.harness.submit(1, job(vec![step(1)]));
+    site.harness.submit(2, job(vec![step(1)]));
+    let older = task(1, 0, 0);
+
+    for _ in 0..3 {
+        site.harness.pass(Millis(2500), &[0]);
+        site.harness.commit();
+        site.find(older);
+        let lasted = |task| if task == older { Millis(900) } else { BEGUN };
+        site.crash_with(0, lasted);
+    }
+
+    assert_ne!(site.state(1), failed());
+    assert_eq!(site.state(2), failed());
+}
+
+/// Guards against a task that crashes its workers some time after its start
+/// and is never given up, because another has always just begun.
+#[test]
+fn task_that_crashes_its_workers_late_is_given_up_after_five_crashes() {
+    let mut site = Site::new(1);
+    let deadly = task(1, 0, 0);
+    site.harness.submit(1, job(vec![step(1)]));
+
+    let mut crashes = 0;
+    for id in 2..10 {
+        site.harness.submit(id, job(vec![step(1)]));
+        site.harness.pass(Millis(2500), &[0]);
+        site.harness.commit();
+        if site.find(deadly).is_none() {
+            break;
+        }
+        let lasted = |task| if task == deadly { Millis(900) } else { BEGUN };
+        site.crash_with(0, lasted);
+        crashes += 1;
+    }
+
+    assert_eq!(site.state(1), failed());
+    assert!(crashes <= 5, "given up after {crashes} crashes");
+}
