Give starts back at once that cannot reach their worker

Callers' jobs were late by the time that a crashed worker takes to come back, about 3.3 s on the users' platform: after a crash, the leader went on placing tasks on the worker until its agent had been silent for a while, and each of them waited for the next incarnation's inventory.

Cause: the agent treated a start for which no connection could be opened like one without an answer, which may take effect later. Such a start is certainly not carried out. It is now given back at once, and the worker gets no tasks for a second or until its next inventory.

Ruled out: counting the failures towards the worker's probation, which would outlast its return.

StartStatus, a message between processes, has a new case. Both new tests failed before.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -456,11 +456,12 @@
             return;
         }
         let status = match answer {
-            Answer::Lost | Answer::Unreachable => {
+            Answer::Lost => {
                 self.issued.insert((task, run), Order::Unanswered(now));
                 return;
             }
             Answer::Done | Answer::Snapshot(_) => StartStatus::Started,
+            Answer::Unreachable => StartStatus::Unreachable,
             Answer::Refused(Refusal::NoRoom) => StartStatus::NoRoom,
             Answer::Refused(Refusal::Superseded) => StartStatus::Superseded,
             Answer::Refused(Refusal::Unhealthy) => StartStatus::Unhealthy,
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -170,6 +170,8 @@
     Superseded,
     /// The worker is unhealthy.
     Unhealthy,
+    /// The worker's process is gone, so that the start cannot be sent.
+    Unreachable,
     /// The start came too late or was withdrawn by a stop.
     Withdrawn,
     /// The worker cannot parse the start.
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -137,7 +137,7 @@
     /// Records that the inventory of a worker has arrived in this session.
     pub(super) fn confirm_inventory(&mut self, node: &Node, incarnation: &Incarnation) {
         if let Some(worker) = self.get_mut(node) {
-            worker.incarnation = Some(incarnation.clone());
+            worker.confirm(incarnation.clone());
         }
     }
 
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -166,6 +166,13 @@
         if let Some(entry) = self.registry.task_mut(task) {
             entry.avoid = Some(node.clone());
         }
+        if let Some(worker) = self
+            .fleet
+            .get_mut(node)
+            .filter(|_| status == StartStatus::Unreachable)
+        {
+            worker.unreachable(self.now);
+        }
         if status == StartStatus::Unhealthy {
             self.count_worker_failure(node);
         }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -48,6 +48,9 @@
 /// How long an agent may take to answer a probe. One that does not is cut off,
 /// frozen or gone.
 const PROBE_TIMEOUT: Millis = Millis(1000);
+/// How long a worker gets no tasks after a start could not be sent to it, unless
+/// it comes back before.
+const UNREACHABLE_PAUSE: Millis = Millis(1000);
 /// Consecutive failures after which a worker is on probation.
 const FAILURE_LIMIT: u32 = 3;
 /// How long a worker stays on probation after its last failure.
@@ -73,6 +76,8 @@
     /// When the worker leaves, if it is draining.
     pub(super) leaves_at: Option<Instant>,
     pub(super) health: Health,
+    /// Until when the worker gets no tasks because a start could not be sent.
+    unreachable_until: Option<Instant>,
     /// What the services leave to best-effort tasks; `None` after a change.
     headroom: Option<Headroom>,
     pub(super) orders: Orders,
@@ -120,6 +125,7 @@
             last_report: now,
             leaves_at: None,
             health: Health::default(),
+            unreachable_until: None,
             headroom: None,
             orders: Orders::default(),
             pending_starts: Vec::new(),
@@ -162,12 +168,24 @@
         self.link.is_some()
             && now < self.last_report + silence_limit
             && self.incarnation.is_some()
+            && self.unreachable_until.is_none_or(|until| now >= until)
             && self.lease_until.is_some_and(|until| now < until)
             && self.profile.as_ref().is_some_and(|profile| {
                 !profile.draining && Some(&profile.incarnation) == self.incarnation.as_ref()
             })
     }
 
+    /// Records that the inventory of an incarnation has arrived.
+    pub(super) fn confirm(&mut self, incarnation: Incarnation) {
+        self.incarnation = Some(incarnation);
+        self.unreachable_until = None;
+    }
+
+    /// Records that a start could not be sent to the worker.
+    pub(super) fn unreachable(&mut self, now: Instant) {
+        self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
+    }
+
     /// Returns whether the worker gets only one task at a time because of
     /// recent failures.
     pub(super) fn is_on_probation(&self, now: Instant) -> bool {
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -407,3 +407,20 @@
 
     assert_eq!(harness.restart(2), None);
 }
+
+/// Guards against tasks that wait for a crashed worker to come back, although
+/// their starts have certainly not reached it.
+#[test]
+fn start_that_cannot_be_sent_is_given_back_at_once() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+
+    harness.answer(call, Answer::Unreachable);
+
+    let outcome = Outcome {
+        task: task(),
+        run: Run(1),
+        status: StartStatus::Unreachable,
+    };
+    assert_eq!(harness.outcomes(), [outcome]);
+}
--- a/crates/workload/tests/crashes.rs
+++ b/crates/workload/tests/crashes.rs
@@ -6,7 +6,7 @@
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::{Incarnation, Job, Link, Run, Task},
-        message::{Crash, Inventory, Loss, Query, Reply, Report, Start},
+        message::{Crash, Inventory, Loss, Outcome, Query, Reply, Report, Start, StartStatus},
         planner::{Batch, Event},
         record::State,
         worker::{Exit, Profile},
@@ -368,3 +368,36 @@
     assert_eq!(site.state(1), failed());
     assert!(crashes <= 5, "given up after {crashes} crashes");
 }
+
+/// Guards against tasks that are placed on a worker whose process is gone until
+/// its agent is silent or the worker is back.
+#[test]
+fn worker_that_cannot_be_reached_gets_no_tasks_until_it_is_back() {
+    let mut site = Site::new(2);
+    site.harness.submit(1, job(vec![step(1)]));
+    let (gone, start) = site.harness.all_starts().remove(0);
+    let outcome = Outcome {
+        task: start.task,
+        run: start.run,
+        status: StartStatus::Unreachable,
+    };
+    let report = Report {
+        outcomes: vec![outcome],
+        ..Report::default()
+    };
+    site.harness.report(gone, report);
+    site.harness.commit();
+    for id in 2..6 {
+        site.harness.submit(id, job(vec![step(1)]));
+    }
+
+    let before = site.harness.all_starts();
+    site.crash(gone, BEGUN);
+    site.harness.submit(6, job(vec![step(1)]));
+    let after = site.harness.all_starts();
+
+    assert_eq!(before.len(), 5);
+    assert!(before.iter().all(|(worker, _)| *worker != gone));
+    assert_eq!(after.len(), 1);
+    assert_eq!(after[0].0, gone);
+}
