Keep runs whose start was overtaken by a list among those of a crash

The agent dropped a run when a list that was requested after the start was sent did not show it, but the worker may make that list before it carries out the start. A run is now dropped only by a list that was requested after the start was answered; starts without an answer stay until their order is resolved or the session ends, and never clear their task.

The new test failed before (panicked: no crash is reported).

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -183,6 +183,7 @@
         self.last_renewal = None;
         self.last_ping = None;
         self.issued.clear();
+        self.presence.end_session();
     }
 
     /// Ends the session and requests a new one if the leader is connected.
@@ -544,6 +545,7 @@
                 Order::Stopped(at) if sent >= at && !listed(&key) => {
                     self.issued.remove(&key);
                     self.roles.remove(&key);
+                    self.presence.ended(key.0, key.1);
                     self.outcome(key.0, key.1, StartStatus::Withdrawn);
                 }
                 _ => {}
--- a/crates/workload/src/agent/presence.rs
+++ b/crates/workload/src/agent/presence.rs
@@ -26,15 +26,16 @@
 struct Stay {
     /// When the run was ordered or first listed.
     since: Instant,
-    /// Whether the worker has answered the start or listed the run.
-    certain: bool,
+    /// When the worker had answered the start or listed the run. A list that was
+    /// requested before may have overtaken the start.
+    known: Option<Instant>,
 }
 
 impl Presence {
     pub(super) fn ordered(&mut self, now: Instant, task: Task, run: Run) {
         let stay = Stay {
             since: now,
-            certain: false,
+            known: None,
         };
         self.runs.entry((task, run)).or_insert(stay);
     }
@@ -53,12 +54,11 @@
                     self.runs.remove(&key);
                 }
                 Answer::Done | Answer::Snapshot(_) => {
-                    if let Some(stay) = self.runs.get_mut(&key) {
-                        *stay = Stay {
-                            since: sent,
-                            certain: true,
-                        };
-                    }
+                    let stay = Stay {
+                        since: sent,
+                        known: Some(now),
+                    };
+                    self.runs.insert(key, stay);
                 }
             }
         }
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Forgets starts without an answer, whose session has ended.
+    pub(super) fn end_session(&mut self) {
+        self.runs.retain(|_, stay| stay.known.is_some());
+    }
+
     pub(super) fn ended(&mut self, task: Task, run: Run) {
         self.runs.remove(&(task, run));
     }
@@ -79,14 +84,14 @@
     pub(super) fn listed(&mut self, now: Instant, sent: Instant, running: &[Running]) {
         let listed = |key: &(Task, Run)| running.iter().any(|row| (row.task, row.run) == *key);
         self.runs
-            .retain(|key, stay| stay.since >= sent || listed(key));
+            .retain(|key, stay| stay.known.is_none_or(|known| known >= sent) || listed(key));
         for row in running {
             let stay = Stay {
                 since: now,
-                certain: true,
+                known: Some(now),
             };
             let entry = self.runs.entry((row.task, row.run));
-            entry.or_insert(stay).certain = true;
+            entry.or_insert(stay).known = Some(now);
         }
     }
 
@@ -100,7 +105,7 @@
                 task,
                 run,
                 lasted: answered.since(stay.since),
-                certain: stay.certain,
+                certain: stay.known.is_some(),
             })
             .collect();
         (!losses.is_empty()).then_some(Crash {
--- a/crates/workload/src/planner/suspicion.rs
+++ b/crates/workload/src/planner/suspicion.rs
@@ -82,7 +82,7 @@
     pub(super) fn blame(&mut self, node: &Node, crash: &Crash, actions: &mut Vec<Action>) {
         let (tried, recent): (Vec<&Loss>, Vec<&Loss>) =
             crash.losses.iter().partition(|loss| loss.lasted >= TRIAL);
-        for loss in tried {
+        for loss in tried.into_iter().filter(|loss| loss.certain) {
             self.clear(loss.task, loss.run);
         }
         let suspected = recent.iter().any(|loss| {
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -424,3 +424,29 @@
     };
     assert_eq!(harness.outcomes(), [outcome]);
 }
+
+/// Guards against a task that crashes its workers unseen: a list that was
+/// requested after the start, but made before it, dropped the run.
+#[test]
+fn run_whose_start_was_overtaken_by_a_list_is_part_of_a_crash() {
+    let mut harness = Harness::new();
+    harness.pass(Millis(600));
+    let start = harness.order();
+    let ordered = harness.now;
+    let poll = harness.take(|call| matches!(call, Call::Poll { .. }));
+    harness.now = ordered + Millis(3);
+    harness.step(Event::Answered {
+        call: start,
+        sent: ordered,
+        answer: Answer::Done,
+    });
+
+    harness.step(Event::Answered {
+        call: poll.expect("the agent polls"),
+        sent: ordered + Millis(1),
+        answer: snapshot(1, Vec::new()),
+    });
+
+    let crash = harness.restart(2).expect("the crash is reported");
+    assert_eq!(crash.losses.len(), 1);
+}
