--- a/crates/bench/benches/leader/simulation.rs
+++ b/crates/bench/benches/leader/simulation.rs
@@ -100,6 +100,7 @@
                 inventory: Some(Inventory {
                     incarnation: profile(number).incarnation,
                     restarted: None,
+                    crash: None,
                     running: Vec::new(),
                 }),
                 ..Report::default()
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -64,6 +64,28 @@
         } => {
             info!("worker joined", kv: { node:, life: = incarnation, fence = fence.0, adopted = *adopted });
         }
+        Decision::Crashed {
+            node,
+            incarnation,
+            runs,
+        } => {
+            counter!("filbertbend_worker_crashes_total").increment(1);
+            info!("worker has crashed", kv: { node:, life: = incarnation, runs = *runs });
+        }
+        Decision::Blamed {
+            task,
+            run,
+            node,
+            lasted,
+            blame,
+        } => {
+            counter!("filbertbend_blamed_total").increment(1);
+            info!("task blamed for a crash", kv: { job: = task.job, task:, run = run.0, node:, lasted_ms = lasted.0, blame = *blame });
+        }
+        Decision::GivenUp { task, run, node } => {
+            counter!("filbertbend_given_up_total").increment(1);
+            warn!("task crashes its workers, job given up", kv: { job: = task.job, task:, run = run.0, node: });
+        }
         Decision::Waiting(backlog) => log_backlog(backlog),
     }
 }
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -164,6 +164,7 @@
             incarnation,
             restarted: None,
             running: Vec::new(),
+            crash: None,
         }),
         renew: Some(1),
         ..Report::default()
--- a/crates/workload/src/agent/identity.rs
+++ b/crates/workload/src/agent/identity.rs
@@ -103,7 +103,7 @@
             Answer::Snapshot(_) | Answer::Refused(Refusal::Restarted | Refusal::Invalid) => {
                 self.candidates.remove(position);
             }
-            Answer::Done | Answer::Refused(_) | Answer::Lost => {
+            Answer::Done | Answer::Refused(_) | Answer::Unreachable | Answer::Lost => {
                 let candidate = &mut self.candidates[position];
                 candidate.ask_at = Some(now + RETRY_DELAY);
                 if now >= candidate.heard + CANDIDATE_RETENTION {
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod identity;
+mod presence;
 mod queue;
 mod report;
 mod room;
@@ -17,7 +18,7 @@
     crate::{
         id::{Epoch, Fence, Incarnation, Run, Task},
         leadership::LEASE_RENEW_INTERVAL,
-        message::{Orders, Outcome, Report, Role, StartStatus},
+        message::{Crash, Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
     },
@@ -26,6 +27,7 @@
         unit::{Cores, Millis},
     },
     identity::Candidate,
+    presence::Presence,
     queue::{Queue, Waiting},
     session::Session,
     std::{
@@ -86,6 +88,8 @@
     Ping,
     /// Makes a call to the worker; answered by [`Event::Answered`].
     Call(Call),
+    /// Logs that the worker has crashed.
+    Crashed(Crash),
 }
 
 /// The state of an order that the worker's list may not show yet.
@@ -141,6 +145,9 @@
     roles: BTreeMap<(Task, Run), Role>,
     checkpoints: BTreeMap<(Task, Run), Arc<str>>,
     running: Vec<Running>,
+    presence: Presence,
+    /// How the incarnation before the present one ended, if it crashed.
+    crash: Option<Crash>,
     throttle: Controller,
     report: Report,
 }
@@ -201,6 +208,7 @@
         self.last_ping = None;
         self.issued.clear();
         self.queue.clear();
+        self.presence.end_session();
     }
 
     /// Ends the session and requests a new one if the leader is connected.
@@ -212,7 +220,7 @@
     }
 
     fn begin_incarnation(&mut self, profile: Profile, actions: &mut Vec<Action>) {
-        self.forget_incarnation();
+        self.forget_incarnation(actions);
         self.restarted = self.former.as_ref() == Some(&profile.incarnation.worker);
         self.profile = Some(profile);
         self.heard = true;
@@ -220,11 +228,28 @@
         self.renew_session(actions);
     }
 
+    /// Records a crash of an incarnation that has ended, unless it was about to
+    /// leave.
+    fn record_crash(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        let ended = |crash: &Crash| crash.incarnation == profile.incarnation;
+        if self.crash.as_ref().is_some_and(ended) {
+            // A new session has brought back the profile of the crashed
+            // incarnation.
+            return;
+        }
+        let crash = self.presence.take(profile.incarnation);
+        self.crash = crash.filter(|_| !profile.draining);
+        if let Some(crash) = &self.crash {
+            actions.push(Action::Crashed(crash.clone()));
+        }
+    }
+
     /// Drops what is known about the worker: its clock, for one, begins anew, so
     /// that a deadline by the former clock would lie far in the future.
-    fn forget_incarnation(&mut self) {
+    fn forget_incarnation(&mut self, actions: &mut Vec<Action>) {
         if let Some(profile) = self.profile.take() {
-            self.former = Some(profile.incarnation.worker);
+            self.former = Some(profile.incarnation.worker.clone());
+            self.record_crash(profile, actions);
         }
         self.first_listed = None;
         self.clock = None;
@@ -404,13 +429,14 @@
             // There is a later session or a later incarnation.
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
         }
+        self.presence.observe(now, sent, &call, &answer);
         match call {
             Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
             Call::Throttle { change, .. } => {
-                if answer == Answer::Lost {
+                if matches!(answer, Answer::Lost | Answer::Unreachable) {
                     self.throttle.failed(change.task, change.run);
                 }
             }
@@ -420,7 +446,7 @@
     fn lose_session(&mut self, now: Instant, restarted: bool, actions: &mut Vec<Action>) {
         if restarted {
             self.refuted = self.profile.as_ref().map(|own| own.incarnation.clone());
-            self.forget_incarnation();
+            self.forget_incarnation(actions);
         } else {
             // Avoids a busy loop of sessions while the worker refuses.
             self.poll_not_before = now + RETRY_DELAY;
@@ -442,6 +468,7 @@
                 return;
             }
             Answer::Done | Answer::Snapshot(_) => StartStatus::Started,
+            Answer::Unreachable => StartStatus::Unreachable,
             Answer::Refused(Refusal::NoRoom) => StartStatus::NoRoom,
             Answer::Refused(Refusal::Superseded) => StartStatus::Superseded,
             Answer::Refused(Refusal::Unhealthy) => StartStatus::Unhealthy,
@@ -491,6 +518,7 @@
         // Reading the clock as late as possible makes a lease expire early.
         self.clock = Some((now, snapshot.clock));
         self.polled = Some(now);
+        self.presence.listed(now, sent, &snapshot.running);
         self.report_ends(&snapshot);
         self.report_inventory(now, &snapshot);
         self.resolve(sent, &snapshot);
@@ -534,6 +562,7 @@
                 Order::Stopped(at) if complete && sent >= at && !listed(&key) => {
                     self.issued.remove(&key);
                     self.roles.remove(&key);
+                    self.presence.ended(key.0, key.1);
                     self.outcome(key.0, key.1, StartStatus::Withdrawn);
                 }
                 _ => {}
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -85,6 +85,7 @@
                     }
                     let key = (start.task, start.run);
                     self.issued.insert(key, Order::Starting);
+                    self.presence.ordered(now, start.task, start.run);
                     self.roles.insert(key, start.role.clone());
                     actions.push(Action::Call(Call::Start {
                         fence,
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -27,6 +27,7 @@
             if end.sequence > session.reported {
                 session.reported = end.sequence;
                 let key = (end.task, end.run);
+                self.presence.ended(end.task, end.run);
                 self.issued.remove(&key);
                 self.roles.remove(&key);
                 self.checkpoints.remove(&key);
@@ -50,6 +51,7 @@
             incarnation: profile.incarnation.clone(),
             restarted: self.restarted.then(|| now.since(first)),
             running: snapshot.running.clone(),
+            crash: self.crash.clone(),
         });
         self.report_profile();
     }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -125,6 +125,33 @@
     pub restarted: Option<Millis>,
     /// The running tasks.
     pub running: Vec<Running>,
+    /// How the worker's former incarnation ended, if it crashed while the agent
+    /// was there. Every session of the incarnation repeats it, because the
+    /// leader may change before it has recorded the crash.
+    pub crash: Option<Crash>,
+}
+
+/// The end of a worker's incarnation that was not announced.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The incarnation that ended.
+    pub incarnation: Incarnation,
+    /// The runs that it interrupted.
+    pub losses: Vec<Loss>,
+}
+
+/// A run that was interrupted by a crash.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Loss {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+    /// How long the run had lasted at least.
+    pub lasted: Millis,
+    /// Whether the worker had accepted the start. Without an answer it may not
+    /// have reached the worker.
+    pub certain: bool,
 }
 
 /// The outcome of a start.
@@ -149,6 +176,8 @@
     Superseded,
     /// The worker is unhealthy.
     Unhealthy,
+    /// The worker's process is gone, so that the start cannot be sent.
+    Unreachable,
     /// The start came too late or was withdrawn by a stop.
     Withdrawn,
     /// The worker cannot parse the start.
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -90,6 +90,37 @@
     },
     /// What the planner waits for, repeated once a second.
     Waiting(Backlog),
+    /// An agent has reported that its worker crashed.
+    Crashed {
+        /// Its agent's node.
+        node: Node,
+        /// The incarnation that ended.
+        incarnation: Incarnation,
+        /// How many runs the crash interrupted.
+        runs: usize,
+    },
+    /// A task was blamed for the crash of its worker.
+    Blamed {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The node of the worker's agent.
+        node: Node,
+        /// How long the run had lasted at least.
+        lasted: Millis,
+        /// The task's blame so far.
+        blame: u32,
+    },
+    /// A job is failed because a task crashes the workers that start it.
+    GivenUp {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The node of the last worker that it crashed.
+        node: Node,
+    },
 }
 
 /// What the planner waits for, so that a task that does not start can be
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -12,6 +12,7 @@
 //!   tolerate.
 //! - `decision` describes decisions for the log, and `backlog` what is waited
 //!   for.
+//! - `suspicion` finds tasks that crash their workers.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
 //!
@@ -37,6 +38,7 @@
 mod report;
 mod settings;
 mod stop;
+mod suspicion;
 mod worker;
 
 use {
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -64,6 +64,9 @@
     /// runs, it has waited for [`GOOD_PLACE_WAIT`] and much of the pool is
     /// free.
     pub(super) any_place: bool,
+    /// Whether the task is a suspect that still waits for a worker without
+    /// another.
+    pub(super) isolated: bool,
 }
 
 impl Requirements<'_> {
@@ -72,6 +75,7 @@
     fn is_individual(&self) -> bool {
         let placement = &self.step.placement;
         self.any_place
+            || self.isolated
             || self.avoid.is_some()
             || placement.same_rack
             || placement.most_per_worker.is_some()
@@ -149,7 +153,7 @@
     }
 
     fn place_step(&mut self, rank: Rank, pass: &mut Pass, actions: &mut Vec<Action>) {
-        let Some(first) = self.startable(rank).next() else {
+        let Some(first) = self.first_startable(rank) else {
             self.ready.remove(&rank);
             return;
         };
@@ -167,7 +171,8 @@
             self.hold(rank, pass);
             return;
         };
-        let tasks: Vec<Task> = self.startable(rank).skip(1).collect();
+        let mut tasks = self.suspects_last(rank);
+        tasks.retain(|task| *task != first);
         self.start(first, &node, None, pass, actions);
         let mut ranking = None;
         for task in tasks {
@@ -347,6 +352,7 @@
             avoid: found.avoid.as_ref(),
             waited,
             any_place,
+            isolated: found.is_isolated(self.now),
         })
     }
 
@@ -483,8 +489,10 @@
         let need = requirements.step.reserved();
         let is_kept = |hold: &Hold| hold.excludes(worker, requirements.rank, need);
         let healthy = !worker.is_on_probation(self.now) || worker.reservations.is_empty();
+        let separate = !requirements.isolated || !worker.has_suspect(self.now);
         below_limit
             && healthy
+            && separate
             && !worker.hold.as_ref().is_some_and(is_kept)
             && self.is_eligible(requirements, worker)
     }
--- a/crates/workload/src/planner/preempt.rs
+++ b/crates/workload/src/planner/preempt.rs
@@ -21,7 +21,7 @@
         pass: &mut Pass,
         actions: &mut Vec<Action>,
     ) -> Option<Node> {
-        let task = self.startable(rank).next()?;
+        let task = self.first_startable(rank)?;
         let requirements = self.requirements(task, pass)?;
         if requirements.step.mode.best_effort {
             return None;
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -167,6 +167,13 @@
         if let Some(entry) = self.registry.task_mut(task) {
             entry.avoid = Some(node.clone());
         }
+        if let Some(worker) = self
+            .fleet
+            .get_mut(node)
+            .filter(|_| status == StartStatus::Unreachable)
+        {
+            worker.unreachable(self.now);
+        }
         if status == StartStatus::Unhealthy {
             self.count_worker_failure(node);
         }
@@ -240,6 +247,7 @@
             return false;
         };
         let (long_running, gang) = (step.mode.long_running, step.mode.gang);
+        self.clear_after_trial(task, run);
         match exit {
             Exit::Done if !long_running => self.done(node, task, run, gang, actions),
             Exit::Failed if !long_running => {
@@ -398,6 +406,14 @@
                 silent: Millis::ZERO,
             }));
         }
+        if let Some(crash) = &inventory.crash {
+            actions.push(Action::Decided(Decision::Crashed {
+                node: node.clone(),
+                incarnation: crash.incarnation.clone(),
+                runs: crash.losses.len(),
+            }));
+            self.blame(node, crash, actions);
+        }
         actions.push(Action::Decided(Decision::Joined {
             node: node.clone(),
             incarnation: inventory.incarnation.clone(),
@@ -441,6 +457,7 @@
                 image: Arc::default(),
                 priority: u8::MAX,
                 is_unknown: true,
+                suspect_until: None,
             }
         });
         self.fleet.adopt(node, row.task, row.run, reservation);
@@ -494,6 +511,7 @@
             image: step.image.clone().unwrap_or_default(),
             priority: policy(&self.catalog, &entry.job).priority,
             is_unknown: false,
+            suspect_until: entry.task(task)?.suspect_until(self.now),
         })
     }
 
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -33,6 +33,8 @@
     /// Whether the job of the run is unknown, so that the whole worker is
     /// reserved.
     pub(super) is_unknown: bool,
+    /// Until when the run may still crash its worker, if it is a suspect.
+    pub(super) suspect_until: Option<Instant>,
 }
 
 /// The recent failures on a worker.
@@ -49,6 +51,9 @@
 /// How long an agent may take to answer a probe. One that does not is cut off,
 /// frozen or gone.
 const PROBE_TIMEOUT: Millis = Millis(1000);
+/// How long a worker gets no tasks after a start could not be sent to it, unless
+/// it comes back before.
+const UNREACHABLE_PAUSE: Millis = Millis(1000);
 /// Consecutive failures after which a worker is on probation.
 const FAILURE_LIMIT: u32 = 3;
 /// How long a worker stays on probation after its last failure.
@@ -71,6 +76,8 @@
     /// its former incarnation.
     foreign_lease_until: Instant,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
+    /// Until when each suspect may still crash the worker.
+    suspects: BTreeMap<(Task, Run), Instant>,
     pub(super) used: Room,
     pub(super) best_effort_cores: Cores,
     /// When all runs on the worker have certainly ended unless the lease is
@@ -84,6 +91,8 @@
     pub(super) health: Health,
     /// The room that is kept for a step.
     pub(super) hold: Option<Hold>,
+    /// Until when the worker gets no tasks because a start could not be sent.
+    unreachable_until: Option<Instant>,
     /// What the services leave to best-effort tasks; `None` after a change.
     headroom: Option<Headroom>,
     pub(super) orders: Orders,
@@ -127,6 +136,7 @@
             last_incarnation: None,
             foreign_lease_until: Instant::default(),
             reservations: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
             lease_until: None,
@@ -135,6 +145,7 @@
             leaves_at: None,
             health: Health::default(),
             hold: None,
+            unreachable_until: None,
             headroom: None,
             orders: Orders::default(),
             pending_starts: Vec::new(),
@@ -209,6 +220,7 @@
             self.foreign_lease_until = self.foreign_lease_until.max(until);
         }
         self.incarnation = Some(incarnation.clone());
+        self.unreachable_until = None;
         self.last_incarnation = Some(incarnation.clone());
         let granted_until = now + settings.lease_bound();
         self.lease_until = Some(granted_until.max(self.foreign_lease_until));
@@ -218,6 +230,7 @@
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
         self.headroom = None;
+        self.suspects.clear();
         self.used = Room::NONE;
         self.best_effort_cores = Cores::ZERO;
         self.pending_starts.clear();
@@ -232,18 +245,30 @@
             && now < self.last_report + silence_limit
             && self.profile_reported
             && self.incarnation.is_some()
+            && self.unreachable_until.is_none_or(|until| now >= until)
             && self.lease_until.is_some_and(|until| now < until)
             && self.profile.as_ref().is_some_and(|profile| {
                 !profile.draining && Some(&profile.incarnation) == self.incarnation.as_ref()
             })
     }
 
+    /// Records that a start could not be sent to the worker.
+    pub(super) fn unreachable(&mut self, now: Instant) {
+        self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
+    }
+
     /// Returns whether the worker gets only one task at a time because of
     /// recent failures.
     pub(super) fn is_on_probation(&self, now: Instant) -> bool {
         self.health.failures >= FAILURE_LIMIT && now < self.health.last_failure + FAILURE_WINDOW
     }
 
+    /// Returns whether a suspect has not shown yet that it does not crash the
+    /// worker.
+    pub(super) fn has_suspect(&self, now: Instant) -> bool {
+        self.suspects.values().any(|until| now < *until)
+    }
+
     /// Returns the services that have replicas on the worker.
     pub(super) fn services(&self) -> impl Iterator<Item = &Service> {
         self.reservations
@@ -328,6 +353,9 @@
         self.headroom = None;
         self.used += reservation.room;
         self.best_effort_cores += reservation.best_effort_cores;
+        if let Some(until) = reservation.suspect_until {
+            self.suspects.insert((task, run), until);
+        }
         self.reservations.insert((task, run), reservation);
     }
 
@@ -336,6 +364,7 @@
             return false;
         };
         self.headroom = None;
+        self.suspects.remove(&(task, run));
         self.used -= reservation.room;
         self.best_effort_cores -= reservation.best_effort_cores;
         true
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -263,6 +263,7 @@
         }),
         inventory: Some(Inventory {
             restarted: None,
+            crash: None,
             incarnation: incarnation(0),
             running: vec![running(unknown, Run(1))],
         }),
@@ -307,6 +308,7 @@
     let report = Report {
         inventory: Some(Inventory {
             restarted: None,
+            crash: None,
             incarnation: incarnation(0),
             running: Vec::new(),
         }),
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -92,6 +92,7 @@
                     incarnation: incarnation(0),
                     restarted: None,
                     running: vec![running(task, Run(3)), running(known.task, known.run)],
+                    crash: None,
                 }),
                 probe: Some(u64::MAX),
                 ..Report::default()
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -451,6 +451,7 @@
         incarnation: incarnation(0),
         restarted: None,
         running: Vec::new(),
+        crash: None,
     };
     let report = |fence| Report {
         fence,
@@ -486,6 +487,7 @@
         inventory: Some(Inventory {
             incarnation: restarted,
             restarted: None,
+            crash: None,
             running: Vec::new(),
         }),
         renew: Some(1),
@@ -547,6 +549,7 @@
         inventory: Some(Inventory {
             incarnation: incarnation(0),
             restarted: Some(Millis(1000)),
+            crash: None,
             running: Vec::new(),
         }),
         renew: Some(1),
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -234,6 +234,7 @@
                 incarnation: incarnation(number),
                 restarted: None,
                 running,
+                crash: None,
             }),
             ends,
             renew: Some(1),
