--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -3,12 +3,15 @@
 //! - `registry` holds jobs with their occurrences, steps and tasks.
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
+//! - `session` opens the sessions with agents and gives up lost runs.
 //! - `place` selects workers for tasks.
-//! - `preempt` makes room for urgent tasks.
+//! - `preempt` makes room for urgent tasks, and `hold` keeps it for tasks that
+//!   need much.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
-//! - `decision` describes decisions for the log.
+//! - `decision` describes decisions for the log, and `backlog` what is waited
+//!   for.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
 //!
@@ -20,22 +23,25 @@
 //! has reported otherwise or the last lease that a former leader can have
 //! granted has expired.
 
+mod backlog;
 mod decision;
 mod fleet;
 mod headroom;
+mod hold;
 mod pass;
 mod persist;
 mod place;
 mod preempt;
 mod registry;
 mod report;
+mod session;
 mod settings;
 mod worker;
 
 use {
     crate::{
         catalog::Catalog,
-        id::{Epoch, Fence, Job, Link, Node, Run, Task},
+        id::{Epoch, Job, Link, Node, Run, Task},
         interference::Model,
         job, leadership,
         message::{Query, Reply, Report, Response},
@@ -52,7 +58,7 @@
 };
 
 pub use {
-    decision::{Decision, Reason},
+    decision::{Backlog, Blocked, Decision, Reason},
     persist::{Batch, Write},
     settings::Settings,
 };
@@ -142,10 +148,13 @@
     durability_changed: bool,
     last_placement: Instant,
     place_not_before: Instant,
-    /// Until when no lease counts as expired, because the process was behind.
+    /// Until when expired leases are not acted on, because the process was
+    /// behind.
     conclude_not_before: Instant,
     /// When the headroom of all workers was last invalidated.
     headroom_invalidated: Instant,
+    /// When waiting work was last reported.
+    backlog_reported: Instant,
     /// How often all workers were searched for a task.
     searches: Cell<u64>,
     /// How often a worker was examined during placement.
@@ -191,6 +200,7 @@
             place_not_before: Instant::default(),
             conclude_not_before: Instant::default(),
             headroom_invalidated: Instant::default(),
+            backlog_reported: now,
             searches: Cell::new(0),
             examined: Cell::new(0),
             passes: 0,
@@ -243,6 +253,7 @@
                 // The requirements of steps relax with waiting time.
                 self.changed = true;
                 self.tick(actions);
+                self.report_backlog(actions);
             }
         }
         if self.may_place(until) {
@@ -396,7 +407,7 @@
                     execution.stopping = true;
                 }
             }
-            StopOutcome::NeverOrdered => self.remove_execution(task, run),
+            StopOutcome::NeverOrdered => self.remove_execution(task, run, actions),
         }
         actions.push(Action::Decided(Decision::Stopped {
             task,
@@ -406,16 +417,17 @@
         }));
     }
 
-    /// Removes a run that has certainly ended. This is persisted; otherwise a
-    /// later leader would wait until the last lease that the worker can hold
-    /// has expired.
-    fn remove_execution(&mut self, task: Task, run: Run) {
+    /// Removes a run that has certainly ended, so that its task may be placed
+    /// again. This is persisted; otherwise a later leader would wait until the
+    /// last lease that the worker can hold has expired.
+    fn remove_execution(&mut self, task: Task, run: Run, actions: &mut Vec<Action>) {
         self.registry.remove_execution(task, run, self.now);
         let live = self.registry.get_mut(task.job);
         if let Some(entry) = live.filter(|entry| !entry.state.is_final()) {
             entry.version += 1;
             self.persist.mark_dirty(self.now, task.job, false);
         }
+        self.refresh(task.job, actions);
     }
 
     /// Opens the due steps of a job, updates its entries in the list of ready
@@ -453,15 +465,14 @@
             self.fleet.invalidate_headroom();
         }
         self.fleet.send_weights(&self.model.changed_weights());
-        if self.now >= self.conclude_not_before {
-            for (node, expiry) in self.fleet.expired_leases(self.now) {
-                match expiry {
-                    Expiry::Certain => self.abandon(&node, actions),
-                    Expiry::Probed => actions.push(Action::Decided(Decision::Probed {
-                        silent: self.silence(&node),
-                        node,
-                    })),
-                }
+        let is_behind = self.now < self.conclude_not_before;
+        for (node, expiry) in self.fleet.expired_leases(self.now, is_behind) {
+            match expiry {
+                Expiry::Certain => self.abandon(&node, actions),
+                Expiry::Probed => actions.push(Action::Decided(Decision::Probed {
+                    silent: self.silence(&node),
+                    node,
+                })),
             }
         }
         for node in self.fleet.leaving() {
@@ -478,33 +489,6 @@
         }
     }
 
-    /// Removes every run on a worker whose lease has certainly expired. If its
-    /// agent is connected, it gets a new session: a start of the present one
-    /// could still take effect once the worker has a lease again.
-    fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
-        let silent = self.silence(node);
-        for (task, run) in self.fleet.clear(node) {
-            self.remove_execution(task, run);
-            actions.push(Action::Decided(Decision::Lost {
-                task,
-                run,
-                node: node.clone(),
-                reason: Reason::LeasePassed,
-                silent,
-            }));
-            self.refresh(task.job, actions);
-        }
-        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
-            self.open(link, node.clone(), actions);
-        }
-    }
-
-    /// Returns the time since the last report of a worker.
-    fn silence(&self, node: &Node) -> Millis {
-        let worker = self.fleet.get(node);
-        worker.map_or(Millis::ZERO, |worker| self.now.since(worker.last_report))
-    }
-
     /// Returns the next run number of a task, higher than those of earlier
     /// terms.
     fn next_run(&self, last: Run) -> Run {
@@ -522,28 +506,6 @@
         }
     }
 
-    /// Opens a session, or defers it until all jobs are loaded: until then its
-    /// reports would concern unknown jobs.
-    fn open(&mut self, link: Link, node: Node, actions: &mut Vec<Action>) {
-        if !self.loaded {
-            self.waiting_sessions.push((link, node));
-            return;
-        }
-        self.sessions += 1;
-        let fence = Fence::new(self.epoch, self.sessions);
-        self.fleet
-            .open(link, node.clone(), fence, self.now, &self.settings);
-        let welcome = Response::Welcome {
-            epoch: self.epoch,
-            fence,
-            profile: self
-                .fleet
-                .get(&node)
-                .and_then(|worker| worker.profile.clone()),
-        };
-        actions.push(Action::Send(link, welcome));
-    }
-
     /// Starts the next batch if one is due and sends the pending orders.
     fn flush(&mut self, actions: &mut Vec<Action>) {
         if let Some(batch) = self.persist.next(self.now, &self.registry) {
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,7 +1,7 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::{headroom::Headroom, Settings},
+    super::{headroom::Headroom, hold::Hold, Settings},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
@@ -70,10 +70,14 @@
     /// When all runs on the worker have certainly ended unless the lease is
     /// renewed.
     pub(super) lease_until: Option<Instant>,
+    /// When the lease was first seen to have expired.
+    pub(super) overdue_since: Option<Instant>,
     pub(super) last_report: Instant,
     /// When the worker leaves, if it is draining.
     pub(super) leaves_at: Option<Instant>,
     pub(super) health: Health,
+    /// The room that is kept for a step.
+    pub(super) hold: Option<Hold>,
     /// What the services leave to best-effort tasks; `None` after a change.
     headroom: Option<Headroom>,
     pub(super) orders: Orders,
@@ -119,9 +123,11 @@
             used: Room::NONE,
             best_effort_cores: Cores::ZERO,
             lease_until: None,
+            overdue_since: None,
             last_report: now,
             leaves_at: None,
             health: Health::default(),
+            hold: None,
             headroom: None,
             orders: Orders::default(),
             pending_starts: Vec::new(),
