--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -3,6 +3,7 @@
 //! - `registry` holds jobs with their occurrences, steps and tasks.
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
+//! - `session` opens the sessions with agents and gives up lost runs.
 //! - `place` selects workers for tasks.
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much.
@@ -36,6 +37,7 @@
 mod preempt;
 mod registry;
 mod report;
+mod session;
 mod settings;
 mod stop;
 mod suspicion;
@@ -44,7 +46,7 @@
 use {
     crate::{
         catalog::Catalog,
-        id::{Epoch, Fence, Job, Link, Node, Run, Task},
+        id::{Epoch, Job, Link, Node, Run, Task},
         interference::Model,
         job, leadership,
         message::{Query, Reply, Report, Response},
@@ -466,32 +468,6 @@
         }
     }
 
-    /// Removes every run on a worker whose lease has certainly expired. If its
-    /// agent is connected, it gets a new session: a start of the present one
-    /// could still take effect once the worker has a lease again.
-    fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
-        let silent = self.silence(node);
-        for (task, run) in self.fleet.clear(node) {
-            self.remove_execution(task, run, actions);
-            actions.push(Action::Decided(Decision::Lost {
-                task,
-                run,
-                node: node.clone(),
-                reason: Reason::LeasePassed,
-                silent,
-            }));
-        }
-        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
-            self.open(link, node.clone(), actions);
-        }
-    }
-
-    /// Returns the time since the last report of a worker.
-    fn silence(&self, node: &Node) -> Millis {
-        let worker = self.fleet.get(node);
-        worker.map_or(Millis::ZERO, |worker| self.now.since(worker.last_report))
-    }
-
     /// Returns the next run number of a task, higher than those of earlier
     /// terms.
     fn next_run(&self, last: Run) -> Run {
@@ -510,28 +486,6 @@
         }
     }
 
-    /// Opens a session, or defers it until all jobs are loaded: until then its
-    /// reports would concern unknown jobs.
-    fn open(&mut self, link: Link, node: Node, actions: &mut Vec<Action>) {
-        if !self.loaded {
-            self.waiting_sessions.push((link, node));
-            return;
-        }
-        self.sessions += 1;
-        let fence = Fence::new(self.epoch, self.sessions);
-        self.fleet
-            .open(link, node.clone(), fence, self.now, &self.settings);
-        let welcome = Response::Welcome {
-            epoch: self.epoch,
-            fence,
-            profile: self
-                .fleet
-                .get(&node)
-                .and_then(|worker| worker.profile.clone()),
-        };
-        actions.push(Action::Send(link, welcome));
-    }
-
     /// Starts the next batch if one is due and sends the pending orders.
     fn flush(&mut self, actions: &mut Vec<Action>) {
         if let Some(batch) = self.persist.next(self.now, &self.registry) {
