--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -228,22 +228,6 @@
         self.renew_session(actions);
     }
 
-    /// Records a crash of an incarnation that has ended, unless it was about to
-    /// leave.
-    fn record_crash(&mut self, profile: Profile, actions: &mut Vec<Action>) {
-        let ended = |crash: &Crash| crash.incarnation == profile.incarnation;
-        if self.crash.as_ref().is_some_and(ended) {
-            // A new session has brought back the profile of the crashed
-            // incarnation.
-            return;
-        }
-        let crash = self.presence.take(profile.incarnation);
-        self.crash = crash.filter(|_| !profile.draining);
-        if let Some(crash) = &self.crash {
-            actions.push(Action::Crashed(crash.clone()));
-        }
-    }
-
     /// Drops what is known about the worker: its clock, for one, begins anew, so
     /// that a deadline by the former clock would lie far in the future.
     fn forget_incarnation(&mut self, actions: &mut Vec<Action>) {
--- a/crates/workload/src/agent/presence.rs
+++ b/crates/workload/src/agent/presence.rs
@@ -1,11 +1,11 @@
 //! Which runs were on the worker when its process ended.
 
 use {
+    super::{Action, Agent, Answer, Call, POLL_WAIT},
     crate::{
-        agent::{Answer, Call, POLL_WAIT},
         id::{Incarnation, Run, Task},
         message::{Crash, Loss},
-        worker::Running,
+        worker::{Profile, Running},
     },
     filbertbend_state::time::Instant,
     std::collections::BTreeMap,
@@ -114,3 +114,21 @@
         })
     }
 }
+
+impl Agent {
+    /// Records a crash of an incarnation that has ended, unless it was about to
+    /// leave.
+    pub(super) fn record_crash(&mut self, profile: Profile, actions: &mut Vec<Action>) {
+        let ended = |crash: &Crash| crash.incarnation == profile.incarnation;
+        if self.crash.as_ref().is_some_and(ended) {
+            // A new session has brought back the profile of the crashed
+            // incarnation.
+            return;
+        }
+        let crash = self.presence.take(profile.incarnation);
+        self.crash = crash.filter(|_| !profile.draining);
+        if let Some(crash) = &self.crash {
+            actions.push(Action::Crashed(crash.clone()));
+        }
+    }
+}
