Keep a crash that no leader may have read

A task that crashes its workers could be started once more than the rule allows: the agent forgot a crash when the next incarnation ended without runs of its own before a session had passed the crash on.

The new test failed before: no crash in the inventory.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -146,7 +146,8 @@
     checkpoints: BTreeMap<(Task, Run), Arc<str>>,
     running: Vec<Running>,
     presence: Presence,
-    /// How the incarnation before the present one ended, if it crashed.
+    /// The last crash of the worker. The leader may not have read it yet, even if
+    /// another incarnation has ended since.
     crash: Option<Crash>,
     throttle: Controller,
     report: Report,
--- a/crates/workload/src/agent/presence.rs
+++ b/crates/workload/src/agent/presence.rs
@@ -126,9 +126,9 @@
             return;
         }
         let crash = self.presence.take(profile.incarnation);
-        self.crash = crash.filter(|_| !profile.draining);
-        if let Some(crash) = &self.crash {
+        if let Some(crash) = crash.filter(|_| !profile.draining) {
             actions.push(Action::Crashed(crash.clone()));
+            self.crash = Some(crash);
         }
     }
 }
--- a/crates/workload/tests/agent.rs
+++ b/crates/workload/tests/agent.rs
@@ -878,3 +878,19 @@
     let crash = harness.restart(2).expect("the crash is reported");
     assert_eq!(crash.losses.len(), 1);
 }
+
+/// Guards against a crash that no leader learns of: the next incarnation ends as
+/// well, before the agent has a session.
+#[test]
+fn crash_is_reported_although_another_incarnation_has_ended_since() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Done);
+    harness.poll(Answer::Lost);
+
+    harness.restart(2);
+    let crash = harness.restart(3).expect("the crash is reported");
+
+    assert_eq!(crash.incarnation, profile(1).incarnation);
+    assert_eq!(crash.losses.len(), 1);
+}
