Hold no workers for a gang that would not fit on them

Workers were held without end for a gang whose members do not fit on as many workers as may be held, and holds in one pool were limited by the size of all pools. A gang now gets its holds only if they have room for all members, each worker is held for as many as fit there, the limit is that of the pool, and a gang that waits for an earlier run holds nothing.

The new test failed before: a worker of twelve stayed partly empty. The limit by pool and the release while an earlier run is awaited have no test.

--- a/crates/workload/src/planner/hold.rs
+++ b/crates/workload/src/planner/hold.rs
@@ -15,7 +15,8 @@
 /// How long a task that may start waits before a worker is held for it. Most
 /// tasks find room sooner.
 const HOLD_AFTER: Millis = Millis(5000);
-/// The reciprocal of the largest fraction of the usable workers that is held.
+/// The reciprocal of the largest fraction of the usable workers of a pool that is
+/// held.
 const MAX_HELD_DIVISOR: usize = 8;
 
 /// A worker's room that is kept for a step. Less urgent tasks are placed there
@@ -28,43 +29,38 @@
     preempting: bool,
 }
 
-/// The holds in a placement pass.
+/// The number of workers that are held for each step.
 #[derive(Default)]
-pub(super) struct Holds {
-    of_step: BTreeMap<Rank, usize>,
-    /// The maximum number of held workers.
-    limit: usize,
-}
+pub(super) struct Holds(BTreeMap<Rank, usize>);
 
 impl Holds {
-    /// Returns how many more workers may be held for a step that needs `wanted`
-    /// in all. Only holds for steps that are as urgent count towards the limit.
-    fn allowed(&self, rank: Rank, wanted: usize) -> usize {
-        let of_step = self.of_step.get(&rank).copied().unwrap_or(0);
-        let as_urgent: usize = self.of_step.range(..=rank).map(|(_, count)| count).sum();
-        let left = self.limit.saturating_sub(as_urgent);
-        wanted.saturating_sub(of_step).min(left)
-    }
-
-    fn is_full(&self) -> bool {
-        self.of_step.values().sum::<usize>() >= self.limit
+    fn of_step(&self, rank: Rank) -> usize {
+        self.0.get(&rank).copied().unwrap_or(0)
     }
 
     fn remove(&mut self, rank: Rank) {
-        if let Some(count) = self.of_step.get_mut(&rank) {
+        if let Some(count) = self.0.get_mut(&rank) {
             *count = count.saturating_sub(1);
         }
     }
 
     /// Counts a hold, which may replace one for another step.
     fn add(&mut self, rank: Rank, replaced: Option<Rank>) {
-        *self.of_step.entry(rank).or_default() += 1;
+        *self.0.entry(rank).or_default() += 1;
         if let Some(rank) = replaced {
             self.remove(rank);
         }
     }
 }
 
+/// The holds in one pool, and how many there may be.
+struct Quota {
+    limit: usize,
+    held: usize,
+    /// Those for steps that are as urgent as the one in question.
+    as_urgent: usize,
+}
+
 impl Hold {
     /// Returns whether a task of `rank` that needs `room` must stay off the
     /// worker.
@@ -94,15 +90,13 @@
             }
         }
         let mut holds = Holds::default();
-        let mut usable: usize = 0;
         let (now, limit) = (self.now, self.settings.silence_limit);
         for (node, worker) in self.fleet.iter_mut() {
             let is_usable = worker.is_usable(now, limit);
-            usable += usize::from(is_usable);
             let Some(hold) = &worker.hold else {
                 continue;
             };
-            let count = holds.of_step.entry(hold.rank).or_default();
+            let count = holds.0.entry(hold.rank).or_default();
             let is_wanted = waiting.get(&hold.rank).is_some_and(|tasks| *count < *tasks);
             if is_usable && is_wanted && !futile.contains(node) {
                 *count += 1;
@@ -110,13 +104,13 @@
                 worker.hold = None;
             }
         }
-        holds.limit = usable.div_ceil(MAX_HELD_DIVISOR);
         holds
     }
 
-    /// Holds a worker for a service that has waited for [`HOLD_AFTER`], or one for
-    /// each member of a gang: those on which the most cores are free, if the task fits
-    /// there once all that ends by itself has ended.
+    /// Holds workers for a step that has waited for [`HOLD_AFTER`]: one for a
+    /// service, or as many as all members of a gang need. They are those on which
+    /// the most cores are free, if there is room once all that ends by itself has
+    /// ended.
     pub(super) fn hold(&mut self, rank: Rank, pass: &mut Pass) {
         let mut tasks = self.startable(rank);
         let Some(task) = tasks.next() else {
@@ -126,33 +120,60 @@
         let Some(requirements) = self.requirements(task, pass) else {
             return;
         };
-        if requirements.waited < HOLD_AFTER {
-            return;
-        }
         let mode = requirements.step.mode;
-        let wanted = match (mode.gang, mode.long_running) {
-            (true, _) => members,
-            (false, true) => 1,
-            (false, false) => 0,
-        };
-        let wanted = pass.holds.allowed(rank, wanted);
-        if wanted == 0 {
+        let is_candidate = mode.gang || mode.long_running;
+        if !is_candidate || requirements.waited < HOLD_AFTER || pass.holds.of_step(rank) > 0 {
             return;
         }
-        let room = requirements.step.reserved();
-        for node in self.drainable(&requirements, wanted) {
-            if let Some(worker) = self.fleet.get_mut(&node) {
-                if worker.hold.is_none() && pass.holds.is_full() {
+        let quota = self.quota(&requirements);
+        let left = quota.limit.saturating_sub(quota.as_urgent);
+        let wanted = if mode.gang { members } else { 1 };
+        let Some(chosen) = self.drainable(&requirements, left, wanted) else {
+            return;
+        };
+        let mut held = quota.held;
+        for (node, room) in chosen {
+            let Some(worker) = self.fleet.get_mut(&node) else {
+                continue;
+            };
+            if worker.hold.is_none() {
+                if held >= quota.limit {
                     continue;
                 }
-                let replaced = worker.hold.replace(Hold {
-                    rank,
-                    room,
-                    preempting: false,
-                });
-                pass.holds.add(rank, replaced.map(|hold| hold.rank));
+                held += 1;
+            }
+            let replaced = worker.hold.replace(Hold {
+                rank,
+                room,
+                preempting: false,
+            });
+            pass.holds.add(rank, replaced.map(|hold| hold.rank));
+        }
+    }
+
+    /// Returns the quota of the pool that a task runs in.
+    fn quota(&self, requirements: &Requirements<'_>) -> Quota {
+        self.count_examined(self.fleet.len());
+        let mut usable: usize = 0;
+        let mut quota = Quota {
+            limit: 0,
+            held: 0,
+            as_urgent: 0,
+        };
+        for (_, worker) in self.fleet.iter() {
+            let is_member = |pool: &str| *pool == **requirements.pool;
+            let pool = worker.profile.as_ref().map(|profile| &*profile.pool);
+            if !pool.is_some_and(is_member) {
+                continue;
+            }
+            usable += usize::from(worker.is_usable(self.now, self.settings.silence_limit));
+            if let Some(hold) = worker.hold.filter(|hold| !hold.preempting) {
+                quota.held += 1;
+                quota.as_urgent += usize::from(hold.rank <= requirements.rank);
             }
         }
+        quota.limit = usable.div_ceil(MAX_HELD_DIVISOR);
+        quota
     }
 
     /// Holds a worker on which others are stopped for a step, unless it is held
@@ -182,10 +203,16 @@
         }
     }
 
-    /// Lists up to `count` workers that will have room for a task and are not
-    /// held for a more urgent one: those that are held for a less urgent one, then
-    /// those with the most free cores.
-    fn drainable(&self, requirements: &Requirements<'_>, count: usize) -> Vec<Node> {
+    /// Lists workers that will have room for `wanted` tasks in all, each with the
+    /// room that these need there: those that are held for a less urgent step, then
+    /// those with the most free cores. Returns `None` if `limit` workers are not
+    /// enough.
+    fn drainable(
+        &self,
+        requirements: &Requirements<'_>,
+        limit: usize,
+        wanted: usize,
+    ) -> Option<Vec<(Node, Room)>> {
         let need = requirements.step.reserved();
         let rank = requirements.rank;
         self.count_examined(self.fleet.len());
@@ -194,15 +221,28 @@
             .iter()
             .filter(|(node, worker)| {
                 let is_held = worker.hold.as_ref().is_some_and(|hold| hold.rank <= rank);
-                !is_held
-                    && self.is_feasible(requirements, node, worker)
-                    && self.drained(worker).fits(&need)
+                !is_held && self.is_feasible(requirements, node, worker)
             })
             .map(|(node, worker)| (worker.hold.is_some(), worker.free().cores, node))
             .collect();
         found.sort_unstable_by(|left, right| right.cmp(left));
-        let nodes = found.into_iter().map(|(.., node)| node.clone());
-        nodes.take(count).collect()
+        let mut chosen = Vec::new();
+        let mut left = wanted;
+        for (.., node) in found {
+            if left == 0 || chosen.len() >= limit {
+                break;
+            }
+            let whole = self.fleet.get(node).map(|worker| self.drained(worker))?;
+            let mut room = Room::NONE;
+            while left > 0 && whole.fits(&(room + need)) {
+                room += need;
+                left -= 1;
+            }
+            if room != Room::NONE {
+                chosen.push((node.clone(), room));
+            }
+        }
+        (left == 0).then_some(chosen)
     }
 
     /// Returns the room of a worker that its long-running tasks leave.
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -259,6 +259,7 @@
         // All members start with the same run number, so all earlier runs must
         // have ended.
         if tasks.len() < members.len() || step.tasks == 0 {
+            self.drop_kept(rank, pass);
             return;
         }
         let last = members
--- a/crates/workload/tests/starvation.rs
+++ b/crates/workload/tests/starvation.rs
@@ -165,3 +165,22 @@
         "more than an eighth of the workers is held"
     );
 }
+
+/// Guards against workers that are held without end for a gang that does not fit
+/// on those that may be held.
+#[test]
+fn no_worker_is_held_for_a_gang_that_would_not_fit() {
+    let mut stream = Stream::new();
+    let mut wide = step(WORKERS as u16);
+    wide.mode.gang = true;
+    wide.room = room(6, 2);
+    stream
+        .harness
+        .submit(WIDE, accepted_at(Wall(0), vec![wide]));
+
+    for _ in 0..80 {
+        stream.turn();
+    }
+
+    assert!(stream.running.iter().all(|running| running.len() == 8));
+}
