review: a restarted runner's tasks run at two places (case 3)

Claim: starts that are sent by the clock of a runner's former life take a lease of up to 10 s, which outlasts the leader's count if the agent falls silent before it notices the restart. The tasks are started again elsewhere while they run (TWICE).

--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -41,6 +41,14 @@
     child: Child,
 }
 
+impl Process {
+    /// Sends a signal, such as `-STOP`.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args([signal, &pid]).status();
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -255,6 +263,13 @@
         self.processes.push(Process { name, child });
     }
 
+    /// Returns the agent beside a runner.
+    pub fn agent(&self, runner: usize) -> &Process {
+        let name = format!("side-{}-{}", ZONES[runner % 2], runner + 1);
+        let mut all = self.processes.iter();
+        all.find(|process| process.name == name).expect("agent")
+    }
+
     /// Kills the entry that leads.
     pub fn kill_leader(&mut self) {
         let led = |process: &Process| {
