review: make case 3 independent of the load (case 3)

The crash comes while the load grows, so that the leader tries the runner within the half second after its return.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -346,16 +346,17 @@
                 thread::sleep(MS(150));
             }
         });
-        thread::sleep(MS(6000));
+        // While the load grows, the runner with the fewest runs is tried first.
+        thread::sleep(MS(1500));
         // The leader tries a runner that is away about once a second. If none of
         // its tries falls between the return and the next poll, it happens again.
-        for _ in 0..if trouble { 3 } else { 0 } {
-            if sent {
+        for down_ms in [4150, 4350, 3950] {
+            if sent || !trouble {
                 break;
             }
             runner.crash();
             let crashed_ms = record.ms();
-            thread::sleep(MS(4000));
+            thread::sleep(MS(down_ms));
             runner.first_beat_ms.store(1000, Ordering::SeqCst);
             runner.begin_as("i-runner-1-1");
             let begun = Instant::now();
