--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -274,7 +274,7 @@
         Deployment::start(record.clone(), 2, plans, vec![route("/lohu930/", 0, 2)]);
     let spec = format!("bulk 400 {}", "x".repeat(3980));
     let step = "\"count\":36,\"cpu\":25,\"mem_mb\":64,\"est_ms\":400";
-    let body = job(&spec, step);
+    let body = job(&spec, &format!("{step}}},{{{step}"));
     let accepted = Mutex::new(Vec::new());
     let traffic = |deployment: &Deployment, from: u64, count: u64| {
         thread::scope(|scope| {
@@ -286,7 +286,7 @@
                         accepted.lock().unwrap().push(id);
                     }
                 });
-                thread::sleep(MS(72));
+                thread::sleep(MS(100));
             }
         });
     };
