Withdraw the identifier of a cancelled job that is not stored

Cause: Entry::cancel answered 410 from the absence of the job's key. A write without an answer may take effect seconds later, and nothing opposed it, since the cancellation wrote nothing.

Change: a cancellation that finds no job writes a key that every submission expects to be absent, on the condition that there is still no job, and answers 410 only then. The keys are bound to a store lease and limited in number, because callers may cancel any identifier. A conflict of a cancellation is no longer taken for an unknown job.

Ruled out: marking the job's own key (looks would show a job that nobody submitted), the key of ordinary cancellations (watched, and never removed for unknown jobs), memory of the entry (the submission may be on its way from another).

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -10,6 +10,7 @@
         listener::Listener,
         platform::{Commit, Failure, Revision, Store, Transaction},
         term::{Candidate, Driver, Ended, Input, Queued},
+        withdrawal::{self, Ledger, Permit},
     },
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{
@@ -97,6 +98,9 @@
     Accepted,
     /// The job is certainly not stored. Holds the reason.
     Refused(Arc<str>),
+    /// The job is certainly not stored, because it was cancelled before. Holds
+    /// the time after which its identifier may certainly be used again.
+    Withdrawn(Duration),
     /// The job may be stored, now or later. Holds the last error.
     Unknown(Arc<str>),
 }
@@ -106,8 +110,12 @@
 pub enum Cancellation {
     /// The cancellation is stored.
     Accepted,
-    /// There is no such job.
+    /// There is no such job, and a submission that is still on its way will not
+    /// be stored.
     UnknownJob,
+    /// There is no such job, but a submission that is still on its way may be
+    /// stored: too many unknown jobs are being cancelled.
+    Refused,
     /// The cancellation may be stored, now or later. Holds the last error.
     Unknown(Arc<str>),
 }
@@ -134,6 +142,7 @@
     leader: Watcher,
     inbox: Rc<Inbox>,
     leader_link: LeaderLink,
+    withdrawals: Ledger,
     next_link: Cell<u64>,
 }
 
@@ -161,6 +170,7 @@
             leader,
             inbox: Rc::default(),
             leader_link,
+            withdrawals: Ledger::default(),
             next_link: Cell::new(0),
         });
         tokio::task::spawn_local(entry.clone().accept(Listener::new(socket)));
@@ -183,7 +193,10 @@
     /// submitted again at any entry.
     pub async fn submit(&self, id: Job, job: &job::Job, limit: Duration) -> Submission {
         let transaction = Transaction {
-            expect: vec![(key::job(id), Revision(0))],
+            expect: vec![
+                (key::job(id), Revision(0)),
+                (key::withdrawal(id), Revision(0)),
+            ],
             set: vec![(key::job(id), encode(job), None)],
             remove: Vec::new(),
         };
@@ -199,9 +212,17 @@
                 Err(Failure::Lost(reason))
             });
             let reason = match committed {
-                // A conflict means that the job is already stored, by this call
-                // or an earlier one.
-                Ok(Commit::Done(_) | Commit::Conflict(_)) => return Submission::Accepted,
+                Ok(Commit::Done(_)) => return Submission::Accepted,
+                // The job is already stored, by this call or an earlier one, or
+                // it was cancelled before.
+                Ok(Commit::Conflict(items)) => {
+                    let is_stored = items.iter().any(|item| item.key == key::job(id));
+                    return if is_stored {
+                        Submission::Accepted
+                    } else {
+                        Submission::Withdrawn(withdrawal::MAX_RETENTION.duration())
+                    };
+                }
                 Ok(Commit::LeaseNotFound) => "a lease was expected".into(),
                 Err(Failure::Refused(reason)) => reason,
                 Err(error) => {
@@ -220,34 +241,57 @@
         }
     }
 
-    /// Stores the cancellation of a job.
+    /// Stores the cancellation of a job. If the job is not stored, a submission
+    /// of it may still be on its way, so its identifier is withdrawn.
     pub async fn cancel(&self, id: Job) -> Cancellation {
         let mut last_error: Arc<str> = "no answer".into();
         for _ in 0..CANCEL_ATTEMPTS {
-            let found = match self.store.get(&key::job(id)).await {
-                Ok(Some(item)) => item,
-                Ok(None) => return Cancellation::UnknownJob,
+            match self.try_cancel(id).await {
+                Ok(Some(cancellation)) => return cancellation,
+                Ok(None) => last_error = "the job has changed".into(),
                 Err(error) => {
                     last_error = error.to_string().into();
                     sleep(RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            let transaction = Transaction {
-                expect: vec![(key::job(id), found.revision)],
-                set: vec![(key::cancellation(id), Vec::new(), None)],
-                remove: Vec::new(),
-            };
-            match self.store.commit(&transaction).await {
-                Ok(Commit::Done(_)) => return Cancellation::Accepted,
-                Ok(_) => return Cancellation::UnknownJob,
-                Err(error) => last_error = error.to_string().into(),
             }
-            sleep(RETRY_DELAY).await;
         }
         Cancellation::Unknown(last_error)
     }
 
+    /// Makes one attempt to cancel a job. Returns `None` if the job was stored
+    /// or removed meanwhile.
+    async fn try_cancel(&self, id: Job) -> Result<Option<Cancellation>, Failure> {
+        let job = key::job(id);
+        let found = self.store.get(&job).await?;
+        let (revision, marker, outcome) = if let Some(found) = found {
+            let marker = (key::cancellation(id), Vec::new(), None);
+            (found.revision, marker, Cancellation::Accepted)
+        } else {
+            let lease = match self.withdrawals.permit(&self.store, id).await? {
+                Permit::Granted(lease) => lease,
+                Permit::Exhausted => return Ok(Some(Cancellation::Refused)),
+            };
+            let marker = (key::withdrawal(id), Vec::new(), Some(lease));
+            (Revision(0), marker, Cancellation::UnknownJob)
+        };
+        let lease = marker.2;
+        let transaction = Transaction {
+            expect: vec![(job, revision)],
+            set: vec![marker],
+            remove: Vec::new(),
+        };
+        match self.store.commit(&transaction).await? {
+            Commit::Done(_) => Ok(Some(outcome)),
+            Commit::Conflict(_) => Ok(None),
+            Commit::LeaseNotFound => {
+                if let Some(lease) = lease {
+                    self.withdrawals.discard(lease);
+                }
+                Ok(None)
+            }
+        }
+    }
+
     /// Returns the state of a job, or `None` if there is no such job.
     ///
     /// # Errors
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -20,6 +20,8 @@
 pub const LINK_IDENTITY: &str = "fb/link";
 
 const JOB_PREFIX: &str = "fb/in/job/";
+/// Not below [`WATCHED_PREFIX`]: only submissions depend on withdrawals.
+const WITHDRAWAL_PREFIX: &str = "fb/withdrawn/";
 const CANCELLATION_PREFIX: &str = "fb/in/stop/";
 
 /// Kind of a key below [`WATCHED_PREFIX`].
@@ -59,6 +61,11 @@
     format!("{CANCELLATION_PREFIX}{id}").into()
 }
 
+/// Returns the key whose presence prevents a job from being stored.
+pub fn withdrawal(id: Job) -> Arc<str> {
+    format!("{WITHDRAWAL_PREFIX}{id}").into()
+}
+
 /// Returns the key that holds a job's progress.
 pub fn progress(id: Job) -> Arc<str> {
     format!("{PROGRESS_PREFIX}{id}").into()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,3 +24,4 @@
 mod load;
 pub mod platform;
 pub mod term;
+mod withdrawal;
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -5,27 +5,19 @@
 
 use {
     filbertbend_dispatch::{
-        entry::{Entry, Options, Submission},
+        entry::Submission,
         journal::{Deposed, Journal},
-        key, link_identity,
+        key,
         platform::{Lease, Revision},
     },
-    filbertbend_state::{
-        time::Wall,
-        unit::{Cores, Millis},
-    },
     filbertbend_workload::{
         id::{Epoch, Job},
-        job::{self, Policy, Step},
-        planner::{Batch, Settings, Write},
+        planner::{Batch, Write},
         record::{Leader, Progress, Term},
     },
-    std::{
-        rc::Rc,
-        time::{Duration, Instant},
-    },
-    support::{Fault, Memory},
-    tokio::{sync::watch, task::LocalSet},
+    std::time::{Duration, Instant},
+    support::{entry, job, Fault, Memory},
+    tokio::task::LocalSet,
 };
 
 /// How long the callers in these tests wait for an answer.
@@ -65,40 +57,6 @@
     progress.completed
 }
 
-fn job() -> job::Job {
-    job::Job {
-        queue: "checks".into(),
-        policy: Policy::default(),
-        spec: "work".into(),
-        steps: vec![Step {
-            tasks: 1,
-            ..Step::default()
-        }],
-        accepted: Wall(0),
-        schedule: None,
-    }
-}
-
-async fn entry(store: &Memory) -> Rc<Entry<Memory>> {
-    let identity = link_identity::load_or_create(store).await;
-    let options = Options {
-        node: "entry-1".into(),
-        address: ([127, 0, 0, 1], 0).into(),
-        processor: Cores(500),
-        planner: Settings {
-            lease: Millis(5500),
-            lease_limit: Millis(10_000),
-            silence_limit: Millis(2200),
-            job_retention: Millis(120_000),
-            worker_retention: Millis(12_000),
-        },
-    };
-    let (_, catalog) = watch::channel(None);
-    // The entry is stopped and never leads, so only the test writes.
-    let (_, stop) = watch::channel(true);
-    Entry::start(store.clone(), options, identity, catalog, stop).unwrap()
-}
-
 /// Guards against a batch that is written twice or out of order after the
 /// answer to its write was lost.
 #[tokio::test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -3,10 +3,19 @@
 pub(crate) mod leader;
 
 use {
-    filbertbend_dispatch::platform::{
-        Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction,
+    filbertbend_dispatch::{
+        entry::{Entry, Options},
+        link_identity,
+        platform::{Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
+    },
+    filbertbend_state::{
+        time::Wall,
+        unit::{Cores, Millis},
+    },
+    filbertbend_workload::{
+        job::{self, Policy, Step},
+        planner::Settings,
     },
-    filbertbend_state::unit::Millis,
     std::{
         cell::RefCell,
         collections::{BTreeMap, VecDeque},
@@ -14,6 +23,7 @@
         sync::Arc,
         time::Duration,
     },
+    tokio::sync::watch,
 };
 
 /// A fault injected into one write.
@@ -27,6 +37,10 @@
     LostAnswer,
     /// The write is lost before it takes effect.
     LostCall,
+    /// The write gets no answer, and takes effect in [`Memory::deliver`].
+    Late,
+    /// Late writes take effect just before this one.
+    Overtaken,
     /// The connection goes silent: neither answer nor error arrives.
     Silence,
     /// The lease that the write binds a key to has expired.
@@ -39,6 +53,10 @@
     revision: u64,
     faults: VecDeque<Fault>,
     writes: usize,
+    late: Vec<Transaction>,
+    leases: u64,
+    /// The leases that keys are bound to.
+    bound: BTreeMap<Arc<str>, Lease>,
 }
 
 /// The in-memory store. Clones share their state.
@@ -57,6 +75,34 @@
         self.state.borrow().writes
     }
 
+    /// Carries out the late writes.
+    pub(crate) fn deliver(&self) {
+        let late = std::mem::take(&mut self.state.borrow_mut().late);
+        for transaction in late {
+            self.apply(&transaction);
+        }
+    }
+
+    /// Ends all leases and removes the keys that are bound to them.
+    pub(crate) fn expire_leases(&self) {
+        let mut state = self.state.borrow_mut();
+        for key in std::mem::take(&mut state.bound).into_keys() {
+            state.items.remove(&key);
+        }
+    }
+
+    /// Returns the number of keys with a prefix.
+    pub(crate) fn count(&self, prefix: &str) -> usize {
+        let state = self.state.borrow();
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// Returns the number of leases granted so far.
+    pub(crate) fn leases(&self) -> u64 {
+        self.state.borrow().leases
+    }
+
     pub(crate) fn item(&self, key: &str) -> Option<Item> {
         self.state.borrow().items.get(key).cloned()
     }
@@ -92,7 +138,11 @@
         }
         state.revision += 1;
         let revision = Revision(state.revision);
-        for (key, value, _) in &transaction.set {
+        for (key, value, lease) in &transaction.set {
+            match lease {
+                Some(lease) => state.bound.insert(key.clone(), *lease),
+                None => state.bound.remove(key),
+            };
             let item = Item {
                 key: key.clone(),
                 value: value.clone(),
@@ -102,6 +152,7 @@
         }
         for key in &transaction.remove {
             state.items.remove(key);
+            state.bound.remove(key);
         }
         Commit::Done(revision)
     }
@@ -150,6 +201,14 @@
                 tokio::time::sleep(Duration::from_millis(30)).await;
                 Err(Failure::Refused("busy".into()))
             }
+            Some(Fault::Late) => {
+                self.state.borrow_mut().late.push(transaction.clone());
+                Err(Failure::Lost("timeout".into()))
+            }
+            Some(Fault::Overtaken) => {
+                self.deliver();
+                Ok(self.apply(transaction))
+            }
             Some(Fault::Silence) => std::future::pending().await,
             Some(Fault::LeaseExpired) => Ok(Commit::LeaseNotFound),
             Some(Fault::LostCall) => Err(Failure::Lost("reset".into())),
@@ -161,7 +220,9 @@
     }
 
     async fn grant(&self, _: Millis) -> Result<Lease, Failure> {
-        Ok(Lease(1))
+        let mut state = self.state.borrow_mut();
+        state.leases += 1;
+        Ok(Lease(state.leases))
     }
 
     async fn renew(&self, _: Lease) -> Result<(), Failure> {
@@ -172,3 +233,38 @@
         Ok(())
     }
 }
+
+/// Returns a job of one task.
+pub(crate) fn job() -> job::Job {
+    job::Job {
+        queue: "checks".into(),
+        policy: Policy::default(),
+        spec: "work".into(),
+        steps: vec![Step {
+            tasks: 1,
+            ..Step::default()
+        }],
+        accepted: Wall(0),
+        schedule: None,
+    }
+}
+
+/// Starts an entry that never leads, so that only the test writes.
+pub(crate) async fn entry(store: &Memory) -> Rc<Entry<Memory>> {
+    let identity = link_identity::load_or_create(store).await;
+    let options = Options {
+        node: "entry-1".into(),
+        address: ([127, 0, 0, 1], 0).into(),
+        processor: Cores(500),
+        planner: Settings {
+            lease: Millis(5500),
+            lease_limit: Millis(10_000),
+            silence_limit: Millis(2200),
+            job_retention: Millis(120_000),
+            worker_retention: Millis(12_000),
+        },
+    };
+    let (_, catalog) = watch::channel(None);
+    let (_, stop) = watch::channel(true);
+    Entry::start(store.clone(), options, identity, catalog, stop).unwrap()
+}
