Count the leases of a former leader to the end of its leadership

Cause: a new leader took a recorded run for over only 13.8 s after it had read it, the longest outage and a lease, unless its worker answered. But no lease is granted beyond the end of the leadership, so the lease was counted twice. And an agent that opens a session in the new term has ended its former session; no lease outlasts one that was granted then.

Change: the wait ends 9.4 s after the claim (8 s and 2%, 0.2 s, and 1 s for which a watch may hide the claim from the former leader), or a lease after the agent's first session in the term, whichever is first. A session on the same link, opened because the worker may have restarted, still counts the longest lease. Agents take no session of an older term.

Ruled out: a shorter horizon, since it would end leases in outages of the store of 5 s, which the deployments have; expiry of a key in the store as proof, since keys may be taken away early.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -128,6 +128,8 @@
     last_step: Option<Instant>,
     profile_reported: bool,
     connected: bool,
+    /// The newest term that has opened a session.
+    epoch: Epoch,
     session: Option<Session>,
     /// The earliest time of the next session's first poll.
     poll_not_before: Instant,
@@ -178,7 +180,7 @@
                 self.connected = true;
                 self.renew_session(actions);
             }
-            Event::Welcome(_, fence, profile) => self.welcome(now, fence, profile),
+            Event::Welcome(epoch, fence, profile) => self.welcome(now, epoch, fence, profile),
             Event::Orders(orders) => self.orders(now, orders),
             Event::Disconnected => {
                 self.connected = false;
@@ -246,9 +248,15 @@
         self.throttle = Controller::default();
     }
 
-    fn welcome(&mut self, now: Instant, fence: Fence, profile: Option<Profile>) {
+    fn welcome(&mut self, now: Instant, epoch: Epoch, fence: Fence, profile: Option<Profile>) {
         // The leader may open a session by itself.
         self.end_session();
+        if epoch < self.epoch {
+            // The leader of the newer term counts on it that a former one grants
+            // nothing any more. The link is closed as that of a silent leader.
+            return;
+        }
+        self.epoch = epoch;
         if self.profile.is_none() {
             self.profile =
                 profile.filter(|profile| self.refuted.as_ref() != Some(&profile.incarnation));
--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -27,9 +27,9 @@
 const MAX_LEASE_PERCENT: u64 = 92;
 /// How often the leader renews its key: three attempts within its lifetime.
 pub const RENEW_INTERVAL: Millis = Millis(600);
-/// How long a leader that cannot reach the store keeps its leadership. This
-/// covers outages of several seconds; a new leader must wait as long for
-/// workers that it cannot reach.
+/// How long a leader that cannot reach the store keeps its leadership, and the
+/// leases that it grants last at most. This covers outages of several seconds; a
+/// new leader must wait as long for workers whose agents it cannot reach.
 pub const OUTAGE_LIMIT: Millis = Millis(8000);
 
 /// The leadership of an entry, as last confirmed by the store.
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -48,7 +48,7 @@
         catalog::Catalog,
         id::{Epoch, Job, Link, Node, Run, Task},
         interference::Model,
-        job, leadership,
+        job,
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
     },
@@ -149,6 +149,8 @@
     loaded: bool,
     /// Whether anything has changed that may allow a task to be placed.
     changed: bool,
+    /// When the term began.
+    began: Instant,
     /// Whether a batch has become durable since orders were last taken.
     durability_changed: bool,
     last_placement: Instant,
@@ -200,6 +202,7 @@
             waiting_sessions: Vec::new(),
             loaded: false,
             changed: false,
+            began: now,
             durability_changed: false,
             last_placement: Instant::default(),
             place_not_before: Instant::default(),
@@ -350,7 +353,7 @@
             return;
         };
         entry.restore(self.now, &progress);
-        let until = self.now + leadership::OUTAGE_LIMIT + self.settings.lease_bound();
+        let until = self.began + self.settings.former_lease_bound();
         for (task, execution) in entry.executions(id) {
             if let Some(reservation) = self.reservation(task) {
                 let run = (task, execution.run);
--- a/crates/workload/src/planner/settings.rs
+++ b/crates/workload/src/planner/settings.rs
@@ -1,6 +1,6 @@
 //! Durations that a planner works with.
 
-use filbertbend_state::unit::Millis;
+use {crate::leadership::OUTAGE_LIMIT, filbertbend_state::unit::Millis};
 
 /// How much slower a worker's clock may run than the leader's, in percent, from
 /// the platform's description.
@@ -8,6 +8,9 @@
 /// Added to a lease to cover the delay between reading a clock and using the
 /// value.
 const LEASE_SLACK: Millis = Millis(200);
+/// How long a watch may hide the claim of a newer term from a former leader,
+/// while the store compacts its history.
+const CLAIM_DELAY: Millis = Millis(1000);
 
 /// Durations that a [`Planner`](super::Planner) works with.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +35,13 @@
         bound(self.lease)
     }
 
+    /// Returns the time from the claim of a term after which every lease that a
+    /// former leader has granted has certainly expired: none outlives its
+    /// leadership.
+    pub(super) fn former_lease_bound(&self) -> Millis {
+        bound(OUTAGE_LIMIT) + CLAIM_DELAY
+    }
+
     /// Returns the time after which every lease that a worker has accepted has
     /// certainly expired.
     pub(super) fn longest_lease_bound(&self) -> Millis {
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -75,6 +75,9 @@
     /// Until when a lease may last that the worker has accepted by the clock of
     /// its former incarnation.
     foreign_lease_until: Instant,
+    /// Until when such a lease may last, if the worker turns out to have
+    /// restarted.
+    suspected_until: Instant,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
     /// Until when each suspect may still crash the worker.
     suspects: BTreeMap<(Task, Run), Instant>,
@@ -135,6 +138,7 @@
             incarnation: None,
             last_incarnation: None,
             foreign_lease_until: Instant::default(),
+            suspected_until: Instant::default(),
             reservations: BTreeMap::new(),
             suspects: BTreeMap::new(),
             used: Room::NONE,
@@ -159,7 +163,9 @@
     /// Begins a session with the agent. Returns the link of the last session.
     ///
     /// An agent that opens another session on its link has found signs of a
-    /// restart of its worker.
+    /// restart of its worker. One that opens a link has ended its former session,
+    /// also with a former leader, so that no lease lasts longer than one that was
+    /// granted just now.
     pub(super) fn begin_session(
         &mut self,
         link: Link,
@@ -168,8 +174,10 @@
         settings: &Settings,
     ) -> Option<Link> {
         if self.link == Some(link) {
-            let longest = now + settings.longest_lease_bound();
-            self.lease_until = self.lease_until.max(Some(longest));
+            self.suspected_until = now + settings.longest_lease_bound();
+            self.lease_until = self.lease_until.max(Some(self.suspected_until));
+        } else {
+            self.limit_lease(now + settings.lease_bound());
         }
         self.fence = fence;
         self.last_report = now;
@@ -220,12 +228,22 @@
             self.foreign_lease_until = self.foreign_lease_until.max(until);
         }
         self.incarnation = Some(incarnation.clone());
+        self.suspected_until = Instant::default();
         self.unreachable_until = None;
         self.last_incarnation = Some(incarnation.clone());
         let granted_until = now + settings.lease_bound();
         self.lease_until = Some(granted_until.max(self.foreign_lease_until));
     }
 
+    /// Records that the lease expires at `until` unless it is renewed, or the
+    /// worker has accepted one by the clock of its former incarnation.
+    fn limit_lease(&mut self, until: Instant) {
+        let until = until
+            .max(self.foreign_lease_until)
+            .max(self.suspected_until);
+        self.lease_until = self.lease_until.map(|known| known.min(until));
+    }
+
     /// Frees all resources and returns the runs that held them.
     pub(super) fn clear(&mut self) -> Vec<(Task, Run)> {
         self.probe = None;
--- a/crates/workload/tests/interleavings/cluster/leader.rs
+++ b/crates/workload/tests/interleavings/cluster/leader.rs
@@ -121,6 +121,7 @@
 
     /// Checks that the lease of a lost run has expired.
     fn lost(&mut self, lost: &Node, task: Task, run: Run) {
+        self.truth.abandoned += 1;
         let holders = (0..self.workers.len()).filter(|side| node(*side as u64) == *lost);
         for side in holders.filter(|side| self.workers[*side].may_run(self.now, task, run)) {
             let left = self.workers[side].remaining(self.now);
--- a/crates/workload/tests/interleavings/main.rs
+++ b/crates/workload/tests/interleavings/main.rs
@@ -13,9 +13,11 @@
 };
 
 const SEEDS: std::ops::Range<u64> = 0..400;
+/// The seeds of the sessions with several changes of leader.
+const TAKEOVER_SEEDS: std::ops::Range<u64> = 0..200;
 const WORKERS: usize = 3;
-/// How long the jobs may take after the troubles. A new leader waits for 14 s
-/// for a worker that it cannot reach.
+/// How long the jobs may take after the troubles. A new leader waits for up to
+/// 10 s for a worker that it cannot reach.
 const RECOVERY_LIMIT: u64 = 35_000;
 
 /// Lets one trouble begin, mostly on the same side as the last ones.
@@ -77,6 +79,60 @@
     cluster
 }
 
+/// Lets leaders follow one another, while former ones still renew leases of
+/// workers that the new one doesn't see.
+fn play_takeovers(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(seed, WORKERS);
+    for id in 1..=8 {
+        let delay = cluster.pick(200, 18_000);
+        let tasks = cluster.pick(1, 4) as u16;
+        cluster.submit(delay, id, job(vec![step(tasks)]));
+    }
+    let mut side = 0;
+    for _ in 0..3 {
+        let pause = cluster.pick(20, 4000);
+        cluster.run(pause);
+        cluster.disorder = Disorder { late: 8, lost: 2 };
+        trouble(&mut cluster, &mut side);
+        let span = cluster.pick(1000, 25_000);
+        cluster.blind(side, span);
+        let silent = cluster.pick(0, WORKERS as u64 - 1) as usize;
+        let span = cluster.pick(1000, 15_000);
+        cluster.silence_worker(silent, span);
+        replace_leader(&mut cluster);
+        if cluster.chance(50) {
+            let other = cluster.pick(0, WORKERS as u64 - 1) as usize;
+            let delay = cluster.pick(5000, 15_000);
+            cluster.restart_worker(other, delay);
+        }
+        let pause = cluster.pick(20, 12_000);
+        cluster.run(pause);
+    }
+    cluster.disorder = Disorder::default();
+    let limit = cluster.now + RECOVERY_LIMIT;
+    while cluster.now < limit && !cluster.is_settled() {
+        cluster.run(1000);
+    }
+    cluster
+}
+
+/// Guards against a new leader that gives a run up whose worker still has a
+/// lease from a former leader.
+#[test]
+fn leases_of_former_leaders_are_waited_for() {
+    let mut abandoned = 0;
+
+    for seed in TAKEOVER_SEEDS {
+        let cluster = play_takeovers(seed);
+        let violations = &cluster.truth.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        assert!(cluster.is_settled(), "seed {seed}: {:?}", cluster.open());
+        abandoned += cluster.truth.abandoned;
+    }
+
+    assert!(abandoned > 200, "only {abandoned} runs were given up");
+}
+
 /// Guards against tasks that run twice at once, are started again after an end
 /// that was acknowledged, or are forgotten.
 #[test]
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -42,6 +42,8 @@
     crashes: BTreeMap<Task, usize>,
     pub(crate) starts: usize,
     pub(crate) expiries: usize,
+    /// How many runs were given up because their lease had passed.
+    pub(crate) abandoned: usize,
     pub(crate) violations: Vec<String>,
 }
 
--- /dev/null
+++ b/crates/workload/tests/takeover.rs
@@ -0,0 +1,92 @@
+//! The planner: how long a new leader waits for runs that it cannot see.
+
+mod support;
+
+use {
+    filbertbend_state::unit::Millis,
+    filbertbend_workload::{
+        id::{Job, Link, Run},
+        planner::Event,
+        record::Progress,
+    },
+    std::sync::Arc,
+    support::{catalog, job, node, placed, service, Harness},
+};
+
+/// The node whose worker ran the task under the former leader.
+const GONE: u64 = 0;
+const OTHER: u64 = 1;
+/// How long a task that lasts may be away after its last run.
+const AWAY_LIMIT: Millis = Millis(9000);
+/// The time after which a lease of 6 s that is granted now has expired.
+const LEASE_OVER: Millis = Millis(6320);
+/// How long the leader may take to act on an expired lease, an unanswered probe
+/// included.
+const REACTION: Millis = Millis(1300);
+
+/// Returns a new leader that has read a service that a former one placed on
+/// [`GONE`], with a worker on [`OTHER`].
+fn new_leader() -> Harness {
+    let mut harness = Harness::new(2);
+    let stored: Progress = placed(GONE, Run(1));
+    harness.step(Event::Configured(Arc::new(catalog(0, 2))));
+    harness.step(Event::Recovered(Job(1), job(vec![service()]), stored));
+    harness.step(Event::Loaded);
+    harness.join(OTHER, Vec::new());
+    harness
+}
+
+/// Lets time pass; returns whether the service has been started again.
+fn starts_within(harness: &mut Harness, span: Millis) -> bool {
+    harness.pass(span, &[OTHER]);
+    harness.commit();
+    !harness.starts(OTHER).is_empty()
+}
+
+/// Guards against a service that is away for 14 s: its worker was gone when the
+/// leader changed, and its agent, which had opened a session, could not show
+/// that. The agent had ended its session with the former leader, so no lease
+/// outlasted one granted at that time.
+#[test]
+fn service_of_a_gone_worker_waits_although_its_agent_has_a_session() {
+    assert!(LEASE_OVER + REACTION < AWAY_LIMIT);
+    let mut harness = new_leader();
+
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    assert!(
+        !starts_within(&mut harness, LEASE_OVER - Millis(100)),
+        "its lease may not have expired"
+    );
+
+    assert!(starts_within(&mut harness, REACTION + Millis(100)));
+}
+
+/// Guards against the same if the machine is removed right after the session
+/// began.
+#[test]
+fn service_of_a_gone_worker_waits_although_its_agent_had_a_session() {
+    let mut harness = new_leader();
+
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    harness.pass(Millis(100), &[OTHER]);
+    harness.step(Event::Closed(Link(GONE)));
+
+    assert!(starts_within(&mut harness, LEASE_OVER));
+}
+
+/// Guards against a task that runs twice: the agent opens another session on its
+/// link because its worker may have restarted, and then holds a lease by the
+/// clock of its former incarnation.
+#[test]
+fn another_session_on_a_link_does_not_shorten_the_wait() {
+    let mut harness = new_leader();
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    harness.step(Event::Closed(Link(GONE)));
+    let link = Link(7);
+    harness.step(Event::Opened(link, node(GONE)));
+    harness.step(Event::Closed(link));
+
+    assert!(!starts_within(&mut harness, Millis(10_000)));
+    assert!(starts_within(&mut harness, Millis(500)));
+}
