Tell a new leader which lease the agent of a silent worker has passed on

Cause: the leader counted a whole lease from the agent's session. But an agent asks for no lease once its worker does not answer, so the last one has nearly expired, and only the agent knows.

Change: the first report of a session holds for how long leases were granted that the agent may have passed on, and how long the agent has been running, since it knows nothing of an earlier process. If a start was sent of which no list has shown which incarnation of the worker it has reached, or the worker has restarted under its name, the longest lease counts from then on. The leader logs what it concludes.

Ruled out: counting a refused connection as the end of the worker's process, since links that are cut may refuse connections, too.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -55,6 +55,9 @@
             counter!("filbertbend_probes_total").increment(1);
             info!("lease seems expired, agent asked", kv: { node:, silent_ms = silent.0 });
         }
+        Decision::LeaseKnown { node, known, wait } => {
+            info!("worker not listed yet, lease known to its agent", kv: { node:, left_ms = known.left.0, agent_ms = known.age.0, foreign_ms:? = known.foreign.map(|age| age.0), wait_ms = wait.0 });
+        }
         Decision::Job { job, state } => info!("job ended", kv: { job:, state: }),
         Decision::Joined {
             node,
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -18,7 +18,7 @@
     crate::{
         id::{Epoch, Fence, Incarnation, Run, Task},
         leadership::LEASE_RENEW_INTERVAL,
-        message::{Crash, Orders, Outcome, Report, Role, StartStatus},
+        message::{Crash, KnownLease, Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
         worker::{Profile, Running},
     },
@@ -138,6 +138,13 @@
     /// When the last snapshot of the worker arrived.
     polled: Option<Instant>,
     lease_until: Option<Instant>,
+    /// The end of the last lease that was granted for any incarnation.
+    granted_until: Instant,
+    /// When the agent began.
+    began: Option<Instant>,
+    /// When the last start of an ended session was sent or answered, if no
+    /// snapshot has shown since which incarnation it has reached.
+    unconfirmed_start: Option<Instant>,
     renewals: VecDeque<(u64, Instant)>,
     renewal_number: u64,
     last_renewal: Option<Instant>,
@@ -168,6 +175,7 @@
 
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.began.get_or_insert(now);
         let last = self.last_step.replace(now);
         if last.is_some_and(|last| now >= last + STALL_LIMIT) {
             // Heartbeats may have been missed, and orders may be old.
@@ -204,7 +212,9 @@
     }
 
     fn end_session(&mut self) {
-        self.session = None;
+        if let Some(session) = self.session.take() {
+            self.unconfirmed_start = self.unconfirmed_start.max(session.unconfirmed_start());
+        }
         self.report = Report::default();
         self.renewals.clear();
         self.last_renewal = None;
@@ -264,6 +274,19 @@
         }
         self.session = Some(Session::new(fence, now.max(self.poll_not_before)));
         self.profile_reported = false;
+        self.report.lease = Some(self.known_lease(now));
+    }
+
+    /// Returns what is known about the worker's lease while it does not answer.
+    fn known_lease(&self, now: Instant) -> KnownLease {
+        let restarted = self.restarted.then(|| self.first_listed.unwrap_or(now));
+        KnownLease {
+            left: self.granted_until.since(now),
+            age: self.began.map_or(Millis::ZERO, |began| now.since(began)),
+            foreign: restarted
+                .max(self.unconfirmed_start)
+                .map(|at| now.since(at)),
+        }
     }
 
     /// Returns the end of the unexpired lease on the worker's clock.
@@ -330,6 +353,7 @@
             while let Some((number, asked)) = self.renewals.pop_front() {
                 if number == request {
                     self.lease_until = self.lease_until.max(Some(asked + lease));
+                    self.granted_until = self.granted_until.max(asked + lease);
                     break;
                 }
             }
@@ -511,6 +535,9 @@
         // Reading the clock as late as possible makes a lease expire early.
         self.clock = Some((now, snapshot.clock));
         self.polled = Some(now);
+        // The worker has accepted the fence of this session, so starts of earlier
+        // ones have no effect any more.
+        self.unconfirmed_start = None;
         self.presence.listed(now, sent, &snapshot.running);
         self.report_ends(&snapshot);
         self.report_inventory(now, &snapshot);
--- a/crates/workload/src/agent/session.rs
+++ b/crates/workload/src/agent/session.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Returns when the last start was sent or answered, unless a later snapshot
+    /// has shown that the worker has not restarted before.
+    pub(super) fn unconfirmed_start(&self) -> Option<Instant> {
+        self.last_start
+    }
+
     /// Returns the last end that the worker may discard. If it has restarted
     /// since its last snapshot, this number belongs to its former incarnation. It
     /// is therefore withheld while a start may have begun to give ends the same
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -85,6 +85,9 @@
     /// The worker's profile, if it has changed or was not reported in this
     /// session.
     pub profile: Option<Profile>,
+    /// What the agent knows about the worker's lease, sent at the beginning of a
+    /// session.
+    pub lease: Option<KnownLease>,
     /// The running tasks on the worker, sent once per session after the worker
     /// has accepted the session's fence.
     pub inventory: Option<Inventory>,
@@ -115,6 +118,21 @@
     }
 }
 
+/// What an agent knows about the lease of its worker, which may not answer.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KnownLease {
+    /// For how long leases were granted that the agent may have passed on, by
+    /// its own clock.
+    pub left: Millis,
+    /// How long the agent has been running. It does not know what an earlier
+    /// process has passed on.
+    pub age: Millis,
+    /// How long ago the worker may last have accepted a lease by the clock of its
+    /// former incarnation: it has restarted under its name, or a start was sent
+    /// of which it is not known which incarnation it has reached.
+    pub foreign: Option<Millis>,
+}
+
 /// The running tasks on a worker at one time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Inventory {
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         id::{Fence, Incarnation, Job, Node, Run, Task},
+        message::KnownLease,
         record::State,
         worker::Exit,
     },
@@ -70,6 +71,16 @@
         /// The time since the last report of the worker.
         silent: Millis,
     },
+    /// An agent has reported what it knows about the lease of a worker with runs
+    /// that has not answered it in this session.
+    LeaseKnown {
+        /// The agent's node.
+        node: Node,
+        /// What the agent knows.
+        known: KnownLease,
+        /// After which time the leader gives the runs up.
+        wait: Millis,
+    },
     /// A job has changed its state.
     Job {
         /// The job.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -33,7 +33,19 @@
             return;
         };
         match self.fleet.get_mut(&node) {
-            Some(worker) if worker.fence == report.fence => worker.last_report = self.now,
+            Some(worker) if worker.fence == report.fence => {
+                worker.last_report = self.now;
+                if let Some(known) = report.lease {
+                    worker.set_known_lease(&known, self.now, &self.settings);
+                    if let Some(until) = worker.awaited_until() {
+                        actions.push(Action::Decided(Decision::LeaseKnown {
+                            wait: until.since(self.now),
+                            node: node.clone(),
+                            known,
+                        }));
+                    }
+                }
+            }
             // The report belongs to an earlier session. Its inventory may still
             // change through orders of that session, which the worker accepts
             // until it has seen the newest fence.
--- a/crates/workload/src/planner/settings.rs
+++ b/crates/workload/src/planner/settings.rs
@@ -49,6 +49,8 @@
     }
 }
 
-fn bound(lease: Millis) -> Millis {
+/// Returns the time after which a lease of this duration has certainly expired on
+/// the worker.
+pub(super) fn bound(lease: Millis) -> Millis {
     lease + Millis(lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
 }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,11 +1,11 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::{headroom::Headroom, hold::Hold, Settings},
+    super::{headroom::Headroom, hold::Hold, settings, Settings},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
-        message::{Inventory, Orders, Role, Start},
+        message::{Inventory, KnownLease, Orders, Role, Start},
         worker::Profile,
     },
     filbertbend_state::{
@@ -235,13 +235,38 @@
         self.lease_until = Some(granted_until.max(self.foreign_lease_until));
     }
 
+    /// Takes into account what the agent of a worker that has not answered in this
+    /// session knows about its lease.
+    pub(super) fn set_known_lease(
+        &mut self,
+        known: &KnownLease,
+        now: Instant,
+        settings: &Settings,
+    ) {
+        if self.incarnation.is_some() {
+            return;
+        }
+        let own = now + settings::bound(known.left);
+        let earlier_process = now + settings.lease_bound() - known.age;
+        let foreign = known
+            .foreign
+            .map(|age| now + settings.longest_lease_bound() - age);
+        self.suspected_until = foreign.unwrap_or_default();
+        self.limit_lease(own.max(earlier_process));
+    }
+
+    /// Returns until when the runs on a worker without an inventory in this session
+    /// are waited for, if there are any.
+    pub(super) fn awaited_until(&self) -> Option<Instant> {
+        let awaited = self.incarnation.is_none() && !self.reservations.is_empty();
+        self.lease_until.filter(|_| awaited)
+    }
+
     /// Records that the lease expires at `until` unless it is renewed, or the
     /// worker has accepted one by the clock of its former incarnation.
     fn limit_lease(&mut self, until: Instant) {
-        let until = until
-            .max(self.foreign_lease_until)
-            .max(self.suspected_until);
-        self.lease_until = self.lease_until.map(|known| known.min(until));
+        let foreign = self.foreign_lease_until.max(self.suspected_until);
+        self.lease_until = self.lease_until.map(|known| known.min(until).max(foreign));
     }
 
     /// Frees all resources and returns the runs that held them.
--- a/crates/workload/tests/agent/main.rs
+++ b/crates/workload/tests/agent/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod harness;
 mod restarts;
+mod takeovers;
 
 use {
     filbertbend_state::{
--- /dev/null
+++ b/crates/workload/tests/agent/takeovers.rs
@@ -0,0 +1,106 @@
+//! What an agent reports to a new leader while its worker does not answer.
+
+use {
+    crate::harness::{profile, row, snapshot, Harness, FENCE},
+    filbertbend_state::unit::Millis,
+    filbertbend_workload::{
+        agent::{Answer, Call, Event},
+        id::{Epoch, Fence},
+        message::KnownLease,
+    },
+};
+
+const NEXT_FENCE: Fence = Fence(FENCE.0 + 1);
+
+/// Opens a session with the leader of a newer term.
+fn change_leader(harness: &mut Harness) {
+    harness.step(Event::Disconnected);
+    harness.calls.clear();
+    harness.reports.clear();
+    harness.step(Event::Connected);
+    harness.step(Event::Welcome(Epoch(2), NEXT_FENCE, None));
+}
+
+fn known_lease(harness: &Harness) -> KnownLease {
+    let reports = harness.reports.iter();
+    let mut known = reports.filter_map(|report| report.lease.clone());
+    known.next().expect("the lease is reported")
+}
+
+/// Guards against a leader that waits for a lease that nobody has: the agent does
+/// not say what it has passed on.
+#[test]
+fn lease_that_the_agent_has_passed_on_is_not_reported() {
+    let mut harness = Harness::new();
+    harness.pass(Millis(4000));
+
+    change_leader(&mut harness);
+
+    let known = known_lease(&harness);
+    assert!(known.left > Millis(1500), "{known:?}");
+    assert!(known.left <= Millis(2000), "{known:?}");
+    assert!(known.age >= Millis(4000), "{known:?}");
+    assert_eq!(known.foreign, None);
+}
+
+/// Guards against a task that runs twice: the agent takes the lease for short,
+/// although the worker may have restarted before it accepted a start.
+#[test]
+fn start_without_a_later_list_may_have_reached_another_incarnation() {
+    for answer in [Answer::Done, Answer::Lost] {
+        let mut harness = Harness::new();
+        let start = harness.order();
+        harness.answer(start, answer.clone());
+        harness.pass(Millis(300));
+
+        change_leader(&mut harness);
+
+        let known = known_lease(&harness);
+        assert_eq!(known.foreign, Some(Millis(300)), "{answer:?}");
+    }
+
+    let mut harness = Harness::new();
+    let start = harness.order();
+    harness.answer(start, Answer::Done);
+    harness.pass(Millis(300));
+    harness.poll(snapshot(1, vec![row()]));
+    change_leader(&mut harness);
+    assert_eq!(known_lease(&harness).foreign, None, "listed since");
+}
+
+/// Guards against the same if the restart has been found out.
+#[test]
+fn restart_under_the_same_name_is_reported_before_the_worker_answers() {
+    let mut harness = Harness::new();
+    harness.step(Event::Heartbeat(profile(2)));
+    let identify = harness.take(|call| matches!(call, Call::Identify { .. }));
+    harness.answer(
+        identify.expect("the worker is asked"),
+        snapshot(2, Vec::new()),
+    );
+    harness.calls.clear();
+    harness.step(Event::Welcome(Epoch(1), NEXT_FENCE, None));
+    harness.poll(snapshot(2, Vec::new()));
+    harness.pass(Millis(700));
+
+    change_leader(&mut harness);
+
+    assert_eq!(known_lease(&harness).foreign, Some(Millis(700)));
+}
+
+/// Guards against a lease that outlasts what a new leader waits for: the agent
+/// takes a session of the former one again.
+#[test]
+fn session_of_an_older_term_is_opened() {
+    let mut harness = Harness::new();
+    change_leader(&mut harness);
+    harness.step(Event::Connected);
+    harness.calls.clear();
+    harness.reports.clear();
+
+    harness.step(Event::Welcome(Epoch(1), Fence(FENCE.0 + 5), None));
+    harness.pass(Millis(200));
+
+    assert!(harness.calls.is_empty(), "{:?}", harness.calls);
+    assert!(harness.reports.is_empty(), "{:?}", harness.reports);
+}
--- a/crates/workload/tests/takeover.rs
+++ b/crates/workload/tests/takeover.rs
@@ -6,6 +6,7 @@
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::{Job, Link, Run},
+        message::{KnownLease, Report},
         planner::Event,
         record::Progress,
     },
@@ -36,6 +37,17 @@
     harness
 }
 
+/// Reports what the agent of the worker that is gone knows about its lease.
+fn report_lease(harness: &mut Harness, lease: KnownLease) {
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    let report = Report {
+        lease: Some(lease),
+        ..Report::default()
+    };
+    harness.report(GONE, report);
+    harness.step(Event::Closed(Link(GONE)));
+}
+
 /// Lets time pass; returns whether the service has been started again.
 fn starts_within(harness: &mut Harness, span: Millis) -> bool {
     harness.pass(span, &[OTHER]);
@@ -90,3 +102,61 @@
     assert!(!starts_within(&mut harness, Millis(10_000)));
     assert!(starts_within(&mut harness, Millis(500)));
 }
+
+/// Guards against a service that waits for a lease longer than any that its
+/// agent has passed on.
+#[test]
+fn service_waits_longer_than_the_lease_that_its_agent_knows() {
+    let mut harness = new_leader();
+
+    report_lease(
+        &mut harness,
+        KnownLease {
+            left: Millis(1000),
+            age: Millis(60_000),
+            foreign: None,
+        },
+    );
+
+    assert!(!starts_within(&mut harness, Millis(1100)));
+    assert!(starts_within(&mut harness, Millis(300)));
+}
+
+/// Guards against a task that runs twice: an earlier process of the agent has
+/// passed a lease on, of which the present one knows nothing.
+#[test]
+fn lease_of_an_earlier_process_is_not_waited_for() {
+    let mut harness = new_leader();
+
+    report_lease(
+        &mut harness,
+        KnownLease {
+            left: Millis::ZERO,
+            age: Millis(2000),
+            foreign: None,
+        },
+    );
+
+    assert!(!starts_within(&mut harness, Millis(4200)));
+    assert!(starts_within(&mut harness, Millis(300)));
+}
+
+/// Guards against a task that runs twice: the worker may have restarted under its
+/// name and accepted a lease by the clock of its former incarnation.
+#[test]
+fn lease_by_a_former_clock_is_not_waited_for() {
+    let mut harness = new_leader();
+
+    report_lease(
+        &mut harness,
+        KnownLease {
+            left: Millis(1000),
+            age: Millis(60_000),
+            foreign: Some(Millis(2000)),
+        },
+    );
+
+    // The longest lease that a worker accepts is 10 s.
+    assert!(!starts_within(&mut harness, Millis(8200)));
+    assert!(starts_within(&mut harness, Millis(400)));
+}
