Repeat the ends that an agent has read when its worker has left

Cause: the agent had listed the ends to the leader, which could not store them, since the store answered 503, and lost power. In the session with the next leader the worker was gone and listed nothing, and the agent reported only what the worker lists. The same would start a task again that had completed.

Change: the agent keeps the ends of the worker's last list. If the worker doesn't answer before its list in a new session, it reports those.

The test of the agent fails without the change; the one of the leader shows what it makes of such ends.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -20,7 +20,7 @@
         leadership::LEASE_RENEW_INTERVAL,
         message::{Crash, KnownLease, Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
-        worker::{Profile, Running},
+        worker::{End, Profile, Running},
     },
     filbertbend_state::{
         time::Instant,
@@ -154,6 +154,8 @@
     roles: BTreeMap<(Task, Run), Role>,
     checkpoints: BTreeMap<(Task, Run), Arc<str>>,
     running: Vec<Running>,
+    /// The ends in the last snapshot.
+    ends: Vec<End>,
     presence: Presence,
     /// The last crash of the worker. The leader may not have read it yet, even if
     /// another incarnation has ended since.
@@ -255,6 +257,7 @@
         self.roles.clear();
         self.checkpoints.clear();
         self.running.clear();
+        self.ends.clear();
         self.throttle = Controller::default();
     }
 
@@ -523,6 +526,7 @@
             if let Some(session) = &mut self.session {
                 session.poll_at = now + RETRY_DELAY;
             }
+            self.repeat_ends();
             return;
         };
         if let Some(session) = self.session.as_mut().filter(|_| !snapshot.ends.is_empty()) {
@@ -546,6 +550,7 @@
         self.report_checkpoints(&snapshot.running);
         self.apply_throttling(now, &snapshot.running);
         self.running = snapshot.running;
+        self.ends = snapshot.ends;
     }
 
     fn is_other_incarnation(&self, snapshot: &Snapshot) -> bool {
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -36,6 +36,20 @@
         }
     }
 
+    /// Reports the ends in the last snapshot while the worker does not answer. A
+    /// former leader may have ended before it had stored them, and a worker that
+    /// has left will not list them again.
+    pub(super) fn repeat_ends(&mut self) {
+        let Some(session) = self.session.as_mut().filter(|session| !session.inventoried) else {
+            return;
+        };
+        let reported = session.reported;
+        let missing = self.ends.iter().filter(|end| end.sequence > reported);
+        self.report.ends.extend(missing.cloned());
+        let last = self.ends.iter().map(|end| end.sequence).max();
+        session.reported = last.map_or(reported, |last| last.max(reported));
+    }
+
     pub(super) fn report_inventory(&mut self, now: Instant, snapshot: &Snapshot) {
         let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
             return;
--- a/crates/workload/tests/agent/takeovers.rs
+++ b/crates/workload/tests/agent/takeovers.rs
@@ -1,7 +1,7 @@
 //! What an agent reports to a new leader while its worker does not answer.
 
 use {
-    crate::harness::{profile, row, snapshot, Harness, FENCE},
+    crate::harness::{ends, profile, row, snapshot, Harness, FENCE},
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         agent::{Answer, Call, Event},
@@ -104,3 +104,28 @@
     assert!(harness.calls.is_empty(), "{:?}", harness.calls);
     assert!(harness.reports.is_empty(), "{:?}", harness.reports);
 }
+
+/// Guards against a completed task that runs again, and against a wait for its
+/// lease: the leader was lost before it had stored an end that the agent had
+/// reported, and the worker is gone.
+#[test]
+fn end_that_was_listed_before_the_worker_went_is_not_reported_again() {
+    let mut harness = Harness::new();
+    harness.poll(ends(1..=3));
+
+    change_leader(&mut harness);
+    harness.poll(Answer::Unreachable);
+
+    let reported = |harness: &Harness| {
+        let ends = harness.reports.iter().flat_map(|report| &report.ends);
+        ends.map(|end| end.sequence.0).collect::<Vec<_>>()
+    };
+    assert_eq!(reported(&harness), [1, 2, 3]);
+    harness.pass(Millis(200));
+    harness.poll(Answer::Unreachable);
+    assert_eq!(reported(&harness), [1, 2, 3], "reported twice");
+    // It was only slow.
+    harness.pass(Millis(200));
+    harness.poll(ends(1..=4));
+    assert_eq!(reported(&harness), [1, 2, 3, 4]);
+}
--- a/crates/workload/tests/takeover.rs
+++ b/crates/workload/tests/takeover.rs
@@ -9,9 +9,10 @@
         message::{KnownLease, Report},
         planner::Event,
         record::Progress,
+        worker::Exit,
     },
     std::sync::Arc,
-    support::{catalog, job, node, placed, service, Harness},
+    support::{catalog, end, job, node, placed, service, task, Harness},
 };
 
 /// The node whose worker ran the task under the former leader.
@@ -160,3 +161,19 @@
     assert!(!starts_within(&mut harness, Millis(8200)));
     assert!(starts_within(&mut harness, Millis(400)));
 }
+
+/// Guards against a service that waits although its agent knows that it has ended:
+/// the worker has left and lists no end any more.
+#[test]
+fn service_waits_although_its_agent_has_read_its_end() {
+    let mut harness = new_leader();
+
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    let report = Report {
+        ends: vec![end(1, task(1, 0, 0), Run(1), Exit::Stopped)],
+        ..Report::default()
+    };
+    harness.report(GONE, report);
+
+    assert!(starts_within(&mut harness, Millis(500)));
+}
