Tell a new leader that its predecessor's process is gone

What was left: runs of workers whose agents are gone as well waited 9.4 s after the claim.

Cause: the leader can't see when a former one last granted leases.

Change: the term record holds the leader's address, and whether leases of earlier leaders are over, which is so 9.4 s after the claim. A new leader publishes the address of such a predecessor. Only the entry that listens there opens a link and tells since when no process at this address has led: since it began, or since it ended its term. The address identifies the process, since a replacement under the same name may start before it ends. A leader that follows itself knows without a message.

Ruled out: the expiry of the former leader's key as evidence; keys may be taken away early, and its leases don't depend on the key.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -16,7 +16,7 @@
     },
     serde::de::DeserializeOwned,
     spdlog::prelude::*,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
 };
 
@@ -30,6 +30,8 @@
     pub(crate) lease: Lease,
     /// When the claim was sent.
     pub(crate) sent_at: Instant,
+    /// See [`Leader::former`].
+    pub(crate) former: Option<SocketAddr>,
 }
 
 /// Decodes a record that holds an epoch. Another writer may have changed it, and
@@ -56,6 +58,7 @@
 ) -> Result<Option<Claim>, Failure> {
     let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
     let (stored, newest) = (stored?, newest?);
+    let former = stored.as_ref().and_then(former_address);
     let revision = stored.as_ref().map_or(Revision(0), |item| item.revision);
     let last = stored
         .and_then(|item| decode_epoch(&item, |term: Term| term.epoch))
@@ -65,11 +68,14 @@
         epoch: last.next(),
         batch: 0,
         node: candidate.node.clone(),
+        address: candidate.address,
+        settled: false,
     };
     let leader = Leader {
         epoch: term.epoch,
         node: candidate.node.clone(),
         address: candidate.address,
+        former,
     };
     let sent_at = clock::monotonic();
     let lease = store.grant(leadership::KEY_TTL).await?;
@@ -100,11 +106,18 @@
             revision,
             lease,
             sent_at,
+            former,
         })),
         Commit::Conflict(_) | Commit::LeaseNotFound => Ok(None),
     }
 }
 
+/// Returns the address of the last leader, if leases of earlier ones are over.
+fn former_address(stored: &Item) -> Option<SocketAddr> {
+    let term: Term = postcard::from_bytes(&stored.value).ok()?;
+    term.settled.then_some(term.address)
+}
+
 /// Returns the revision of a leader's key that names no leader. It may be bound
 /// to no lease, so that it would prevent all claims for good.
 fn unreadable_leader(committed: &Commit) -> Option<Revision> {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -12,7 +12,10 @@
         term::{Candidate, Driver, Ended, Input, Queued},
         withdrawal::{self, Ledger, Permit},
     },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_state::{
+        time,
+        unit::{Cores, Millis},
+    },
     filbertbend_transport::{
         clock,
         link::{self, Link, Receiver, Sender, Socket},
@@ -143,6 +146,8 @@
     inbox: Rc<Inbox>,
     leader_link: LeaderLink,
     withdrawals: Ledger,
+    /// Since when this process has not led.
+    retired_since: Cell<time::Instant>,
     next_link: Cell<u64>,
 }
 
@@ -171,6 +176,7 @@
             inbox: Rc::default(),
             leader_link,
             withdrawals: Ledger::default(),
+            retired_since: Cell::new(clock::monotonic()),
             next_link: Cell::new(0),
         });
         tokio::task::spawn_local(entry.clone().accept(Listener::new(socket)));
@@ -359,6 +365,7 @@
                 Some(found) if *found.node != *self.options.node => {
                     tokio::select! {
                         () = leader.changed() => {}
+                        () = self.report_retirement(found) => {}
                         _ = stop.wait_for(|stop| *stop) => return,
                     }
                     continue;
@@ -377,11 +384,32 @@
         }
     }
 
+    /// Tells the leader that its predecessor is gone, if that was a process at this
+    /// entry's address, or this process in an earlier term. Never returns.
+    async fn report_retirement(&self, leader: Leader) {
+        let address = self.options.address;
+        while leader.former == Some(address) {
+            let idle = clock::monotonic().since(self.retired_since.get());
+            let asked = self
+                .leader_link
+                .ask(leader.clone(), Query::Retired(address, idle));
+            if let Some(answer) = asked {
+                if let Ok(Ok(Reply::Noted)) = timeout(ASK_TIMEOUT, answer).await {
+                    info!("leader told that its predecessor is gone", kv: { epoch = leader.epoch.0, idle_ms = idle.0 });
+                    break;
+                }
+            }
+            sleep(RETRY_DELAY).await;
+        }
+        std::future::pending().await
+    }
+
     async fn run_term(self: &Rc<Self>, stop: &watch::Receiver<bool>) {
         let candidate = Candidate {
             node: self.options.node.clone(),
             address: self.options.address,
             settings: self.options.planner.clone(),
+            retired_since: self.retired_since.get(),
         };
         let claim = match claim::claim(&self.store, &candidate).await {
             Ok(Some(claim)) => claim,
@@ -396,6 +424,7 @@
         let driver = Driver::new(self.store.clone(), candidate, claim, self.inbox.clone());
         let ended = driver.run(inputs, self.catalog.clone(), stop.clone()).await;
         self.inbox.sender.replace(None);
+        self.retired_since.set(clock::monotonic());
         counter!("filbertbend_terms_ended_total", "reason" => ended.to_string()).increment(1);
         if ended == Ended::Deposed {
             self.leader.refresh();
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -9,7 +9,7 @@
     filbertbend_transport::clock,
     filbertbend_workload::{
         id::Epoch,
-        planner::{Batch, Write},
+        planner::{Batch, Write, FORMER_LEASE_BOUND},
         record::{Leader, Term},
     },
     serde::Serialize,
@@ -36,15 +36,18 @@
     store: S,
     term: Term,
     revision: Revision,
+    claimed: Instant,
 }
 
 impl<S: Store> Journal<S> {
-    /// Creates the journal of a term whose last write has this `revision`.
-    pub fn new(store: S, term: Term, revision: Revision) -> Self {
+    /// Creates the journal of a term that was claimed at `claimed` and whose last
+    /// write has this `revision`.
+    pub fn new(store: S, term: Term, revision: Revision, claimed: Instant) -> Self {
         Self {
             store,
             term,
             revision,
+            claimed,
         }
     }
 
@@ -78,6 +81,7 @@
     /// Commits a transaction together with the number of the next batch.
     async fn commit(&mut self, mut transaction: Transaction) -> Result<Instant, Deposed> {
         self.term.batch += 1;
+        self.term.settled = clock::monotonic() >= self.claimed + FORMER_LEASE_BOUND;
         transaction
             .set
             .push((key::TERM.into(), encode(&self.term), None));
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -62,6 +62,8 @@
     pub(crate) node: Arc<str>,
     pub(crate) address: SocketAddr,
     pub(crate) settings: Settings,
+    /// Since when no process at this address has led.
+    pub(crate) retired_since: Instant,
 }
 
 /// An input to a term in progress.
@@ -102,6 +104,7 @@
     candidate: Candidate,
     epoch: Epoch,
     lease: Lease,
+    former: Option<SocketAddr>,
     planner: Planner,
     leadership: leadership::Leadership,
     journal: mpsc::UnboundedSender<Order>,
@@ -138,7 +141,7 @@
         let epoch = claim.term.epoch;
         let planner = Planner::new(candidate.settings.clone(), epoch, now);
         let (journal, orders) = mpsc::unbounded_channel();
-        let writer = Journal::new(store.clone(), claim.term, claim.revision);
+        let writer = Journal::new(store.clone(), claim.term, claim.revision, now);
         tokio::task::spawn_local(write_orders(writer, orders, inbox.clone()));
         info!("leading", kv: { epoch = epoch.0, node: = &*candidate.node });
         counter!("filbertbend_terms_total").increment(1);
@@ -147,6 +150,7 @@
             candidate,
             epoch,
             lease: claim.lease,
+            former: claim.former,
             planner,
             leadership,
             journal,
@@ -177,6 +181,8 @@
         if let Some(catalog) = catalog.borrow_and_update().clone() {
             self.step(Event::Configured(catalog));
         }
+        let idle = (self.clock)().since(self.candidate.retired_since);
+        self.retired(self.candidate.address, idle);
         let ended = loop {
             tokio::select! {
                 input = inputs.recv() => match input {
@@ -249,6 +255,9 @@
                 self.step(Event::Closed(link));
             }
             Input::Ask(question, reply) => {
+                if let Query::Retired(address, idle) = question {
+                    self.retired(address, idle);
+                }
                 // Fails only if the asker has stopped waiting.
                 let _ = reply.send(self.planner.answer(&question));
             }
@@ -269,6 +278,15 @@
         None
     }
 
+    /// Takes into account that no process at `address` has led for `idle`. If the
+    /// last leader listened there, it grants nothing any more.
+    fn retired(&mut self, address: SocketAddr, idle: Millis) {
+        if self.former == Some(address) {
+            info!("former leader is gone", kv: { epoch = self.epoch.0, address:, idle_ms = idle.0 });
+            self.step(Event::FormerTermOver(idle));
+        }
+    }
+
     /// Binds the leader's key to a new lease after the old one has expired.
     async fn announce(&mut self) {
         match self.store.grant(leadership::KEY_TTL).await {
@@ -278,6 +296,7 @@
                     epoch: self.epoch,
                     node: self.candidate.node.clone(),
                     address: self.candidate.address,
+                    former: self.former,
                 };
                 // Fails only if the journal has ended, which it reports itself.
                 let _ = self.journal.send(Order::Announce(leader, lease));
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -79,16 +79,20 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
+        retired_since: NOW.get(),
     };
     let claim = Claim {
         term: Term {
             epoch: Epoch(1),
             batch: 0,
             node: "entry".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            settled: false,
         },
         revision: Revision(1),
         lease: Lease(1),
         sent_at: NOW.get(),
+        former: None,
     };
     let mut driver = Driver::new(Silent, candidate, claim, Rc::default());
     driver.clock = scripted_clock;
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -15,7 +15,11 @@
         record::{Leader, Term},
     },
     serde::Serialize,
-    std::{future::Future, time::Duration},
+    std::{
+        future::Future,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
     support::Memory,
     tokio::{
         sync::watch,
@@ -25,6 +29,8 @@
 };
 
 const LIMIT: Duration = Duration::from_secs(5);
+/// The address of the leader of the stored term.
+const FORMER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 const POLL: Duration = Duration::from_millis(10);
 
 fn encode(record: &impl Serialize) -> Vec<u8> {
@@ -32,11 +38,17 @@
 }
 
 fn term(epoch: u64) -> Vec<u8> {
-    encode(&Term {
+    encode(&former_term(epoch, false))
+}
+
+fn former_term(epoch: u64, settled: bool) -> Term {
+    Term {
         epoch: Epoch(epoch),
         batch: 3,
         node: "entry-9".into(),
-    })
+        address: FORMER,
+        settled,
+    }
 }
 
 async fn run(test: impl Future<Output = ()>) {
@@ -141,3 +153,23 @@
         .await;
     }
 }
+
+/// Guards against a new leader that takes leases of earlier leaders for those of the
+/// last one, whose process is known to be gone.
+#[tokio::test]
+async fn former_leader_is_named_before_its_term_is_settled() {
+    for settled in [false, true] {
+        run(async move {
+            let store = Memory::default();
+            store.put(key::TERM, encode(&former_term(41, settled)));
+
+            let claimed = claimed_term(&store).await.expect("the term is claimed");
+
+            assert!(!claimed.settled);
+            let item = store.item(key::LEADER).expect("the leader is published");
+            let leader: Leader = postcard::from_bytes(&item.value).unwrap();
+            assert_eq!(leader.former, settled.then_some(FORMER));
+        })
+        .await;
+    }
+}
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -10,6 +10,8 @@
         key,
         platform::{Lease, Revision},
     },
+    filbertbend_state::time,
+    filbertbend_transport::clock,
     filbertbend_workload::{
         id::{Epoch, Job},
         planner::{Batch, Write},
@@ -28,6 +30,8 @@
         epoch: Epoch(epoch),
         batch: 0,
         node: format!("entry-{epoch}").into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        settled: false,
     }
 }
 
@@ -47,7 +51,7 @@
     let store = Memory::default();
     store.put(key::TERM, postcard::to_stdvec(&term(1)).unwrap());
     let revision = store.item(key::TERM).unwrap().revision;
-    let journal = Journal::new(store.clone(), term(1), revision);
+    let journal = Journal::new(store.clone(), term(1), revision, clock::monotonic());
     (store, journal)
 }
 
@@ -84,6 +88,7 @@
         epoch: Epoch(1),
         node: "entry-1".into(),
         address: ([127, 0, 0, 1], 1).into(),
+        former: None,
     };
     store.fail([Fault::LostAnswer, Fault::LeaseExpired]);
 
@@ -94,6 +99,23 @@
     assert_eq!(completed(&store), 1);
 }
 
+/// Guards against leases of earlier leaders that the next leader takes for expired:
+/// the term counts as settled too early.
+#[tokio::test]
+async fn term_is_settled_while_leases_of_earlier_leaders_last() {
+    for (claimed, settled) in [(clock::monotonic(), false), (time::Instant(0), true)] {
+        let (store, _) = journal();
+        let revision = store.item(key::TERM).unwrap().revision;
+        let mut journal = Journal::new(store.clone(), term(1), revision, claimed);
+
+        journal.write(&batch(1)).await.unwrap();
+
+        let item = store.item(key::TERM).unwrap();
+        let found: Term = postcard::from_bytes(&item.value).unwrap();
+        assert_eq!(found.settled, settled);
+    }
+}
+
 /// Guards against a former leader whose writes still take effect after another
 /// entry has claimed a newer term.
 #[tokio::test]
--- a/crates/dispatch/tests/support/leader.rs
+++ b/crates/dispatch/tests/support/leader.rs
@@ -59,10 +59,17 @@
 
 /// Names the process at `address` as the leader.
 pub(crate) fn publish(store: &Memory, address: SocketAddr) {
+    publish_successor(store, address, None);
+}
+
+/// Names the process at `address` as the leader, and the one at `former` as its
+/// predecessor.
+pub(crate) fn publish_successor(store: &Memory, address: SocketAddr, former: Option<SocketAddr>) {
     let leader = Leader {
         epoch: Epoch(1),
         node: "leader".into(),
         address,
+        former,
     };
     store.put(key::LEADER, postcard::to_stdvec(&leader).unwrap());
 }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -39,6 +39,8 @@
     State(Job),
     /// The number of accepted jobs of a queue that have not started.
     Pending(Arc<str>),
+    /// States that no process at this address has led for this long.
+    Retired(SocketAddr, Millis),
 }
 
 /// The answer to a [`Query`].
@@ -50,6 +52,8 @@
     Pending(u64),
     /// The leader has not loaded all jobs yet.
     NotReady,
+    /// The leader has taken the statement into account.
+    Noted,
 }
 
 /// A message from the leader.
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -194,6 +194,13 @@
         worker.reserve(task, run, reservation);
     }
 
+    /// Records that leases of former leaders are over at `until`.
+    pub(super) fn end_former_leases(&mut self, until: Instant) {
+        for worker in self.workers.values_mut() {
+            worker.end_former_lease(until);
+        }
+    }
+
     /// Orders a stop. The resources stay reserved until the end is reported.
     pub(super) fn stop(&mut self, node: &Node, task: Task, run: Run) -> StopOutcome {
         let Some(worker) = self.get_mut(node) else {
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -65,7 +65,7 @@
 pub use {
     decision::{Backlog, Blocked, Decision, Reason},
     persist::{Batch, Write},
-    settings::Settings,
+    settings::{Settings, FORMER_LEASE_BOUND},
 };
 
 /// The minimum time between two placement passes.
@@ -97,6 +97,9 @@
     Recovered(Job, Arc<job::Job>, Progress),
     /// All jobs have been loaded from the store.
     Loaded,
+    /// The last leader has certainly granted no lease for this long, and the
+    /// leases of earlier ones are over.
+    FormerTermOver(Millis),
     /// A job was accepted during the term.
     Submitted(Job, Arc<job::Job>),
     /// A caller has cancelled a job.
@@ -149,8 +152,8 @@
     loaded: bool,
     /// Whether anything has changed that may allow a task to be placed.
     changed: bool,
-    /// When the term began.
-    began: Instant,
+    /// When all leases that former leaders have granted are over.
+    former_leases_until: Instant,
     /// Whether a batch has become durable since orders were last taken.
     durability_changed: bool,
     last_placement: Instant,
@@ -202,7 +205,7 @@
             waiting_sessions: Vec::new(),
             loaded: false,
             changed: false,
-            began: now,
+            former_leases_until: now + FORMER_LEASE_BOUND,
             durability_changed: false,
             last_placement: Instant::default(),
             place_not_before: Instant::default(),
@@ -235,6 +238,7 @@
             Event::Configured(catalog) => self.configure(catalog, actions),
             Event::Recovered(id, job, progress) => self.recover(id, job, progress),
             Event::Loaded => self.load(actions),
+            Event::FormerTermOver(age) => self.end_former_term(age),
             Event::Submitted(id, job) => {
                 self.changed = true;
                 self.submit(id, job, actions);
@@ -297,6 +301,7 @@
             return Reply::NotReady;
         }
         match query {
+            Query::Retired(..) => Reply::Noted,
             Query::State(id) => Reply::State(self.registry.get(*id).map(|entry| entry.visible)),
             Query::Pending(queue) => Reply::Pending(self.registry.pending(queue)),
         }
@@ -353,7 +358,7 @@
             return;
         };
         entry.restore(self.now, &progress);
-        let until = self.began + self.settings.former_lease_bound();
+        let until = self.former_leases_until;
         for (task, execution) in entry.executions(id) {
             if let Some(reservation) = self.reservation(task) {
                 let run = (task, execution.run);
@@ -364,6 +369,14 @@
         self.refresh(id, &mut Vec::new());
     }
 
+    /// Shortens the wait for workers whose agents have not opened a session in this
+    /// term. Those that have are waited for as long as their leases last.
+    fn end_former_term(&mut self, age: Millis) {
+        let until = self.now + self.settings.lease_bound() - age;
+        self.former_leases_until = self.former_leases_until.min(until);
+        self.fleet.end_former_leases(self.former_leases_until);
+    }
+
     fn cancel(&mut self, id: Job, actions: &mut Vec<Action>) {
         let Some(entry) = self.registry.get_mut(id) else {
             return;
--- a/crates/workload/src/planner/settings.rs
+++ b/crates/workload/src/planner/settings.rs
@@ -12,6 +12,10 @@
 /// while the store compacts its history.
 const CLAIM_DELAY: Millis = Millis(1000);
 
+/// The time from the claim of a term after which every lease that a former leader
+/// has granted has certainly expired: none outlives its leadership.
+pub const FORMER_LEASE_BOUND: Millis = Millis(bound(OUTAGE_LIMIT).0 + CLAIM_DELAY.0);
+
 /// Durations that a [`Planner`](super::Planner) works with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -35,13 +39,6 @@
         bound(self.lease)
     }
 
-    /// Returns the time from the claim of a term after which every lease that a
-    /// former leader has granted has certainly expired: none outlives its
-    /// leadership.
-    pub(super) fn former_lease_bound(&self) -> Millis {
-        bound(OUTAGE_LIMIT) + CLAIM_DELAY
-    }
-
     /// Returns the time after which every lease that a worker has accepted has
     /// certainly expired.
     pub(super) fn longest_lease_bound(&self) -> Millis {
@@ -51,6 +48,6 @@
 
 /// Returns the time after which a lease of this duration has certainly expired on
 /// the worker.
-pub(super) fn bound(lease: Millis) -> Millis {
-    lease + Millis(lease.0 * CLOCK_SLACK_PERCENT / 100) + LEASE_SLACK
+pub(super) const fn bound(lease: Millis) -> Millis {
+    Millis(lease.0 + lease.0 * CLOCK_SLACK_PERCENT / 100 + LEASE_SLACK.0)
 }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -262,6 +262,14 @@
         self.lease_until.filter(|_| awaited)
     }
 
+    /// Records that a lease of a former leader expires at `until`. One of this term
+    /// may last longer.
+    pub(super) fn end_former_lease(&mut self, until: Instant) {
+        if self.fence == Fence::default() {
+            self.limit_lease(until);
+        }
+    }
+
     /// Records that the lease expires at `until` unless it is renewed, or the
     /// worker has accepted one by the clock of its former incarnation.
     fn limit_lease(&mut self, until: Instant) {
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -88,11 +88,15 @@
     pub node: Arc<str>,
     /// The address for agents and other entries.
     pub address: SocketAddr,
+    /// The address of the entry that led before, if leases that it has granted
+    /// may last and those of earlier leaders don't. Whoever listens there now
+    /// tells the leader that its predecessor is gone.
+    pub former: Option<SocketAddr>,
 }
 
 /// The last write of a leader. Each write expects the previous one, so that
 /// neither a former leader nor a delayed write can change anything.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Term {
     /// The leader's term.
     pub epoch: Epoch,
@@ -100,4 +104,8 @@
     pub batch: u64,
     /// The name of the entry that wrote it.
     pub node: Arc<str>,
+    /// The address of the entry that wrote it.
+    pub address: SocketAddr,
+    /// Whether all leases that earlier leaders had granted were over.
+    pub settled: bool,
 }
--- a/crates/workload/tests/interleavings/cluster/leader.rs
+++ b/crates/workload/tests/interleavings/cluster/leader.rs
@@ -10,7 +10,7 @@
     filbertbend_workload::{
         id::{Epoch, Link, Node, Run, Task},
         leadership::Leadership,
-        planner::{Action, Batch, Decision, Event, Planner, Reason, Write},
+        planner::{Action, Batch, Decision, Event, Planner, Reason, Write, FORMER_LEASE_BOUND},
     },
     std::{collections::VecDeque, sync::Arc},
 };
@@ -29,6 +29,10 @@
     pub(super) cut_until: u64,
     pub(super) lag: u64,
     pub(super) last_tick: u64,
+    began: u64,
+    ended_at: u64,
+    /// Whether it has been told that the leader before is gone.
+    told: bool,
 }
 
 impl Cluster {
@@ -47,6 +51,9 @@
             cut_until: 0,
             lag: 0,
             last_tick: self.now,
+            began: self.now,
+            ended_at: 0,
+            told: false,
         });
         let leader = self.leaders.len() - 1;
         self.plan(leader, Event::Configured(Arc::new(catalog(0, 1000))));
@@ -65,6 +72,7 @@
 
     pub(super) fn end_leader(&mut self, leader: usize) {
         self.leaders[leader].ended = true;
+        self.leaders[leader].ended_at = self.now;
         for link in 0..self.links.len() {
             if self.links[link].leader == leader {
                 self.break_link(link);
@@ -154,6 +162,20 @@
         self.plan(leader, Event::Persisted(batch.number));
     }
 
+    /// Tells a leader that the one before has ended, if the leases of earlier ones
+    /// were over by then.
+    fn tell_former_term_over(&mut self, leader: usize) {
+        let Some(former) = leader.checked_sub(1).map(|former| &self.leaders[former]) else {
+            return;
+        };
+        let age = Millis(self.now - former.ended_at.min(self.now));
+        let settled = former.began + FORMER_LEASE_BOUND.0 <= former.ended_at;
+        if former.ended && (settled || leader == 1) && !self.leaders[leader].told {
+            self.leaders[leader].told = true;
+            self.plan(leader, Event::FormerTermOver(age));
+        }
+    }
+
     pub(super) fn read(&mut self, leader: usize) {
         let found = &mut self.leaders[leader];
         let now = self.now;
@@ -204,6 +226,10 @@
             }
             found.leadership.confirm(Instant(now));
         }
+        if newest && self.chance(5) {
+            self.tell_former_term_over(leader);
+        }
+        let found = &mut self.leaders[leader];
         let gap = now - std::mem::replace(&mut found.last_tick, now);
         if self.chance(50) {
             self.read(leader);
--- a/crates/workload/tests/takeover.rs
+++ b/crates/workload/tests/takeover.rs
@@ -177,3 +177,34 @@
 
     assert!(starts_within(&mut harness, Millis(500)));
 }
+
+/// Guards against a service that waits for leases of a former leader that has been
+/// gone for long: its process has restarted.
+#[test]
+fn service_waits_although_the_former_leader_is_gone() {
+    let mut harness = new_leader();
+
+    harness.step(Event::FormerTermOver(Millis(1500)));
+
+    assert!(!starts_within(&mut harness, LEASE_OVER - Millis(1600)));
+    assert!(starts_within(&mut harness, Millis(200)));
+}
+
+/// Guards against a task that runs twice: its worker has got a lease in this term
+/// before its list was read, and the news of the former leader comes after that.
+#[test]
+fn lease_of_this_term_counts_as_one_of_the_former_leader() {
+    let mut harness = new_leader();
+    harness.step(Event::Opened(Link(GONE), node(GONE)));
+    let renewal = Report {
+        renew: Some(1),
+        ..Report::default()
+    };
+    harness.report(GONE, renewal);
+    harness.step(Event::Closed(Link(GONE)));
+
+    harness.step(Event::FormerTermOver(Millis(5000)));
+
+    assert!(!starts_within(&mut harness, LEASE_OVER - Millis(100)));
+    assert!(starts_within(&mut harness, Millis(200)));
+}
