--- /dev/null
+++ b/crates/workload/src/agent/lease.rs
@@ -0,0 +1,72 @@
+//! The lease of the worker: requests to the leader, deadlines for the worker, and
+//! what a new leader is told about it.
+
+use {
+    super::{Action, Agent},
+    crate::{leadership::LEASE_RENEW_INTERVAL, message::KnownLease},
+    filbertbend_state::{time::Instant, unit::Millis},
+};
+
+/// The maximum snapshot age for renewing the lease: one poll and some delay.
+const STALE_AFTER: Millis = Millis(900);
+/// The remaining lease that is required to send a start.
+const LEASE_MARGIN: Millis = Millis(300);
+
+impl Agent {
+    /// Requests a lease while the worker answers. If the worker is gone for
+    /// good, a lease would delay the restart of its tasks elsewhere.
+    pub(super) fn renew(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due =
+            |last: Option<Instant>| last.is_none_or(|last| now >= last + LEASE_RENEW_INTERVAL);
+        if self.session.is_none() || !due(self.last_renewal) {
+            return;
+        }
+        if self.polled.is_some_and(|polled| now < polled + STALE_AFTER) {
+            self.renewal_number += 1;
+            self.last_renewal = Some(now);
+            self.renewals.push_back((self.renewal_number, now));
+            self.report.renew = Some(self.renewal_number);
+            self.report.starved = self.throttle.starved(now);
+        } else if due(self.last_ping) {
+            self.last_ping = Some(now);
+            actions.push(Action::Ping);
+        }
+    }
+
+    /// Records the grant of the lease that was asked for with this number.
+    pub(super) fn lease_granted(&mut self, request: u64, lease: Millis) {
+        while let Some((number, asked)) = self.renewals.pop_front() {
+            if number == request {
+                let until = asked + lease;
+                self.lease_until = self.lease_until.max(Some(until));
+                self.granted_until = self.granted_until.max(until);
+                break;
+            }
+        }
+    }
+
+    /// Returns the end of the unexpired lease on the worker's clock.
+    pub(super) fn deadline(&self, now: Instant) -> Option<u64> {
+        let until = self.lease_until.filter(|until| *until > now)?;
+        let (read, clock) = self.clock?;
+        Some(clock.saturating_add(until.since(read).0))
+    }
+
+    /// Returns whether enough of the lease is left to send a start.
+    pub(super) fn is_leased(&self, now: Instant) -> bool {
+        self.lease_until
+            .is_some_and(|until| until > now + LEASE_MARGIN)
+    }
+
+    /// Returns what is known about the worker's lease while it does not answer.
+    pub(super) fn known_lease(&self, now: Instant) -> KnownLease {
+        let restarted = self.restarted.then(|| self.first_listed.unwrap_or(now));
+        KnownLease {
+            left: self.granted_until.since(now),
+            age: self.began.map_or(Millis::ZERO, |began| now.since(began)),
+            foreign: restarted
+                .max(self.unconfirmed_start)
+                .map(|at| now.since(at)),
+        }
+    }
+}
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod identity;
+mod lease;
 mod presence;
 mod queue;
 mod report;
@@ -17,8 +18,7 @@
 use {
     crate::{
         id::{Epoch, Fence, Incarnation, Run, Task},
-        leadership::LEASE_RENEW_INTERVAL,
-        message::{Crash, KnownLease, Orders, Outcome, Report, Role, StartStatus},
+        message::{Crash, Orders, Outcome, Report, Role, StartStatus},
         throttle::Controller,
         worker::{End, Profile, Running},
     },
@@ -42,10 +42,6 @@
 const POLL_WAIT: Millis = Millis(500);
 /// The delay between polls while the worker lists unacknowledged ends.
 const PENDING_DELAY: Millis = Millis(30);
-/// The maximum snapshot age for renewing the lease: one poll and some delay.
-const STALE_AFTER: Millis = Millis(900);
-/// The remaining lease that is required to send a start.
-const LEASE_MARGIN: Millis = Millis(300);
 /// A gap of this length between two steps means that the process was stalled.
 const STALL_LIMIT: Millis = Millis(2000);
 /// The delay before an unanswered or refused call is repeated.
@@ -280,45 +276,6 @@
         self.report.lease = Some(self.known_lease(now));
     }
 
-    /// Returns what is known about the worker's lease while it does not answer.
-    fn known_lease(&self, now: Instant) -> KnownLease {
-        let restarted = self.restarted.then(|| self.first_listed.unwrap_or(now));
-        KnownLease {
-            left: self.granted_until.since(now),
-            age: self.began.map_or(Millis::ZERO, |began| now.since(began)),
-            foreign: restarted
-                .max(self.unconfirmed_start)
-                .map(|at| now.since(at)),
-        }
-    }
-
-    /// Returns the end of the unexpired lease on the worker's clock.
-    fn deadline(&self, now: Instant) -> Option<u64> {
-        let until = self.lease_until.filter(|until| *until > now)?;
-        let (read, clock) = self.clock?;
-        Some(clock.saturating_add(until.since(read).0))
-    }
-
-    /// Requests a lease while the worker answers. If the worker is gone for
-    /// good, a lease would delay the restart of its tasks elsewhere.
-    fn renew(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let due =
-            |last: Option<Instant>| last.is_none_or(|last| now >= last + LEASE_RENEW_INTERVAL);
-        if self.session.is_none() || !due(self.last_renewal) {
-            return;
-        }
-        if self.polled.is_some_and(|polled| now < polled + STALE_AFTER) {
-            self.renewal_number += 1;
-            self.last_renewal = Some(now);
-            self.renewals.push_back((self.renewal_number, now));
-            self.report.renew = Some(self.renewal_number);
-            self.report.starved = self.throttle.starved(now);
-        } else if due(self.last_ping) {
-            self.last_ping = Some(now);
-            actions.push(Action::Ping);
-        }
-    }
-
     fn poll(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let deadline = self.deadline(now);
         if self.profile.is_none() {
@@ -353,13 +310,7 @@
             session.acknowledged = session.acknowledged.max(acknowledged);
         }
         if let Some((request, lease)) = orders.lease {
-            while let Some((number, asked)) = self.renewals.pop_front() {
-                if number == request {
-                    self.lease_until = self.lease_until.max(Some(asked + lease));
-                    self.granted_until = self.granted_until.max(asked + lease);
-                    break;
-                }
-            }
+            self.lease_granted(request, lease);
         }
         if orders.probe.is_some() {
             self.report.probe = orders.probe;
@@ -378,12 +329,6 @@
         }
     }
 
-    /// Returns whether enough of the lease is left to send a start.
-    fn is_leased(&self, now: Instant) -> bool {
-        self.lease_until
-            .is_some_and(|until| until > now + LEASE_MARGIN)
-    }
-
     fn stop(&mut self, task: Task, run: Run) {
         let Some(session) = &self.session else {
             return;
