Let an unconfirmed start put off only the runs that it may concern

Cause: a start without an answer, or without a later list, may have reached a worker that had restarted under its name, and given it a lease by its former clock. All runs of the worker waited for that lease.

Change: the agent names the runs of the worker's last list. If the worker has restarted since, they have ended, and if not, the clock is known; they are over with the last lease that the agent has passed on.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -56,7 +56,7 @@
             info!("lease seems expired, agent asked", kv: { node:, silent_ms = silent.0 });
         }
         Decision::LeaseKnown { node, known, wait } => {
-            info!("worker not listed yet, lease known to its agent", kv: { node:, left_ms = known.left.0, agent_ms = known.age.0, foreign_ms:? = known.foreign.map(|age| age.0), wait_ms = wait.0 });
+            info!("worker not listed yet, lease known to its agent", kv: { node:, left_ms = known.left.0, agent_ms = known.age.0, restarted_ms:? = known.restarted.map(|age| age.0), unconfirmed_ms:? = known.unconfirmed_start.map(|age| age.0), listed = known.listed.len(), wait_ms = wait.0 });
         }
         Decision::Job { job, state } => info!("job ended", kv: { job:, state: }),
         Decision::Joined {
--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -60,13 +60,18 @@
 
     /// Returns what is known about the worker's lease while it does not answer.
     pub(super) fn known_lease(&self, now: Instant) -> KnownLease {
-        let restarted = self.restarted.then(|| self.first_listed.unwrap_or(now));
+        let age = |at: Instant| now.since(at);
+        let listed = self.running.iter().map(|row| (row.task, row.run));
         KnownLease {
             left: self.granted_until.since(now),
-            age: self.began.map_or(Millis::ZERO, |began| now.since(began)),
-            foreign: restarted
-                .max(self.unconfirmed_start)
-                .map(|at| now.since(at)),
+            age: self.began.map_or(Millis::ZERO, age),
+            restarted: self
+                .restarted
+                .then(|| self.first_listed.map_or(Millis::ZERO, age)),
+            unconfirmed_start: self.unconfirmed_start.map(age),
+            listed: listed
+                .filter(|_| self.unconfirmed_start.is_some())
+                .collect(),
         }
     }
 }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -131,10 +131,17 @@
     /// How long the agent has been running. It does not know what an earlier
     /// process has passed on.
     pub age: Millis,
-    /// How long ago the worker may last have accepted a lease by the clock of its
-    /// former incarnation: it has restarted under its name, or a start was sent
-    /// of which it is not known which incarnation it has reached.
-    pub foreign: Option<Millis>,
+    /// How long ago the first list of the worker's incarnation was read, if it has
+    /// begun under the name of the one before. It may have accepted a lease by the
+    /// clock of that one until then.
+    pub restarted: Option<Millis>,
+    /// How long ago a start was sent of which it is not known which incarnation of
+    /// the worker it has reached, and so by which clock its lease counts.
+    pub unconfirmed_start: Option<Millis>,
+    /// The runs in the worker's last list, which such a start does not concern: if
+    /// the worker has restarted since, they have ended. Empty without such a
+    /// start.
+    pub listed: Vec<(Task, Run)>,
 }
 
 /// The running tasks on a worker at one time.
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -233,14 +233,21 @@
         self.get_mut(node).map(Worker::clear).unwrap_or_default()
     }
 
+    /// Frees the resources of the runs on a worker that are over before its lease,
+    /// and returns these runs.
+    pub(super) fn clear_early(&mut self, node: &Node) -> Vec<(Task, Run)> {
+        self.get_mut(node)
+            .map(Worker::clear_early)
+            .unwrap_or_default()
+    }
+
     /// Lists workers whose leases have expired and that still hold
-    /// reservations. While the leader is behind, only those for which it has
+    /// reservations, or some of whose runs are over before. While the leader is behind, only those for which it has
     /// waited for [`MAX_POSTPONEMENT`].
     pub(super) fn expired_leases(&mut self, now: Instant, is_behind: bool) -> Vec<(Node, Expiry)> {
         let mut found = Vec::new();
         for (node, worker) in &mut self.workers {
-            let has_expired = worker.lease_until.is_some_and(|until| now >= until);
-            if worker.reservations.is_empty() || !has_expired {
+            if worker.reservations.is_empty() || !worker.has_expired(now) {
                 worker.overdue_since = None;
                 continue;
             }
--- a/crates/workload/src/planner/session.rs
+++ b/crates/workload/src/planner/session.rs
@@ -3,7 +3,7 @@
 use {
     super::{Action, Decision, Planner, Reason},
     crate::{
-        id::{Fence, Link, Node},
+        id::{Fence, Link, Node, Run, Task},
         message::Response,
     },
     filbertbend_state::unit::Millis,
@@ -34,10 +34,25 @@
 
     /// Removes every run on a worker whose lease has certainly expired. If its
     /// agent is connected, it gets a new session: a start of the present one
-    /// could still take effect once the worker has a lease again.
+    /// could still take effect once the worker has a lease again. Before that,
+    /// removes those that are over already.
     pub(super) fn abandon(&mut self, node: &Node, actions: &mut Vec<Action>) {
+        let lease_until = self.fleet.get(node).and_then(|worker| worker.lease_until);
+        if lease_until.is_some_and(|until| self.now < until) {
+            let over = self.fleet.clear_early(node);
+            return self.remove_lost(node, over, actions);
+        }
+        let over = self.fleet.clear(node);
+        self.remove_lost(node, over, actions);
+        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
+            self.open(link, node.clone(), actions);
+        }
+    }
+
+    /// Removes runs whose lease has passed.
+    fn remove_lost(&mut self, node: &Node, runs: Vec<(Task, Run)>, actions: &mut Vec<Action>) {
         let silent = self.silence(node);
-        for (task, run) in self.fleet.clear(node) {
+        for (task, run) in runs {
             self.remove_execution(task, run, actions);
             actions.push(Action::Decided(Decision::Lost {
                 task,
@@ -47,9 +62,6 @@
                 silent,
             }));
         }
-        if let Some(link) = self.fleet.get(node).and_then(|worker| worker.link) {
-            self.open(link, node.clone(), actions);
-        }
     }
 
     /// Returns the time since the last report of a worker.
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -78,6 +78,8 @@
     /// Until when such a lease may last, if the worker turns out to have
     /// restarted.
     suspected_until: Instant,
+    /// Runs that are over before the lease, and when.
+    early: Option<(Instant, BTreeSet<(Task, Run)>)>,
     pub(super) reservations: BTreeMap<(Task, Run), Reservation>,
     /// Until when each suspect may still crash the worker.
     suspects: BTreeMap<(Task, Run), Instant>,
@@ -139,6 +141,7 @@
             last_incarnation: None,
             foreign_lease_until: Instant::default(),
             suspected_until: Instant::default(),
+            early: None,
             reservations: BTreeMap::new(),
             suspects: BTreeMap::new(),
             used: Room::NONE,
@@ -179,6 +182,7 @@
         } else {
             self.limit_lease(now + settings.lease_bound());
         }
+        self.early = None;
         self.fence = fence;
         self.last_report = now;
         self.profile_reported = false;
@@ -229,6 +233,7 @@
         }
         self.incarnation = Some(incarnation.clone());
         self.suspected_until = Instant::default();
+        self.early = None;
         self.unreachable_until = None;
         self.last_incarnation = Some(incarnation.clone());
         let granted_until = now + settings.lease_bound();
@@ -248,11 +253,33 @@
         }
         let own = now + settings::bound(known.left);
         let earlier_process = now + settings.lease_bound() - known.age;
-        let foreign = known
-            .foreign
-            .map(|age| now + settings.longest_lease_bound() - age);
-        self.suspected_until = foreign.unwrap_or_default();
-        self.limit_lease(own.max(earlier_process));
+        let longest = |age: Millis| now + settings.longest_lease_bound() - age;
+        let restarted = known.restarted.map_or(Instant::default(), longest);
+        let unconfirmed = known.unconfirmed_start.map_or(Instant::default(), longest);
+        let until = own.max(earlier_process);
+        self.suspected_until = restarted.max(unconfirmed);
+        self.limit_lease(until);
+        let early = until.max(restarted).max(self.foreign_lease_until);
+        self.early =
+            (!known.listed.is_empty()).then(|| (early, known.listed.iter().copied().collect()));
+    }
+
+    /// Returns whether the lease has expired, or some runs are over before.
+    pub(super) fn has_expired(&self, now: Instant) -> bool {
+        let is_over = |until: Instant| now >= until;
+        let early = self.early.as_ref().is_some_and(|(until, runs)| {
+            is_over(*until) && runs.iter().any(|run| self.reservations.contains_key(run))
+        });
+        early || self.lease_until.is_some_and(is_over)
+    }
+
+    /// Frees the resources of the runs that are over before the lease, and returns
+    /// these runs.
+    pub(super) fn clear_early(&mut self) -> Vec<(Task, Run)> {
+        self.probe = None;
+        let (_, mut runs) = self.early.take().unwrap_or_default();
+        runs.retain(|(task, run)| self.release(*task, *run));
+        runs.into_iter().collect()
     }
 
     /// Returns until when the runs on a worker without an inventory in this session
@@ -526,6 +553,7 @@
 
     pub(super) fn lease(&mut self, request: u64, lease: Millis, until: Instant) {
         self.probe = None;
+        self.early = None;
         self.orders.lease = Some((request, lease));
         self.lease_until = self.lease_until.max(Some(until));
     }
--- a/crates/workload/tests/agent/takeovers.rs
+++ b/crates/workload/tests/agent/takeovers.rs
@@ -1,7 +1,7 @@
 //! What an agent reports to a new leader while its worker does not answer.
 
 use {
-    crate::harness::{ends, profile, row, snapshot, Harness, FENCE},
+    crate::harness::{ends, profile, row, snapshot, start, Harness, FENCE},
     filbertbend_state::unit::Millis,
     filbertbend_workload::{
         agent::{Answer, Call, Event},
@@ -40,7 +40,8 @@
     assert!(known.left > Millis(1500), "{known:?}");
     assert!(known.left <= Millis(2000), "{known:?}");
     assert!(known.age >= Millis(4000), "{known:?}");
-    assert_eq!(known.foreign, None);
+    assert_eq!(known.restarted, None);
+    assert_eq!(known.unconfirmed_start, None);
 }
 
 /// Guards against a task that runs twice: the agent takes the lease for short,
@@ -56,7 +57,8 @@
         change_leader(&mut harness);
 
         let known = known_lease(&harness);
-        assert_eq!(known.foreign, Some(Millis(300)), "{answer:?}");
+        assert_eq!(known.unconfirmed_start, Some(Millis(300)), "{answer:?}");
+        assert_eq!(known.listed, []);
     }
 
     let mut harness = Harness::new();
@@ -65,7 +67,32 @@
     harness.pass(Millis(300));
     harness.poll(snapshot(1, vec![row()]));
     change_leader(&mut harness);
-    assert_eq!(known_lease(&harness).foreign, None, "listed since");
+    assert_eq!(
+        known_lease(&harness).unconfirmed_start,
+        None,
+        "listed since"
+    );
+}
+
+/// Guards against a service that waits for the longest lease because of a start of
+/// another task: it was listed before, so that it has ended if the worker has
+/// restarted.
+#[test]
+fn listed_run_waits_for_the_lease_of_an_unconfirmed_start() {
+    let mut harness = Harness::new();
+    let call = harness.order();
+    harness.answer(call, Answer::Done);
+    harness.poll(snapshot(1, vec![row()]));
+    let mut other = start();
+    other.task.index = 1;
+    let call = harness.order_start(other).expect("the start is sent");
+    harness.answer(call, Answer::Lost);
+
+    change_leader(&mut harness);
+
+    let known = known_lease(&harness);
+    assert!(known.unconfirmed_start.is_some());
+    assert_eq!(known.listed, [(row().task, row().run)]);
 }
 
 /// Guards against the same if the restart has been found out.
@@ -85,7 +112,7 @@
 
     change_leader(&mut harness);
 
-    assert_eq!(known_lease(&harness).foreign, Some(Millis(700)));
+    assert_eq!(known_lease(&harness).restarted, Some(Millis(700)));
 }
 
 /// Guards against a lease that outlasts what a new leader waits for: the agent
--- a/crates/workload/tests/takeover.rs
+++ b/crates/workload/tests/takeover.rs
@@ -115,7 +115,9 @@
         KnownLease {
             left: Millis(1000),
             age: Millis(60_000),
-            foreign: None,
+            restarted: None,
+            unconfirmed_start: None,
+            listed: Vec::new(),
         },
     );
 
@@ -134,7 +136,9 @@
         KnownLease {
             left: Millis::ZERO,
             age: Millis(2000),
-            foreign: None,
+            restarted: None,
+            unconfirmed_start: None,
+            listed: Vec::new(),
         },
     );
 
@@ -146,20 +150,47 @@
 /// name and accepted a lease by the clock of its former incarnation.
 #[test]
 fn lease_by_a_former_clock_is_not_waited_for() {
-    let mut harness = new_leader();
-
-    report_lease(
-        &mut harness,
-        KnownLease {
-            left: Millis(1000),
-            age: Millis(60_000),
-            foreign: Some(Millis(2000)),
-        },
-    );
+    for (restarted, unconfirmed_start) in [(Some(2000), None), (None, Some(2000))] {
+        let mut harness = new_leader();
+
+        report_lease(
+            &mut harness,
+            KnownLease {
+                left: Millis(1000),
+                age: Millis(60_000),
+                restarted: restarted.map(Millis),
+                unconfirmed_start: unconfirmed_start.map(Millis),
+                listed: Vec::new(),
+            },
+        );
+
+        // The longest lease that a worker accepts is 10 s.
+        assert!(!starts_within(&mut harness, Millis(8200)));
+        assert!(starts_within(&mut harness, Millis(400)));
+    }
+}
 
-    // The longest lease that a worker accepts is 10 s.
-    assert!(!starts_within(&mut harness, Millis(8200)));
-    assert!(starts_within(&mut harness, Millis(400)));
+/// Guards against a service that waits for the longest lease because of a start of
+/// another task.
+#[test]
+fn listed_run_waits_for_the_lease_of_an_unconfirmed_start() {
+    for (restarted, least) in [(None, 1100), (Some(2000), 8200)] {
+        let mut harness = new_leader();
+
+        report_lease(
+            &mut harness,
+            KnownLease {
+                left: Millis(1000),
+                age: Millis(60_000),
+                restarted: restarted.map(Millis),
+                unconfirmed_start: Some(Millis(500)),
+                listed: vec![(task(1, 0, 0), Run(1))],
+            },
+        );
+
+        assert!(!starts_within(&mut harness, Millis(least)));
+        assert!(starts_within(&mut harness, Millis(400)));
+    }
 }
 
 /// Guards against a service that waits although its agent knows that it has ended:
