--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -4,14 +4,9 @@
 mod support;
 
 use {
-    filbertbend_dispatch::{
-        entry::{Entry, Options},
-        key, link_identity,
-    },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_dispatch::{entry::Entry, key, link_identity},
     filbertbend_workload::{
         id::Epoch,
-        planner::Settings,
         record::{Leader, Term},
     },
     serde::Serialize,
@@ -20,7 +15,7 @@
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
     },
-    support::Memory,
+    support::{options, Memory},
     tokio::{
         sync::watch,
         task::LocalSet,
@@ -58,21 +53,9 @@
 /// Starts an entry, and returns the term that it claims.
 async fn claimed_term(store: &Memory) -> Option<Term> {
     let identity = link_identity::load_or_create(store).await;
-    let options = Options {
-        node: "entry-1".into(),
-        address: ([127, 0, 0, 1], 0).into(),
-        processor: Cores(500),
-        planner: Settings {
-            lease: Millis(5500),
-            lease_limit: Millis(10_000),
-            silence_limit: Millis(2200),
-            job_retention: Millis(120_000),
-            worker_retention: Millis(12_000),
-        },
-    };
     let (_catalog, catalog) = watch::channel(None);
     let (_stopper, stop) = watch::channel(false);
-    let _entry = Entry::start(store.clone(), options, identity, catalog, stop).unwrap();
+    let _entry = Entry::start(store.clone(), options(), identity, catalog, stop).unwrap();
     let claimed = async {
         loop {
             let leader: Option<Leader> = store
--- a/crates/dispatch/tests/entry_links.rs
+++ b/crates/dispatch/tests/entry_links.rs
@@ -4,20 +4,13 @@
 mod support;
 
 use {
-    filbertbend_dispatch::{
-        entry::{Entry, Options},
-        link_identity,
-    },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_dispatch::{entry::Entry, link_identity},
     filbertbend_transport::{link::Link, tls::Identity},
-    filbertbend_workload::{
-        message::{Reply, Request, Response},
-        planner::Settings,
-    },
+    filbertbend_workload::message::{Reply, Request, Response},
     std::{future::Future, rc::Rc, time::Duration},
     support::{
-        leader::{loopback, open, publish, FakeLeader},
-        Memory,
+        leader::{open, publish, FakeLeader},
+        options, Memory,
     },
     tokio::{
         sync::watch,
@@ -56,22 +49,10 @@
 }
 
 fn start_entry(store: &Memory, identity: &Identity) -> Rc<Entry<Memory>> {
-    let options = Options {
-        node: "entry-1".into(),
-        address: loopback(),
-        processor: Cores(500),
-        planner: Settings {
-            lease: Millis(5500),
-            lease_limit: Millis(10_000),
-            silence_limit: Millis(2200),
-            job_retention: Millis(120_000),
-            worker_retention: Millis(12_000),
-        },
-    };
     let (_, catalog) = watch::channel(None);
     // The entry is stopped and never leads.
     let (_, stop) = watch::channel(true);
-    Entry::start(store.clone(), options, identity.clone(), catalog, stop).unwrap()
+    Entry::start(store.clone(), options(), identity.clone(), catalog, stop).unwrap()
 }
 
 /// Asks an entry every few milliseconds, and returns the answers and the longest
--- a/crates/dispatch/tests/retirement.rs
+++ b/crates/dispatch/tests/retirement.rs
@@ -4,16 +4,10 @@
 mod support;
 
 use {
-    filbertbend_dispatch::{
-        entry::{Entry, Options},
-        link_identity,
-    },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_dispatch::{entry::Entry, link_identity},
+    filbertbend_state::unit::Millis,
     filbertbend_transport::link::Link,
-    filbertbend_workload::{
-        message::{Query, Reply, Request, Response},
-        planner::Settings,
-    },
+    filbertbend_workload::message::{Query, Reply, Request, Response},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -22,7 +16,7 @@
     },
     support::{
         leader::{loopback, open, publish_successor, FakeLeader},
-        Memory,
+        options, Memory,
     },
     tokio::{sync::watch, task::LocalSet, time::sleep},
 };
@@ -65,21 +59,9 @@
         record(link, seen.clone(), ignored.clone())
     });
     publish_successor(&store, leader.address, former);
-    let options = Options {
-        node: "entry-1".into(),
-        address: loopback(),
-        processor: Cores(500),
-        planner: Settings {
-            lease: Millis(5500),
-            lease_limit: Millis(10_000),
-            silence_limit: Millis(2200),
-            job_retention: Millis(120_000),
-            worker_retention: Millis(12_000),
-        },
-    };
     let (_catalog, catalog) = watch::channel(None);
     let (_stopper, stop) = watch::channel(false);
-    let _entry = Entry::start(store, options, identity, catalog, stop).unwrap();
+    let _entry = Entry::start(store, options(), identity, catalog, stop).unwrap();
     sleep(WATCHED).await;
     queries.take()
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -249,10 +249,9 @@
     }
 }
 
-/// Starts an entry that never leads, so that only the test writes.
-pub(crate) async fn entry(store: &Memory) -> Rc<Entry<Memory>> {
-    let identity = link_identity::load_or_create(store).await;
-    let options = Options {
+/// Returns the options of an entry whose port the system chooses.
+pub(crate) fn options() -> Options {
+    Options {
         node: "entry-1".into(),
         address: ([127, 0, 0, 1], 0).into(),
         processor: Cores(500),
@@ -263,8 +262,13 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
-    };
+    }
+}
+
+/// Starts an entry that never leads, so that only the test writes.
+pub(crate) async fn entry(store: &Memory) -> Rc<Entry<Memory>> {
+    let identity = link_identity::load_or_create(store).await;
     let (_, catalog) = watch::channel(None);
     let (_, stop) = watch::channel(true);
-    Entry::start(store.clone(), options, identity, catalog, stop).unwrap()
+    Entry::start(store.clone(), options(), identity, catalog, stop).unwrap()
 }
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -241,9 +241,9 @@
             .unwrap_or_default()
     }
 
-    /// Lists workers whose leases have expired and that still hold
-    /// reservations, or some of whose runs are over before. While the leader is behind, only those for which it has
-    /// waited for [`MAX_POSTPONEMENT`].
+    /// Lists workers with reservations whose leases have expired, or some of whose
+    /// runs are over before. While the leader is behind, only those for which it
+    /// has waited for [`MAX_POSTPONEMENT`].
     pub(super) fn expired_leases(&mut self, now: Instant, is_behind: bool) -> Vec<(Node, Expiry)> {
         let mut found = Vec::new();
         for (node, worker) in &mut self.workers {
