Complete the newest handshakes first, and none of a dialler that has gone

Cause: a busy entry completed handshakes in the order of arrival, so it began those whose diallers were about to give up.

Change: the newest is first; none is begun in the last 0.5 s in which its dialler waits; a dropped one is kept until its dialler's last packets are in.

Ruled out: refusing at once what cannot be begun. The dialler would come again within 0.1 to 1.6 s, and each dial costs the entry part of a handshake.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,4 +24,5 @@
 mod load;
 pub mod platform;
 pub mod term;
+mod turns;
 mod withdrawal;
--- a/crates/dispatch/src/listener.rs
+++ b/crates/dispatch/src/listener.rs
@@ -3,46 +3,51 @@
 //! After a change of leader all agents dial at once. A handshake costs
 //! milliseconds of processor time, so if all ran side by side, each would end
 //! late, and those that end after their dialler has given up would be wasted.
+//! For the same reason the newest is first, and those whose dialler is about to
+//! give up are dropped.
 
 use {
+    crate::turns::Turns,
     filbertbend_transport::link::{Handshake, Link, Socket},
     metrics::counter,
     spdlog::prelude::*,
     std::{pin::pin, rc::Rc, time::Duration},
-    tokio::{
-        sync::Semaphore,
-        time::{timeout, timeout_at, Instant},
-    },
+    tokio::time::{sleep_until, timeout, timeout_at, Instant},
 };
 
-/// How long a process that dials an entry waits for the link, and an agent for
-/// its session. An entry drops handshakes that have waited for this long.
+/// How long a process that dials an entry waits for the link, and an agent then
+/// for its session.
 pub(crate) const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of handshakes in progress.
 const MAX_CONCURRENT_HANDSHAKES: usize = 4;
 /// How long a handshake counts towards [`MAX_CONCURRENT_HANDSHAKES`]. By then
 /// the expensive part is done and the peer is slow or gone, which must not hold
-/// up others.
-const SLOT_TIMEOUT: Duration = Duration::from_millis(500);
+/// up others. One whose dialler waits no longer than this is not begun.
+const TURN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an incoming link is kept after its dialler has given up. The
+/// dialler's last packets, which may be late, would otherwise be taken for
+/// another link.
+const GONE_DELAY: Duration = Duration::from_secs(1);
 
 /// A socket that accepts links.
 pub(crate) struct Listener {
     socket: Socket,
-    slots: Rc<Semaphore>,
+    turns: Rc<Turns>,
 }
 
 /// An incoming link that waits for its handshake.
 pub(crate) struct Incoming {
     handshake: Handshake,
     drop_at: Instant,
-    slots: Rc<Semaphore>,
+    turns: Rc<Turns>,
 }
 
 impl Listener {
     pub(crate) fn new(socket: Socket) -> Self {
         Self {
             socket,
-            slots: Rc::new(Semaphore::new(MAX_CONCURRENT_HANDSHAKES)),
+            turns: Rc::new(Turns::new(MAX_CONCURRENT_HANDSHAKES)),
         }
     }
 
@@ -52,7 +57,7 @@
         Some(Incoming {
             handshake,
             drop_at: Instant::now() + OPEN_TIMEOUT,
-            slots: self.slots.clone(),
+            turns: self.turns.clone(),
         })
     }
 }
@@ -61,20 +66,21 @@
     /// Completes the handshake when its turn comes. Returns `None` if it fails
     /// or the dialler has given up meanwhile.
     pub(crate) async fn complete(self) -> Option<Link> {
-        // Permits are granted in the order of arrival.
-        let permit = match timeout_at(self.drop_at, self.slots.acquire()).await {
-            Ok(Ok(permit)) if Instant::now() < self.drop_at => permit,
+        let begin_by = self.drop_at - TURN_TIMEOUT;
+        let turn = match timeout_at(begin_by, self.turns.wait()).await {
+            Ok(Ok(turn)) if Instant::now() < begin_by => turn,
             _ => {
-                self.handshake.ignore();
                 count("dropped");
+                sleep_until(self.drop_at + GONE_DELAY).await;
+                self.handshake.ignore();
                 return None;
             }
         };
         let mut completing = pin!(self.handshake.complete());
-        let completed = match timeout(SLOT_TIMEOUT, &mut completing).await {
+        let completed = match timeout(TURN_TIMEOUT, &mut completing).await {
             Ok(completed) => Ok(completed),
             Err(_) => {
-                drop(permit);
+                drop(turn);
                 timeout_at(self.drop_at, completing).await
             }
         };
