Let an agent wait for its session from when the link is up

Cause: the 3 s in which an agent waits for its session began with its dial. A handshake that took 2.5 s left 0.5 s to the welcome of a busy leader, and the most expensive part was done again.

Change: the 3 s begin when the link is up. A leader that goes silent in between costs an agent 3 s more; if another leads, the store says so, and the link is dropped at once.

The test failed before: two links instead of one.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -301,10 +301,11 @@
     inbox: &mpsc::Sender<Input>,
     backoff: &mut Backoff,
 ) -> Result<Option<SocketAddr>, link::Error> {
-    // A new leader opens the sessions of all agents one after the other.
-    let open_by = tokio::time::Instant::now() + OPEN_TIMEOUT;
     let socket = Socket::dialler(identity)?;
     let link = socket.dial_within(address, OPEN_TIMEOUT).await?;
+    // A new leader opens the sessions of all agents one after the other, and a
+    // link has cost it most of the work.
+    let open_by = tokio::time::Instant::now() + OPEN_TIMEOUT;
     let (mut sender, mut receiver) = link.open().await?;
     let (outbox, mut queue) = mpsc::channel::<Request>(INBOX_LIMIT);
     // Fails only when the process ends.
--- a/crates/dispatch/tests/agent_links.rs
+++ b/crates/dispatch/tests/agent_links.rs
@@ -146,6 +146,36 @@
     .await;
 }
 
+/// Guards against an agent that closes a link whose handshake was late before its
+/// session can open, so that the leader has to complete another.
+#[tokio::test]
+async fn late_session_opens_on_a_link_that_was_late() {
+    run(async {
+        let store = Memory::default();
+        let identity = link_identity::load_or_create(&store).await;
+        let welcomed = Rc::new(Cell::new(false));
+        let seen = welcomed.clone();
+        let late = Duration::from_millis(2000);
+        let leader = FakeLeader::start_late(&identity, late, move |_, link| {
+            let seen = seen.clone();
+            async move {
+                sleep(late).await;
+                seen.set(true);
+                welcome(link).await;
+            }
+        });
+        publish(&store, leader.address);
+        let _agent = start_agent(&store, &identity);
+
+        wait_until(|| welcomed.get()).await;
+        // Longer than the silence limit of an open session.
+        sleep(Duration::from_secs(2)).await;
+
+        assert_eq!(leader.links(), 1);
+    })
+    .await;
+}
+
 /// Guards against an agent that waits before it dials the new leader after a
 /// change, however often the old one has failed.
 #[tokio::test]
--- a/crates/dispatch/tests/support/leader.rs
+++ b/crates/dispatch/tests/support/leader.rs
@@ -8,7 +8,8 @@
         tls::Identity,
     },
     filbertbend_workload::{id::Epoch, message::Request, record::Leader},
-    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc},
+    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// Returns an address of this machine with a port that the system chooses.
@@ -28,6 +29,16 @@
     pub(crate) fn start<F: Future<Output = ()> + 'static>(
         identity: &Identity,
         serve: impl Fn(usize, Link) -> F + 'static,
+    ) -> Self {
+        Self::start_late(identity, Duration::ZERO, serve)
+    }
+
+    /// Starts a leader like [`FakeLeader::start`] that begins each handshake
+    /// `delay` after it was dialled.
+    pub(crate) fn start_late<F: Future<Output = ()> + 'static>(
+        identity: &Identity,
+        delay: Duration,
+        serve: impl Fn(usize, Link) -> F + 'static,
     ) -> Self {
         let socket = Socket::listen(loopback(), identity).unwrap();
         let address = socket.address().unwrap();
@@ -35,6 +46,7 @@
         let count = links.clone();
         tokio::task::spawn_local(async move {
             while let Some(handshake) = socket.accept().await {
+                sleep(delay).await;
                 let Ok(link) = handshake.complete().await else {
                     continue;
                 };
