--- a/crates/dispatch/src/listener.rs
+++ b/crates/dispatch/src/listener.rs
@@ -9,7 +9,7 @@
 use {
     crate::turns::Turns,
     filbertbend_transport::link::{Handshake, Link, Socket},
-    metrics::counter,
+    metrics::{counter, histogram},
     spdlog::prelude::*,
     std::{pin::pin, rc::Rc, time::Duration},
     tokio::time::{sleep_until, timeout, timeout_at, Instant},
@@ -76,6 +76,9 @@
                 return None;
             }
         };
+        let begun = Instant::now();
+        let waited = begun - (self.drop_at - OPEN_TIMEOUT);
+        histogram!("filbertbend_handshake_wait_seconds").record(waited.as_secs_f64());
         let mut completing = pin!(self.handshake.complete());
         let completed = match timeout(TURN_TIMEOUT, &mut completing).await {
             Ok(completed) => Ok(completed),
@@ -84,14 +87,19 @@
                 timeout_at(self.drop_at, completing).await
             }
         };
-        match completed {
+        let error = match completed {
             Ok(Ok(link)) => {
                 count("accepted");
                 return Some(link);
             }
-            Ok(Err(error)) => info!("link handshake failed", kv: { error: }),
-            Err(_) => info!("link handshake failed", kv: { error: = "timed out" }),
-        }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "timed out".to_owned(),
+        };
+        let (waited, took) = (
+            waited.as_millis() as u64,
+            begun.elapsed().as_millis() as u64,
+        );
+        info!("link handshake failed", kv: { error: = error, waited_ms = waited, took_ms = took });
         count("failed");
         None
     }
