--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -55,10 +55,37 @@
     writes: usize,
     late: Vec<Transaction>,
     leases: u64,
+    /// The newest lease that has ended. Leases are numbered in order.
+    ended: u64,
     /// The leases that keys are bound to.
     bound: BTreeMap<Arc<str>, Lease>,
+    /// The revisions at which keys were removed.
+    removed: BTreeMap<Arc<str>, Revision>,
+    /// Whether calls get no answer.
+    away: bool,
 }
 
+impl State {
+    fn remove(&mut self, key: &Arc<str>) {
+        self.items.remove(key);
+        self.bound.remove(key);
+        self.removed.insert(key.clone(), Revision(self.revision));
+    }
+
+    /// Removes the keys that are bound to the leases that `ended` selects.
+    fn end_leases(&mut self, ended: impl Fn(Lease) -> bool) {
+        self.revision += 1;
+        let bound = self.bound.iter().filter(|(_, lease)| ended(**lease));
+        let keys: Vec<Arc<str>> = bound.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+}
+
+/// How long a call waits for its answer, beside the time that it asks for.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The in-memory store. Clones share their state.
 #[derive(Clone, Default)]
 pub(crate) struct Memory {
@@ -86,9 +113,23 @@
     /// Ends all leases and removes the keys that are bound to them.
     pub(crate) fn expire_leases(&self) {
         let mut state = self.state.borrow_mut();
-        for key in std::mem::take(&mut state.bound).into_keys() {
-            state.items.remove(&key);
+        state.ended = state.leases;
+        state.end_leases(|_| true);
+    }
+
+    /// Leaves calls without an answer from now on, or answers them again. A call
+    /// that was made while the store was away times out all the same.
+    pub(crate) fn set_away(&self, away: bool) {
+        self.state.borrow_mut().away = away;
+    }
+
+    /// Times out if the store is away.
+    async fn reach(&self, wait: Duration) -> Result<(), Failure> {
+        if self.state.borrow().away {
+            tokio::time::sleep(wait + CALL_TIMEOUT).await;
+            return Err(Failure::Lost("timeout".into()));
         }
+        Ok(())
     }
 
     /// Returns the number of keys with a prefix.
@@ -149,10 +190,10 @@
                 revision,
             };
             state.items.insert(key.clone(), item);
+            state.removed.remove(key);
         }
         for key in &transaction.remove {
-            state.items.remove(key);
-            state.bound.remove(key);
+            state.remove(key);
         }
         Commit::Done(revision)
     }
@@ -160,10 +201,12 @@
 
 impl Store for Memory {
     async fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
+        self.reach(Duration::ZERO).await?;
         Ok(self.item(key))
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Failure> {
+        self.reach(Duration::ZERO).await?;
         let state = self.state.borrow();
         let items = state.items.values();
         let found = items.filter(|item| item.key.starts_with(prefix)).cloned();
@@ -173,12 +216,18 @@
     async fn watch(&self, prefix: &str, after: Revision, wait: Millis) -> Result<Changes, Failure> {
         let deadline = tokio::time::Instant::now() + wait.duration();
         loop {
+            let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+            self.reach(left).await?;
             let (changes, revision) = {
                 let state = self.state.borrow();
                 let items = state.items.values();
                 let newer =
                     items.filter(|item| item.key.starts_with(prefix) && item.revision > after);
-                let changes: Vec<Change> = newer.cloned().map(Change::Set).collect();
+                let set = newer.cloned().map(Change::Set);
+                let removed = state.removed.iter();
+                let gone = removed.filter(|(key, at)| key.starts_with(prefix) && **at > after);
+                let gone = gone.map(|(key, _)| Change::Removed(key.clone()));
+                let changes: Vec<Change> = set.chain(gone).collect();
                 (changes, Revision(state.revision))
             };
             if !changes.is_empty() || tokio::time::Instant::now() >= deadline {
@@ -189,6 +238,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, Failure> {
+        self.reach(Duration::ZERO).await?;
         let fault = {
             let mut state = self.state.borrow_mut();
             state.writes += 1;
@@ -220,16 +270,24 @@
     }
 
     async fn grant(&self, _: Millis) -> Result<Lease, Failure> {
+        self.reach(Duration::ZERO).await?;
         let mut state = self.state.borrow_mut();
         state.leases += 1;
         Ok(Lease(state.leases))
     }
 
-    async fn renew(&self, _: Lease) -> Result<(), Failure> {
+    async fn renew(&self, lease: Lease) -> Result<(), Failure> {
+        self.reach(Duration::ZERO).await?;
+        if lease.0 <= self.state.borrow().ended {
+            return Err(Failure::LeaseNotFound);
+        }
         Ok(())
     }
 
-    async fn revoke(&self, _: Lease) -> Result<(), Failure> {
+    async fn revoke(&self, lease: Lease) -> Result<(), Failure> {
+        self.reach(Duration::ZERO).await?;
+        let mut state = self.state.borrow_mut();
+        state.end_leases(|bound| bound == lease);
         Ok(())
     }
 }
