Leave a living leader its term after an outage of the store

Cause: leases run out while the store answers nobody. Whoever's retry came through first saw the key absent and claimed 60 to 250 ms later. The leader's renewal and its write still waited for their time-outs of 1 s, so it learned 0.5 s later that its lease had expired.

An entry that sees the vacancy after failed calls and at least 1.4 s without an answer (shorter ones outlast no renewed lease) waits for 0.7 s. Its claim expects the revision of the last term that it read before the wait, so any write of the leader meanwhile makes it fail. The leader repeats renewals every 150 ms while earlier ones wait for their answers, grants its new lease the same way, outside the thread of the planner, and repeats the write that was sent before the answered call. The repetition expects the same revision of the term, so it takes effect once at most; if the first attempt did, the conflict shows its number.

A leader that dies while the store answers is replaced as fast as before: no call has failed then.

Ruled out: shorter time-outs for all calls, since a slow store answers after several hundred ms; repeating every write that is late, which would double the writes to a slow store; writing the key without expecting the term, which could overwrite a newer leader.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -51,19 +51,50 @@
     }
 }
 
+/// What the store holds of the last term. A claim that is based on it fails if
+/// its leader has written since.
+pub(crate) struct Prior {
+    epoch: Epoch,
+    /// The revision of the last leader's last write, or 0 if there was none.
+    revision: Revision,
+    /// See [`Leader::former`].
+    former: Option<SocketAddr>,
+}
+
+impl Prior {
+    pub(crate) async fn read(store: &impl Store) -> Result<Self, Failure> {
+        let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
+        let (stored, newest) = (stored?, newest?);
+        let former = stored.as_ref().and_then(former_address);
+        let revision = stored.as_ref().map_or(Revision(0), |item| item.revision);
+        let epoch = stored
+            .and_then(|item| decode_epoch(&item, |term: Term| term.epoch))
+            .max(newest.and_then(|item| decode_epoch(&item, |epoch: Epoch| epoch)))
+            .unwrap_or_default();
+        Ok(Self {
+            epoch,
+            revision,
+            former,
+        })
+    }
+
+    /// Returns whether an entry has led before.
+    pub(crate) fn exists(&self) -> bool {
+        self.revision != Revision(0)
+    }
+}
+
 /// Claims the next term. Returns `None` if another entry leads.
 pub(crate) async fn claim(
     store: &impl Store,
     candidate: &Candidate,
+    prior: &Prior,
 ) -> Result<Option<Claim>, Failure> {
-    let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
-    let (stored, newest) = (stored?, newest?);
-    let former = stored.as_ref().and_then(former_address);
-    let revision = stored.as_ref().map_or(Revision(0), |item| item.revision);
-    let last = stored
-        .and_then(|item| decode_epoch(&item, |term: Term| term.epoch))
-        .max(newest.and_then(|item| decode_epoch(&item, |epoch: Epoch| epoch)))
-        .unwrap_or_default();
+    let &Prior {
+        epoch: last,
+        revision,
+        former,
+    } = prior;
     let term = Term {
         epoch: last.next(),
         batch: 0,
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        claim,
+        claim::{self, Prior},
         journal::encode,
         key,
         key_watch::Watcher,
@@ -355,7 +355,6 @@
     /// Claims the leadership whenever it is vacant, and runs the term.
     async fn campaign(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
         let mut leader = self.leader.clone();
-        let rank = xxhash_rust::xxh3::xxh3_64(self.options.node.as_bytes());
         leader.wait_until_read().await;
         loop {
             if *stop.borrow() {
@@ -374,8 +373,13 @@
                 // disappears when its lease expires.
                 Some(_) => sleep(RETRY_DELAY).await,
                 None => {
-                    sleep(leadership::claim_delay(rank, self.options.processor).duration()).await;
-                    self.run_term(&stop).await;
+                    let prior = tokio::select! {
+                        prior = self.await_turn(&mut leader) => prior,
+                        _ = stop.wait_for(|stop| *stop) => return,
+                    };
+                    if let Some(prior) = prior {
+                        self.run_term(&prior, &stop).await;
+                    }
                     sleep(RETRY_DELAY).await;
                 }
             }
@@ -384,6 +388,34 @@
         }
     }
 
+    /// Waits until this entry may claim the vacant leadership. Returns `None` if it
+    /// is not vacant any more, or if the store does not answer.
+    async fn await_turn(&self, leader: &mut Watcher) -> Option<Prior> {
+        let silence = Millis(leader.silence().as_millis() as u64);
+        let rank = xxhash_rust::xxh3::xxh3_64(self.options.node.as_bytes());
+        sleep(leadership::claim_delay(rank, self.options.processor).duration()).await;
+        let prior = match Prior::read(&self.store).await {
+            Ok(prior) => prior,
+            Err(error) => {
+                info!("last term not read, leadership not claimed", kv: { error: });
+                return None;
+            }
+        };
+        if !prior.exists() {
+            return Some(prior);
+        }
+        let wait = leadership::outage_grace(silence);
+        if wait == Millis::ZERO {
+            return Some(prior);
+        }
+        info!("leadership vacant, waiting before a claim", kv: { wait_ms = wait.0, silence_ms = silence.0 });
+        if timeout(wait.duration(), appearance(leader)).await.is_ok() {
+            info!("leadership not vacant any more, not claimed");
+            return None;
+        }
+        Some(prior)
+    }
+
     /// Tells the leader that its predecessor is gone, if that was a process at this
     /// entry's address, or this process in an earlier term. Never returns.
     async fn report_retirement(&self, leader: Leader) {
@@ -404,16 +436,19 @@
         std::future::pending().await
     }
 
-    async fn run_term(self: &Rc<Self>, stop: &watch::Receiver<bool>) {
+    async fn run_term(self: &Rc<Self>, prior: &Prior, stop: &watch::Receiver<bool>) {
         let candidate = Candidate {
             node: self.options.node.clone(),
             address: self.options.address,
             settings: self.options.planner.clone(),
             retired_since: self.retired_since.get(),
         };
-        let claim = match claim::claim(&self.store, &candidate).await {
+        let claim = match claim::claim(&self.store, &candidate, prior).await {
             Ok(Some(claim)) => claim,
-            Ok(None) => return,
+            Ok(None) => {
+                info!("leadership claim lost, another entry has written");
+                return;
+            }
             Err(error) => {
                 info!("leadership claim failed", kv: { error: });
                 return;
@@ -524,6 +559,13 @@
     Ok(())
 }
 
+/// Waits until the store's key names a leader.
+async fn appearance(watcher: &mut Watcher) {
+    while decode_leader(watcher).is_none() {
+        watcher.changed().await;
+    }
+}
+
 /// Returns the leader that the store's key names, if any.
 pub(crate) fn decode_leader(watcher: &Watcher) -> Option<Leader> {
     let item = watcher.item()?;
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -14,8 +14,11 @@
     },
     serde::Serialize,
     spdlog::prelude::*,
-    std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    std::{future::pending, sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{self, sleep},
+    },
 };
 
 /// Delay before a failed write is retried.
@@ -37,6 +40,7 @@
     term: Term,
     revision: Revision,
     claimed: Instant,
+    recovered: Option<watch::Receiver<time::Instant>>,
 }
 
 impl<S: Store> Journal<S> {
@@ -48,9 +52,17 @@
             term,
             revision,
             claimed,
+            recovered: None,
         }
     }
 
+    /// Repeats a write without an answer as soon as a call that was made after it
+    /// has been answered. `recovered` holds when the last such call was made.
+    pub fn with_recovery(mut self, recovered: watch::Receiver<time::Instant>) -> Self {
+        self.recovered = Some(recovered);
+        self
+    }
+
     /// Writes a batch, with retries until the store has committed it. Returns
     /// the time just before the attempt that succeeded was sent.
     ///
@@ -88,7 +100,15 @@
         loop {
             transaction.expect = vec![(key::TERM.into(), self.revision)];
             let sent_at = clock::monotonic();
-            match self.store.commit(&transaction).await {
+            let committed = tokio::select! {
+                committed = self.store.commit(&transaction) => committed,
+                // The write may still take effect; then the next attempt finds it.
+                () = recovery_after(time::Instant::now(), &mut self.recovered) => {
+                    info!("store answers again, write repeated", kv: { batch = self.term.batch });
+                    continue;
+                }
+            };
+            match committed {
                 Ok(Commit::Done(revision)) => {
                     self.revision = revision;
                     return Ok(sent_at);
@@ -132,6 +152,19 @@
     }
 }
 
+/// Waits until a call that was made after `sent_at` has been answered.
+async fn recovery_after(
+    sent_at: time::Instant,
+    recovered: &mut Option<watch::Receiver<time::Instant>>,
+) {
+    if let Some(recovered) = recovered {
+        if recovered.wait_for(|after| *after > sent_at).await.is_ok() {
+            return;
+        }
+    }
+    pending().await
+}
+
 /// Encodes a record. Encoding fails only for types that postcard doesn't
 /// support, and no record contains one.
 pub(crate) fn encode(record: &impl Serialize) -> Vec<u8> {
--- a/crates/dispatch/src/key_watch.rs
+++ b/crates/dispatch/src/key_watch.rs
@@ -23,6 +23,7 @@
     value: watch::Receiver<State>,
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
+    silence: Rc<Cell<Duration>>,
 }
 
 /// What is known about the key.
@@ -43,8 +44,10 @@
         let (sender, value) = watch::channel(State::default());
         let refresh = Arc::new(Notify::new());
         let last_answer = Rc::new(Cell::new(Instant::now()));
+        let silence = Rc::new(Cell::new(Duration::ZERO));
         let poller = Poller {
             last_answer: last_answer.clone(),
+            silence: silence.clone(),
             store,
             key,
             wait,
@@ -56,6 +59,7 @@
             value,
             refresh,
             last_answer,
+            silence,
         }
     }
 
@@ -73,6 +77,12 @@
         self.last_answer.get().elapsed()
     }
 
+    /// Returns for how long the store had not answered before its last answer, or
+    /// zero if no call had failed.
+    pub fn silence(&self) -> Duration {
+        self.silence.get()
+    }
+
     /// Waits until the key has been read for the first time.
     pub async fn wait_until_read(&mut self) {
         let read = self.value.wait_for(|state| *state != State::Unread);
@@ -105,13 +115,14 @@
     sender: watch::Sender<State>,
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
+    silence: Rc<Cell<Duration>>,
 }
 
 impl<S: Store> Poller<S> {
     async fn run(self) {
         let mut failed = false;
         loop {
-            if let Err(error) = self.watch().await {
+            if let Err(error) = self.watch(failed).await {
                 if !failed {
                     warn!("watch of a store key failed, retrying", kv: { key: = self.key, error: });
                 }
@@ -124,10 +135,13 @@
     }
 
     /// Reads the key and watches it until a call fails or a refresh is
-    /// requested.
-    async fn watch(&self) -> Result<(), Failure> {
+    /// requested. `failed` tells whether the last call failed.
+    async fn watch(&self, failed: bool) -> Result<(), Failure> {
         let (items, mut revision) = self.store.list(self.key).await?;
-        self.last_answer.set(Instant::now());
+        let answered = Instant::now();
+        let silence = answered - self.last_answer.replace(answered);
+        self.silence
+            .set(if failed { silence } else { Duration::ZERO });
         let item = items.into_iter().find(|item| *item.key == *self.key);
         self.publish(item);
         loop {
@@ -136,6 +150,7 @@
                 () = self.refresh.notified() => return Ok(()),
             };
             self.last_answer.set(Instant::now());
+            self.silence.set(Duration::ZERO);
             revision = changes.revision;
             let last = changes.changes.into_iter().rfind(|change| match change {
                 Change::Set(item) => *item.key == *self.key,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 pub mod journal;
 pub mod key;
+mod key_lease;
 pub mod key_watch;
 mod leader_link;
 pub mod link_identity;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -11,6 +11,7 @@
         entry::Inbox,
         journal::{Deposed, Journal},
         key::{self, Watched},
+        key_lease,
         load::Load,
         platform::{Change, Changes, Failure, Item, Lease, Revision, Store},
     },
@@ -86,9 +87,9 @@
     /// The batch with this number was written by an attempt sent at this time,
     /// or another entry leads. The number is 0 for the leader's key.
     Written(u64, Result<Instant, Deposed>),
-    /// The lease of the leader's key has expired, so the key must be written
-    /// again.
-    Announce,
+    /// The lease of the leader's key had expired, so the key must be written
+    /// again and bound to this one.
+    Announce(Lease),
 }
 
 /// An input that waits to be processed.
@@ -110,6 +111,8 @@
     journal: mpsc::UnboundedSender<Order>,
     outboxes: HashMap<Link, mpsc::Sender<Response>>,
     inbox: Rc<Inbox>,
+    /// When the last call was made that the store answered after an outage.
+    recovered: watch::Sender<tokio::time::Instant>,
     last_tick: Instant,
     load: Load,
     /// Reads the monotonic clock.
@@ -141,7 +144,9 @@
         let epoch = claim.term.epoch;
         let planner = Planner::new(candidate.settings.clone(), epoch, now);
         let (journal, orders) = mpsc::unbounded_channel();
-        let writer = Journal::new(store.clone(), claim.term, claim.revision, now);
+        let recovered = watch::Sender::new(tokio::time::Instant::now());
+        let writer = Journal::new(store.clone(), claim.term, claim.revision, now)
+            .with_recovery(recovered.subscribe());
         tokio::task::spawn_local(write_orders(writer, orders, inbox.clone()));
         info!("leading", kv: { epoch = epoch.0, node: = &*candidate.node });
         counter!("filbertbend_terms_total").increment(1);
@@ -156,6 +161,7 @@
             journal,
             outboxes: HashMap::new(),
             inbox,
+            recovered,
             last_tick: now,
             load: Load::default(),
             clock: clock::monotonic,
@@ -169,10 +175,11 @@
         mut catalog: watch::Receiver<Option<Arc<Catalog>>>,
         mut stop: watch::Receiver<bool>,
     ) -> Ended {
-        let renewal_task = tokio::task::spawn_local(renew_lease(
+        let renewal_task = tokio::task::spawn_local(key_lease::keep(
             self.store.clone(),
             self.lease,
             self.inbox.clone(),
+            self.recovered.clone(),
         ));
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -273,7 +280,7 @@
                 warn!("another entry leads", kv: { epoch = self.epoch.0, by: = deposed.by.map_or(0, |by| by.0) });
                 return Some(Ended::Deposed);
             }
-            Input::Announce => self.announce().await,
+            Input::Announce(lease) => self.announce(lease),
         }
         None
     }
@@ -288,33 +295,16 @@
     }
 
     /// Binds the leader's key to a new lease after the old one has expired.
-    async fn announce(&mut self) {
-        match self.store.grant(leadership::KEY_TTL).await {
-            Ok(lease) => {
-                self.lease = lease;
-                let leader = Leader {
-                    epoch: self.epoch,
-                    node: self.candidate.node.clone(),
-                    address: self.candidate.address,
-                    former: self.former,
-                };
-                // Fails only if the journal has ended, which it reports itself.
-                let _ = self.journal.send(Order::Announce(leader, lease));
-                tokio::task::spawn_local(renew_lease(
-                    self.store.clone(),
-                    lease,
-                    self.inbox.clone(),
-                ));
-            }
-            Err(error) => {
-                warn!("lease for the leader's key not granted, retrying", kv: { error: });
-                let inbox = self.inbox.clone();
-                tokio::task::spawn_local(async move {
-                    sleep(RETRY_DELAY).await;
-                    inbox.send(Input::Announce).await;
-                });
-            }
-        }
+    fn announce(&mut self, lease: Lease) {
+        self.lease = lease;
+        let leader = Leader {
+            epoch: self.epoch,
+            node: self.candidate.node.clone(),
+            address: self.candidate.address,
+            former: self.former,
+        };
+        // Fails only if the journal has ended, which it reports itself.
+        let _ = self.journal.send(Order::Announce(leader, lease));
     }
 
     /// Tells the planner that the process is behind, if it is.
@@ -534,22 +524,6 @@
     }
 }
 
-/// Renews the lease of the leader's key until it expires.
-async fn renew_lease<S: Store>(store: S, lease: Lease, inbox: Rc<Inbox>) {
-    loop {
-        sleep(leadership::RENEW_INTERVAL.duration()).await;
-        match store.renew(lease).await {
-            Ok(()) => {}
-            Err(Failure::LeaseNotFound) => {
-                warn!("lease of the leader's key has expired");
-                inbox.send(Input::Announce).await;
-                return;
-            }
-            Err(error) => debug!("lease of the leader's key not renewed, retrying", kv: { error: }),
-        }
-    }
-}
-
 /// Watches the keys below [`key::WATCHED_PREFIX`] and passes their changes to
 /// the term.
 async fn watch_changes<S: Store>(store: S, mut revision: Revision, inbox: Rc<Inbox>) {
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -19,11 +19,17 @@
     },
     std::time::{Duration, Instant},
     support::{entry, job, Fault, Memory},
-    tokio::task::LocalSet,
+    tokio::{
+        sync::watch,
+        task::LocalSet,
+        time::{self as virtual_time, sleep, timeout},
+    },
 };
 
 /// How long the callers in these tests wait for an answer.
 const LIMIT: Duration = Duration::from_secs(3);
+/// How long the store answers nobody.
+const OUTAGE: Duration = Duration::from_millis(400);
 
 fn term(epoch: u64) -> Term {
     Term {
@@ -116,6 +122,34 @@
     }
 }
 
+/// Guards against a leader that is deposed after an outage of the store because its
+/// key waits behind a write that hangs, and against one that writes it twice.
+#[tokio::test(start_paused = true)]
+async fn write_that_hangs_is_repeated_when_the_store_answers_again() {
+    for fault in [Fault::Silence, Fault::SilentEffect] {
+        let (store, journal) = journal();
+        let recovered = watch::Sender::new(virtual_time::Instant::now());
+        let mut journal = journal.with_recovery(recovered.subscribe());
+        let writes = store.writes();
+        store.fail([fault]);
+
+        let recovery = async {
+            sleep(OUTAGE).await;
+            recovered.send_replace(virtual_time::Instant::now());
+        };
+        let written = async { timeout(2 * OUTAGE, journal.write(&batch(1))).await };
+        let (written, ()) = tokio::join!(written, recovery);
+        written.expect("repeated").unwrap();
+        journal.write(&batch(2)).await.unwrap();
+
+        assert_eq!(completed(&store), 2);
+        assert_eq!(store.writes() - writes, 3, "{fault:?}");
+        let item = store.item(key::TERM).unwrap();
+        let found: Term = postcard::from_bytes(&item.value).unwrap();
+        assert_eq!(found.batch, 2);
+    }
+}
+
 /// Guards against a former leader whose writes still take effect after another
 /// entry has claimed a newer term.
 #[tokio::test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -43,6 +43,8 @@
     Overtaken,
     /// The connection goes silent: neither answer nor error arrives.
     Silence,
+    /// The write takes effect, but neither answer nor error arrives.
+    SilentEffect,
     /// The lease that the write binds a key to has expired.
     LeaseExpired,
 }
@@ -260,6 +262,10 @@
                 Ok(self.apply(transaction))
             }
             Some(Fault::Silence) => std::future::pending().await,
+            Some(Fault::SilentEffect) => {
+                self.apply(transaction);
+                std::future::pending().await
+            }
             Some(Fault::LeaseExpired) => Ok(Commit::LeaseNotFound),
             Some(Fault::LostCall) => Err(Failure::Lost("reset".into())),
             Some(Fault::LostAnswer) => {
--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -63,6 +63,23 @@
     TASK_LEASE.min(Millis(limit.0 * MAX_LEASE_PERCENT / 100))
 }
 
+/// How long an entry that could not reach the store leaves the leader to renew its
+/// key once the store answers again.
+const OUTAGE_GRACE: Millis = Millis(700);
+/// The shortest outage in which the lease of a living leader's key can run out.
+const MIN_LAPSE: Millis = Millis(KEY_TTL.0 - RENEW_INTERVAL.0);
+
+/// Returns how much longer an entry waits before it claims a leadership that it
+/// found vacant when the store answered again after `silence`. The leases of all
+/// keys may have run out meanwhile, so the vacancy does not show that the last
+/// leader is gone, and a change of leader costs the sessions of all agents.
+pub fn outage_grace(silence: Millis) -> Millis {
+    if silence < MIN_LAPSE {
+        return Millis::ZERO;
+    }
+    OUTAGE_GRACE
+}
+
 /// The claim delay of an entry with one core. Entries with less wait longer, in
 /// inverse proportion.
 const CLAIM_DELAY_PER_CORE: Millis = Millis(30);
--- a/crates/workload/tests/leadership.rs
+++ b/crates/workload/tests/leadership.rs
@@ -3,7 +3,8 @@
 use {
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_workload::leadership::{
-        claim_delay, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL, TAKEOVER_TIME,
+        claim_delay, outage_grace, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL, RENEW_INTERVAL,
+        TAKEOVER_TIME,
     },
 };
 
@@ -37,3 +38,19 @@
         assert!(weakest < Millis(600), "{weakest}");
     }
 }
+
+/// Guards against a living leader that is deposed because its lease ran out in an
+/// outage, and against a wait for a leader that died while the store answered.
+#[test]
+fn only_outages_in_which_leases_run_out_delay_a_claim() {
+    let short = KEY_TTL - RENEW_INTERVAL - Millis(1);
+
+    for silence in [Millis::ZERO, Millis(300), short] {
+        assert_eq!(outage_grace(silence), Millis::ZERO, "{silence}");
+    }
+    for silence in [KEY_TTL - RENEW_INTERVAL, KEY_TTL, Millis(7200)] {
+        let grace = outage_grace(silence);
+        assert!(grace >= Millis(500), "{grace} after {silence}");
+        assert!(grace + Millis(500) < TAKEOVER_TIME, "{grace}");
+    }
+}
