Let an entry weaker than the last leader claim a second later

Cause: the delay of a claim orders entries only if they learn of the vacancy together. After an outage their retries are spread over a second, and the weakest delay is 250 ms.

The term names the processor time of the entry that wrote it, and an entry with less than three quarters of that waits another second. Where all entries are alike, and on an empty store, none waits.

The field is the last of the record. Earlier versions ignore what follows their last field; a record without it is completed with the encoding of None, and nobody waits on account of it. Both are tested.

Ruled out: a longer delay for all weak entries, which would also delay deployments without stronger ones; a second record for the field, which another writer could separate from the term.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -7,14 +7,13 @@
         platform::{Commit, Failure, Item, Lease, Revision, Store, Transaction},
         term::Candidate,
     },
-    filbertbend_state::time::Instant,
+    filbertbend_state::{time::Instant, unit::Cores},
     filbertbend_transport::clock,
     filbertbend_workload::{
         id::Epoch,
         leadership,
         record::{Leader, Term},
     },
-    serde::de::DeserializeOwned,
     spdlog::prelude::*,
     std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
@@ -34,11 +33,16 @@
     pub(crate) former: Option<SocketAddr>,
 }
 
-/// Decodes a record that holds an epoch. Another writer may have changed it, and
+/// Decodes a stored term, also one of an earlier version.
+pub(crate) fn decode_term(item: &Item) -> Result<Term, postcard::Error> {
+    postcard::from_bytes(&Term::complete(item.value.clone()))
+}
+
+/// Returns the epoch of a record if it can be used. Another writer may have changed it, and
 /// an epoch that is lost would make workers refuse the next leader's fences, so
 /// the epoch is stored in two records.
-fn decode_epoch<T: DeserializeOwned>(item: &Item, epoch: impl Fn(T) -> Epoch) -> Option<Epoch> {
-    match postcard::from_bytes(&item.value).map(epoch) {
+fn checked_epoch(item: &Item, decoded: Result<Epoch, postcard::Error>) -> Option<Epoch> {
+    match decoded {
         Ok(epoch) if epoch <= Epoch::MAX => Some(epoch),
         Ok(epoch) => {
             error!("epoch out of range", kv: { key: = &*item.key, epoch = epoch.0 });
@@ -59,22 +63,25 @@
     revision: Revision,
     /// See [`Leader::former`].
     former: Option<SocketAddr>,
+    /// The processor time of the last leader, if it is known.
+    pub(crate) processor: Option<Cores>,
 }
 
 impl Prior {
     pub(crate) async fn read(store: &impl Store) -> Result<Self, Failure> {
         let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
         let (stored, newest) = (stored?, newest?);
-        let former = stored.as_ref().and_then(former_address);
+        let term = stored.as_ref().and_then(|item| decode_term(item).ok());
         let revision = stored.as_ref().map_or(Revision(0), |item| item.revision);
         let epoch = stored
-            .and_then(|item| decode_epoch(&item, |term: Term| term.epoch))
-            .max(newest.and_then(|item| decode_epoch(&item, |epoch: Epoch| epoch)))
+            .and_then(|item| checked_epoch(&item, decode_term(&item).map(|term| term.epoch)))
+            .max(newest.and_then(|item| checked_epoch(&item, postcard::from_bytes(&item.value))))
             .unwrap_or_default();
         Ok(Self {
             epoch,
             revision,
-            former,
+            former: term.as_ref().and_then(former_address),
+            processor: term.and_then(|term| term.processor),
         })
     }
 
@@ -94,6 +101,7 @@
         epoch: last,
         revision,
         former,
+        ..
     } = prior;
     let term = Term {
         epoch: last.next(),
@@ -101,6 +109,7 @@
         node: candidate.node.clone(),
         address: candidate.address,
         settled: false,
+        processor: Some(candidate.processor),
     };
     let leader = Leader {
         epoch: term.epoch,
@@ -144,8 +153,7 @@
 }
 
 /// Returns the address of the last leader, if leases of earlier ones are over.
-fn former_address(stored: &Item) -> Option<SocketAddr> {
-    let term: Term = postcard::from_bytes(&stored.value).ok()?;
+fn former_address(term: &Term) -> Option<SocketAddr> {
     term.settled.then_some(term.address)
 }
 
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -404,11 +404,18 @@
         if !prior.exists() {
             return Some(prior);
         }
-        let wait = leadership::outage_grace(silence);
+        let processor = self.options.processor;
+        let wait =
+            leadership::outage_grace(silence) + leadership::deference(processor, prior.processor);
         if wait == Millis::ZERO {
             return Some(prior);
         }
-        info!("leadership vacant, waiting before a claim", kv: { wait_ms = wait.0, silence_ms = silence.0 });
+        info!("leadership vacant, waiting before a claim", kv: {
+            wait_ms = wait.0,
+            silence_ms = silence.0,
+            processor_millicores = processor.0,
+            last_millicores = prior.processor.map_or(0, |last| last.0)
+        });
         if timeout(wait.duration(), appearance(leader)).await.is_ok() {
             info!("leadership not vacant any more, not claimed");
             return None;
@@ -440,6 +447,7 @@
         let candidate = Candidate {
             node: self.options.node.clone(),
             address: self.options.address,
+            processor: self.options.processor,
             settings: self.options.planner.clone(),
             retired_since: self.retired_since.get(),
         };
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        claim::decode_term,
         key,
         platform::{Commit, Failure, Item, Lease, Revision, Store, Transaction},
     },
@@ -141,7 +142,7 @@
             .iter()
             .find(|item| *item.key == *key::TERM)
             .ok_or(Deposed { by: None })?;
-        let found: Term = postcard::from_bytes(&item.value).map_err(|_| Deposed { by: None })?;
+        let found = decode_term(item).map_err(|_| Deposed { by: None })?;
         if found.epoch != self.term.epoch || found.node != self.term.node {
             return Err(Deposed {
                 by: Some(found.epoch),
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -15,7 +15,10 @@
         load::Load,
         platform::{Change, Changes, Failure, Item, Lease, Revision, Store},
     },
-    filbertbend_state::{time::Instant, unit::Millis},
+    filbertbend_state::{
+        time::Instant,
+        unit::{Cores, Millis},
+    },
     filbertbend_transport::clock,
     filbertbend_workload::{
         catalog::Catalog,
@@ -62,6 +65,7 @@
 pub(crate) struct Candidate {
     pub(crate) node: Arc<str>,
     pub(crate) address: SocketAddr,
+    pub(crate) processor: Cores,
     pub(crate) settings: Settings,
     /// Since when no process at this address has led.
     pub(crate) retired_since: Instant,
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -72,6 +72,7 @@
     let candidate = Candidate {
         node: "entry".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        processor: Cores(500),
         settings: Settings {
             lease: Millis(6000),
             lease_limit: Millis(10_000),
@@ -88,6 +89,7 @@
             node: "entry".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             settled: false,
+            processor: Some(Cores(500)),
         },
         revision: Revision(1),
         lease: Lease(1),
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -5,11 +5,12 @@
 
 use {
     filbertbend_dispatch::{entry::Entry, key, link_identity},
+    filbertbend_state::unit::Cores,
     filbertbend_workload::{
         id::Epoch,
         record::{Leader, Term},
     },
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     std::{
         future::Future,
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -19,7 +20,7 @@
     tokio::{
         sync::watch,
         task::LocalSet,
-        time::{sleep, timeout},
+        time::{sleep, timeout, Instant},
     },
 };
 
@@ -43,6 +44,7 @@
         node: "entry-9".into(),
         address: FORMER,
         settled,
+        processor: None,
     }
 }
 
@@ -156,3 +158,57 @@
         .await;
     }
 }
+
+/// Guards against an epoch that is lost, or a leader whose writes fail, while
+/// processes of the version before the field `processor` are being replaced.
+#[test]
+fn term_of_either_version_is_read_by_the_other() {
+    /// The record as the earlier version has it.
+    #[derive(Debug, Deserialize, PartialEq, Serialize)]
+    struct Earlier {
+        epoch: Epoch,
+        batch: u64,
+        node: String,
+        address: SocketAddr,
+        settled: bool,
+    }
+    let earlier = Earlier {
+        epoch: Epoch(41),
+        batch: 3,
+        node: "entry-9".into(),
+        address: FORMER,
+        settled: true,
+    };
+    let newer = Term {
+        processor: Some(Cores(500)),
+        ..former_term(41, true)
+    };
+
+    let read: Term = postcard::from_bytes(&Term::complete(encode(&earlier))).unwrap();
+    let read_by_earlier: Earlier = postcard::from_bytes(&encode(&newer)).unwrap();
+    let same: Term = postcard::from_bytes(&Term::complete(encode(&newer))).unwrap();
+
+    assert_eq!(read, former_term(41, true));
+    assert_eq!(read_by_earlier, earlier);
+    assert_eq!(same, newer);
+}
+
+/// Guards against a claim that loses the epoch of a term which an earlier version
+/// has written, or that waits without knowing the last leader's processor time.
+#[tokio::test(start_paused = true)]
+async fn term_of_an_earlier_version_is_followed_without_a_wait() {
+    run(async {
+        let store = Memory::default();
+        let mut stored = encode(&former_term(41, true));
+        assert_eq!(stored.pop(), Some(0), "the field that it lacks");
+        store.put(key::TERM, stored);
+        let began = Instant::now();
+
+        let claimed = claimed_term(&store).await.expect("the term is claimed");
+
+        assert_eq!(claimed.epoch, Epoch(42));
+        assert_eq!(claimed.processor, Some(options().processor));
+        assert!(began.elapsed() < Duration::from_millis(500));
+    })
+    .await;
+}
--- a/crates/dispatch/tests/store.rs
+++ b/crates/dispatch/tests/store.rs
@@ -38,6 +38,7 @@
         node: format!("entry-{epoch}").into(),
         address: ([127, 0, 0, 1], 1).into(),
         settled: false,
+        processor: None,
     }
 }
 
--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -80,6 +80,24 @@
     OUTAGE_GRACE
 }
 
+/// How long an entry that is weaker than the last leader leaves stronger ones to
+/// claim.
+const DEFERENCE: Millis = Millis(1000);
+/// The part of the last leader's processor time below which an entry is weaker, in
+/// percent.
+const WEAKER_PERCENT: u64 = 75;
+
+/// Returns how much longer an entry with `own` processor time waits before it claims
+/// after a leader that had `last`, if that is known. Some of the entries may learn
+/// of the vacancy late, and a leader with much less processor time than the last one
+/// may not keep up with the deployment.
+pub fn deference(own: Cores, last: Option<Cores>) -> Millis {
+    match last {
+        Some(last) if own.0 * 100 < last.0.saturating_mul(WEAKER_PERCENT) => DEFERENCE,
+        _ => Millis::ZERO,
+    }
+}
+
 /// The claim delay of an entry with one core. Entries with less wait longer, in
 /// inverse proportion.
 const CLAIM_DELAY_PER_CORE: Millis = Millis(30);
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::id::{Epoch, Node, Run},
-    filbertbend_state::time::Wall,
+    filbertbend_state::{time::Wall, unit::Cores},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
     strum::Display,
@@ -108,4 +108,18 @@
     pub address: SocketAddr,
     /// Whether all leases that earlier leaders had granted were over.
     pub settled: bool,
+    /// The processor time of the entry that wrote it. Processes of an earlier
+    /// version neither write nor read it, see [`Term::complete`].
+    pub processor: Option<Cores>,
+}
+
+impl Term {
+    /// Completes a stored record of a version that had no `processor`, which then
+    /// reads as `None`. Fields are stored without names, in order, and whatever
+    /// follows the last one is ignored: by this version and by earlier ones.
+    pub fn complete(mut stored: Vec<u8>) -> Vec<u8> {
+        const NONE: u8 = 0;
+        stored.push(NONE);
+        stored
+    }
 }
--- a/crates/workload/tests/leadership.rs
+++ b/crates/workload/tests/leadership.rs
@@ -3,8 +3,8 @@
 use {
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_workload::leadership::{
-        claim_delay, outage_grace, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL, RENEW_INTERVAL,
-        TAKEOVER_TIME,
+        claim_delay, deference, outage_grace, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL,
+        RENEW_INTERVAL, TAKEOVER_TIME,
     },
 };
 
@@ -54,3 +54,24 @@
         assert!(grace + Millis(500) < TAKEOVER_TIME, "{grace}");
     }
 }
+
+/// Guards against a leader that has too little processor time because it saw the
+/// vacancy first, and against a wait where all entries are alike.
+#[test]
+fn only_entries_weaker_than_the_last_leader_leave_others_time() {
+    let last = Some(Cores(500));
+
+    for own in [Cores(0), Cores(69), Cores(120), Cores(300)] {
+        let wait = deference(own, last);
+        assert!(wait >= Millis(500), "{own}");
+        assert!(
+            wait + claim_delay(7, own) + Millis(500) < TAKEOVER_TIME,
+            "{own}"
+        );
+        assert_eq!(deference(own, None), Millis::ZERO, "{own}");
+        assert_eq!(deference(own, Some(own)), Millis::ZERO, "{own}");
+    }
+    for own in [Cores(450), Cores(500), Cores(2000)] {
+        assert_eq!(deference(own, last), Millis::ZERO, "{own}");
+    }
+}
