Keep the wait after an outage when the last term is not read at once

refused_read_after_an_outage_does_not_hasten_a_claim failed without this change and passes with it. The read is now repeated until it is answered or the key names a leader, within the same attempt.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -68,7 +68,20 @@
 }
 
 impl Prior {
-    pub(crate) async fn read(store: &impl Store) -> Result<Self, Failure> {
+    /// Reads the last term, with retries until the store has answered.
+    pub(crate) async fn load(store: &impl Store) -> Self {
+        loop {
+            match Self::read(store).await {
+                Ok(prior) => return prior,
+                Err(error) => {
+                    info!("last term not read, retrying", kv: { error: });
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn read(store: &impl Store) -> Result<Self, Failure> {
         let (stored, newest) = tokio::join!(store.get(key::TERM), store.get(key::EPOCH));
         let (stored, newest) = (stored?, newest?);
         let term = stored.as_ref().and_then(|item| decode_term(item).ok());
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -389,17 +389,14 @@
     }
 
     /// Waits until this entry may claim the vacant leadership. Returns `None` if it
-    /// is not vacant any more, or if the store does not answer.
+    /// is not vacant any more.
     async fn await_turn(&self, leader: &mut Watcher) -> Option<Prior> {
         let silence = Millis(leader.silence().as_millis() as u64);
         let rank = xxhash_rust::xxh3::xxh3_64(self.options.node.as_bytes());
         sleep(leadership::claim_delay(rank, self.options.processor).duration()).await;
-        let prior = match Prior::read(&self.store).await {
-            Ok(prior) => prior,
-            Err(error) => {
-                info!("last term not read, leadership not claimed", kv: { error: });
-                return None;
-            }
+        let prior = tokio::select! {
+            prior = Prior::load(&self.store) => prior,
+            () = appearance(leader) => return None,
         };
         if !prior.exists() {
             return Some(prior);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -65,6 +65,8 @@
     removed: BTreeMap<Arc<str>, Revision>,
     /// Whether calls get no answer.
     away: bool,
+    /// How many of the next reads are refused.
+    refused_reads: usize,
 }
 
 impl State {
@@ -125,6 +127,16 @@
         self.state.borrow_mut().away = away;
     }
 
+    /// Refuses the next reads of single keys.
+    pub(crate) fn refuse_reads(&self, count: usize) {
+        self.state.borrow_mut().refused_reads = count;
+    }
+
+    /// Returns how many reads are still to be refused.
+    pub(crate) fn refused_reads(&self) -> usize {
+        self.state.borrow().refused_reads
+    }
+
     /// Times out if the store is away.
     async fn reach(&self, wait: Duration) -> Result<(), Failure> {
         if self.state.borrow().away {
@@ -204,7 +216,12 @@
 impl Store for Memory {
     async fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
         self.reach(Duration::ZERO).await?;
-        Ok(self.item(key))
+        let mut state = self.state.borrow_mut();
+        if state.refused_reads > 0 {
+            state.refused_reads -= 1;
+            return Err(Failure::Refused("busy".into()));
+        }
+        Ok(state.items.get(key).cloned())
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Failure> {
--- a/crates/dispatch/tests/vacancies.rs
+++ b/crates/dispatch/tests/vacancies.rs
@@ -15,7 +15,7 @@
     tokio::{
         sync::watch,
         task::LocalSet,
-        time::{sleep, timeout},
+        time::{sleep, timeout, Instant},
     },
 };
 
@@ -106,6 +106,35 @@
     }
 }
 
+/// Guards against an entry that forgets the outage, and so claims at once, because
+/// the store refuses its first read afterwards.
+#[tokio::test(start_paused = true)]
+async fn refused_read_after_an_outage_does_not_hasten_a_claim() {
+    run(async {
+        let store = Memory::default();
+        let incumbent = start(&store, "entry-1", STRONG).await;
+        wait_for_leader(&store).await;
+        let _other = start(&store, "entry-2", STRONG).await;
+        sleep(Duration::from_secs(1)).await;
+
+        store.set_away(true);
+        incumbent.stopper.send(true).unwrap();
+        sleep(Duration::from_secs(5)).await;
+        store.expire_leases();
+        store.refuse_reads(2);
+        store.set_away(false);
+        while store.refused_reads() > 0 {
+            sleep(POLL).await;
+        }
+        let began = Instant::now();
+        let successor = wait_for_leader(&store).await;
+
+        assert_eq!(&*successor.node, "entry-2");
+        assert!(began.elapsed() >= Duration::from_millis(700));
+    })
+    .await;
+}
+
 /// Guards against a leader that has too little processor time for the deployment
 /// because the stronger entries learned of the vacancy later.
 #[tokio::test(start_paused = true)]
