--- a/crates/workload/src/leadership.rs
+++ b/crates/workload/src/leadership.rs
@@ -63,6 +63,41 @@
     TASK_LEASE.min(Millis(limit.0 * MAX_LEASE_PERCENT / 100))
 }
 
+/// How long an entry that could not reach the store leaves the leader to renew its
+/// key once the store answers again.
+const OUTAGE_GRACE: Millis = Millis(700);
+/// The shortest outage in which the lease of a living leader's key can run out.
+const MIN_LAPSE: Millis = Millis(KEY_TTL.0 - RENEW_INTERVAL.0);
+
+/// Returns how much longer an entry waits before it claims a leadership that it
+/// found vacant when the store answered again after `silence`. The leases of all
+/// keys may have run out meanwhile, so the vacancy does not show that the last
+/// leader is gone, and a change of leader costs the sessions of all agents.
+pub fn outage_grace(silence: Millis) -> Millis {
+    if silence < MIN_LAPSE {
+        return Millis::ZERO;
+    }
+    OUTAGE_GRACE
+}
+
+/// How long an entry that is weaker than the last leader leaves stronger ones to
+/// claim.
+const DEFERENCE: Millis = Millis(1000);
+/// The part of the last leader's processor time below which an entry is weaker, in
+/// percent.
+const WEAKER_PERCENT: u64 = 75;
+
+/// Returns how much longer an entry with `own` processor time waits before it claims
+/// after a leader that had `last`, if that is known. Some of the entries may learn
+/// of the vacancy late, and a leader with much less processor time than the last one
+/// may not keep up with the deployment.
+pub fn deference(own: Cores, last: Option<Cores>) -> Millis {
+    match last {
+        Some(last) if own.0 * 100 < last.0.saturating_mul(WEAKER_PERCENT) => DEFERENCE,
+        _ => Millis::ZERO,
+    }
+}
+
 /// The claim delay of an entry with one core. Entries with less wait longer, in
 /// inverse proportion.
 const CLAIM_DELAY_PER_CORE: Millis = Millis(30);
--- a/crates/workload/tests/leadership.rs
+++ b/crates/workload/tests/leadership.rs
@@ -3,7 +3,8 @@
 use {
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_workload::leadership::{
-        claim_delay, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL, TAKEOVER_TIME,
+        claim_delay, deference, outage_grace, task_lease, KEY_TTL, LEASE_RENEW_INTERVAL,
+        RENEW_INTERVAL, TAKEOVER_TIME,
     },
 };
 
@@ -37,3 +38,40 @@
         assert!(weakest < Millis(600), "{weakest}");
     }
 }
+
+/// Guards against a living leader that is deposed because its lease ran out in an
+/// outage, and against a wait for a leader that died while the store answered.
+#[test]
+fn only_outages_in_which_leases_run_out_delay_a_claim() {
+    let short = KEY_TTL - RENEW_INTERVAL - Millis(1);
+
+    for silence in [Millis::ZERO, Millis(300), short] {
+        assert_eq!(outage_grace(silence), Millis::ZERO, "{silence}");
+    }
+    for silence in [KEY_TTL - RENEW_INTERVAL, KEY_TTL, Millis(7200)] {
+        let grace = outage_grace(silence);
+        assert!(grace >= Millis(500), "{grace} after {silence}");
+        assert!(grace + Millis(500) < TAKEOVER_TIME, "{grace}");
+    }
+}
+
+/// Guards against a leader that has too little processor time because it saw the
+/// vacancy first, and against a wait where all entries are alike.
+#[test]
+fn only_entries_weaker_than_the_last_leader_leave_others_time() {
+    let last = Some(Cores(500));
+
+    for own in [Cores(0), Cores(69), Cores(120), Cores(300)] {
+        let wait = deference(own, last);
+        assert!(wait >= Millis(500), "{own}");
+        assert!(
+            wait + claim_delay(7, own) + Millis(500) < TAKEOVER_TIME,
+            "{own}"
+        );
+        assert_eq!(deference(own, None), Millis::ZERO, "{own}");
+        assert_eq!(deference(own, Some(own)), Millis::ZERO, "{own}");
+    }
+    for own in [Cores(450), Cores(500), Cores(2000)] {
+        assert_eq!(deference(own, last), Millis::ZERO, "{own}");
+    }
+}
