Say in the log that services wait for room

Callers saw tasks that last away for 13 to 20 s after many workers were lost. The log named one task that found no worker, the most urgent of any kind, and nothing of how many services waited, for how long, or whether workers were held for them, so waits for leases and for room could not be told apart.

Once a second the leader now logs the number of long-running tasks that may start, the longest wait among them and the workers that are held, and keeps the first and the last as metrics. It counts them in the list of ready steps, which each placement pass goes through anyway.

Ruled out: a line for each task that waits; after a loss there are hundreds.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -97,6 +97,9 @@
 fn log_backlog(backlog: &Backlog) {
     let Backlog {
         blocked,
+        waiting_services,
+        longest_wait,
+        held_workers,
         awaited_runs,
         overdue_workers,
         overdue,
@@ -105,6 +108,8 @@
         .as_ref()
         .map_or(0.0, |blocked| blocked.waited.duration().as_secs_f64());
     gauge!("filbertbend_blocked_seconds").set(waited);
+    gauge!("filbertbend_waiting_services").set(*waiting_services as f64);
+    gauge!("filbertbend_held_workers").set(*held_workers as f64);
     gauge!("filbertbend_awaited_runs").set(*awaited_runs as f64);
     gauge!("filbertbend_overdue_workers").set(*overdue_workers as f64);
     if let Some(blocked) = blocked {
@@ -117,6 +122,9 @@
         };
         info!("task finds no worker", kv: { job: = task.job, task:, waited_ms = blocked.waited.0, millicores = cores, mib = memory, freest: = node, free_millicores = free_cores, free_mib = free_memory });
     }
+    if *waiting_services > 0 {
+        info!("services wait for room", kv: { tasks = *waiting_services, longest_ms = longest_wait.0, held_workers = *held_workers });
+    }
     if *awaited_runs > 0 {
         info!("runs of a former leader await their workers' reports", kv: { runs = *awaited_runs });
     }
--- a/crates/workload/src/planner/backlog.rs
+++ b/crates/workload/src/planner/backlog.rs
@@ -6,7 +6,7 @@
         decision::{Backlog, Blocked},
         pass::Pass,
         place::Requirements,
-        Action, Decision, Instant, Node, Planner,
+        Action, Decision, Instant, Node, Planner, Rank,
     },
     filbertbend_state::{room::Room, unit::Millis},
 };
@@ -26,8 +26,13 @@
         }
         self.backlog_reported = self.now;
         let overdue = self.overdue_leases();
+        let waits = self.service_waits();
+        let held = self.fleet.iter().filter(|(_, worker)| worker.hold.is_some());
         let backlog = Backlog {
             blocked: self.blocked(),
+            waiting_services: waits.len(),
+            longest_wait: waits.into_iter().max().unwrap_or(Millis::ZERO),
+            held_workers: held.count(),
             awaited_runs: self.awaited_runs(),
             overdue_workers: overdue.len(),
             overdue: overdue
@@ -52,6 +57,24 @@
         })
     }
 
+    /// Lists how long each long-running task that may start has waited.
+    fn service_waits(&self) -> Vec<Millis> {
+        let is_long_running = |rank: &&Rank| {
+            let step = self
+                .registry
+                .get(rank.job)
+                .and_then(|entry| entry.step(rank.step));
+            step.is_some_and(|step| step.mode.long_running)
+        };
+        self.ready
+            .iter()
+            .filter(is_long_running)
+            .flat_map(|rank| self.startable(*rank))
+            .filter_map(|task| self.registry.get(task.job)?.task(task)?.ready_since)
+            .map(|since| self.now.since(since))
+            .collect()
+    }
+
     /// Returns the worker with the most free cores of those that a task may run
     /// on.
     fn freest(&self, requirements: &Requirements<'_>) -> Option<(Node, Room)> {
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -140,6 +140,12 @@
 pub struct Backlog {
     /// The most urgent task that has waited for long although it may start.
     pub blocked: Option<Blocked>,
+    /// The long-running tasks that may start, which callers expect to be running.
+    pub waiting_services: usize,
+    /// The longest wait among these.
+    pub longest_wait: Millis,
+    /// The workers that are held for tasks that need much room.
+    pub held_workers: usize,
     /// The runs of former leaders on workers that have not reported in this
     /// term.
     pub awaited_runs: usize,
