Test how long services are away that lose many replicas at once

Callers saw tasks that last away for 13 to 20 s after many workers were lost, beside short tasks that ended every second. The tests lose eight replicas at once beside a stream of short tasks of the same priority, and bound how long each is away by the platform's rule, 6 s.

Ruled out: the wait for leases, as the count begins when the runs are given up.

--- a/crates/workload/src/planner/backlog.rs
+++ b/crates/workload/src/planner/backlog.rs
@@ -27,7 +27,10 @@
         self.backlog_reported = self.now;
         let overdue = self.overdue_leases();
         let waits = self.service_waits();
-        let held = self.fleet.iter().filter(|(_, worker)| worker.hold.is_some());
+        let held = self
+            .fleet
+            .iter()
+            .filter(|(_, worker)| worker.hold.is_some());
         let backlog = Backlog {
             blocked: self.blocked(),
             waiting_services: waits.len(),
--- a/crates/workload/tests/lasting_tasks.rs
+++ b/crates/workload/tests/lasting_tasks.rs
@@ -4,34 +4,38 @@
 mod support;
 
 use {
-    filbertbend_state::{time::Instant, time::Wall, unit::Millis},
+    filbertbend_state::{
+        time::{Instant, Wall},
+        unit::Millis,
+    },
     filbertbend_workload::{
         id::{Job, Task},
         job::{self, Step},
         message::Start,
+        planner::Decision,
         worker::Exit,
     },
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
     support::{job, room, service, step, Harness},
 };
 
 const WORKERS: u64 = 32;
-/// The workers that are lost, each with one replica of the service.
-const LOST: u64 = 8;
-const REPLICAS: u16 = 10;
-const SERVICE: u64 = 1;
-const STREAM: u64 = 2;
-/// A stream that outlasts each test.
+/// Half of the replicas that run on workers of their own.
+const LOST: usize = 8;
+const REPLICAS: u16 = 16;
+/// The jobs of the stream; those before are services.
+const STREAMS: [Job; 2] = [Job(8), Job(9)];
+/// The short tasks of one job, which together outlast each test.
 const STREAM_TASKS: u16 = 4000;
 /// The interval at which one short task ends on each worker.
 const TURN: Millis = Millis(100);
 /// How long a long-running task may be away, by the platform's rules.
 const LONGEST_ABSENCE: Millis = Millis(6000);
-/// Longer than a test follows the tasks that are away.
-const FOLLOWED: Millis = Millis(25_000);
+/// Enough to give up the lost workers, and to place the replicas one by one.
+const TURNS: usize = 300;
 
 fn accepted_at(accepted: Wall, steps: Vec<Step>) -> Arc<job::Job> {
     let mut submitted = (*job(steps)).clone();
@@ -39,90 +43,140 @@
     Arc::new(submitted)
 }
 
-/// Workers with a service, filled with short tasks that end and are replaced all
+/// Returns a step of replicas that each fill most of a worker.
+fn replicas(count: u16) -> Step {
+    let mut replicas = service();
+    replicas.tasks = count;
+    replicas.room = room(6, 2);
+    replicas
+}
+
+/// Workers with services, filled with short tasks that end and are replaced all
 /// the time.
 struct Cluster {
     harness: Harness,
+    alive: Vec<u64>,
     short: Vec<VecDeque<Start>>,
     ends: Vec<u64>,
-    /// The worker and the last start of each replica.
-    replicas: BTreeMap<Task, (u64, Start)>,
+    /// The worker of each replica.
+    replicas: BTreeMap<Task, u64>,
+    /// Since when each replica that was lost is away.
+    away: BTreeMap<Task, Instant>,
+    absences: Vec<Millis>,
 }
 
 impl Cluster {
-    /// Starts one replica on each of several workers, then the stream.
-    fn new(replica: Step, service_accepted: Wall, stream_accepted: Wall) -> Self {
-        let mut harness = Harness::with_workers(WORKERS);
-        harness.submit(SERVICE, accepted_at(service_accepted, vec![replica]));
-        let stream = accepted_at(stream_accepted, vec![step(STREAM_TASKS)]);
-        harness.submit(STREAM, stream);
+    /// Starts the services, then the stream on what they leave.
+    fn new(services: Vec<Arc<job::Job>>, stream_accepted: Wall) -> Self {
         let mut cluster = Self {
-            harness,
+            harness: Harness::with_workers(WORKERS),
+            alive: (0..WORKERS).collect(),
             short: vec![VecDeque::new(); WORKERS as usize],
             ends: vec![0; WORKERS as usize],
             replicas: BTreeMap::new(),
+            away: BTreeMap::new(),
+            absences: Vec::new(),
         };
-        cluster.take_starts();
-        let starts: Vec<_> = cluster.replicas.values().cloned().collect();
-        for (worker, start) in &starts {
-            cluster.harness.started(*worker, start);
+        for (number, service) in (1..).zip(services) {
+            cluster.harness.submit(number, service);
         }
+        for stream in STREAMS {
+            let short = accepted_at(stream_accepted, vec![step(STREAM_TASKS)]);
+            cluster.harness.submit(stream.0, short);
+        }
+        cluster.take_starts();
+        assert_eq!(cluster.replicas.len(), usize::from(REPLICAS));
         cluster
     }
 
-    /// Takes the new starts; returns the replicas among them.
-    fn take_starts(&mut self) -> Vec<Task> {
-        let mut replicas = Vec::new();
+    fn take_starts(&mut self) {
         for (worker, start) in self.harness.all_starts() {
-            if start.task.job == Job(SERVICE) {
-                replicas.push(start.task);
-                self.replicas.insert(start.task, (worker, start));
-            } else {
+            self.harness.started(worker, &start);
+            if STREAMS.contains(&start.task.job) {
                 self.short[worker as usize].push_back(start);
+                continue;
+            }
+            self.replicas.insert(start.task, worker);
+            if let Some(since) = self.away.remove(&start.task) {
+                self.absences.push(self.harness.now.since(since));
             }
         }
-        replicas
     }
 
-    fn end(&mut self, worker: u64, start: &Start, exit: Exit) {
-        self.ends[worker as usize] += 1;
-        let sequence = self.ends[worker as usize];
-        self.harness.end(worker, sequence, start, exit);
-    }
-
-    /// Ends the oldest short task of each living worker; returns the replicas that
-    /// are started.
-    fn turn(&mut self, alive: &[u64]) -> Vec<Task> {
-        for worker in alive {
-            if let Some(start) = self.short[*worker as usize].pop_front() {
-                self.end(*worker, &start, Exit::Done);
+    /// Ends the oldest short task of each living worker.
+    fn turn(&mut self) {
+        for worker in self.alive.clone() {
+            if let Some(start) = self.short[worker as usize].pop_front() {
+                self.ends[worker as usize] += 1;
+                let sequence = self.ends[worker as usize];
+                self.harness.end(worker, sequence, &start, Exit::Done);
             }
         }
-        self.harness.pass(TURN, alive);
+        self.harness.pass(TURN, &self.alive);
         self.harness.commit();
-        self.take_starts()
-    }
-
-    /// Follows replicas that are away until they have all been started, and
-    /// returns how long each was away.
-    fn absences(&mut self, away: &[Task], since: Instant, alive: &[u64]) -> Vec<Millis> {
-        let mut absences = Vec::new();
-        while absences.len() < away.len() && self.harness.now < since + FOLLOWED {
-            let started = self.turn(alive);
-            let now = self.harness.now;
-            let back = started.iter().filter(|task| away.contains(task));
-            absences.extend(back.map(|_| now.since(since)));
+        for decision in std::mem::take(&mut self.harness.decisions) {
+            if let Decision::Lost { task, .. } = decision {
+                if !STREAMS.contains(&task.job) {
+                    self.away.insert(task, self.harness.now);
+                }
+            }
         }
-        absences
+        self.take_starts();
     }
 
-    /// Lets replicas end at once as if their processes had been killed, and returns
-    /// them.
-    fn kill(&mut self, count: usize) -> Vec<Task> {
-        let killed: Vec<_> = self.replicas.values().take(count).cloned().collect();
-        for (worker, start) in &killed {
-            self.end(*worker, start, Exit::Killed);
+    /// Silences the workers of every other replica for good, and returns how long
+    /// each of these replicas is away.
+    fn lose_half(&mut self) -> Vec<Millis> {
+        let lost: BTreeSet<u64> = self.replicas.values().step_by(2).copied().collect();
+        assert_eq!(lost.len(), LOST);
+        self.alive.retain(|worker| !lost.contains(worker));
+        for _ in 0..TURNS {
+            self.turn();
         }
-        killed.into_iter().map(|(_, start)| start.task).collect()
+        self.absences.clone()
     }
 }
+
+fn assert_in_time(absences: &[Millis]) {
+    assert_eq!(absences.len(), LOST, "not all are back: {absences:?}");
+    let in_time = |absence: &Millis| *absence <= LONGEST_ABSENCE;
+    assert!(absences.iter().all(in_time), "away for {absences:?}");
+}
+
+/// Guards against replicas that wait for room one after the other, while short
+/// tasks of the same priority take what becomes free.
+#[test]
+fn lost_replicas_are_back_in_time_although_short_tasks_take_all_room_that_becomes_free() {
+    let service = accepted_at(Wall(0), vec![replicas(REPLICAS)]);
+    let mut cluster = Cluster::new(vec![service], Wall(1));
+
+    let absences = cluster.lose_half();
+
+    assert_in_time(&absences);
+}
+
+/// Guards against replicas that wait behind short tasks because these were accepted
+/// before the service.
+#[test]
+fn lost_replicas_are_back_in_time_although_the_short_tasks_were_accepted_first() {
+    let service = accepted_at(Wall(1), vec![replicas(REPLICAS)]);
+    let mut cluster = Cluster::new(vec![service], Wall(0));
+
+    let absences = cluster.lose_half();
+
+    assert_in_time(&absences);
+}
+
+/// Guards against services that get no room while another one of the same kind
+/// finds none.
+#[test]
+fn lost_replicas_of_several_services_are_back_in_time() {
+    let services = (0..u64::from(REPLICAS) / 4)
+        .map(|accepted| accepted_at(Wall(accepted), vec![replicas(4)]))
+        .collect();
+    let mut cluster = Cluster::new(services, Wall(20));
+
+    let absences = cluster.lose_half();
+
+    assert_in_time(&absences);
+}
