Keep room at once for all services that were running

Callers saw services away for 13 to 20 s after many workers were lost at once, although short tasks all over the pool ended every second. The platform's rule allows 6 s, and counts as capacity what short work gives back.

Cause, shown by the tests of lasting_tasks.rs: a worker was held for a service only after 5 s, and one at a time, so eight lost replicas came back one after the other. A step got no hold if one with like needs had found no worker in the same pass, or if a later of its own tasks found none. And nothing kept off what was accepted before the service, so short tasks of an older job took its room without end.

A long-running task whose run has ended now has a claim: its step comes first within its priority, and workers are held for all its replicas as soon as one finds no room. They are chosen by when room becomes free there, from the estimates and the age of their tasks, and given up for others if that takes a second longer than expected. Half of a pool's workers may be held like this if room is expected within 2.5 s, otherwise an eighth as before. A start uses up its part of the hold, so that the rest of the worker is free at once. A new leader gives the claim to the long-running tasks of running jobs that have no run, since the record does not say which of them waited for room.

What a pass cannot hold is remembered by pool, label and need, so that further steps that find no room cost it no examination of the workers.

Half of the workers go on with short tasks meanwhile.

Ruled out: only an earlier hold, which leaves the replicas waiting one after the other; stopping short tasks of the same priority, whose work would be lost although they end within the time that a stop takes.

--- a/crates/workload/src/planner/gang.rs
+++ b/crates/workload/src/planner/gang.rs
@@ -44,7 +44,7 @@
             for (victim, run) in share.victims {
                 self.stop(victim, run, &node, Reason::Preempted, actions);
             }
-            self.keep(&node, rank, share.need, pass);
+            self.keep(&node, rank, (share.members, share.need), pass);
         }
     }
 
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -6,7 +6,8 @@
 //! - `session` opens the sessions with agents and gives up lost runs.
 //! - `place` selects workers for tasks.
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
-//!   keeps it for tasks that need much.
+//!   keeps it for tasks that need much, where it becomes free first according to
+//!   `drain`.
 //! - `stop` stops runs and withdraws starts.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
@@ -27,6 +28,7 @@
 
 mod backlog;
 mod decision;
+mod drain;
 mod fleet;
 mod gang;
 mod headroom;
@@ -57,7 +59,7 @@
         unit::Millis,
     },
     fleet::Fleet,
-    registry::Registry,
+    registry::{Claim, Registry},
     std::{cell::Cell, collections::BTreeSet, sync::Arc},
     worker::Expiry,
 };
@@ -179,17 +181,26 @@
     wall: Wall,
 }
 
-/// The order in which steps are placed: by priority, then by the time of
-/// acceptance.
+/// The order in which steps are placed: by priority, then those whose services
+/// were running, then by the time of acceptance.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
     priority: u8,
+    claim: Claim,
     accepted: Wall,
     job: Job,
     occurrence: u32,
     step: u16,
 }
 
+impl Rank {
+    /// Returns whether a task belongs to the step.
+    fn is_of(&self, task: Task) -> bool {
+        let step = (task.job, task.occurrence, task.step);
+        step == (self.job, self.occurrence, self.step)
+    }
+}
+
 impl Planner {
     /// Creates the planner of a term that began at `now`.
     pub fn new(settings: Settings, epoch: Epoch, now: Instant) -> Self {
@@ -432,20 +443,24 @@
             return;
         };
         entry.open_due(self.now, self.wall);
+        entry.update_claims();
         let priority = policy(&self.catalog, &entry.job).priority;
         let accepted = entry.job.accepted;
-        for (occurrence, step, startable) in entry.startable() {
-            let rank = Rank {
-                priority,
-                accepted,
-                job: id,
-                occurrence,
-                step,
-            };
-            if startable {
-                self.ready.insert(rank);
-            } else {
-                self.ready.remove(&rank);
+        for (occurrence, step, found) in entry.startable() {
+            for claim in [Claim::Displaced, Claim::New] {
+                let rank = Rank {
+                    priority,
+                    claim,
+                    accepted,
+                    job: id,
+                    occurrence,
+                    step,
+                };
+                if found == Some(claim) {
+                    self.ready.insert(rank);
+                } else {
+                    self.ready.remove(&rank);
+                }
             }
         }
         if entry.is_complete() && !entry.state.is_final() {
--- a/crates/workload/src/planner/pass.rs
+++ b/crates/workload/src/planner/pass.rs
@@ -2,9 +2,10 @@
 //! cannot be placed does not cost an examination of all of them.
 
 use {
-    super::{hold::Holds, place::Requirements},
+    super::{drain::Drain, hold::Holds, place::Requirements},
+    crate::id::Node,
     filbertbend_state::{room::Room, time::Instant, unit::Millis},
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// The findings of one placement pass.
@@ -18,6 +19,8 @@
     used_fractions: Vec<(Arc<str>, f64)>,
     /// The workers that are held for steps.
     pub(super) holds: Holds,
+    /// What becomes free on each worker, once it has been asked for.
+    pub(super) drains: Option<BTreeMap<Node, Drain>>,
 }
 
 /// Requirements that no worker met; a task that requires at least as much is
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -70,6 +70,12 @@
 }
 
 impl Requirements<'_> {
+    /// Returns the number of tasks of the same step on a worker, if the step
+    /// constrains it.
+    pub(super) fn siblings_on(&self, node: &Node) -> usize {
+        self.siblings.get(node).copied().unwrap_or(0)
+    }
+
     /// Returns whether the requirements differ between the tasks of a step, or
     /// depend on where the others run.
     fn is_individual(&self) -> bool {
@@ -161,6 +167,7 @@
             return;
         };
         if pass.is_rejected(&requirements) {
+            self.hold(rank, pass);
             return;
         }
         let found = self.search(&requirements, pass);
@@ -181,6 +188,7 @@
             };
             let Some(node) = self.search_next(&requirements, &mut ranking, pass) else {
                 pass.reject(&requirements);
+                self.hold(rank, pass);
                 return;
             };
             self.start(task, &node, None, pass, actions);
@@ -311,8 +319,9 @@
             Some(queue) => &queue.pool,
             None => &entry.job.policy.pool,
         };
-        let tasks = entry.occurrences.get(&task.occurrence)?;
-        let tasks = &tasks.steps.get(usize::from(task.step))?.tasks;
+        let occurrence = entry.occurrences.get(&task.occurrence)?;
+        let state = occurrence.steps.get(usize::from(task.step))?;
+        let tasks = &state.tasks;
         let found = tasks.get(usize::from(task.index))?;
         let mut siblings = BTreeMap::new();
         if step.placement.most_per_worker.is_some() || step.placement.same_rack {
@@ -339,6 +348,7 @@
             && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION;
         let rank = Rank {
             priority: policy(&self.catalog, &entry.job).priority,
+            claim: state.claim,
             accepted: entry.job.accepted,
             job: task.job,
             occurrence: task.occurrence,
@@ -481,7 +491,7 @@
         node: &Node,
         worker: &Worker,
     ) -> bool {
-        let siblings = requirements.siblings.get(node).copied().unwrap_or(0);
+        let siblings = requirements.siblings_on(node);
         let below_limit = requirements
             .step
             .placement
@@ -567,6 +577,7 @@
         };
         self.fleet.start(node, start, version, reservation);
         pass.reserved();
+        self.use_hold(task, node, pass);
         if let Some(worker) = self.fleet.get_mut(node) {
             worker.update_headroom(&self.model);
         }
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -29,6 +29,17 @@
     pub(super) stopping: bool,
 }
 
+/// What a step may demand of others, in the order of urgency.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Claim {
+    /// A service was running and is away, so that its users notice every second
+    /// until it is back.
+    Displaced,
+    /// Nothing of what waits was running.
+    #[default]
+    New,
+}
+
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TaskEntry {
@@ -45,6 +56,8 @@
     pub(super) executions: Vec<Execution>,
     /// When the task last became startable.
     pub(super) ready_since: Option<Instant>,
+    /// Whether a run of the task has been at work before.
+    pub(super) was_running: bool,
     /// The node on which the task last failed or was refused or starved.
     pub(super) avoid: Option<Node>,
 }
@@ -62,6 +75,7 @@
     pub(super) tasks: Vec<TaskEntry>,
     pub(super) remaining: usize,
     pub(super) open: bool,
+    pub(super) claim: Claim,
 }
 
 /// The state of one occurrence of a job.
@@ -99,6 +113,7 @@
                 tasks: vec![TaskEntry::default(); step.tasks.into()],
                 remaining: step.tasks.into(),
                 open: false,
+                claim: Claim::New,
             })
             .collect();
         Self { steps }
@@ -168,6 +183,8 @@
                 for (index, task) in step.tasks.iter_mut().enumerate() {
                     let word = bits.get(index / 64).copied().unwrap_or(0);
                     task.done = word >> (index % 64) & 1 == 1;
+                    // The record does not say what waited for room.
+                    task.was_running = progress.state == State::Running;
                 }
                 step.remaining = step.tasks.iter().filter(|task| !task.done).count();
             }
@@ -269,9 +286,20 @@
         self.version += 1;
     }
 
-    /// Lists every step as occurrence, step index and whether one of its tasks
-    /// may be started.
-    pub(super) fn startable(&self) -> Vec<(u32, u16, bool)> {
+    /// Determines which steps wait with services that were running.
+    pub(super) fn update_claims(&mut self) {
+        for occurrence in self.occurrences.values_mut() {
+            for (step, entry) in self.job.steps.iter().zip(&mut occurrence.steps) {
+                let is_displaced = |task: &TaskEntry| task.was_running && task.is_startable();
+                let claim = step.mode.long_running && entry.tasks.iter().any(is_displaced);
+                entry.claim = if claim { Claim::Displaced } else { Claim::New };
+            }
+        }
+    }
+
+    /// Lists every step as occurrence, step index and its claim if one of its
+    /// tasks may be started.
+    pub(super) fn startable(&self) -> Vec<(u32, u16, Option<Claim>)> {
         let is_final = self.state.is_final();
         self.occurrences
             .iter()
@@ -284,7 +312,7 @@
                         let startable = !is_final
                             && step.open
                             && step.tasks.iter().any(TaskEntry::is_startable);
-                        (*number, index as u16, startable)
+                        (*number, index as u16, startable.then_some(step.claim))
                     })
             })
             .collect()
@@ -494,10 +522,10 @@
     /// Removes a run that has certainly ended.
     pub(super) fn remove_execution(&mut self, task: Task, run: Run, now: Instant) {
         if let Some(entry) = self.task_mut(task) {
-            let before = entry.executions.len();
-            entry.executions.retain(|execution| execution.run != run);
-            if entry.executions.len() < before {
+            let ended = |execution: &mut Execution| execution.run == run;
+            for execution in entry.executions.extract_if(.., ended) {
                 entry.ready_since = Some(now);
+                entry.was_running |= execution.started;
             }
         }
     }
--- a/crates/workload/tests/lasting_tasks.rs
+++ b/crates/workload/tests/lasting_tasks.rs
@@ -12,7 +12,8 @@
         id::{Job, Task},
         job::{self, Step},
         message::Start,
-        planner::Decision,
+        planner::{Decision, Event},
+        record::{Occurrence, Progress, State},
         worker::Exit,
     },
     std::{
@@ -85,7 +86,7 @@
             cluster.harness.submit(stream.0, short);
         }
         cluster.take_starts();
-        assert_eq!(cluster.replicas.len(), usize::from(REPLICAS));
+        assert_eq!(cluster.full_workers(), cluster.alive.len());
         cluster
     }
 
@@ -124,17 +125,31 @@
         self.take_starts();
     }
 
-    /// Silences the workers of every other replica for good, and returns how long
-    /// each of these replicas is away.
+    /// Silences the workers of some replicas for good.
+    fn silence(&mut self, lost: BTreeSet<u64>) {
+        self.alive.retain(|worker| !lost.contains(worker));
+    }
+
+    /// Silences the workers of every other replica, and returns how long each of
+    /// these replicas is away.
     fn lose_half(&mut self) -> Vec<Millis> {
         let lost: BTreeSet<u64> = self.replicas.values().step_by(2).copied().collect();
         assert_eq!(lost.len(), LOST);
-        self.alive.retain(|worker| !lost.contains(worker));
+        self.silence(lost);
         for _ in 0..TURNS {
             self.turn();
         }
         self.absences.clone()
     }
+
+    /// Returns the number of living workers that are fully used.
+    fn full_workers(&self) -> usize {
+        let is_full = |worker: &&u64| {
+            let replicas = self.replicas.values().filter(|on| on == worker).count();
+            self.short[**worker as usize].len() + 6 * replicas == 8
+        };
+        self.alive.iter().filter(is_full).count()
+    }
 }
 
 fn assert_in_time(absences: &[Millis]) {
@@ -180,3 +195,48 @@
 
     assert_in_time(&absences);
 }
+
+/// Guards against short tasks that come to a halt because all workers are held for
+/// the replicas that were lost.
+#[test]
+fn half_of_the_workers_go_on_with_short_tasks_while_lost_replicas_wait() {
+    let service = accepted_at(Wall(0), vec![replicas(REPLICAS)]);
+    let mut cluster = Cluster::new(vec![service], Wall(1));
+    let lost: BTreeSet<u64> = cluster.replicas.values().skip(1).copied().collect();
+    cluster.silence(lost);
+
+    let mut fewest_full = usize::MAX;
+    for _ in 0..TURNS {
+        cluster.turn();
+        fewest_full = fewest_full.min(cluster.full_workers());
+    }
+
+    assert_eq!(cluster.absences.len(), usize::from(REPLICAS) - 1);
+    let half = cluster.alive.len() / 2;
+    assert!(fewest_full >= half, "only {fewest_full} workers were full");
+}
+
+/// Guards against a service that waits longer because the leader changed while it
+/// was away.
+#[test]
+fn service_that_was_away_at_a_change_of_leader_is_back_in_time() {
+    let mut cluster = Cluster::new(Vec::new(), Wall(0));
+    let service = accepted_at(Wall(1), vec![replicas(1)]);
+    let progress = Progress {
+        state: State::Running,
+        occurrences: vec![Occurrence {
+            done: vec![vec![0]],
+            ..Occurrence::default()
+        }],
+        ..Progress::default()
+    };
+    let since = cluster.harness.now;
+    let recovered = Event::Recovered(Job(1), service, progress);
+    cluster.harness.step(recovered);
+
+    while cluster.replicas.is_empty() && cluster.harness.now < since + LONGEST_ABSENCE {
+        cluster.turn();
+    }
+
+    assert_eq!(cluster.replicas.len(), 1);
+}
