Give a claim to room only to services that are known to have run

Only a task with a run on record has the claim now. One that was away already when the leader changed waits like a new one, since the record does not say that it ran.

Ruled out for now: a mark in the record, which changes its format.

--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -183,8 +183,6 @@
                 for (index, task) in step.tasks.iter_mut().enumerate() {
                     let word = bits.get(index / 64).copied().unwrap_or(0);
                     task.done = word >> (index % 64) & 1 == 1;
-                    // The record does not say what waited for room.
-                    task.was_running = progress.state == State::Running;
                 }
                 step.remaining = step.tasks.iter().filter(|task| !task.done).count();
             }
