--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -332,6 +332,7 @@
         let (jobs, workers) = self.planner.size();
         gauge!("filbertbend_jobs").set(jobs as f64);
         gauge!("filbertbend_workers").set(workers as f64);
+        gauge!("filbertbend_sessions").set(self.outboxes.len() as f64);
         self.step(Event::Tick);
     }
 
--- a/crates/dispatch/tests/handshake_storm.rs
+++ b/crates/dispatch/tests/handshake_storm.rs
@@ -18,7 +18,8 @@
         planner::Settings,
     },
     metrics::{
-        Counter, CounterFn, Gauge, Histogram, Key, KeyName, Metadata, Recorder, SharedString, Unit,
+        Counter, CounterFn, Gauge, GaugeFn, Histogram, Key, KeyName, Metadata, Recorder,
+        SharedString, Unit,
     },
     rustix::time::{clock_gettime, ClockId},
     std::{
@@ -48,7 +49,7 @@
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Collects counters by name and label.
+/// Collects counters and gauges by name and label.
 #[derive(Clone, Default)]
 struct Counts(Arc<Mutex<BTreeMap<String, u64>>>);
 
@@ -64,39 +65,60 @@
     }
 
     fn sessions(&self) -> u64 {
-        self.get("filbertbend_leader_work_total", "opened")
+        self.get("filbertbend_sessions", "")
+    }
+
+    fn value(&self, key: &Key) -> Arc<Value> {
+        let label = key.labels().next().map_or("", |label| label.value());
+        Arc::new(Value {
+            counts: self.clone(),
+            key: format!("{} {label}", key.name()),
+        })
     }
 }
 
-struct Count {
+/// One counter or gauge.
+struct Value {
     counts: Counts,
     key: String,
 }
 
-impl CounterFn for Count {
-    fn increment(&self, value: u64) {
+impl Value {
+    fn change(&self, change: impl FnOnce(&mut u64)) {
         let mut counts = self.counts.0.lock().unwrap();
-        *counts.entry(self.key.clone()).or_default() += value;
+        change(counts.entry(self.key.clone()).or_default());
+    }
+}
+
+impl CounterFn for Value {
+    fn increment(&self, value: u64) {
+        self.change(|count| *count += value);
     }
 
     fn absolute(&self, _: u64) {}
 }
 
+impl GaugeFn for Value {
+    fn increment(&self, _: f64) {}
+
+    fn decrement(&self, _: f64) {}
+
+    fn set(&self, value: f64) {
+        self.change(|count| *count = value as u64);
+    }
+}
+
 impl Recorder for Counts {
     fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
     fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
     fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
 
     fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
-        let label = key.labels().next().map_or("", |label| label.value());
-        Counter::from_arc(Arc::new(Count {
-            counts: self.clone(),
-            key: format!("{} {label}", key.name()),
-        }))
+        Counter::from_arc(self.value(key))
     }
 
-    fn register_gauge(&self, _: &Key, _: &Metadata<'_>) -> Gauge {
-        Gauge::noop()
+    fn register_gauge(&self, key: &Key, _: &Metadata<'_>) -> Gauge {
+        Gauge::from_arc(self.value(key))
     }
 
     fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
