--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -4,7 +4,6 @@
 use {
     filbertbend_state::{time::Instant, unit::Millis},
     metrics::{counter, gauge},
-    rustix::time::{clock_gettime, ClockId},
     spdlog::prelude::*,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -26,8 +25,6 @@
     work: BTreeMap<&'static str, Work>,
     /// The longest delay of an input or a tick.
     delay: Millis,
-    /// The processor time of the process when the work was last logged.
-    processor_time: Duration,
 }
 
 impl Load {
@@ -61,16 +58,6 @@
         }
         let delay = std::mem::take(&mut self.delay);
         gauge!("filbertbend_leader_delay_seconds").set(delay.duration().as_secs_f64());
-        let total = processor_time();
-        let used = total.saturating_sub(std::mem::replace(&mut self.processor_time, total));
-        info!("leader's work, in steps and microseconds", kv: { work: = described.join(", "), delay_ms = delay.0, processor_ms = used.as_millis() as u64 });
+        info!("leader's work, in steps and microseconds", kv: { work: = described.join(", "), delay_ms = delay.0 });
     }
 }
-
-/// Returns the processor time that the process has used, which includes what the
-/// links cost.
-fn processor_time() -> Duration {
-    let time = clock_gettime(ClockId::ProcessCPUTime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    Duration::from_secs(seconds) + Duration::from_nanos(time.tv_nsec.unsigned_abs())
-}
