Give the claim to room to single tasks, not to whole steps

What callers would have seen: one replica of a service is lost, and all its replicas that have never run come before older jobs of their priority.

Cause: the claim belonged to the step, and a placed task did not end it. Now each task has its claim, but for gangs, whose members start together, and a step has two ranks.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -181,8 +181,9 @@
     wall: Wall,
 }
 
-/// The order in which steps are placed: by priority, then those whose services
-/// were running, then by the time of acceptance.
+/// The order in which steps are placed: by priority, then services that were
+/// running, then by the time of acceptance. A step with both kinds of tasks has two
+/// ranks.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
     priority: u8,
@@ -443,24 +444,21 @@
             return;
         };
         entry.open_due(self.now, self.wall);
-        entry.update_claims();
         let priority = policy(&self.catalog, &entry.job).priority;
         let accepted = entry.job.accepted;
-        for (occurrence, step, found) in entry.startable() {
-            for claim in [Claim::Displaced, Claim::New] {
-                let rank = Rank {
-                    priority,
-                    claim,
-                    accepted,
-                    job: id,
-                    occurrence,
-                    step,
-                };
-                if found == Some(claim) {
-                    self.ready.insert(rank);
-                } else {
-                    self.ready.remove(&rank);
-                }
+        for (occurrence, step, claim, startable) in entry.startable() {
+            let rank = Rank {
+                priority,
+                claim,
+                accepted,
+                job: id,
+                occurrence,
+                step,
+            };
+            if startable {
+                self.ready.insert(rank);
+            } else {
+                self.ready.remove(&rank);
             }
         }
         if entry.is_complete() && !entry.state.is_final() {
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -141,15 +141,17 @@
         self.rejections = pass.into_rejections();
     }
 
-    /// Lists the tasks of a step that may be started.
+    /// Lists the tasks of a step that may be started with the claim of `rank`.
     pub(super) fn startable(&self, rank: Rank) -> impl Iterator<Item = Task> + '_ {
         self.registry
             .get(rank.job)
-            .and_then(|entry| entry.occurrences.get(&rank.occurrence))
-            .and_then(|occurrence| occurrence.steps.get(usize::from(rank.step)))
+            .and_then(|entry| {
+                let occurrence = entry.occurrences.get(&rank.occurrence)?;
+                let state = occurrence.steps.get(usize::from(rank.step))?;
+                Some((state, entry.step(rank.step)?))
+            })
             .into_iter()
-            .flat_map(|step| step.tasks.iter().enumerate())
-            .filter(|(_, task)| task.is_startable())
+            .flat_map(move |(state, step)| state.startable(step, rank.claim))
             .map(move |(index, _)| Task {
                 job: rank.job,
                 occurrence: rank.occurrence,
@@ -348,7 +350,7 @@
             && pass.used_fraction(pool, || self.used_fraction(pool)) < BUSY_FRACTION;
         let rank = Rank {
             priority: policy(&self.catalog, &entry.job).priority,
-            claim: state.claim,
+            claim: state.claim(step, found),
             accepted: entry.job.accepted,
             job: task.job,
             occurrence: task.occurrence,
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -75,7 +75,36 @@
     pub(super) tasks: Vec<TaskEntry>,
     pub(super) remaining: usize,
     pub(super) open: bool,
-    pub(super) claim: Claim,
+}
+
+impl StepEntry {
+    /// Returns what one of the tasks may demand of others. The members of a gang
+    /// start together, so they share their claim.
+    pub(super) fn claim(&self, step: &Step, task: &TaskEntry) -> Claim {
+        let is_displaced = |task: &TaskEntry| task.was_running && task.is_startable();
+        let displaced = if step.mode.gang {
+            self.tasks.iter().any(is_displaced)
+        } else {
+            task.was_running
+        };
+        if step.mode.long_running && displaced {
+            Claim::Displaced
+        } else {
+            Claim::New
+        }
+    }
+
+    /// Lists the tasks that may be started with a claim, each with its index.
+    pub(super) fn startable<'a>(
+        &'a self,
+        step: &'a Step,
+        claim: Claim,
+    ) -> impl Iterator<Item = (usize, &'a TaskEntry)> {
+        let is_startable =
+            move |task: &TaskEntry| task.is_startable() && self.claim(step, task) == claim;
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(move |(_, task)| is_startable(task))
+    }
 }
 
 /// The state of one occurrence of a job.
@@ -113,7 +142,6 @@
                 tasks: vec![TaskEntry::default(); step.tasks.into()],
                 remaining: step.tasks.into(),
                 open: false,
-                claim: Claim::New,
             })
             .collect();
         Self { steps }
@@ -284,36 +312,22 @@
         self.version += 1;
     }
 
-    /// Determines which steps wait with services that were running.
-    pub(super) fn update_claims(&mut self) {
-        for occurrence in self.occurrences.values_mut() {
-            for (step, entry) in self.job.steps.iter().zip(&mut occurrence.steps) {
-                let is_displaced = |task: &TaskEntry| task.was_running && task.is_startable();
-                let claim = step.mode.long_running && entry.tasks.iter().any(is_displaced);
-                entry.claim = if claim { Claim::Displaced } else { Claim::New };
+    /// Lists every step as occurrence, step index, claim and whether a task may be
+    /// started with that claim.
+    pub(super) fn startable(&self) -> Vec<(u32, u16, Claim, bool)> {
+        let is_final = self.state.is_final();
+        let mut found = Vec::new();
+        for (number, occurrence) in &self.occurrences {
+            let steps = occurrence.steps.iter().zip(&self.job.steps);
+            for (index, (entry, step)) in steps.enumerate() {
+                for claim in [Claim::Displaced, Claim::New] {
+                    let startable =
+                        !is_final && entry.open && entry.startable(step, claim).next().is_some();
+                    found.push((*number, index as u16, claim, startable));
+                }
             }
         }
-    }
-
-    /// Lists every step as occurrence, step index and its claim if one of its
-    /// tasks may be started.
-    pub(super) fn startable(&self) -> Vec<(u32, u16, Option<Claim>)> {
-        let is_final = self.state.is_final();
-        self.occurrences
-            .iter()
-            .flat_map(|(number, occurrence)| {
-                occurrence
-                    .steps
-                    .iter()
-                    .enumerate()
-                    .map(move |(index, step)| {
-                        let startable = !is_final
-                            && step.open
-                            && step.tasks.iter().any(TaskEntry::is_startable);
-                        (*number, index as u16, startable.then_some(step.claim))
-                    })
-            })
-            .collect()
+        found
     }
 
     /// Lists all runs of the job that have not certainly ended.
--- a/crates/workload/tests/lasting_tasks.rs
+++ b/crates/workload/tests/lasting_tasks.rs
@@ -68,8 +68,14 @@
 impl Cluster {
     /// Starts the services, then the stream on what they leave.
     fn new(services: Vec<Arc<job::Job>>, stream_accepted: Wall) -> Self {
+        Self::growing(WORKERS, services, stream_accepted)
+    }
+
+    /// Starts the services on the first workers only. The others join once the
+    /// stream has been submitted.
+    fn growing(first: u64, services: Vec<Arc<job::Job>>, stream_accepted: Wall) -> Self {
         let mut cluster = Self {
-            harness: Harness::with_workers(WORKERS),
+            harness: Harness::with_workers(first),
             alive: (0..WORKERS).collect(),
             short: vec![VecDeque::new(); WORKERS as usize],
             ends: vec![0; WORKERS as usize],
@@ -84,6 +90,9 @@
             let short = accepted_at(stream_accepted, vec![step(STREAM_TASKS)]);
             cluster.harness.submit(stream.0, short);
         }
+        for worker in first..WORKERS {
+            cluster.harness.join(worker, Vec::new());
+        }
         cluster.take_starts();
         assert_eq!(cluster.full_workers(), cluster.alive.len());
         cluster
@@ -228,3 +237,22 @@
 
     assert_in_time(&absences);
 }
+
+/// Guards against one lost replica that makes all those of its service that have
+/// never run come before older jobs.
+#[test]
+fn lost_replica_brings_no_siblings_that_have_never_run() {
+    let service = accepted_at(Wall(1), vec![replicas(8 * REPLICAS)]);
+    let mut cluster = Cluster::growing(4, vec![service], Wall(0));
+    assert_eq!(cluster.replicas.len(), 4);
+    let lost = cluster.replicas.values().next().copied();
+    cluster.silence(lost.into_iter().collect());
+
+    // All workers but one use the stream up.
+    for _ in 0..TURNS / 2 {
+        cluster.turn();
+    }
+
+    assert_eq!(cluster.absences.len(), 1);
+    assert_eq!(cluster.replicas.len(), 4);
+}
