--- a/crates/dispatch/src/listener.rs
+++ b/crates/dispatch/src/listener.rs
@@ -7,7 +7,7 @@
 //! give up are dropped.
 
 use {
-    crate::turns::Turns,
+    crate::turns::{Turn, Turns},
     filbertbend_transport::link::{Handshake, Link, Socket},
     metrics::{counter, histogram},
     spdlog::prelude::*,
@@ -67,14 +67,14 @@
     /// or the dialler has given up meanwhile.
     pub(crate) async fn complete(self) -> Option<Link> {
         let begin_by = self.drop_at - TURN_TIMEOUT;
-        let turn = match timeout_at(begin_by, self.turns.wait()).await {
-            Ok(Ok(turn)) if Instant::now() < begin_by => turn,
-            _ => {
-                count("dropped");
-                sleep_until(self.drop_at + GONE_DELAY).await;
-                self.handshake.ignore();
-                return None;
-            }
+        let turn = timeout_at(begin_by, self.turns.wait()).await;
+        let in_time = |_: &Turn| Instant::now() < begin_by;
+        // A turn that comes too late is free for others at once.
+        let Some(turn) = turn.ok().and_then(Result::ok).filter(in_time) else {
+            count("dropped");
+            sleep_until(self.drop_at + GONE_DELAY).await;
+            self.handshake.ignore();
+            return None;
         };
         let begun = Instant::now();
         let waited = begun - (self.drop_at - OPEN_TIMEOUT);
