--- a/crates/dispatch/tests/agent_links.rs
+++ b/crates/dispatch/tests/agent_links.rs
@@ -4,11 +4,10 @@
 mod support;
 
 use {
-    filbertbend_dispatch::{agent, link_identity, platform::Worker},
+    filbertbend_dispatch::{agent, link_identity},
     filbertbend_transport::{link::Link, tls::Identity},
     filbertbend_workload::{
-        agent::{Answer, Call},
-        id::{Epoch, Fence, Incarnation, Node},
+        id::{Epoch, Fence, Node},
         message::Response,
     },
     std::{
@@ -16,7 +15,7 @@
     },
     support::{
         leader::{loopback, open, publish, FakeLeader},
-        Memory,
+        Memory, NoWorker,
     },
     tokio::{
         net::UdpSocket,
@@ -45,16 +44,6 @@
     }
 }
 
-/// A worker that answers nothing.
-#[derive(Clone)]
-struct NoWorker;
-
-impl Worker for NoWorker {
-    async fn call(&self, _: &Incarnation, _: &Call) -> Answer {
-        Answer::Lost
-    }
-}
-
 fn start_agent(store: &Memory, identity: &Identity) -> (agent::Handle, watch::Sender<bool>) {
     let (stopper, stop) = watch::channel(false);
     let node = Node("worker-1".into());
--- a/crates/dispatch/tests/handshake_storm.rs
+++ b/crates/dispatch/tests/handshake_storm.rs
@@ -8,31 +8,21 @@
         agent,
         entry::{Entry, Options},
         link_identity,
-        platform::Worker,
     },
-    filbertbend_state::unit::{Cores, Millis},
+    filbertbend_state::unit::Cores,
     filbertbend_transport::tls::Identity,
-    filbertbend_workload::{
-        agent::{Answer, Call},
-        id::{Incarnation, Node},
-        planner::Settings,
-    },
-    metrics::{
-        Counter, CounterFn, Gauge, GaugeFn, Histogram, Key, KeyName, Metadata, Recorder,
-        SharedString, Unit,
-    },
+    filbertbend_workload::id::Node,
     rustix::time::{clock_gettime, ClockId},
     std::{
-        collections::BTreeMap,
         future::{pending, Future},
         net::{SocketAddr, UdpSocket},
-        sync::{Arc, Mutex},
         thread,
         time::Duration,
     },
     support::{
+        counts::Counts,
         leader::{loopback, publish},
-        Memory,
+        options, Memory, NoWorker,
     },
     tokio::{
         sync::watch,
@@ -49,93 +39,6 @@
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Collects counters and gauges by name and label.
-#[derive(Clone, Default)]
-struct Counts(Arc<Mutex<BTreeMap<String, u64>>>);
-
-impl Counts {
-    fn get(&self, name: &str, label: &str) -> u64 {
-        let counts = self.0.lock().unwrap();
-        let key = format!("{name} {label}");
-        counts.get(&key).copied().unwrap_or_default()
-    }
-
-    fn handshakes(&self, result: &str) -> u64 {
-        self.get("filbertbend_handshakes_total", result)
-    }
-
-    fn sessions(&self) -> u64 {
-        self.get("filbertbend_sessions", "")
-    }
-
-    fn value(&self, key: &Key) -> Arc<Value> {
-        let label = key.labels().next().map_or("", |label| label.value());
-        Arc::new(Value {
-            counts: self.clone(),
-            key: format!("{} {label}", key.name()),
-        })
-    }
-}
-
-/// One counter or gauge.
-struct Value {
-    counts: Counts,
-    key: String,
-}
-
-impl Value {
-    fn change(&self, change: impl FnOnce(&mut u64)) {
-        let mut counts = self.counts.0.lock().unwrap();
-        change(counts.entry(self.key.clone()).or_default());
-    }
-}
-
-impl CounterFn for Value {
-    fn increment(&self, value: u64) {
-        self.change(|count| *count += value);
-    }
-
-    fn absolute(&self, _: u64) {}
-}
-
-impl GaugeFn for Value {
-    fn increment(&self, _: f64) {}
-
-    fn decrement(&self, _: f64) {}
-
-    fn set(&self, value: f64) {
-        self.change(|count| *count = value as u64);
-    }
-}
-
-impl Recorder for Counts {
-    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-
-    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
-        Counter::from_arc(self.value(key))
-    }
-
-    fn register_gauge(&self, key: &Key, _: &Metadata<'_>) -> Gauge {
-        Gauge::from_arc(self.value(key))
-    }
-
-    fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
-        Histogram::noop()
-    }
-}
-
-/// A worker that answers nothing.
-#[derive(Clone)]
-struct NoWorker;
-
-impl Worker for NoWorker {
-    async fn call(&self, _: &Incarnation, _: &Call) -> Answer {
-        Answer::Lost
-    }
-}
-
 fn thread_time() -> Duration {
     let time = clock_gettime(ClockId::ThreadCPUTime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
@@ -170,16 +73,9 @@
 /// Runs an entry with little processor time, which becomes the leader.
 async fn lead(identity: Identity, address: SocketAddr) {
     let options = Options {
-        node: "entry-1".into(),
         address,
-        processor: Cores(120),
-        planner: Settings {
-            lease: Millis(5500),
-            lease_limit: Millis(10_000),
-            silence_limit: Millis(2200),
-            job_retention: Millis(120_000),
-            worker_retention: Millis(12_000),
-        },
+        processor: Cores(u64::from(SHARE_PERCENT) * 10),
+        ..options()
     };
     let (_catalogs, catalog) = watch::channel(None);
     let (_stopper, stop) = watch::channel(false);
--- a/crates/dispatch/tests/handshakes.rs
+++ b/crates/dispatch/tests/handshakes.rs
@@ -11,18 +11,8 @@
     filbertbend_state::unit::{Cores, Millis},
     filbertbend_transport::{link::Socket, tls::Identity},
     filbertbend_workload::planner::Settings,
-    metrics::{
-        Counter, CounterFn, Gauge, Histogram, Key, KeyName, Metadata, Recorder, SharedString, Unit,
-    },
-    std::{
-        collections::BTreeMap,
-        future::Future,
-        net::SocketAddr,
-        rc::Rc,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
-    support::{leader::loopback, Memory},
+    std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    support::{counts::Counts, leader::loopback, Memory},
     tokio::{
         net::UdpSocket,
         sync::watch,
@@ -38,56 +28,6 @@
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(10);
 
-/// Collects the counters of handshakes by result.
-#[derive(Clone, Default)]
-struct Counts(Arc<Mutex<BTreeMap<String, u64>>>);
-
-impl Counts {
-    fn get(&self, result: &str) -> u64 {
-        let counts = self.0.lock().unwrap();
-        counts.get(result).copied().unwrap_or_default()
-    }
-}
-
-struct Count {
-    counts: Counts,
-    result: String,
-}
-
-impl CounterFn for Count {
-    fn increment(&self, value: u64) {
-        let mut counts = self.counts.0.lock().unwrap();
-        *counts.entry(self.result.clone()).or_default() += value;
-    }
-
-    fn absolute(&self, _: u64) {}
-}
-
-impl Recorder for Counts {
-    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-
-    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
-        if key.name() != "filbertbend_handshakes_total" {
-            return Counter::noop();
-        }
-        let result = key.labels().next().map(|label| label.value().to_owned());
-        Counter::from_arc(Arc::new(Count {
-            counts: self.clone(),
-            result: result.unwrap_or_default(),
-        }))
-    }
-
-    fn register_gauge(&self, _: &Key, _: &Metadata<'_>) -> Gauge {
-        Gauge::noop()
-    }
-
-    fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
-        Histogram::noop()
-    }
-}
-
 /// Starts an entry and returns the address at which it accepts links.
 async fn start_entry(identity: &Identity) -> (Rc<Entry<Memory>>, SocketAddr) {
     let free = UdpSocket::bind(loopback()).await.unwrap();
@@ -171,7 +111,12 @@
         sleep(Duration::from_millis(200)).await;
         let answered_at_once = answered(&gone);
         let results = ["failed", "timed_out", "dropped"];
-        let counted = || results.iter().map(|result| counts.get(result)).sum::<u64>();
+        let counted = || {
+            results
+                .iter()
+                .map(|result| counts.handshakes(result))
+                .sum::<u64>()
+        };
         let counting = async {
             while counted() < GONE_DIALLERS as u64 {
                 sleep(POLL).await;
@@ -181,8 +126,12 @@
 
         assert!((1..=4).contains(&answered_at_once), "{answered_at_once}");
         all_counted.expect("every handshake is counted");
-        assert!(counts.get("dropped") >= 20, "{}", counts.get("dropped"));
-        assert_eq!(counts.get("accepted"), 0);
+        assert!(
+            counts.handshakes("dropped") >= 20,
+            "{}",
+            counts.handshakes("dropped")
+        );
+        assert_eq!(counts.handshakes("accepted"), 0);
     })
     .await;
 }
@@ -206,7 +155,7 @@
 
         // The dialler's side of the handshake completes first.
         let accepting = async {
-            while counts.get("accepted") == 0 {
+            while counts.handshakes("accepted") == 0 {
                 sleep(POLL).await;
             }
         };
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,18 +1,23 @@
 //! An in-memory store with injectable faults.
 
+pub(crate) mod counts;
 pub(crate) mod leader;
 
 use {
     filbertbend_dispatch::{
         entry::{Entry, Options},
         link_identity,
-        platform::{Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
+        platform::{
+            Change, Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction, Worker,
+        },
     },
     filbertbend_state::{
         time::Wall,
         unit::{Cores, Millis},
     },
     filbertbend_workload::{
+        agent::{Answer, Call},
+        id::Incarnation,
         job::{self, Policy, Step},
         planner::Settings,
     },
@@ -353,3 +358,13 @@
     let (_, stop) = watch::channel(true);
     Entry::start(store.clone(), options(), identity, catalog, stop).unwrap()
 }
+
+/// A worker that answers nothing.
+#[derive(Clone)]
+pub(crate) struct NoWorker;
+
+impl Worker for NoWorker {
+    async fn call(&self, _: &Incarnation, _: &Call) -> Answer {
+        Answer::Lost
+    }
+}
