Start nothing in evacuated data centres

Operators write a key to have nothing more started in a data centre. Nobody read it, so starts went on there until the key was removed.

The leader reads the keys before its first placement and watches them while it leads, if the settings name a bound. Workers there get no tasks, holds there are given up, unsent starts are withdrawn, and sent ones that are not known to have taken effect are ruled out by the stops that there are; they cost no attempt. What runs there goes on.

Ruled out: agents that watch the keys themselves, since each would poll the store, and since a start that the leader doesn't send needs no second check.

The watch of a single key now serves prefixes too, and ends with its last handle.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -58,6 +58,14 @@
         Decision::LeaseKnown { node, known, wait } => {
             info!("worker not listed yet, lease known to its agent", kv: { node:, left_ms = known.left.0, agent_ms = known.age.0, restarted_ms:? = known.restarted.map(|age| age.0), unconfirmed_ms:? = known.unconfirmed_start.map(|age| age.0), listed = known.listed.len(), wait_ms = wait.0 });
         }
+        Decision::Evacuation {
+            data_centre,
+            evacuated,
+            workers,
+            runs,
+        } => {
+            info!("evacuation of a data centre changed", kv: { data_centre: = &**data_centre, evacuated = *evacuated, workers = *workers, runs = *runs });
+        }
         Decision::Job { job, state } => info!("job ended", kv: { job:, state: }),
         Decision::Joined {
             node,
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         claim::{self, Prior},
+        evacuation_watch,
         journal::encode,
         key,
         key_watch::Watcher,
@@ -135,6 +136,8 @@
     pub processor: Cores,
     /// The settings of the planner that runs while the entry leads.
     pub planner: Settings,
+    /// Where operators request evacuations. Without it nothing waits for them.
+    pub evacuations: Option<evacuation_watch::Source>,
 }
 
 /// The state of an entry, shared by all its asynchronous tasks.
@@ -446,6 +449,7 @@
             address: self.options.address,
             processor: self.options.processor,
             settings: self.options.planner.clone(),
+            evacuations: self.options.evacuations,
             retired_since: self.retired_since.get(),
         };
         let claim = match claim::claim(&self.store, &candidate, prior).await {
--- a/crates/dispatch/src/key_watch.rs
+++ b/crates/dispatch/src/key_watch.rs
@@ -1,10 +1,10 @@
-//! Watches a single key of the store.
+//! Watches a single key of the store, or all keys with a prefix.
 
 use {
     crate::platform::{Change, Failure, Item, Store},
     filbertbend_state::unit::Millis,
     spdlog::prelude::*,
-    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::Cell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{watch, Notify},
         time::{sleep, Instant},
@@ -17,7 +17,8 @@
 /// few calls per second.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// A handle on the newest known value of a key. Clones share the same poller.
+/// A handle on the newest known values of the watched keys. Clones share the same
+/// poller, which ends with the last of them.
 #[derive(Clone, Debug)]
 pub struct Watcher {
     value: watch::Receiver<State>,
@@ -26,21 +27,54 @@
     silence: Rc<Cell<Duration>>,
 }
 
-/// What is known about the key.
+/// What is known about the watched keys.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 enum State {
-    /// The key has not been read yet.
+    /// They have not been read yet.
     #[default]
     Unread,
-    /// The key doesn't exist.
-    Absent,
-    /// The key exists with this value.
-    Present(Item),
+    /// Those that exist.
+    Read(Items),
+}
+
+type Items = BTreeMap<Arc<str>, Item>;
+
+/// The keys that are watched.
+#[derive(Clone, Copy, Debug)]
+enum Scope {
+    Key(&'static str),
+    Prefix(&'static str),
+}
+
+impl Scope {
+    /// Returns the prefix to ask the store for, which other keys may share.
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Key(prefix) | Self::Prefix(prefix) => prefix,
+        }
+    }
+
+    fn covers(self, key: &str) -> bool {
+        match self {
+            Self::Key(own) => key == own,
+            Self::Prefix(prefix) => key.starts_with(prefix),
+        }
+    }
 }
 
 impl Watcher {
     /// Starts to watch `key` with long polls of at most `wait` each.
     pub fn start(store: impl Store, key: &'static str, wait: Millis) -> Self {
+        Self::start_scope(store, Scope::Key(key), wait)
+    }
+
+    /// Starts to watch all keys with a prefix, with long polls of at most `wait`
+    /// each.
+    pub fn start_prefix(store: impl Store, prefix: &'static str, wait: Millis) -> Self {
+        Self::start_scope(store, Scope::Prefix(prefix), wait)
+    }
+
+    fn start_scope(store: impl Store, scope: Scope, wait: Millis) -> Self {
         let (sender, value) = watch::channel(State::default());
         let refresh = Arc::new(Notify::new());
         let last_answer = Rc::new(Cell::new(Instant::now()));
@@ -49,7 +83,7 @@
             last_answer: last_answer.clone(),
             silence: silence.clone(),
             store,
-            key,
+            scope,
             wait,
             sender,
             refresh: refresh.clone(),
@@ -63,12 +97,20 @@
         }
     }
 
-    /// Returns the newest known value. Returns `None` if the key doesn't exist
-    /// or hasn't been read yet.
+    /// Returns the newest known value of the first watched key that exists.
+    /// Returns `None` if there is none or the keys haven't been read yet.
     pub fn item(&self) -> Option<Item> {
         match &*self.value.borrow() {
-            State::Present(item) => Some(item.clone()),
-            State::Unread | State::Absent => None,
+            State::Read(items) => items.values().next().cloned(),
+            State::Unread => None,
+        }
+    }
+
+    /// Lists the watched keys that exist, as far as they have been read.
+    pub fn keys(&self) -> Vec<Arc<str>> {
+        match &*self.value.borrow() {
+            State::Read(items) => items.keys().cloned().collect(),
+            State::Unread => Vec::new(),
         }
     }
 
@@ -83,7 +125,7 @@
         self.silence.get()
     }
 
-    /// Waits until the key has been read for the first time.
+    /// Waits until the keys have been read for the first time.
     pub async fn wait_until_read(&mut self) {
         let read = self.value.wait_for(|state| *state != State::Unread);
         // Fails only when the process ends.
@@ -92,7 +134,7 @@
         }
     }
 
-    /// Waits until the value changes.
+    /// Waits until a key or its value changes.
     pub async fn changed(&mut self) {
         // Fails only when the process ends.
         if self.value.changed().await.is_err() {
@@ -100,7 +142,7 @@
         }
     }
 
-    /// Makes the poller read the key again at once. Used when another source
+    /// Makes the poller read the keys again at once. Used when another source
     /// contradicts the known value.
     pub fn refresh(&self) {
         self.refresh.notify_one();
@@ -110,7 +152,7 @@
 /// The background task behind a [`Watcher`].
 struct Poller<S> {
     store: S,
-    key: &'static str,
+    scope: Scope,
     wait: Millis,
     sender: watch::Sender<State>,
     refresh: Arc<Notify>,
@@ -119,12 +161,20 @@
 }
 
 impl<S: Store> Poller<S> {
+    /// Polls until no [`Watcher`] is left.
     async fn run(self) {
+        tokio::select! {
+            () = self.sender.closed() => {}
+            () = self.poll() => {}
+        }
+    }
+
+    async fn poll(&self) {
         let mut failed = false;
         loop {
             if let Err(error) = self.watch(failed).await {
                 if !failed {
-                    warn!("watch of a store key failed, retrying", kv: { key: = self.key, error: });
+                    warn!("watch of a store key failed, retrying", kv: { key: = self.scope.prefix(), error: });
                 }
                 failed = !matches!(error, Failure::Compacted);
                 sleep(RETRY_DELAY).await;
@@ -134,43 +184,59 @@
         }
     }
 
-    /// Reads the key and watches it until a call fails or a refresh is
+    /// Reads the keys and watches them until a call fails or a refresh is
     /// requested. `failed` tells whether the last call failed.
     async fn watch(&self, failed: bool) -> Result<(), Failure> {
-        let (items, mut revision) = self.store.list(self.key).await?;
+        let prefix = self.scope.prefix();
+        let (listed, mut revision) = self.store.list(prefix).await?;
         let answered = Instant::now();
         let silence = answered - self.last_answer.replace(answered);
         self.silence
             .set(if failed { silence } else { Duration::ZERO });
-        let item = items.into_iter().find(|item| *item.key == *self.key);
-        self.publish(item);
+        let mut items: Items = listed
+            .into_iter()
+            .filter(|item| self.scope.covers(&item.key))
+            .map(|item| (item.key.clone(), item))
+            .collect();
+        self.publish(&items);
         loop {
             let changes = tokio::select! {
-                changes = self.store.watch(self.key, revision, self.wait) => changes?,
+                changes = self.store.watch(prefix, revision, self.wait) => changes?,
                 () = self.refresh.notified() => return Ok(()),
             };
             self.last_answer.set(Instant::now());
             self.silence.set(Duration::ZERO);
             revision = changes.revision;
-            let last = changes.changes.into_iter().rfind(|change| match change {
-                Change::Set(item) => *item.key == *self.key,
-                Change::Removed(key) => **key == *self.key,
-            });
-            match last {
-                Some(Change::Set(item)) => self.publish(Some(item)),
-                Some(Change::Removed(_)) => self.publish(None),
-                None => continue,
+            let mut changed = false;
+            for change in changes.changes {
+                changed |= self.apply(&mut items, change);
+            }
+            if changed {
+                self.publish(&items);
+                sleep(WATCH_PAUSE).await;
+            }
+        }
+    }
+
+    /// Applies a change; returns whether it concerns a watched key.
+    fn apply(&self, items: &mut Items, change: Change) -> bool {
+        match change {
+            Change::Set(item) if self.scope.covers(&item.key) => {
+                items.insert(item.key.clone(), item);
+            }
+            Change::Removed(key) if self.scope.covers(&key) => {
+                items.remove(&key);
             }
-            sleep(WATCH_PAUSE).await;
+            Change::Set(_) | Change::Removed(_) => return false,
         }
+        true
     }
 
-    fn publish(&self, item: Option<Item>) {
-        let state = item.map_or(State::Absent, State::Present);
+    fn publish(&self, items: &Items) {
         self.sender.send_if_modified(|known| {
-            let changed = *known != state;
+            let changed = !matches!(known, State::Read(known) if known == items);
             if changed {
-                *known = state;
+                *known = State::Read(items.clone());
             }
             changed
         });
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config_watch;
 mod decision;
 pub mod entry;
+pub mod evacuation_watch;
 pub mod journal;
 pub mod key;
 mod key_lease;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -9,6 +9,7 @@
         claim::{load_snapshot, Claim, Snapshot},
         decision,
         entry::Inbox,
+        evacuation_watch,
         journal::{Deposed, Journal},
         key::{self, Watched},
         key_lease,
@@ -67,6 +68,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) processor: Cores,
     pub(crate) settings: Settings,
+    pub(crate) evacuations: Option<evacuation_watch::Source>,
     /// Since when no process at this address has led.
     pub(crate) retired_since: Instant,
 }
@@ -146,7 +148,10 @@
         let mut leadership = leadership::Leadership::default();
         leadership.confirm(claim.sent_at);
         let epoch = claim.term.epoch;
-        let planner = Planner::new(candidate.settings.clone(), epoch, now);
+        let mut planner = Planner::new(candidate.settings.clone(), epoch, now);
+        if candidate.evacuations.is_some() {
+            planner = planner.awaiting_evacuations();
+        }
         let (journal, orders) = mpsc::unbounded_channel();
         let recovered = watch::Sender::new(tokio::time::Instant::now());
         let writer = Journal::new(store.clone(), claim.term, claim.revision, now)
@@ -188,6 +193,8 @@
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut loading_snapshot = Box::pin(load_snapshot(self.store.clone()));
+        let mut evacuations =
+            evacuation_watch::Watch::start(self.store.clone(), self.candidate.evacuations);
         let mut watch_task = None;
         if let Some(catalog) = catalog.borrow_and_update().clone() {
             self.step(Event::Configured(catalog));
@@ -217,6 +224,7 @@
                         self.step(Event::Configured(newest));
                     }
                 }
+                evacuated = evacuations.changed() => self.step(Event::Evacuated(evacuated)),
                 _ = stop.wait_for(|stop| *stop) => break Ended::Stopped,
             }
         };
@@ -231,6 +239,7 @@
         if let Some(watch_task) = watch_task {
             watch_task.abort();
         }
+        evacuation_watch::record(0);
         info!("no longer leading", kv: { epoch = self.epoch.0, reason: = ended });
         if ended == Ended::Stopped {
             if let Err(error) = self.store.revoke(self.lease).await {
@@ -333,6 +342,7 @@
         gauge!("filbertbend_jobs").set(jobs as f64);
         gauge!("filbertbend_workers").set(workers as f64);
         gauge!("filbertbend_sessions").set(self.outboxes.len() as f64);
+        evacuation_watch::record(self.planner.evacuated());
         self.step(Event::Tick);
     }
 
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -80,6 +80,7 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
+        evacuations: None,
         retired_since: NOW.get(),
     };
     let claim = Claim {
--- a/crates/dispatch/tests/handshakes.rs
+++ b/crates/dispatch/tests/handshakes.rs
@@ -44,6 +44,7 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
+        evacuations: None,
     };
     let (_, catalog) = watch::channel(None);
     // The entry is stopped and never leads.
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -348,6 +348,7 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
+        evacuations: None,
     }
 }
 
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -8,6 +8,7 @@
         worker::Exit,
     },
     filbertbend_state::{room::Room, unit::Millis},
+    std::sync::Arc,
 };
 
 /// A decision with its grounds.
@@ -81,6 +82,17 @@
         /// After which time the leader gives the runs up.
         wait: Millis,
     },
+    /// A data centre was evacuated, or tasks may be started there again.
+    Evacuation {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// Whether it is evacuated from now on.
+        evacuated: bool,
+        /// The number of its workers.
+        workers: usize,
+        /// The number of runs on these, including starts that are then withdrawn.
+        runs: usize,
+    },
     /// A job has changed its state.
     Job {
         /// The job.
@@ -182,6 +194,9 @@
     Preempted,
     /// The worker is draining.
     Draining,
+    /// The worker's data centre is evacuated, and the run is not known to have
+    /// begun.
+    Evacuated,
     /// The run makes no progress.
     Stalled,
     /// A best-effort task interferes with a service although it is fully
--- a/crates/workload/src/planner/fleet.rs
+++ b/crates/workload/src/planner/fleet.rs
@@ -107,14 +107,6 @@
         self.links.get(&link).cloned()
     }
 
-    /// Returns the number of workers that may get tasks.
-    pub(super) fn usable(&self, now: Instant, silence_limit: Millis) -> usize {
-        self.workers
-            .values()
-            .filter(|worker| worker.is_usable(now, silence_limit))
-            .count()
-    }
-
     /// Lists the draining workers.
     pub(super) fn leaving(&self) -> Vec<Node> {
         self.workers
--- a/crates/workload/src/planner/hold.rs
+++ b/crates/workload/src/planner/hold.rs
@@ -157,14 +157,15 @@
         }
         let mut holds = Holds::default();
         let (now, limit) = (self.now, self.settings.silence_limit);
+        let evacuations = &self.evacuations;
         for (node, worker) in self.fleet.iter_mut() {
-            let is_usable = worker.is_usable(now, limit);
+            let is_available = worker.is_usable(now, limit) && !evacuations.cover(worker);
             let Some(hold) = &worker.hold else {
                 continue;
             };
             let count = holds.tasks.entry(hold.rank).or_default();
             let is_wanted = waiting.get(&hold.rank).is_some_and(|tasks| *count < *tasks);
-            if is_usable && is_wanted && !futile.contains(node) {
+            if is_available && is_wanted && !futile.contains(node) {
                 *count += hold.tasks;
             } else {
                 worker.hold = None;
@@ -315,7 +316,7 @@
             if !pool.is_some_and(is_member) {
                 continue;
             }
-            usable += usize::from(worker.is_usable(self.now, self.settings.silence_limit));
+            usable += usize::from(self.is_available(worker));
             if let Some(hold) = worker.hold.filter(|hold| !hold.preempting) {
                 quota.held += 1;
                 quota.as_urgent += usize::from(hold.rank <= requirements.rank);
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -8,7 +8,8 @@
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much, where it becomes free first according to
 //!   `drain`.
-//! - `stop` stops runs and withdraws starts.
+//! - `stop` stops runs and withdraws starts, `evacuation` in the data centres that
+//!   operators have evacuated.
 //! - `pass` holds what a placement pass has found out about the workers.
 //! - `headroom` computes how much interference the services on a worker
 //!   tolerate.
@@ -29,6 +30,7 @@
 mod backlog;
 mod decision;
 mod drain;
+mod evacuation;
 mod fleet;
 mod gang;
 mod headroom;
@@ -54,6 +56,7 @@
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
     },
+    evacuation::Evacuations,
     filbertbend_state::{
         time::{Instant, Wall},
         unit::Millis,
@@ -61,7 +64,7 @@
     fleet::Fleet,
     registry::{Claim, Registry},
     std::{cell::Cell, collections::BTreeSet, sync::Arc},
-    worker::Expiry,
+    worker::{Expiry, Worker},
 };
 
 pub use {
@@ -104,6 +107,9 @@
     FormerTermOver(Millis),
     /// A job was accepted during the term.
     Submitted(Job, Arc<job::Job>),
+    /// Nothing may be started in these data centres, which replace those known
+    /// before.
+    Evacuated(BTreeSet<Arc<str>>),
     /// A caller has cancelled a job.
     Cancelled(Job),
     /// An agent has opened a session.
@@ -146,6 +152,7 @@
     catalog: Arc<Catalog>,
     registry: Registry,
     fleet: Fleet,
+    evacuations: Evacuations,
     model: Model,
     persist: persist::Queue,
     sessions: u64,
@@ -211,6 +218,7 @@
             catalog: Arc::default(),
             registry: Registry::default(),
             fleet: Fleet::default(),
+            evacuations: Evacuations::default(),
             model: Model::default(),
             persist: persist::Queue::default(),
             sessions: 0,
@@ -255,6 +263,7 @@
                 self.changed = true;
                 self.submit(id, job, actions);
             }
+            Event::Evacuated(found) => self.set_evacuated(found, actions),
             Event::Cancelled(id) => self.cancel(id, actions),
             Event::Opened(link, node) => self.open(link, node, actions),
             Event::Report(link, report) => self.report(until, link, *report, actions),
@@ -293,10 +302,12 @@
     /// waiting step, so changes are batched for [`PLACE_INTERVAL`]. After a
     /// change of leader, placement waits until workers have reported; otherwise
     /// the first to report would get all tasks. It also waits
-    /// until the pause after the last pass is over.
+    /// until the pause after the last pass is over, and until the evacuated data
+    /// centres are known.
     fn may_place(&self, until: Instant) -> bool {
         self.loaded
             && self.changed
+            && !self.evacuations.are_awaited()
             && self.now < until
             && self.now >= self.last_placement + PLACE_INTERVAL
             && self.now >= self.place_not_before
@@ -319,12 +330,13 @@
         }
     }
 
-    /// Returns the number of jobs that have not ended and the number of usable
-    /// workers.
+    /// Returns the number of jobs that have not ended and the number of workers
+    /// that may be given tasks.
     pub fn size(&self) -> (usize, usize) {
+        let available = |(_, worker): &(&Node, &Worker)| self.is_available(worker);
         (
             self.registry.live(),
-            self.fleet.usable(self.now, self.settings.silence_limit),
+            self.fleet.iter().filter(available).count(),
         )
     }
 
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -517,7 +517,7 @@
             return false;
         };
         let label = requirements.step.placement.label.as_ref();
-        worker.is_usable(self.now, self.settings.silence_limit)
+        self.is_available(worker)
             && profile.pool == *requirements.pool
             && label.is_none_or(|label| has_label(profile, label))
     }
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -124,6 +124,7 @@
         };
         worker.set_profile(profile);
         self.withdraw_excess(node, actions);
+        self.withdraw_evacuated(node, actions);
         self.evacuate(node, actions);
     }
 
