--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -17,7 +17,7 @@
         record::{Occurrence, State, Term, Unfinished},
         worker::Profile,
     },
-    std::{cell::Cell, future::pending},
+    std::{cell::Cell, collections::BTreeSet, future::pending},
     tokio::task::LocalSet,
 };
 
@@ -69,6 +69,12 @@
 
 /// Returns a leader without sessions, and the orders to its journal.
 fn driver() -> (Driver<Silent>, mpsc::UnboundedReceiver<Order>) {
+    driver_with(None)
+}
+
+fn driver_with(
+    evacuations: Option<evacuation_watch::Source>,
+) -> (Driver<Silent>, mpsc::UnboundedReceiver<Order>) {
     let candidate = Candidate {
         node: "entry".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -80,7 +86,7 @@
             job_retention: Millis(120_000),
             worker_retention: Millis(12_000),
         },
-        evacuations: None,
+        evacuations,
         retired_since: NOW.get(),
     };
     let claim = Claim {
@@ -207,6 +213,34 @@
     .await;
 }
 
+/// Guards against a new leader that places tasks before it has read which data
+/// centres are evacuated.
+#[tokio::test]
+async fn leader_places_nothing_before_it_knows_the_evacuations() {
+    let set = LocalSet::new();
+    set.run_until(async {
+        let source = evacuation_watch::Source {
+            prefix: "evacuated/",
+            decode: |_| None,
+            bound: Millis(5000),
+        };
+        let (mut driver, mut orders) = driver_with(Some(source));
+        driver.step(Event::Opened(Link(0), Node("side-0".into())));
+        driver.step(Event::Report(Link(0), Box::new(joined())));
+        driver.step(Event::Submitted(Job(1), Arc::new(job())));
+        for _ in 0..100 {
+            NOW.set(NOW.get() + Millis(10));
+            driver.step(Event::Tick);
+        }
+        assert!(orders.try_recv().is_err(), "placed");
+
+        driver.step(Event::Evacuated(BTreeSet::new()));
+
+        assert!(matches!(orders.try_recv(), Ok(Order::Batch(_))));
+    })
+    .await;
+}
+
 /// Guards against a leader that ends, and every leader after it, because of a
 /// stored value that another writer has damaged.
 #[tokio::test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -72,6 +72,8 @@
     away: bool,
     /// How many of the next reads are refused.
     refused_reads: usize,
+    /// The revision up to which the history is gone.
+    compacted: Revision,
 }
 
 impl State {
@@ -176,6 +178,27 @@
         self.apply(&transaction);
     }
 
+    /// Removes a key unconditionally, as another process would.
+    pub(crate) fn remove(&self, key: &str) {
+        let transaction = Transaction {
+            remove: vec![key.into()],
+            ..Transaction::default()
+        };
+        self.apply(&transaction);
+    }
+
+    /// Drops the history of changes so far, and cuts the watches that lack some.
+    pub(crate) fn compact(&self) {
+        let mut state = self.state.borrow_mut();
+        state.compacted = Revision(state.revision);
+        state.removed.clear();
+    }
+
+    /// Returns the number of clones.
+    pub(crate) fn clones(&self) -> usize {
+        Rc::strong_count(&self.state)
+    }
+
     fn apply(&self, transaction: &Transaction) -> Commit {
         let mut state = self.state.borrow_mut();
         let found = |key: &Arc<str>| {
@@ -244,6 +267,9 @@
             self.reach(left).await?;
             let (changes, revision) = {
                 let state = self.state.borrow();
+                if after < state.compacted {
+                    return Err(Failure::Compacted);
+                }
                 let items = state.items.values();
                 let newer =
                     items.filter(|item| item.key.starts_with(prefix) && item.revision > after);
