--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod message;
 pub mod planner;
 pub mod record;
+pub mod run_time;
 pub mod throttle;
 pub mod worker;
--- a/crates/workload/src/planner/drain.rs
+++ b/crates/workload/src/planner/drain.rs
@@ -104,13 +104,14 @@
     /// that has taken longer than estimated is expected to go on for as long as it
     /// is overdue.
     fn remaining(&self, task: Task, run: Run) -> Option<Millis> {
-        let step = self.registry.get(task.job)?.step(task.step)?;
+        let entry = self.registry.get(task.job)?;
+        let step = entry.step(task.step)?;
         let execution = self.registry.execution(task, run)?;
         if execution.stopping {
             return Some(Millis::ZERO);
         }
         let lasted = self.now.since(execution.since);
-        let left = Millis(step.estimate.0.abs_diff(lasted.0));
+        let left = self.run_times.remaining(&entry.job.queue, step, lasted);
         (!step.mode.long_running).then_some(left)
     }
 }
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -53,6 +53,7 @@
         job,
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
+        run_time,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -147,6 +148,7 @@
     registry: Registry,
     fleet: Fleet,
     model: Model,
+    run_times: run_time::Model,
     persist: persist::Queue,
     sessions: u64,
     /// Sessions that agents requested before all jobs were loaded.
@@ -212,6 +214,7 @@
             registry: Registry::default(),
             fleet: Fleet::default(),
             model: Model::default(),
+            run_times: run_time::Model::default(),
             persist: persist::Queue::default(),
             sessions: 0,
             waiting_sessions: Vec::new(),
