Learn run times from the tasks that complete

Cause: the planner expected each task to take its declared estimate, which on the grown site is off by a factor of 1.87 (geometric mean of 10,227 tasks), by about the same factor for all tasks of a step. A run beyond its estimate counted as about to end, so workers were held for services where room came late.

Change: run_time::Model learns for each queue how run times relate to estimates, and corrects predictions by the completed tasks of the same step. What remains of a run is the mean of the distribution beyond the time that it has run. Runs whose whole time is not known are not observed. The line 'run ended' and a histogram metric show the errors.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -2,6 +2,7 @@
 //! holds the task, what was decided, and the reason.
 
 use {
+    filbertbend_state::unit::Millis,
     filbertbend_workload::planner::{Backlog, Decision},
     metrics::{counter, gauge, histogram},
     spdlog::prelude::*,
@@ -37,9 +38,17 @@
             node,
             exit,
             failures,
+            timing,
         } => {
             counter!("filbertbend_ends_total", "how" => exit.to_string()).increment(1);
-            info!("run ended", kv: { job: = task.job, task:, run = run.0, node:, how: = exit, failures = *failures });
+            if let Some(timing) = timing {
+                record_error("estimate", timing.estimate, timing.took);
+                record_error("learned", timing.expected, timing.took);
+            }
+            let took = timing.map(|timing| timing.took.0);
+            let expected = timing.map(|timing| timing.expected.0);
+            let estimate = timing.map(|timing| timing.estimate.0);
+            info!("run ended", kv: { job: = task.job, task:, run = run.0, node:, how: = exit, failures = *failures, took_ms:? = took, expected_ms:? = expected, estimate_ms:? = estimate });
         }
         Decision::Lost {
             task,
@@ -93,6 +102,13 @@
     }
 }
 
+/// Updates the metric of the errors of predicted run times.
+fn record_error(prediction: &'static str, predicted: Millis, took: Millis) {
+    let error = Millis(predicted.0.abs_diff(took.0));
+    histogram!("filbertbend_run_time_error_seconds", "prediction" => prediction)
+        .record(error.duration().as_secs_f64());
+}
+
 /// Logs what the planner waits for and updates its metrics.
 fn log_backlog(backlog: &Backlog) {
     let Backlog {
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -5,6 +5,7 @@
         id::{Fence, Incarnation, Job, Node, Run, Task},
         message::KnownLease,
         record::State,
+        run_time::Timing,
         worker::Exit,
     },
     filbertbend_state::{room::Room, unit::Millis},
@@ -49,6 +50,8 @@
         exit: Exit,
         /// The task's failures so far.
         failures: u32,
+        /// How long it took, if that is known of a whole task that completed.
+        timing: Option<Timing>,
     },
     /// A run was removed although the worker reported no end.
     Lost {
--- a/crates/workload/src/planner/drain.rs
+++ b/crates/workload/src/planner/drain.rs
@@ -100,9 +100,7 @@
             .collect()
     }
 
-    /// Estimates when a run ends; returns `None` if it does not end by itself. One
-    /// that has taken longer than estimated is expected to go on for as long as it
-    /// is overdue.
+    /// Estimates when a run ends; returns `None` if it does not end by itself.
     fn remaining(&self, task: Task, run: Run) -> Option<Millis> {
         let entry = self.registry.get(task.job)?;
         let step = entry.step(task.step)?;
@@ -110,8 +108,13 @@
         if execution.stopping {
             return Some(Millis::ZERO);
         }
-        let lasted = self.now.since(execution.since);
-        let left = self.run_times.remaining(&entry.job.queue, step, lasted);
+        let accepted = execution.accepted.map(|acceptance| acceptance.at);
+        let lasted = self.now.since(accepted.unwrap_or(execution.since));
+        let siblings = entry.step_of(task)?.run_times;
+        let queue = &entry.job.queue;
+        let left = self
+            .run_times
+            .remaining_beside(queue, step, &siblings, lasted);
         (!step.mode.long_running).then_some(left)
     }
 }
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -14,6 +14,7 @@
 //!   tolerate.
 //! - `decision` describes decisions for the log, and `backlog` what is waited
 //!   for.
+//! - `timing` learns how long runs take.
 //! - `suspicion` finds tasks that crash their workers.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
@@ -43,6 +44,7 @@
 mod settings;
 mod stop;
 mod suspicion;
+mod timing;
 mod worker;
 
 use {
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -555,6 +555,8 @@
             node: node.clone(),
             run,
             since: now,
+            accepted: None,
+            resumed: found.checkpoint.is_some(),
             started: false,
             stopping: false,
         });
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -3,9 +3,10 @@
 
 use {
     crate::{
-        id::{Job, Node, Run, Task},
+        id::{Fence, Job, Node, Run, Task},
         job::{self, Step},
         record::{Occurrence as StoredOccurrence, Progress, State, Unfinished},
+        run_time::Siblings,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -24,11 +25,26 @@
     pub(super) node: Node,
     pub(super) run: Run,
     pub(super) since: Instant,
+    /// When the worker accepted the start; unknown for a run that a former leader
+    /// started.
+    pub(super) accepted: Option<Acceptance>,
+    /// Whether the run resumes from a checkpoint.
+    pub(super) resumed: bool,
     /// Whether the worker is known to have accepted the start.
     pub(super) started: bool,
     pub(super) stopping: bool,
 }
 
+/// That a worker has accepted a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Acceptance {
+    pub(super) at: Instant,
+    /// The session in which it was reported.
+    pub(super) fence: Fence,
+    /// How long the run was expected to take then.
+    pub(super) expected: Millis,
+}
+
 /// What a step may demand of others, in the order of urgency.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Claim {
@@ -73,6 +89,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct StepEntry {
     pub(super) tasks: Vec<TaskEntry>,
+    /// The run times of those that have completed in this term.
+    pub(super) run_times: Siblings,
     pub(super) remaining: usize,
     pub(super) open: bool,
 }
@@ -140,6 +158,7 @@
             .iter()
             .map(|step| StepEntry {
                 tasks: vec![TaskEntry::default(); step.tasks.into()],
+                run_times: Siblings::default(),
                 remaining: step.tasks.into(),
                 open: false,
             })
@@ -230,6 +249,8 @@
                             node: node.clone(),
                             run: *run,
                             since: now,
+                            accepted: None,
+                            resumed: task.checkpoint.is_some(),
                             started: true,
                             stopping: false,
                         });
@@ -377,6 +398,18 @@
             .get(usize::from(task.index))
     }
 
+    /// Returns the step that a task belongs to.
+    pub(super) fn step_of(&self, task: Task) -> Option<&StepEntry> {
+        let occurrence = self.occurrences.get(&task.occurrence)?;
+        occurrence.steps.get(usize::from(task.step))
+    }
+
+    /// Returns the step that a task belongs to.
+    pub(super) fn step_of_mut(&mut self, task: Task) -> Option<&mut StepEntry> {
+        let occurrence = self.occurrences.get_mut(&task.occurrence)?;
+        occurrence.steps.get_mut(usize::from(task.step))
+    }
+
     /// Lists the tasks that share an end of `task`: all tasks of the step for a
     /// gang, otherwise only the task itself.
     pub(super) fn members(&self, task: Task, gang: bool) -> Vec<Task> {
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -161,7 +161,11 @@
     fn outcome(&mut self, node: &Node, outcome: &Outcome, actions: &mut Vec<Action>) {
         let Outcome { task, run, status } = *outcome;
         if status == StartStatus::Started {
+            let acceptance = self.acceptance(node, task);
             if let Some(execution) = self.registry.execution_mut(task, run) {
+                if !execution.started {
+                    execution.accepted = acceptance;
+                }
                 execution.started = true;
             }
             if let Some(entry) = self.registry.get_mut(task.job) {
@@ -259,6 +263,10 @@
             return false;
         };
         let (long_running, gang) = (step.mode.long_running, step.mode.gang);
+        let timing = match exit {
+            Exit::Done if !long_running => self.time(node, task, run),
+            _ => None,
+        };
         self.clear_after_trial(task, run);
         match exit {
             Exit::Done if !long_running => self.done(node, task, run, gang, actions),
@@ -284,6 +292,7 @@
             node: node.clone(),
             exit,
             failures,
+            timing,
         }));
         true
     }
@@ -493,6 +502,8 @@
                 node: node.clone(),
                 run: row.run,
                 since: now,
+                accepted: None,
+                resumed: task.checkpoint.is_some(),
                 started: true,
                 stopping: false,
             });
