--- a/crates/workload/src/planner/timing.rs
+++ b/crates/workload/src/planner/timing.rs
@@ -28,14 +28,12 @@
     /// long after it.
     ///
     /// The members of a gang work only while all are present, so their time counts
-    /// from the last one's start. Their common end counts once.
+    /// from the last one's start. Their common end counts once, since the first one's
+    /// run is gone when the others' ends are listed.
     pub(super) fn time(&mut self, node: &Node, task: Task, run: Run) -> Option<Timing> {
         let session = self.fleet.get(node)?.fence;
         let entry = self.registry.get(task.job)?;
         let step = entry.step(task.step)?;
-        if entry.task(task)?.done {
-            return None;
-        }
         let members = entry.members(task, step.mode.gang);
         let accepted = members.into_iter().map(|member| {
             let execution = self.registry.execution(member, run)?;
