Predict the slowest of several tasks of a step

Cause: when a step completes depends on its slowest task, which takes half as long again as a usual one where run times within a step differ by a factor of 1.35.

Change: expected_slowest, from the learned differences within steps. Nothing uses it yet.

--- a/crates/workload/src/run_time.rs
+++ b/crates/workload/src/run_time.rs
@@ -145,6 +145,21 @@
         self.remaining_beside(queue, step, siblings, Millis::ZERO)
     }
 
+    /// Returns how long the slowest of `count` tasks of `step` is expected to run,
+    /// which decides when the step completes if all of them start together.
+    pub fn expected_slowest(
+        &self,
+        queue: &str,
+        step: &Step,
+        siblings: &Siblings,
+        count: usize,
+    ) -> Millis {
+        let expected = self.expected_beside(queue, step, siblings);
+        let known = self.queues.get(queue);
+        let excess = known.map_or(1.0, |queue| queue.of(step).excess(count));
+        Millis((expected.0 as f64 * excess).round() as u64).min(LONGEST)
+    }
+
     /// Returns how much longer a task of `step` is expected to run that has run for
     /// `elapsed`.
     pub fn remaining(&self, queue: &str, step: &Step, elapsed: Millis) -> Millis {
--- a/crates/workload/src/run_time/histogram.rs
+++ b/crates/workload/src/run_time/histogram.rs
@@ -33,6 +33,23 @@
         }
     }
 
+    /// Returns the mean of the highest of `count` factors, and the weight of all.
+    pub(super) fn highest(&self, count: usize) -> (f64, f64) {
+        let all: f64 = self.iter().map(|(_, weight)| weight).sum();
+        if all <= 0.0 {
+            return (1.0, 0.0);
+        }
+        let (mut mean, mut below, mut sum) = (0.0, 0.0, 0.0);
+        for (factor, weight) in self.iter() {
+            sum += weight;
+            // The probability that none of them is above this factor.
+            let none_above = (sum / all).powf(count as f64);
+            mean += factor * (none_above - below);
+            below = none_above;
+        }
+        (mean, all)
+    }
+
     /// Lists the factors with their weights, the lowest first.
     pub(super) fn iter(&self) -> impl Iterator<Item = (f64, f64)> + '_ {
         // An exponential for each of them would cost the leader too much.
--- a/crates/workload/src/run_time/history.rs
+++ b/crates/workload/src/run_time/history.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// Returns how much longer the slowest of `count` tasks of a step is expected to
+    /// run than each of them.
+    pub(super) fn excess(&self, count: usize) -> f64 {
+        let (slowest, weight) = self.errors_beside.highest(count.max(1));
+        let (one, _) = self.errors_beside.highest(1);
+        (slowest / one * weight + PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
+    }
+
     /// Returns the most likely run time of a task.
     fn predict(&self, estimate: f64, siblings: &Siblings) -> f64 {
         let inner = self.inner_variance.or(PRIOR_INNER_VARIANCE);
--- a/crates/workload/tests/run_time.rs
+++ b/crates/workload/tests/run_time.rs
@@ -114,7 +114,8 @@
 }
 
 /// Guards against an estimate that is preferred to the run times of other tasks of
-/// the same step, and against taking those of one step for those of another.
+/// the same step, against taking those of one step for those of another,
+/// or the slowest task of a step for one like the others.
 #[test]
 fn completed_tasks_of_a_step_tell_about_the_others() {
     let mut random = ChaCha8Rng::seed_from_u64(2);
@@ -142,6 +143,16 @@
     assert!((6400..9600).contains(&expected), "{expected}");
     let other = model.expected(QUEUE, &like).0;
     assert!((800..3000).contains(&other), "{other}");
+    // The mean of the highest of ten values is 1.54 deviations above the others'.
+    let slowest = |count| model.expected_slowest(QUEUE, &like, &siblings, count).0;
+    assert_eq!(slowest(1), expected);
+    let excess = slowest(10) as f64 / expected as f64;
+    assert!((1.2..1.6).contains(&excess), "{excess}");
+    let unknown = Model::default().expected_slowest(QUEUE, &like, &siblings, 10);
+    assert_eq!(
+        unknown,
+        Model::default().expected_beside(QUEUE, &like, &siblings)
+    );
 }
 
 /// Guards against memory that grows with the number of queues that ever had tasks.
@@ -184,6 +195,7 @@
             let elapsed = Millis(elapsed);
             assert!(model.remaining(QUEUE, &hostile, elapsed) <= year);
             assert!(model.remaining_beside(QUEUE, &hostile, &siblings, elapsed) <= year);
+            assert!(model.expected_slowest(QUEUE, &hostile, &siblings, usize::MAX) <= year);
         }
     }
     for _ in 0..2000 {
