--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod planner;
 pub mod record;
 pub mod review;
+pub mod run_time;
 pub mod throttle;
 pub mod worker;
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -15,6 +15,7 @@
 //!   tolerate.
 //! - `decision` describes decisions for the log, and `backlog` what is waited
 //!   for.
+//! - `timing` learns how long runs take.
 //! - `suspicion` finds tasks that crash their workers.
 //! - `persist` batches writes, so that progress is durable before it is acted
 //!   on.
@@ -45,6 +46,7 @@
 mod settings;
 mod stop;
 mod suspicion;
+mod timing;
 mod worker;
 
 use {
@@ -55,6 +57,7 @@
         job,
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
+        run_time,
     },
     evacuation::Evacuations,
     filbertbend_state::{
@@ -154,6 +157,7 @@
     fleet: Fleet,
     evacuations: Evacuations,
     model: Model,
+    run_times: run_time::Model,
     persist: persist::Queue,
     sessions: u64,
     /// Sessions that agents requested before all jobs were loaded.
@@ -220,6 +224,7 @@
             fleet: Fleet::default(),
             evacuations: Evacuations::default(),
             model: Model::default(),
+            run_times: run_time::Model::default(),
             persist: persist::Queue::default(),
             sessions: 0,
             waiting_sessions: Vec::new(),
