Pass calls that the store turns away on to the leader

An entry that the store refuses, resets or leaves without answer answered its callers 503 or 502 although the store served other entries.

Submissions, cancellations and looks at stored state are now tried through the leader too: at once while the store turns the entry away, after the first failure otherwise. The leader's process makes the same conditional write. The order of attempts and the answer after them are decided by attempts::Attempts without I/O. A former leader's hint at its successor is followed, since the watch of the leader's key fails as well. The entry stays ready while the leader carries its calls out, and says that it is not after 1.5 s without either. When neither reaches the store callers are refused at once.

Ruled out: a message to any other entry, which needs a list of entries.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -341,7 +341,7 @@
                 }
                 Some(Response::Orders(orders)) => Event::Orders(orders),
                 Some(Response::NotLeader(leader)) => return Ok(leader),
-                Some(Response::Pong | Response::Answer(..)) => continue,
+                Some(Response::Pong | Response::Answer(..) | Response::Relayed(..)) => continue,
                 None => return Ok(None),
             };
             // Fails only when the process ends.
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -1,16 +1,20 @@
 //! An entry: accepts jobs from callers, and leads when no other entry does.
 
+mod callers;
+mod relay;
+
+pub use callers::{Cancellation, Submission};
+
 use {
     crate::{
         claim::{self, Prior},
-        journal::encode,
         key,
         key_watch::Watcher,
-        leader_link::LeaderLink,
+        leader_link::{Answer, Body, LeaderLink},
         listener::Listener,
-        platform::{Commit, Failure, Revision, Store, Transaction},
+        platform::Store,
         term::{Candidate, Driver, Ended, Input, Queued},
-        withdrawal::{self, Ledger, Permit},
+        withdrawal::Ledger,
     },
     filbertbend_state::{
         time,
@@ -23,13 +27,14 @@
     },
     filbertbend_workload::{
         catalog::Catalog,
-        id::{self, Job, Node},
-        job, leadership,
+        id::{self, Node},
+        leadership,
         message::{Query, Reply, Request, Response},
         planner::Settings,
-        record::{Leader, Progress, State},
+        record::Leader,
     },
     metrics::counter,
+    relay::Relay,
     spdlog::prelude::*,
     std::{
         cell::{Cell, RefCell},
@@ -40,7 +45,7 @@
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
-        time::{sleep, timeout, timeout_at, Instant},
+        time::{sleep, timeout},
     },
 };
 
@@ -54,20 +59,13 @@
 const WATCH_WAIT: Millis = Millis(2000);
 /// Delay before a failed call to the store is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
-/// How long an entry retries to store a job before it reports failure to the
-/// caller. Retries cover a short outage of the store. In a long one the caller
-/// is told early, because it can retry, also at another entry.
-const SUBMIT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Minimum time left for which an attempt is made. The store answers within
-/// milliseconds. An attempt that is cut short leaves it unknown whether the job
-/// is stored.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
-/// Maximum number of attempts to store a cancellation.
-const CANCEL_ATTEMPTS: usize = 6;
 /// An entry that has not heard from the store for this long reports that it is
 /// not ready, so that callers are sent to other entries. A little more than two
 /// long polls for the leader's key.
 const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(4500);
+/// The same for an entry whose calls fail: a little more than one call without
+/// an answer lasts, so that a single one does not count.
+const STORE_AWAY_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Holds the sender to the current term while this entry leads.
 #[derive(Debug, Default)]
@@ -94,35 +92,6 @@
     }
 }
 
-/// The outcome of storing a job that a caller submitted.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Submission {
-    /// The job is stored.
-    Accepted,
-    /// The job is certainly not stored. Holds the reason.
-    Refused(Arc<str>),
-    /// The job is certainly not stored, because it was cancelled before. Holds
-    /// the time after which its identifier may certainly be used again.
-    Withdrawn(Duration),
-    /// The job may be stored, now or later. Holds the last error.
-    Unknown(Arc<str>),
-}
-
-/// The outcome of storing the cancellation of a job.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Cancellation {
-    /// The cancellation is stored.
-    Accepted,
-    /// There is no such job, and a submission that is still on its way will not
-    /// be stored.
-    UnknownJob,
-    /// There is no such job, but a submission that is still on its way may be
-    /// stored: too many unknown jobs are being cancelled.
-    Refused,
-    /// The cancellation may be stored, now or later. Holds the last error.
-    Unknown(Arc<str>),
-}
-
 /// The options that an entry is started with.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -145,6 +114,7 @@
     leader: Watcher,
     inbox: Rc<Inbox>,
     leader_link: LeaderLink,
+    relay: Relay,
     withdrawals: Ledger,
     /// Since when this process has not led.
     retired_since: Cell<time::Instant>,
@@ -175,19 +145,28 @@
             leader,
             inbox: Rc::default(),
             leader_link,
+            relay: Relay::default(),
             withdrawals: Ledger::default(),
             retired_since: Cell::new(clock::monotonic()),
             next_link: Cell::new(0),
         });
         tokio::task::spawn_local(entry.clone().accept(Listener::new(socket)));
+        tokio::task::spawn_local(entry.clone().probe());
         tokio::task::spawn_local(entry.clone().campaign(stop));
         Ok(entry)
     }
 
     /// Returns whether the entry can serve callers: it has a configuration and
-    /// the store has answered recently.
+    /// has reached the store recently, itself or through the leader.
     pub fn is_ready(&self) -> bool {
-        self.catalog.borrow().is_some() && self.leader.age() < STORE_SILENCE_LIMIT
+        self.catalog.borrow().is_some() && (self.reaches_store() || self.relay.is_proven())
+    }
+
+    /// Returns whether the store serves this entry, as far as it knows. If not, the
+    /// entry does not learn of a new configuration.
+    pub fn reaches_store(&self) -> bool {
+        let away = self.leader.away();
+        self.leader.age() < STORE_SILENCE_LIMIT && away.is_none_or(|away| away < STORE_AWAY_LIMIT)
     }
 
     /// Returns the current configuration, if one has been read.
@@ -195,163 +174,6 @@
         self.catalog.borrow().clone()
     }
 
-    /// Stores a job within the time `limit`. Idempotent: the same job may be
-    /// submitted again at any entry.
-    pub async fn submit(&self, id: Job, job: &job::Job, limit: Duration) -> Submission {
-        let transaction = Transaction {
-            expect: vec![
-                (key::job(id), Revision(0)),
-                (key::withdrawal(id), Revision(0)),
-            ],
-            set: vec![(key::job(id), encode(job), None)],
-            remove: Vec::new(),
-        };
-        let mut uncertain = false;
-        if limit < MIN_ATTEMPT_TIME {
-            return Submission::Refused("no time is left".into());
-        }
-        let deadline = Instant::now() + limit.min(SUBMIT_TIMEOUT);
-        loop {
-            let committed = timeout_at(deadline, self.store.commit(&transaction));
-            let committed = committed.await.unwrap_or_else(|_| {
-                let reason = "no answer in time".into();
-                Err(Failure::Lost(reason))
-            });
-            let reason = match committed {
-                Ok(Commit::Done(_)) => return Submission::Accepted,
-                // The job is already stored, by this call or an earlier one, or
-                // it was cancelled before.
-                Ok(Commit::Conflict(items)) => {
-                    let is_stored = items.iter().any(|item| item.key == key::job(id));
-                    return if is_stored {
-                        Submission::Accepted
-                    } else {
-                        Submission::Withdrawn(withdrawal::MAX_RETENTION.duration())
-                    };
-                }
-                Ok(Commit::LeaseNotFound) => "a lease was expected".into(),
-                Err(Failure::Refused(reason)) => reason,
-                Err(error) => {
-                    uncertain = true;
-                    error.to_string().into()
-                }
-            };
-            if Instant::now() + RETRY_DELAY + MIN_ATTEMPT_TIME >= deadline {
-                return if uncertain {
-                    Submission::Unknown(reason)
-                } else {
-                    Submission::Refused(reason)
-                };
-            }
-            sleep(RETRY_DELAY).await;
-        }
-    }
-
-    /// Stores the cancellation of a job. If the job is not stored, a submission
-    /// of it may still be on its way, so its identifier is withdrawn.
-    pub async fn cancel(&self, id: Job) -> Cancellation {
-        let mut last_error: Arc<str> = "no answer".into();
-        for _ in 0..CANCEL_ATTEMPTS {
-            match self.try_cancel(id).await {
-                Ok(Some(cancellation)) => return cancellation,
-                Ok(None) => last_error = "the job has changed".into(),
-                Err(error) => {
-                    last_error = error.to_string().into();
-                    sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-        Cancellation::Unknown(last_error)
-    }
-
-    /// Makes one attempt to cancel a job. Returns `None` if the job was stored
-    /// or removed meanwhile.
-    async fn try_cancel(&self, id: Job) -> Result<Option<Cancellation>, Failure> {
-        let job = key::job(id);
-        let found = self.store.get(&job).await?;
-        let (revision, marker, outcome) = if let Some(found) = found {
-            let marker = (key::cancellation(id), Vec::new(), None);
-            (found.revision, marker, Cancellation::Accepted)
-        } else {
-            let lease = match self.withdrawals.permit(&self.store, id).await? {
-                Permit::Granted(lease) => lease,
-                Permit::Exhausted => return Ok(Some(Cancellation::Refused)),
-            };
-            let marker = (key::withdrawal(id), Vec::new(), Some(lease));
-            (Revision(0), marker, Cancellation::UnknownJob)
-        };
-        let lease = marker.2;
-        let transaction = Transaction {
-            expect: vec![(job, revision)],
-            set: vec![marker],
-            remove: Vec::new(),
-        };
-        match self.store.commit(&transaction).await? {
-            Commit::Done(_) => Ok(Some(outcome)),
-            Commit::Conflict(_) => Ok(None),
-            Commit::LeaseNotFound => {
-                if let Some(lease) = lease {
-                    self.withdrawals.discard(lease);
-                }
-                Ok(None)
-            }
-        }
-    }
-
-    /// Returns the state of a job, or `None` if there is no such job.
-    ///
-    /// # Errors
-    ///
-    /// Returns the store's error if neither the leader nor the store answered.
-    pub async fn state(&self, id: Job) -> Result<Option<State>, Failure> {
-        if let Some(Reply::State(Some(state))) = self.ask_leader(Query::State(id)).await {
-            return Ok(Some(state));
-        }
-        // The leader may not have seen the job yet, or may be unreachable.
-        if self.store.get(&key::job(id)).await?.is_none() {
-            return Ok(None);
-        }
-        let Some(item) = self.store.get(&key::progress(id)).await? else {
-            return Ok(Some(State::Queued));
-        };
-        let progress: Progress = postcard::from_bytes(&item.value).map_err(|error| {
-            error!("progress cannot be decoded", kv: { job: = id, error: });
-            Failure::Lost("progress cannot be decoded".into())
-        })?;
-        Ok(Some(progress.state))
-    }
-
-    /// Returns the number of jobs of a queue that have not started, or `None`
-    /// if the leader doesn't answer.
-    pub async fn pending(&self, queue: &Arc<str>) -> Option<u64> {
-        match self.ask_leader(Query::Pending(queue.clone())).await? {
-            Reply::Pending(count) => Some(count),
-            _ => None,
-        }
-    }
-
-    /// Asks the leader, which may be this entry.
-    async fn ask_leader(&self, question: Query) -> Option<Reply> {
-        let answer = if self.inbox.is_open() {
-            let (sender, receiver) = oneshot::channel();
-            self.inbox.send(Input::Ask(question, sender)).await;
-            receiver
-        } else {
-            let leader = decode_leader(&self.leader)?;
-            if *leader.node == *self.options.node {
-                return None;
-            }
-            self.leader_link.ask(leader, question)?
-        };
-        match timeout(ASK_TIMEOUT, answer).await {
-            Ok(Ok(reply)) => Some(reply),
-            _ => {
-                counter!("filbertbend_leader_silent_total").increment(1);
-                None
-            }
-        }
-    }
-
     /// Claims the leadership whenever it is vacant, and runs the term.
     async fn campaign(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
         let mut leader = self.leader.clone();
@@ -426,11 +248,10 @@
         let address = self.options.address;
         while leader.former == Some(address) {
             let idle = clock::monotonic().since(self.retired_since.get());
-            let asked = self
-                .leader_link
-                .ask(leader.clone(), Query::Retired(address, idle));
-            if let Some(answer) = asked {
-                if let Ok(Ok(Reply::Noted)) = timeout(ASK_TIMEOUT, answer).await {
+            let body = Body::Query(Query::Retired(address, idle));
+            if let Some(asked) = self.leader_link.ask(leader.clone(), body, None) {
+                let noted = Answer::Reply(Reply::Noted);
+                if timeout(ASK_TIMEOUT, asked.answer).await == Ok(Ok(noted)) {
                     info!("leader told that its predecessor is gone", kv: { epoch = leader.epoch.0, idle_ms = idle.0 });
                     break;
                 }
@@ -486,7 +307,7 @@
         }
     }
 
-    async fn serve_link(&self, link: Link) -> Result<(), link::Error> {
+    async fn serve_link(self: &Rc<Self>, link: Link) -> Result<(), link::Error> {
         let (mut sender, mut receiver) = link.accept().await?;
         let Some(first) = receiver.receive::<Request>().await? else {
             return Ok(());
@@ -526,7 +347,7 @@
     }
 
     async fn receive_all(
-        &self,
+        self: &Rc<Self>,
         number: id::Link,
         receiver: &mut Receiver,
         outbox: mpsc::Sender<Response>,
@@ -544,6 +365,7 @@
                     // Fails only if the link is closed, which needs no answer.
                     let _ = outbox.send(Response::Answer(ticket, answer)).await;
                 }
+                Request::Relay(ticket, call) => self.serve_relay(ticket, call, &outbox),
                 Request::Ping => {
                     let _ = outbox.send(Response::Pong).await;
                 }
--- a/crates/dispatch/src/key_watch.rs
+++ b/crates/dispatch/src/key_watch.rs
@@ -24,6 +24,7 @@
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
     silence: Rc<Cell<Duration>>,
+    away_since: Rc<Cell<Option<Instant>>>,
 }
 
 /// What is known about the key.
@@ -45,9 +46,11 @@
         let refresh = Arc::new(Notify::new());
         let last_answer = Rc::new(Cell::new(Instant::now()));
         let silence = Rc::new(Cell::new(Duration::ZERO));
+        let away_since = Rc::new(Cell::new(None));
         let poller = Poller {
             last_answer: last_answer.clone(),
             silence: silence.clone(),
+            away_since: away_since.clone(),
             store,
             key,
             wait,
@@ -60,6 +63,7 @@
             refresh,
             last_answer,
             silence,
+            away_since,
         }
     }
 
@@ -83,6 +87,25 @@
         self.silence.get()
     }
 
+    /// Returns for how long calls to the store have failed, or `None` if it has
+    /// answered since the last failure.
+    pub fn away(&self) -> Option<Duration> {
+        self.away_since.get().map(|since| since.elapsed())
+    }
+
+    /// Notes that a call of another task has failed. The first one makes the
+    /// poller try at once, so that a single failure is soon forgotten.
+    pub fn report_failure(&self) {
+        if mark_away(&self.away_since) {
+            self.refresh();
+        }
+    }
+
+    /// Notes that a call of another task was answered.
+    pub fn report_answer(&self) {
+        self.away_since.set(None);
+    }
+
     /// Waits until the key has been read for the first time.
     pub async fn wait_until_read(&mut self) {
         let read = self.value.wait_for(|state| *state != State::Unread);
@@ -116,6 +139,7 @@
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
     silence: Rc<Cell<Duration>>,
+    away_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl<S: Store> Poller<S> {
@@ -137,7 +161,14 @@
     /// Reads the key and watches it until a call fails or a refresh is
     /// requested. `failed` tells whether the last call failed.
     async fn watch(&self, failed: bool) -> Result<(), Failure> {
-        let (items, mut revision) = self.store.list(self.key).await?;
+        // A long poll may be cut although the store answers, so only the
+        // listing shows whether it does.
+        let listed = self.store.list(self.key).await;
+        if listed.is_err() {
+            mark_away(&self.away_since);
+        }
+        let (items, mut revision) = listed?;
+        self.away_since.set(None);
         let answered = Instant::now();
         let silence = answered - self.last_answer.replace(answered);
         self.silence
@@ -176,3 +207,12 @@
         });
     }
 }
+
+/// Notes a failure, and returns whether it is the first one.
+fn mark_away(away_since: &Cell<Option<Instant>>) -> bool {
+    let first = away_since.get().is_none();
+    if first {
+        away_since.set(Some(Instant::now()));
+    }
+    first
+}
--- a/crates/dispatch/src/leader_link.rs
+++ b/crates/dispatch/src/leader_link.rs
@@ -5,7 +5,7 @@
 //! delay.
 
 use {
-    crate::{backoff::Backoff, listener::OPEN_TIMEOUT},
+    crate::{backoff::Backoff, budget::Permit, listener::OPEN_TIMEOUT},
     filbertbend_transport::{
         link::{self, Receiver, Sender, Socket},
         tls::Identity,
@@ -14,11 +14,14 @@
         id::Node,
         message::{Query, Reply, Request, Response},
         record::Leader,
+        relay,
     },
     spdlog::prelude::*,
     std::{
         cell::{Cell, RefCell},
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
+        net::SocketAddr,
+        rc::Rc,
         time::Duration,
     },
     tokio::{
@@ -38,10 +41,42 @@
 /// dial.
 const MIN_LIFETIME: Duration = Duration::from_secs(10);
 
+/// What the leader is asked.
+#[derive(Clone)]
+pub(crate) enum Body {
+    Query(Query),
+    Relay(relay::Call),
+}
+
+/// What the leader has answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Answer {
+    Reply(Reply),
+    Relayed(relay::Outcome),
+}
+
 /// A question, and where to send the answer.
 struct Question {
-    query: Query,
-    reply: oneshot::Sender<Reply>,
+    body: Body,
+    reply: oneshot::Sender<Answer>,
+    sent: Rc<Cell<bool>>,
+    /// Bounds the bytes of the questions that are kept.
+    _permit: Option<Permit>,
+}
+
+/// A question that waits for its answer.
+pub(crate) struct Asked {
+    /// Closes without an answer if there will be none.
+    pub(crate) answer: oneshot::Receiver<Answer>,
+    sent: Rc<Cell<bool>>,
+}
+
+impl Asked {
+    /// Returns whether the leader may have received the question. If not, it never
+    /// will once `answer` is dropped.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.sent.get()
+    }
 }
 
 /// Asks whichever entry leads. Keeps at most one link, and dials at most one at
@@ -74,10 +109,11 @@
         }
     }
 
-    /// Asks `leader`. The returned channel closes without a reply if the
-    /// question can't be answered. Returns `None` if too many questions wait.
-    pub(crate) fn ask(&self, leader: Leader, query: Query) -> Option<oneshot::Receiver<Reply>> {
+    /// Asks `leader`. Returns `None` if too many questions wait. `permit` is kept
+    /// as long as the question.
+    pub(crate) fn ask(&self, leader: Leader, body: Body, permit: Option<Permit>) -> Option<Asked> {
         let (reply, answer) = oneshot::channel();
+        let sent = Rc::new(Cell::new(false));
         let mut current = self.current.borrow_mut();
         if current.as_ref().is_none_or(|known| known.leader != leader) {
             // Aborts the old task first, so that two never dial at once.
@@ -85,8 +121,14 @@
             *current = Some(self.start(leader));
         }
         let questions = &current.as_ref()?.questions;
-        questions.try_send(Question { query, reply }).ok()?;
-        Some(answer)
+        let question = Question {
+            body,
+            reply,
+            sent: sent.clone(),
+            _permit: permit,
+        };
+        questions.try_send(question).ok()?;
+        Some(Asked { answer, sent })
     }
 
     fn start(&self, leader: Leader) -> Current {
@@ -118,12 +160,16 @@
 
 impl Dialler {
     async fn run(mut self) {
-        let address = self.leader.address;
         // A link is opened only once there is a question for it.
         while let Some(first) = self.queue.recv().await {
             let begun = Instant::now();
-            if let Err(error) = self.serve(first).await {
-                info!("link to the leader lost", kv: { address:, error: });
+            let address = self.leader.address;
+            let redirected = self.serve(address, VecDeque::from([first])).await;
+            if let Some((successor, waiting)) = redirected {
+                // A store that turns this entry away does not tell it of a new
+                // leader, but the former one does.
+                info!("former leader names its successor", kv: { address:, successor: });
+                self.serve(successor, waiting).await;
             }
             if begun.elapsed() >= MIN_LIFETIME {
                 self.backoff.reset();
@@ -136,9 +182,27 @@
     }
 
     /// Serves one link until it breaks or goes silent, or the peer no longer
-    /// leads.
-    async fn serve(&mut self, first: Question) -> Result<(), link::Error> {
-        let address = self.leader.address;
+    /// leads. If the peer names another leader, returns its address and the
+    /// questions that the peer has not taken.
+    async fn serve(
+        &mut self,
+        address: SocketAddr,
+        waiting: VecDeque<Question>,
+    ) -> Option<(SocketAddr, VecDeque<Question>)> {
+        match self.serve_link(address, waiting).await {
+            Ok(redirected) => redirected.filter(|(successor, _)| *successor != address),
+            Err(error) => {
+                info!("link to the leader lost", kv: { address:, error: });
+                None
+            }
+        }
+    }
+
+    async fn serve_link(
+        &mut self,
+        address: SocketAddr,
+        waiting: VecDeque<Question>,
+    ) -> Result<Option<(SocketAddr, VecDeque<Question>)>, link::Error> {
         let socket = Socket::dialler(&self.identity)?;
         let link = socket.dial_within(address, OPEN_TIMEOUT).await?;
         let (mut sender, mut receiver) = link.open().await?;
@@ -146,50 +210,63 @@
         let pending = Pending::default();
         let result = tokio::select! {
             result = receive_answers(&pending, &mut receiver) => result,
-            result = send_questions(&pending, &mut sender, first, &mut self.queue) => result,
+            result = send_questions(&pending, &mut sender, waiting, &mut self.queue) => {
+                result.map(|()| None)
+            }
             () = pending.silent() => {
                 info!("leader silent, closing the link", kv: { address: });
-                Ok(())
+                Ok(None)
             }
         };
         link.close();
-        result
+        let successor = result?;
+        Ok(successor.map(|successor| (successor, pending.take_back())))
     }
 }
 
 async fn send_questions(
     pending: &Pending,
     sender: &mut Sender,
-    first: Question,
+    mut waiting: VecDeque<Question>,
     queue: &mut mpsc::Receiver<Question>,
 ) -> Result<(), link::Error> {
-    let mut next = Some(first);
-    while let Some(question) = next {
-        if let Some((ticket, query)) = pending.insert(question) {
-            sender.send(&Request::Query(ticket, query)).await?;
+    loop {
+        let next = match waiting.pop_front() {
+            Some(question) => Some(question),
+            None => queue.recv().await,
+        };
+        let Some(question) = next else {
+            return Ok(());
+        };
+        if let Some(request) = pending.insert(question) {
+            sender.send(&request).await?;
         }
-        next = queue.recv().await;
     }
-    Ok(())
 }
 
-async fn receive_answers(pending: &Pending, receiver: &mut Receiver) -> Result<(), link::Error> {
+/// Passes answers on until the stream ends. Returns the address of the leader if
+/// the peer does not lead and names it.
+async fn receive_answers(
+    pending: &Pending,
+    receiver: &mut Receiver,
+) -> Result<Option<SocketAddr>, link::Error> {
     while let Some(response) = receiver.receive::<Response>().await? {
         pending.received_at.set(Instant::now());
         match response {
-            Response::Answer(ticket, reply) => pending.answer(ticket, reply),
-            Response::NotLeader(_) => return Ok(()),
+            Response::Answer(ticket, reply) => pending.answer(ticket, Answer::Reply(reply)),
+            Response::Relayed(ticket, outcome) => pending.answer(ticket, Answer::Relayed(outcome)),
+            Response::NotLeader(successor) => return Ok(successor),
             Response::Pong | Response::Welcome { .. } | Response::Orders(_) => {}
         }
     }
-    Ok(())
+    Ok(None)
 }
 
 /// The questions that were sent on a link and have no answer. A question stays
 /// here when its asker stops waiting, so that silence is noticed.
 struct Pending {
     last_ticket: Cell<u64>,
-    replies: RefCell<BTreeMap<u64, (Instant, oneshot::Sender<Reply>)>>,
+    questions: RefCell<BTreeMap<u64, (Instant, Question)>>,
     received_at: Cell<Instant>,
 }
 
@@ -197,38 +274,52 @@
     fn default() -> Self {
         Self {
             last_ticket: Cell::default(),
-            replies: RefCell::default(),
+            questions: RefCell::default(),
             received_at: Cell::new(Instant::now()),
         }
     }
 }
 
 impl Pending {
-    /// Adds a question, and returns the ticket and the query to send. Drops the
-    /// question if its asker has stopped waiting or too many are pending.
-    fn insert(&self, question: Question) -> Option<(u64, Query)> {
-        let mut replies = self.replies.borrow_mut();
-        if question.reply.is_closed() || replies.len() >= QUESTION_LIMIT {
+    /// Adds a question, and returns the request to send. Drops the question if its
+    /// asker has stopped waiting or too many are pending.
+    fn insert(&self, question: Question) -> Option<Request> {
+        let mut questions = self.questions.borrow_mut();
+        if question.reply.is_closed() || questions.len() >= QUESTION_LIMIT {
             return None;
         }
         let ticket = self.last_ticket.get() + 1;
         self.last_ticket.set(ticket);
-        replies.insert(ticket, (Instant::now(), question.reply));
-        Some((ticket, question.query))
+        question.sent.set(true);
+        let request = match question.body.clone() {
+            Body::Query(query) => Request::Query(ticket, query),
+            Body::Relay(call) => Request::Relay(ticket, call),
+        };
+        questions.insert(ticket, (Instant::now(), question));
+        Some(request)
     }
 
-    fn answer(&self, ticket: u64, reply: Reply) {
-        if let Some((_, asker)) = self.replies.borrow_mut().remove(&ticket) {
+    fn answer(&self, ticket: u64, answer: Answer) {
+        if let Some((_, question)) = self.questions.borrow_mut().remove(&ticket) {
             // Fails only if the asker has stopped waiting.
-            let _ = asker.send(reply);
+            let _ = question.reply.send(answer);
         }
     }
 
+    /// Takes back all questions, which the peer has refused without reading them.
+    fn take_back(&self) -> VecDeque<Question> {
+        let questions = std::mem::take(&mut *self.questions.borrow_mut());
+        let questions = questions.into_values().map(|(_, question)| question);
+        questions
+            .inspect(|question| question.sent.set(false))
+            .collect()
+    }
+
     /// Returns when the link counts as silent unless something is received, or
     /// `None` if no question waits.
     fn silent_at(&self) -> Option<Instant> {
-        let replies = self.replies.borrow();
-        let (_, (asked_at, _)) = replies.first_key_value()?;
+        let questions = self.questions.borrow();
+        let (_, (asked_at, _)) = questions.first_key_value()?;
         Some(self.received_at.get().max(*asked_at) + SILENCE_LIMIT)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,7 +10,9 @@
 )]
 
 pub mod agent;
+mod attempts;
 pub mod backoff;
+mod budget;
 mod claim;
 pub mod config_watch;
 mod decision;
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod message;
 pub mod planner;
 pub mod record;
+pub mod relay;
 pub mod throttle;
 pub mod worker;
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -6,6 +6,7 @@
         interference::{Reading, Service, Weight},
         job,
         record::State,
+        relay,
         worker::{End, Profile, Running},
     },
     filbertbend_state::{
@@ -30,6 +31,9 @@
     Query(u64, Query),
     /// Keeps the connection alive.
     Ping,
+    /// A call of the store that an entry passes on, with the identifier of the
+    /// request, which the answer repeats.
+    Relay(u64, relay::Call),
 }
 
 /// A query that an entry sends to the leader for a caller.
@@ -77,6 +81,9 @@
     Answer(u64, Reply),
     /// Keeps the connection alive.
     Pong,
+    /// The outcome of a call that an entry has passed on, with the request's
+    /// identifier.
+    Relayed(u64, relay::Outcome),
 }
 
 /// A report of an agent.
