Wait for a relayed call no longer than for the store itself

A request that was certainly not carried out waited for a dead leader up to the caller's whole time. It now ends with the limit for an outage; only an unknown outcome is worth all of it.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -17,7 +17,7 @@
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 /// How long the answer to a relayed call is waited for: longer than the leader
 /// waits for the store.
-pub(crate) const RELAY_PATIENCE: Duration = Duration::from_millis(800);
+pub(crate) const RELAY_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Through which process the store is called.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -94,6 +94,8 @@
     /// The paths that were tried in this round.
     tried: Vec<Path>,
     uncertain: bool,
+    /// Whether an attempt through the leader has failed.
+    relay_failed: bool,
     reason: Arc<str>,
 }
 
@@ -106,7 +108,8 @@
             round: 0,
             tried: Vec::new(),
             uncertain: false,
-            reason: "no time is left".into(),
+            relay_failed: false,
+            reason: "the store was not reached in time".into(),
         }
     }
 
@@ -140,7 +143,8 @@
     }
 
     /// Notes the failure of an attempt.
-    pub(crate) fn failed(&mut self, failed: Failed) {
+    pub(crate) fn failed(&mut self, path: Path, failed: Failed) {
+        self.relay_failed |= path == Path::Leader;
         self.reason = match failed {
             Failed::Refused(reason) => reason,
             Failed::Lost(reason) => {
@@ -163,10 +167,15 @@
     /// Returns for how long the request may be tried. The leader can resolve an
     /// unknown outcome, which is worth all the time that the caller has.
     fn time_limit(&self, relay: Relay) -> Duration {
-        match relay {
-            Relay::Open => self.limit,
-            Relay::Suspect if self.uncertain => self.limit,
-            Relay::Suspect | Relay::Closed => self.limit.min(self.limits.alone),
+        let hopeful = match relay {
+            Relay::Open => self.uncertain || !self.relay_failed,
+            Relay::Suspect => self.uncertain,
+            Relay::Closed => false,
+        };
+        if hopeful {
+            self.limit
+        } else {
+            self.limit.min(self.limits.alone)
         }
     }
 
--- a/crates/dispatch/src/attempts/tests.rs
+++ b/crates/dispatch/src/attempts/tests.rs
@@ -46,7 +46,7 @@
             Step::Try(path, limit) => {
                 assert!(now + limit <= begun + LIMIT, "beyond the caller's time");
                 tried.push(path);
-                attempts.failed(fail(path));
+                attempts.failed(path, fail(path));
                 now += ATTEMPT;
             }
             Step::Pause(delay) => now += delay,
@@ -123,9 +123,11 @@
 #[test]
 fn silent_leader_is_waited_for_only_to_resolve_an_unknown_outcome() {
     let suspect = |_| reach(Some(10), Relay::Suspect);
-    let (tried, time, _) = play(suspect, |_| refused());
-    assert_eq!(tried, []);
-    assert!(time <= LIMITS.alone, "{time:?}");
+    for known in [Relay::Suspect, Relay::Open] {
+        let (_, time, outcome) = play(|_| reach(Some(10), known), |_| refused());
+        assert!(time <= LIMITS.alone, "{time:?}");
+        assert!(matches!(outcome, Failed::Refused(_)), "{outcome:?}");
+    }
 
     let back = |tried| match tried {
         0 => reach(None, Relay::Suspect),
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -163,12 +163,15 @@
             match attempts.next(Instant::now(), self.reach()) {
                 Step::Try(Path::Store, limit) => match self.call_store(call, limit).await {
                     Ok(Some(outcome)) => return Ok(outcome),
-                    Ok(None) => attempts.failed(Failed::Refused("the job has changed".into())),
-                    Err(failed) => attempts.failed(failed),
+                    Ok(None) => {
+                        let reason = "the job has changed".into();
+                        attempts.failed(Path::Store, Failed::Refused(reason));
+                    }
+                    Err(failed) => attempts.failed(Path::Store, failed),
                 },
                 Step::Try(Path::Leader, limit) => match self.relay(call, limit).await {
                     Ok(outcome) => return Ok(outcome),
-                    Err(failed) => attempts.failed(failed),
+                    Err(failed) => attempts.failed(Path::Leader, failed),
                 },
                 Step::Pause(delay) => sleep(delay).await,
                 Step::GiveUp => return Err(attempts.outcome()),
--- a/crates/dispatch/src/entry/relay.rs
+++ b/crates/dispatch/src/entry/relay.rs
@@ -36,7 +36,7 @@
 /// never breaks the link.
 const MESSAGE_LIMIT_BYTES: usize = 1 << 20;
 /// How long a leader works on one call, less than its entry waits.
-const WORK_TIMEOUT: Duration = Duration::from_millis(600);
+const WORK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause after a call that was not answered, in which the link may be replaced.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after the leader has refused a call, since it is busy or the store turns
