--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -8,7 +8,10 @@
 #[cfg(test)]
 mod tests;
 
-use {std::sync::Arc, std::time::Duration, strum::Display, tokio::time::Instant};
+use {
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
 
 /// Delay before the next round of attempts.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(80);
@@ -20,8 +23,7 @@
 pub(crate) const RELAY_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Through which process the store is called.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Path {
     /// This process calls the store.
     Store,
