--- a/crates/dispatch/src/key_watch.rs
+++ b/crates/dispatch/src/key_watch.rs
@@ -25,6 +25,7 @@
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
     silence: Rc<Cell<Duration>>,
+    away_since: Rc<Cell<Option<Instant>>>,
 }
 
 /// What is known about the watched keys.
@@ -79,9 +80,11 @@
         let refresh = Arc::new(Notify::new());
         let last_answer = Rc::new(Cell::new(Instant::now()));
         let silence = Rc::new(Cell::new(Duration::ZERO));
+        let away_since = Rc::new(Cell::new(None));
         let poller = Poller {
             last_answer: last_answer.clone(),
             silence: silence.clone(),
+            away_since: away_since.clone(),
             store,
             scope,
             wait,
@@ -94,6 +97,7 @@
             refresh,
             last_answer,
             silence,
+            away_since,
         }
     }
 
@@ -125,6 +129,25 @@
         self.silence.get()
     }
 
+    /// Returns for how long calls to the store have failed, or `None` if it has
+    /// answered since the last failure.
+    pub fn away(&self) -> Option<Duration> {
+        self.away_since.get().map(|since| since.elapsed())
+    }
+
+    /// Notes that a call of another task has failed. The first one makes the
+    /// poller try at once, so that a single failure is soon forgotten.
+    pub fn report_failure(&self) {
+        if mark_away(&self.away_since) {
+            self.refresh();
+        }
+    }
+
+    /// Notes that a call of another task was answered.
+    pub fn report_answer(&self) {
+        self.away_since.set(None);
+    }
+
     /// Waits until the keys have been read for the first time.
     pub async fn wait_until_read(&mut self) {
         let read = self.value.wait_for(|state| *state != State::Unread);
@@ -158,6 +181,7 @@
     refresh: Arc<Notify>,
     last_answer: Rc<Cell<Instant>>,
     silence: Rc<Cell<Duration>>,
+    away_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl<S: Store> Poller<S> {
@@ -188,7 +212,14 @@
     /// requested. `failed` tells whether the last call failed.
     async fn watch(&self, failed: bool) -> Result<(), Failure> {
         let prefix = self.scope.prefix();
-        let (listed, mut revision) = self.store.list(prefix).await?;
+        // A long poll may be cut although the store answers, so only the
+        // listing shows whether it does.
+        let listed = self.store.list(prefix).await;
+        if listed.is_err() {
+            mark_away(&self.away_since);
+        }
+        let (listed, mut revision) = listed?;
+        self.away_since.set(None);
         let answered = Instant::now();
         let silence = answered - self.last_answer.replace(answered);
         self.silence
@@ -242,3 +273,12 @@
         });
     }
 }
+
+/// Notes a failure, and returns whether it is the first one.
+fn mark_away(away_since: &Cell<Option<Instant>>) -> bool {
+    let first = away_since.get().is_none();
+    if first {
+        away_since.set(Some(Instant::now()));
+    }
+    first
+}
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod planner;
 pub mod record;
+pub mod relay;
 pub mod review;
 pub mod run_time;
 pub mod throttle;
