Keep processes within their machine whatever clients send

Cause: on the platform's path a connection could hold 400 KB of a header or of empty lines (hyper's default), any number of bodies of legal size was in memory at once, piece by piece with a copy of the buffer of each frame, and nothing limited connections or jobs being stored. The metrics served eight connections and let those that stay open lock out others.

A pure ledger decides which connection or stalled body gives way, so that clients that stay open do not lock out others. The operators' ports of entry and agent evict as well. Incoming QUIC links before their handshake are bounded.

Ruled out: refusing new connections at the limit (whoever stays open locks out the rest), a fixed limit by address (one address may forward many clients), a minimum rate of bodies (depends on the link), resident memory as the measure (does not shrink).

Open: jobs that are accepted stay in the leader's memory; bodies of jobs on the product's own path have no common budget.

--- a/crates/agent/src/serve/mod.rs
+++ b/crates/agent/src/serve/mod.rs
@@ -48,6 +48,7 @@
 const OPERATOR_LIMITS: http::Limits = http::Limits {
     header_bytes: 16 << 10,
     connections: 64,
+    overflow: http::Overflow::Evict,
 };
 
 /// Why the agent could not start.
--- a/crates/filbertbend/src/serve/mod.rs
+++ b/crates/filbertbend/src/serve/mod.rs
@@ -70,6 +70,7 @@
 const OPERATOR_LIMITS: http::Limits = http::Limits {
     header_bytes: 16 << 10,
     connections: 64,
+    overflow: http::Overflow::Evict,
 };
 /// Accepted connections are numbered from here, so that their numbers differ from
 /// those that the heartbeater assigns to dialled ones.
@@ -168,6 +169,7 @@
     let limits = http::Limits {
         header_bytes: settings.limits.header.0 as usize,
         connections: settings.limits.connections.0 as usize,
+        overflow: http::Overflow::Wait,
     };
     info!("entry started", kv: { entry: = settings.name });
     let server = http::serve(callers, api::router(api), limits, stop.clone());
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -1,7 +1,10 @@
 //! An HTTP server with limits and graceful shutdown, for callers and operators.
 
 use {
-    crate::linger::Lingering,
+    crate::{
+        clients::{self, Clients},
+        linger::{evicted, Lingering, Place},
+    },
     axum::Router,
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -11,8 +14,8 @@
     spdlog::prelude::*,
     std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     tokio::{
-        net::TcpListener,
-        sync::{watch, Semaphore},
+        net::{TcpListener, TcpStream},
+        sync::{watch, OwnedSemaphorePermit, Semaphore},
     },
 };
 
@@ -36,8 +39,27 @@
 pub struct Limits {
     /// Maximum size of a header, in bytes.
     pub header_bytes: usize,
-    /// Maximum number of open connections; others wait to be accepted.
+    /// Maximum number of open connections.
     pub connections: usize,
+    /// What happens to a connection over that number.
+    pub overflow: Overflow,
+}
+
+/// What happens to a connection over the limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Overflow {
+    /// It waits to be accepted until another is closed. For callers whose
+    /// answers may take long.
+    Wait,
+    /// It takes the place of another, so that connections that stay open don't
+    /// lock out others. For operators, whose answers are short.
+    Evict,
+}
+
+/// Gives connections their places within the limit.
+enum Places {
+    Permits(Arc<Semaphore>),
+    Clients(Clients),
 }
 
 /// Serves `router` on `listener` until `stop` becomes true, and returns when
@@ -48,26 +70,32 @@
     limits: Limits,
     mut stop: watch::Receiver<bool>,
 ) {
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let places = Places::new(limits);
     let graceful = GracefulShutdown::new();
     let builder = builder(limits);
     let mut shutdown_delay = pin!(shutdown_delay(&mut stop));
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
+            accepted = places.accept(&listener) => accepted,
             () = &mut shutdown_delay => break,
         };
-        let Some((stream, peer)) = accepted else {
+        let Some((stream, place, peer)) = accepted else {
             continue;
         };
+        let mut eviction = place.eviction.clone();
+        let stream = Lingering::new(stream, place);
         let service = TowerToHyperService::new(router.clone());
         let connection = builder
             .serve_connection_with_upgrades(TokioIo::new(stream), service)
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = watched.await {
-                debug!("connection with caller failed", kv: { peer:, error: });
+            tokio::select! {
+                biased;
+                () = evicted(&mut eviction) => {}
+                served = watched => if let Err(error) = served {
+                    debug!("connection with caller failed", kv: { peer:, error: });
+                }
             }
         });
     }
@@ -100,22 +128,50 @@
     builder
 }
 
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(Lingering, SocketAddr)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Ok((stream, peer)) => {
-            // With Nagle's algorithm, small answers would wait for the peer's
-            // delayed acknowledgement.
-            let _ = stream.set_nodelay(true);
-            Some((Lingering::new(stream, permit), peer))
+impl Places {
+    fn new(limits: Limits) -> Self {
+        match limits.overflow {
+            Overflow::Wait => Self::Permits(Arc::new(Semaphore::new(limits.connections))),
+            Overflow::Evict => {
+                let limits = clients::Limits {
+                    connections: limits.connections,
+                    request_bytes: 0,
+                };
+                Self::Clients(Clients::new("operators", limits))
+            }
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> Option<(TcpStream, Place, SocketAddr)> {
+        let permit = match self {
+            Self::Permits(permits) => Some(permits.clone().acquire_owned().await.ok()?),
+            Self::Clients(_) => None,
+        };
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                // With Nagle's algorithm, small answers would wait for the
+                // peer's delayed acknowledgement.
+                let _ = stream.set_nodelay(true);
+                Some((stream, self.place(permit, peer).await?, peer))
+            }
+            Err(error) => {
+                warn!("connection not accepted", kv: { error: });
+                if let Self::Clients(clients) = self {
+                    clients.shed();
+                }
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                None
+            }
         }
-        Err(error) => {
-            warn!("connection not accepted", kv: { error: });
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            None
+    }
+
+    async fn place(&self, permit: Option<OwnedSemaphorePermit>, peer: SocketAddr) -> Option<Place> {
+        match self {
+            Self::Permits(_) => permit.map(Place::permit),
+            Self::Clients(clients) => {
+                let (client, eviction) = clients.open(peer.ip()).await?;
+                Some(Place::client(client, eviction))
+            }
         }
     }
 }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -6,6 +6,7 @@
     warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)
 )]
 
+pub mod clients;
 pub mod http;
 pub mod keys;
 mod linger;
--- a/crates/process/src/linger.rs
+++ b/crates/process/src/linger.rs
@@ -1,9 +1,11 @@
 //! Lingering close: a connection that is read for a while after its answer.
 
 use {
+    crate::clients::{Client, Eviction},
     std::{
         io::{self, IoSlice},
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
@@ -21,7 +23,35 @@
 /// Maximum data read after the sending side was shut down, in bytes.
 const LINGER_LIMIT_BYTES: u64 = 64 << 20;
 
-/// A caller's connection, with its permit from the connection limit.
+/// What a connection holds of its listener's limit, until it is dropped.
+pub(crate) struct Place {
+    _permit: Option<OwnedSemaphorePermit>,
+    _client: Option<Arc<Client>>,
+    /// Tells when the place is given to another connection, if it may be.
+    pub(crate) eviction: Option<Eviction>,
+}
+
+impl Place {
+    /// A place that others wait for.
+    pub(crate) fn permit(permit: OwnedSemaphorePermit) -> Self {
+        Self {
+            _permit: Some(permit),
+            _client: None,
+            eviction: None,
+        }
+    }
+
+    /// A place that may be given to another connection.
+    pub(crate) fn client(client: Arc<Client>, eviction: Eviction) -> Self {
+        Self {
+            _permit: None,
+            _client: Some(client),
+            eviction: Some(eviction),
+        }
+    }
+}
+
+/// A caller's connection, with its place within the connection limit.
 ///
 /// Closing a socket that has unread bytes resets the connection. The caller may
 /// then lose the answer that is in transit, such as a refusal of a body that it
@@ -31,15 +61,15 @@
 pub(crate) struct Lingering {
     /// `Some` until the value is dropped.
     stream: Option<TcpStream>,
-    permit: Option<OwnedSemaphorePermit>,
+    place: Option<Place>,
 }
 
 impl Lingering {
-    /// Wraps `stream`; `permit` is released once the stream has been closed.
-    pub(crate) fn new(stream: TcpStream, permit: OwnedSemaphorePermit) -> Self {
+    /// Wraps `stream`; `place` is released once the stream has been closed.
+    pub(crate) fn new(stream: TcpStream, place: Place) -> Self {
         Self {
             stream: Some(stream),
-            permit: Some(permit),
+            place: Some(place),
         }
     }
 
@@ -98,14 +128,30 @@
         let (Some(stream), Ok(runtime)) = (self.stream.take(), Handle::try_current()) else {
             return;
         };
-        let permit = self.permit.take();
+        let place = self.place.take();
+        let mut eviction = place.as_ref().and_then(|place| place.eviction.clone());
+        if eviction.as_ref().is_some_and(Eviction::is_due) {
+            return;
+        }
         runtime.spawn(async move {
-            let _ = timeout(LINGER_TIMEOUT, discard_input(stream)).await;
-            drop(permit);
+            tokio::select! {
+                biased;
+                () = evicted(&mut eviction) => {}
+                _ = timeout(LINGER_TIMEOUT, discard_input(stream)) => {}
+            }
+            drop(place);
         });
     }
 }
 
+/// Waits until a connection must be closed; forever if it need not.
+pub(crate) async fn evicted(eviction: &mut Option<Eviction>) {
+    match eviction {
+        Some(eviction) => eviction.wait().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn discard_input(mut stream: TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
     tokio::io::copy(&mut stream.take(LINGER_LIMIT_BYTES), &mut tokio::io::sink()).await?;
--- a/crates/process/tests/metrics.rs
+++ b/crates/process/tests/metrics.rs
@@ -13,6 +13,7 @@
 const LIMITS: http::Limits = http::Limits {
     header_bytes: 8 << 10,
     connections: 2,
+    overflow: http::Overflow::Wait,
 };
 
 /// Guards against counters that are recorded but not served.
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -19,6 +19,14 @@
     },
 };
 
+/// Maximum number of incoming links that wait for their handshake. After a
+/// change of leader, all agents of a deployment dial at once.
+const MAX_INCOMING: usize = 8 << 10;
+/// Memory for the packets of one incoming link, in bytes. Until its handshake, a
+/// peer sends little more than one packet, and sends it again.
+const INCOMING_BUFFER_BYTES: u64 = 16 << 10;
+/// Memory for the packets of all incoming links together, in bytes.
+const INCOMING_BUFFERS_BYTES: u64 = 8 << 20;
 /// The DNS name in every certificate, which the dialling process verifies.
 pub const SERVER_NAME: &str = "filbertbend";
 /// The ALPN identifier of the links.
@@ -136,7 +144,11 @@
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(
             QuicServerConfig::try_from(server).map_err(mismatch)?,
         ));
-        server.transport_config(transport.clone());
+        server
+            .transport_config(transport.clone())
+            .max_incoming(MAX_INCOMING)
+            .incoming_buffer_size(INCOMING_BUFFER_BYTES)
+            .incoming_buffer_size_total(INCOMING_BUFFERS_BYTES);
         let mut client = quinn::ClientConfig::new(Arc::new(
             QuicClientConfig::try_from(client).map_err(mismatch)?,
         ));
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -14,6 +14,11 @@
     pub queues: HashMap<Arc<str>, Queue>,
     /// The largest request body that callers may send, in bytes.
     pub body_bytes: usize,
+    /// The largest request header that callers may send, in bytes.
+    pub header_bytes: usize,
+    /// How long a caller's connection may be idle and then send a header, if
+    /// the configuration says so.
+    pub header_timeout: Option<Millis>,
 }
 
 /// A queue of jobs.
