Keep sums in the histograms of run times

Change: histograms hold, for each factor, the sums of what is above it, so that a prediction reads two numbers, and a run's state is looked up once.

Ruled out: predictions at the beginning of a run only, because the part beyond the time that it has run is what matters.

--- a/crates/workload/src/planner/drain.rs
+++ b/crates/workload/src/planner/drain.rs
@@ -104,18 +104,22 @@
     fn remaining(&self, task: Task, run: Run) -> Option<Millis> {
         let entry = self.registry.get(task.job)?;
         let step = entry.step(task.step)?;
-        let execution = self.registry.execution(task, run)?;
+        let state = entry.step_of(task)?;
+        let executions = &state.tasks.get(usize::from(task.index))?.executions;
+        let execution = executions.iter().find(|execution| execution.run == run)?;
         if execution.stopping {
             return Some(Millis::ZERO);
         }
+        if step.mode.long_running {
+            return None;
+        }
         let accepted = execution.accepted.map(|acceptance| acceptance.at);
         let lasted = self.now.since(accepted.unwrap_or(execution.since));
-        let siblings = entry.step_of(task)?.run_times;
         let queue = &entry.job.queue;
         let left = self
             .run_times
-            .remaining_beside(queue, step, &siblings, lasted);
-        (!step.mode.long_running).then_some(left)
+            .remaining_beside(queue, step, &state.run_times, lasted);
+        Some(left)
     }
 }
 
--- a/crates/workload/src/run_time.rs
+++ b/crates/workload/src/run_time.rs
@@ -20,7 +20,7 @@
 };
 
 /// The maximum number of queues that are learned from, above the 880 teams with
-/// quotas of `docs/design.md`. One takes about 1.2 KB.
+/// quotas of `docs/design.md`. One takes about 2.3 KB.
 const QUEUE_LIMIT: usize = 1000;
 /// Run times and estimates are limited to a year, so that sums stay finite.
 const LONGEST: Millis = Millis::from_secs(365 * 24 * 3600);
@@ -175,10 +175,12 @@
         siblings: &Siblings,
         elapsed: Millis,
     ) -> Millis {
-        let unknown = History::default();
-        let known = self.queues.get(queue);
-        let history = known.map_or(&unknown, |queue| queue.of(step));
-        let left = history.remaining(log_estimate(step), siblings, elapsed.min(LONGEST).0 as f64);
+        let estimate = log_estimate(step);
+        let elapsed = elapsed.min(LONGEST).0 as f64;
+        let left = match self.queues.get(queue) {
+            Some(known) => known.of(step).remaining(estimate, siblings, elapsed),
+            None => History::default().remaining(estimate, siblings, elapsed),
+        };
         Millis(left.round() as u64).min(LONGEST)
     }
 }
--- a/crates/workload/src/run_time/history.rs
+++ b/crates/workload/src/run_time/history.rs
@@ -71,23 +71,22 @@
         } else {
             &self.errors_alone
         };
-        let typical = self.predict(estimate, siblings).exp();
-        let overdue = elapsed - typical;
-        let unseen = UNSEEN * (self.line.weight + PRIOR_WEIGHT);
-        let (mut sum, mut all) = (0.0, 0.0);
-        let mut add = |left: f64, weight: f64| {
+        let typical = self.predict(estimate, siblings);
+        let longer = errors.above(elapsed.ln() - typical);
+        let typical = typical.exp();
+        let mut weight = f64::from(longer.weight);
+        let mut sum = f64::from(longer.factors) * typical - weight * elapsed;
+        let mut add = |left: f64, count: f64| {
             if left > 0.0 {
-                sum += weight * left;
-                all += weight;
+                sum += count * left;
+                weight += count;
             }
         };
+        let overdue = elapsed - typical;
         add(-overdue, PRIOR_WEIGHT);
-        add(overdue, unseen);
-        for (factor, weight) in errors.iter() {
-            add(typical * factor - elapsed, weight);
-        }
-        if all > 0.0 {
-            sum / all
+        add(overdue, UNSEEN * (self.line.weight + PRIOR_WEIGHT));
+        if weight > 0.0 {
+            (sum / weight).max(0.0)
         } else {
             0.0
         }
