Place jobs that can be in time first when there is too little room

Under more work than room all jobs were taken in the order of arrival, so each waited for those that were late already, and nearly all ended late. Queues may now have an objective (a multiple of the longest chain of tasks, and an allowance); jobs of one priority are placed by their standing to it, those that have begun first, and deferred jobs take turns. Nothing changes for queues without an objective. The keys of ready steps stay; the order is derived in each pass.

--- a/crates/bench/benches/leader/simulation.rs
+++ b/crates/bench/benches/leader/simulation.rs
@@ -394,6 +394,7 @@
         pool: POOL.into(),
         priority,
         attempts: 3,
+        objective: None,
         timeout: Millis(3000),
     };
     let queues = [(CHECKS, 0), (LAYOUTS, 2), (SERVICES, 0)].map(queue);
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -89,6 +89,16 @@
             counter!("filbertbend_given_up_total").increment(1);
             warn!("task crashes its workers, job given up", kv: { job: = task.job, task:, run = run.0, node: });
         }
+        Decision::Deferred {
+            job,
+            occurrence,
+            priority,
+            standing,
+            outlook,
+        } => {
+            counter!("filbertbend_deferred_total").increment(1);
+            info!("job deferred", kv: { job:, occurrence = *occurrence, priority = *priority, standing:, age_ms = outlook.age.0, objective_ms = outlook.objective.0, chain_ms = outlook.chain.0, millicore_seconds = outlook.work.millicore_seconds(), begun = outlook.begun });
+        }
         Decision::Waiting(backlog) => log_backlog(backlog),
     }
 }
@@ -97,6 +107,7 @@
 fn log_backlog(backlog: &Backlog) {
     let Backlog {
         blocked,
+        jobs,
         waiting_services,
         longest_wait,
         held_workers,
@@ -108,6 +119,9 @@
         .as_ref()
         .map_or(0.0, |blocked| blocked.waited.duration().as_secs_f64());
     gauge!("filbertbend_blocked_seconds").set(waited);
+    gauge!("filbertbend_waiting_jobs", "standing" => "in_time").set(jobs.in_time as f64);
+    gauge!("filbertbend_waiting_jobs", "standing" => "late").set(jobs.late as f64);
+    gauge!("filbertbend_waiting_jobs", "standing" => "overdue").set(jobs.overdue as f64);
     gauge!("filbertbend_waiting_services").set(*waiting_services as f64);
     gauge!("filbertbend_held_workers").set(*held_workers as f64);
     gauge!("filbertbend_awaited_runs").set(*awaited_runs as f64);
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -115,6 +115,7 @@
         pool: "pool".into(),
         priority: 0,
         attempts: 2,
+        objective: None,
         timeout: Millis(3000),
     };
     Catalog {
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -31,10 +31,23 @@
     pub priority: u8,
     /// The number of failures of a task, or of a gang, at which its job fails.
     pub attempts: u32,
+    /// When jobs of the queue should have ended; `None` leaves them in the order of
+    /// arrival.
+    pub objective: Option<Objective>,
     /// The timeout of a request.
     pub timeout: Millis,
 }
 
+/// When jobs should have ended: their longest chain of tasks, times a factor, and
+/// an allowance after they were accepted or due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    /// The factor of the longest chain of tasks.
+    pub stretch: f64,
+    /// What is added to the stretched chain.
+    pub allowance: Millis,
+}
+
 impl Catalog {
     /// Returns the queue that a request addresses, and the rest of its path.
     ///
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod record;
 pub mod run_time;
 pub mod throttle;
+pub mod urgency;
 pub mod worker;
--- a/crates/workload/src/planner/backlog.rs
+++ b/crates/workload/src/planner/backlog.rs
@@ -33,6 +33,7 @@
             .filter(|(_, worker)| worker.hold.is_some());
         let backlog = Backlog {
             blocked: self.blocked(),
+            jobs: self.waiting_jobs(),
             waiting_services: waits.len(),
             longest_wait: waits.into_iter().max().unwrap_or(Millis::ZERO),
             held_workers: held.count(),
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -5,6 +5,7 @@
         id::{Fence, Incarnation, Job, Node, Run, Task},
         message::KnownLease,
         record::State,
+        urgency::{Outlook, Standing},
         worker::Exit,
     },
     filbertbend_state::{room::Room, unit::Millis},
@@ -123,6 +124,19 @@
         /// The task's blame so far.
         blame: u32,
     },
+    /// A waiting job cannot be in time, so those that can come before it.
+    Deferred {
+        /// The job.
+        job: Job,
+        /// The occurrence.
+        occurrence: u32,
+        /// Its priority, which comes before its standing.
+        priority: u8,
+        /// How it stands to its objective.
+        standing: Standing,
+        /// What is known about it.
+        outlook: Outlook,
+    },
     /// A job is failed because a task crashes the workers that start it.
     GivenUp {
         /// The task.
@@ -134,12 +148,25 @@
     },
 }
 
+/// The jobs with objectives that wait for room, by standing.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Waiting {
+    /// Those that can be in time.
+    pub in_time: usize,
+    /// Those that will be late.
+    pub late: usize,
+    /// Those that end too late to be of use.
+    pub overdue: usize,
+}
+
 /// What the planner waits for, so that a task that does not start can be
 /// explained.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Backlog {
     /// The most urgent task that has waited for long although it may start.
     pub blocked: Option<Blocked>,
+    /// The jobs that wait for room.
+    pub jobs: Waiting,
     /// The long-running tasks that may start, which callers expect to be running.
     pub waiting_services: usize,
     /// The longest wait among these.
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -5,6 +5,7 @@
 //! - `report` processes the reports of agents.
 //! - `session` opens the sessions with agents and gives up lost runs.
 //! - `place` selects workers for tasks.
+//! - `order` decides which steps come first when there is too little room.
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much, where it becomes free first according to
 //!   `drain`.
@@ -33,6 +34,7 @@
 mod gang;
 mod headroom;
 mod hold;
+mod order;
 mod pass;
 mod persist;
 mod place;
@@ -53,7 +55,7 @@
         job,
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
-        run_time,
+        run_time, urgency,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -61,12 +63,16 @@
     },
     fleet::Fleet,
     registry::{Claim, Registry},
-    std::{cell::Cell, collections::BTreeSet, sync::Arc},
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     worker::Expiry,
 };
 
 pub use {
-    decision::{Backlog, Blocked, Decision, Reason},
+    decision::{Backlog, Blocked, Decision, Reason, Waiting},
     persist::{Batch, Write},
     settings::{Settings, FORMER_LEASE_BOUND},
 };
@@ -177,6 +183,8 @@
     passes: u64,
     /// The requirements that no worker met in the last pass.
     rejections: Vec<pass::Rejection>,
+    /// The turns of deferred jobs by queue.
+    turns: BTreeMap<Arc<str>, urgency::Turns<order::Id>>,
     /// Steps with startable tasks, most urgent first.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -231,6 +239,7 @@
             examined: Cell::new(0),
             passes: 0,
             rejections: Vec::new(),
+            turns: BTreeMap::new(),
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -424,6 +433,7 @@
             );
         }
         self.persist.mark_dirty(self.now, id, true);
+        self.count_ended(id);
         self.refresh(id, actions);
     }
 
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -122,7 +122,8 @@
 impl Planner {
     /// Runs a placement pass over the ready steps, most urgent first.
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
-        let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        let outlooks = self.outlooks();
+        let ranks = self.placement_order(&outlooks);
         self.fleet.update_headroom(&self.model);
         let holds = self.review_holds();
         let mut pass = Pass::new(self.now, std::mem::take(&mut self.rejections), holds);
@@ -139,6 +140,7 @@
             }
         }
         self.rejections = pass.into_rejections();
+        self.report_deferred(&outlooks, actions);
     }
 
     /// Lists the tasks of a step that may be started with the claim of `rank`.
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -6,6 +6,7 @@
         id::{Job, Node, Run, Task},
         job::{self, Step},
         record::{Occurrence as StoredOccurrence, Progress, State, Unfinished},
+        urgency::Standing,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -111,6 +112,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
     pub(super) steps: Vec<StepEntry>,
+    /// The standing that was last logged.
+    pub(super) standing: Standing,
 }
 
 /// The state of a job.
@@ -144,7 +147,10 @@
                 open: false,
             })
             .collect();
-        Self { steps }
+        Self {
+            steps,
+            standing: Standing::default(),
+        }
     }
 
     fn is_complete(&self) -> bool {
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -47,6 +47,7 @@
         pool: POOL.into(),
         priority,
         attempts,
+        objective: None,
         timeout: Millis(3000),
     };
     Catalog {
