--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -362,6 +362,8 @@
             return;
         }
         self.catalog = catalog;
+        let queues = &self.catalog.queues;
+        self.turns.retain(|queue, _| queues.contains_key(queue));
         self.ready.clear();
         for id in self.registry.ids() {
             self.refresh(id, actions);
--- a/crates/workload/src/planner/order.rs
+++ b/crates/workload/src/planner/order.rs
@@ -39,7 +39,7 @@
                 .get(&id)
                 .map_or(Urgency::default(), |outlook| outlook.urgency());
             if holders.contains(&id) {
-                urgency.standing = Standing::Turn;
+                urgency = Urgency::Turn;
             }
             (rank.priority, rank.claim, urgency, *rank)
         });
@@ -139,7 +139,7 @@
                 self.turns
                     .entry(entry.job.queue.clone())
                     .or_default()
-                    .job_ended();
+                    .job_ended(|holder| holder.0 == id);
             }
         }
     }
@@ -179,7 +179,7 @@
         let mut waiting = Waiting::default();
         for outlook in self.outlooks().values() {
             match outlook.standing() {
-                Standing::Turn | Standing::InTime => waiting.in_time += 1,
+                Standing::InTime => waiting.in_time += 1,
                 Standing::Late => waiting.late += 1,
                 Standing::Overdue => waiting.overdue += 1,
             }
--- a/crates/workload/src/urgency.rs
+++ b/crates/workload/src/urgency.rs
@@ -3,8 +3,9 @@
 //! A job loses most of its use to its caller when it ends after its objective, and
 //! all of it some time later. If arriving work exceeds the room, the order of
 //! arrival makes nearly every job late: each waits for those that are late
-//! already. So jobs that can still be in time come first, and late ones use the
-//! room that these leave. See `docs/design/urgency.md`.
+//! already. So what has begun is finished first, then jobs begin that can still be
+//! in time, and the others use the room that these leave. See
+//! `docs/design/urgency.md`.
 
 use {
     crate::{catalog::Objective, job::Job, job::Step},
@@ -41,8 +42,6 @@
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
-    /// It was deferred, and it is its turn to come before all others.
-    Turn,
     /// It can meet its objective, or has none.
     #[default]
     InTime,
@@ -102,15 +101,24 @@
     pub begun: bool,
 }
 
-/// The place of a job in the order: by standing, then jobs that have begun. The
-/// rest is the order of arrival.
+/// The place of a job in the order, the first to be placed first. Jobs of the same
+/// place keep the order of arrival.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Urgency {
-    /// The standing.
-    pub standing: Standing,
-    /// Whether no task of the job has been placed. Room that is spread over many
-    /// jobs makes all of them late.
-    pub is_new: bool,
+pub enum Urgency {
+    /// It was deferred, and it is its turn.
+    Turn,
+    /// It has begun and can be in time.
+    Begun,
+    /// It has begun and will be late: to begin others first would waste its work, and
+    /// room that is spread over many jobs makes all of them late.
+    BegunLate,
+    /// It has not begun and can be in time, or it has no objective.
+    #[default]
+    New,
+    /// It has not begun and will be late.
+    NewLate,
+    /// It ends too late to be of use.
+    Overdue,
 }
 
 impl Outlook {
@@ -130,9 +138,12 @@
 
     /// Returns the place of the job in the order.
     pub fn urgency(&self) -> Urgency {
-        Urgency {
-            standing: self.standing(),
-            is_new: !self.begun,
+        match (self.standing(), self.begun) {
+            (Standing::InTime, true) => Urgency::Begun,
+            (Standing::InTime, false) => Urgency::New,
+            (Standing::Late, true) => Urgency::BegunLate,
+            (Standing::Late, false) => Urgency::NewLate,
+            (Standing::Overdue, _) => Urgency::Overdue,
         }
     }
 
@@ -170,9 +181,10 @@
 }
 
 impl<I: Copy + Ord> Turns<I> {
-    /// Counts a job of the queue that has ended.
-    pub fn job_ended(&mut self) {
+    /// Counts a job of the queue that has ended, which ends its turn as well.
+    pub fn job_ended(&mut self, is_of_job: impl Fn(I) -> bool) {
         self.ended = self.ended.saturating_add(1);
+        self.holder.take_if(|(holder, _)| is_of_job(*holder));
     }
 
     /// Returns the job whose turn it is, given those that wait: first those that
