--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod review;
 pub mod run_time;
 pub mod throttle;
+pub mod urgency;
 pub mod worker;
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -5,6 +5,7 @@
 //! - `report` processes the reports of agents.
 //! - `session` opens the sessions with agents and gives up lost runs.
 //! - `place` selects workers for tasks.
+//! - `order` decides which steps come first when there is too little room.
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much, where it becomes free first according to
 //!   `drain`.
@@ -36,6 +37,7 @@
 mod gang;
 mod headroom;
 mod hold;
+mod order;
 mod pass;
 mod persist;
 mod place;
@@ -57,7 +59,7 @@
         job,
         message::{Query, Reply, Report, Response},
         record::{Progress, State},
-        run_time,
+        run_time, urgency,
     },
     evacuation::Evacuations,
     filbertbend_state::{
@@ -66,12 +68,16 @@
     },
     fleet::Fleet,
     registry::{Claim, Registry},
-    std::{cell::Cell, collections::BTreeSet, sync::Arc},
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     worker::{Expiry, Worker},
 };
 
 pub use {
-    decision::{Backlog, Blocked, Decision, Reason},
+    decision::{Backlog, Blocked, Decision, Reason, Waiting},
     persist::{Batch, Write},
     settings::{Settings, FORMER_LEASE_BOUND},
 };
@@ -186,6 +192,8 @@
     passes: u64,
     /// The requirements that no worker met in the last pass.
     rejections: Vec<pass::Rejection>,
+    /// The turns of deferred jobs by queue.
+    turns: BTreeMap<Arc<str>, urgency::Turns<order::Id>>,
     /// Steps with startable tasks, most urgent first.
     ready: BTreeSet<Rank>,
     now: Instant,
@@ -241,6 +249,7 @@
             examined: Cell::new(0),
             passes: 0,
             rejections: Vec::new(),
+            turns: BTreeMap::new(),
             ready: BTreeSet::new(),
             now,
             wall: Wall::default(),
@@ -367,6 +376,8 @@
             return;
         }
         self.catalog = catalog;
+        let queues = &self.catalog.queues;
+        self.turns.retain(|queue, _| queues.contains_key(queue));
         self.ready.clear();
         for id in self.registry.ids() {
             self.refresh(id, actions);
@@ -438,6 +449,7 @@
             );
         }
         self.persist.mark_dirty(self.now, id, true);
+        self.count_ended(id);
         self.refresh(id, actions);
     }
 
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -7,6 +7,7 @@
         job::{self, Step},
         record::{Occurrence as StoredOccurrence, Progress, State, Unfinished},
         run_time::Siblings,
+        urgency::Standing,
     },
     filbertbend_state::{
         time::{Instant, Wall},
@@ -129,6 +130,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
     pub(super) steps: Vec<StepEntry>,
+    /// The standing that was last logged.
+    pub(super) standing: Standing,
 }
 
 /// The state of a job.
@@ -163,7 +166,10 @@
                 open: false,
             })
             .collect();
-        Self { steps }
+        Self {
+            steps,
+            standing: Standing::default(),
+        }
     }
 
     fn is_complete(&self) -> bool {
