--- a/crates/workload/src/urgency.rs
+++ b/crates/workload/src/urgency.rs
@@ -28,21 +28,10 @@
 const JOBS_PER_TURN: u32 = 8;
 
 /// How a job stands to its objective, the most urgent first.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    strum::Display,
-    strum::IntoStaticStr,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
-    /// It can meet its objective, or has none.
+    /// It can meet its objective.
     #[default]
     InTime,
     /// It cannot meet its objective, but its caller still has some use of it.
