--- a/crates/workload/src/planner/gang.rs
+++ b/crates/workload/src/planner/gang.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Assigns each member to the worker where the least work is lost for
-    /// it. Returns `None` if a member fits nowhere.
+    /// Assigns each member to the worker where the fewest tasks must be stopped
+    /// for it. Returns `None` if a member fits nowhere.
     fn plan_gang(
         &self,
         rank: Rank,
@@ -79,7 +79,9 @@
         }
         let mut plan: BTreeMap<Node, Share> = BTreeMap::new();
         for _ in tasks {
-            let (node, _) = choices.iter().min_by_key(|(_, choice)| choice.cost())?;
+            let (node, _) = choices
+                .iter()
+                .min_by_key(|(_, choice)| choice.victims.len())?;
             let (node, choice) = choices.remove_entry(*node)?;
             let share = plan.entry(node.clone()).or_default();
             share.used = choice.used + need;
