--- a/crates/workload/src/urgency.rs
+++ b/crates/workload/src/urgency.rs
@@ -28,21 +28,10 @@
 const JOBS_PER_TURN: u32 = 8;
 
 /// How a job stands to its objective, the most urgent first.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    strum::Display,
-    strum::IntoStaticStr,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
-    /// It can meet its objective, or has none.
+    /// It can meet its objective.
     #[default]
     InTime,
     /// It cannot meet its objective, but its caller still has some use of it.
@@ -107,13 +96,14 @@
 pub enum Urgency {
     /// It was deferred, and it is its turn.
     Turn,
-    /// It has begun and can be in time.
+    /// It has begun and can be in time, or it has no objective and must not fall behind
+    /// younger jobs that have one.
+    #[default]
     Begun,
     /// It has begun and will be late: to begin others first would waste its work, and
     /// room that is spread over many jobs makes all of them late.
     BegunLate,
-    /// It has not begun and can be in time, or it has no objective.
-    #[default]
+    /// It has not begun and can be in time.
     New,
     /// It has not begun and will be late.
     NewLate,
