Predict what is left of a step from two of its runs, and from those that ended

It now asks for two runs of a step and takes the completed ones into account. Time of a pass not measured by itself.

--- a/crates/workload/src/planner/drain.rs
+++ b/crates/workload/src/planner/drain.rs
@@ -113,8 +113,7 @@
         if step.mode.long_running {
             return None;
         }
-        let accepted = execution.accepted.map(|acceptance| acceptance.at);
-        let lasted = self.now.since(accepted.unwrap_or(execution.since));
+        let lasted = self.now.since(execution.began());
         let queue = &entry.job.queue;
         let left = self
             .run_times
--- a/crates/workload/src/planner/order.rs
+++ b/crates/workload/src/planner/order.rs
@@ -4,7 +4,7 @@
 //! leader arrives at the same order.
 
 use {
-    super::{decision::Waiting, registry::TaskEntry, Action, Decision, Planner, Rank},
+    super::{decision::Waiting, registry::StepEntry, Action, Decision, Planner, Rank},
     crate::{
         catalog::Queue,
         id::Job,
@@ -75,27 +75,26 @@
             Some(schedule) => schedule.due(rank.occurrence),
             None => job.accepted,
         };
-        let expected = |step: &Step| self.run_times.expected(&job.queue, step);
-        let whole = urgency::longest_chain(job, |_, step| expected(step));
+        let pairs = || job.steps.iter().zip(steps);
+        let expected: Vec<Millis> = pairs()
+            .map(|(step, state)| {
+                let siblings = &state.run_times;
+                self.run_times.expected_beside(&job.queue, step, siblings)
+            })
+            .collect();
+        let expected_of = |index: usize| expected.get(index).copied().unwrap_or_default();
+        let whole = urgency::longest_chain(job, |index, _| expected_of(index));
         let chain = urgency::longest_chain(job, |index, step| {
             let state = steps.get(index);
-            let unfinished = state
-                .into_iter()
-                .flat_map(|state| &state.tasks)
-                .filter(|task| !task.done);
-            let left = |task: &TaskEntry| match task.executions.first() {
-                Some(execution) => {
-                    let elapsed = self.now.since(execution.since);
-                    self.run_times.remaining(&job.queue, step, elapsed)
-                }
-                None => expected(step),
-            };
-            unfinished.map(left).max().unwrap_or(Millis::ZERO)
-        });
-        let pairs = || job.steps.iter().zip(steps);
-        let work = pairs().fold(Work::default(), |work, (step, state)| {
-            work.with(Work::of(state.remaining, step.room.cores, expected(step)))
+            state.map_or(Millis::ZERO, |state| {
+                self.left(&job.queue, step, state, expected_of(index))
+            })
         });
+        let work = pairs()
+            .zip(&expected)
+            .fold(Work::default(), |work, ((step, state), time)| {
+                work.with(Work::of(state.remaining, step.room.cores, *time))
+            });
         let begun = pairs().any(|(step, state)| {
             state.remaining < usize::from(step.tasks)
                 || state.tasks.iter().any(|task| !task.executions.is_empty())
@@ -109,6 +108,28 @@
         })
     }
 
+    /// Returns how long the tasks of a step are expected to go on, if all could run at
+    /// once. Of those that run, only the last and the first one started are looked
+    /// at: one has the most left as long as run times are as expected, the other if
+    /// it takes far longer.
+    fn left(&self, queue: &str, step: &Step, state: &StepEntry, expected: Millis) -> Millis {
+        let unfinished = || state.tasks.iter().filter(|task| !task.done);
+        let elapsed = || {
+            let executions = unfinished().filter_map(|task| task.executions.first());
+            executions.map(|execution| self.now.since(execution.began()))
+        };
+        let running = [elapsed().min(), elapsed().max()];
+        let running = running.into_iter().flatten().map(|elapsed| {
+            let siblings = &state.run_times;
+            self.run_times
+                .remaining_beside(queue, step, siblings, elapsed)
+        });
+        let waiting = unfinished()
+            .any(|task| task.executions.is_empty())
+            .then_some(expected);
+        running.chain(waiting).max().unwrap_or(Millis::ZERO)
+    }
+
     /// Returns the deferred jobs whose turn it is, one for each queue at most.
     fn turn_holders(&mut self, outlooks: &Outlooks) -> Vec<Id> {
         let mut waiting: BTreeMap<Arc<str>, Vec<(Id, Outlook)>> = BTreeMap::new();
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -36,6 +36,14 @@
     pub(super) stopping: bool,
 }
 
+impl Execution {
+    /// Returns when the run began, as far as that is known: when the worker accepted
+    /// the start, or else when it was placed or found.
+    pub(super) fn began(&self) -> Instant {
+        self.accepted.map_or(self.since, |acceptance| acceptance.at)
+    }
+}
+
 /// That a worker has accepted a start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Acceptance {
