Count only rounds with an attempt

A request that waits for a suspected leader used up its rounds without an attempt: a look, which has two, gave up after 80 ms.

Only a round with an attempt counts now; otherwise the time limit ends the request. A request without an attempt thus stays refused at once if the leader is closed meanwhile and the store has been away for long.

attempts::tests::rounds_without_an_attempt_do_not_count failed before (tried nothing instead of the leader twice) and passes now.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -70,7 +70,8 @@
     pub(crate) alone: Duration,
     /// How long one answer of the store is waited for before the leader is asked.
     pub(crate) patience: Duration,
-    /// Maximum number of rounds, each with at most one attempt on each path.
+    /// Maximum number of rounds with an attempt, each with at most one on each
+    /// path.
     pub(crate) rounds: u32,
 }
 
@@ -136,7 +137,8 @@
             };
             return Step::Try(path, left.min(patience));
         }
-        self.round += 1;
+        // While nobody can be asked, only the time limit ends the request.
+        self.round += u32::from(!self.tried.is_empty());
         self.tried.clear();
         if self.round >= self.limits.rounds || left <= RETRY_DELAY + MIN_ATTEMPT_TIME {
             return Step::GiveUp;
@@ -181,8 +183,8 @@
         }
     }
 
-    /// Returns whether a new request need not be tried at all: the store has been
-    /// away for longer than a request is tried.
+    /// Returns whether a request without an attempt need not be tried at all: the
+    /// store has been away for longer than a request is tried.
     fn is_hopeless(&self, reach: Reach) -> bool {
         let first = self.round == 0 && self.tried.is_empty();
         let away = reach.away.is_some_and(|away| away >= self.limits.alone);
--- a/crates/dispatch/src/attempts/tests.rs
+++ b/crates/dispatch/src/attempts/tests.rs
@@ -36,13 +36,23 @@
 fn play(
     reach: impl Fn(usize) -> Reach,
     fail: impl Fn(Path) -> Failed,
+) -> (Vec<Path>, Duration, Failed) {
+    play_within(LIMITS, |tried, _| reach(tried), fail)
+}
+
+/// Plays attempts like [`play`] with other limits. What is known may also depend
+/// on the time that has passed.
+fn play_within(
+    limits: Limits,
+    reach: impl Fn(usize, Duration) -> Reach,
+    fail: impl Fn(Path) -> Failed,
 ) -> (Vec<Path>, Duration, Failed) {
     let begun = Instant::now();
     let mut now = begun;
-    let mut attempts = Attempts::new(LIMITS, begun, LIMIT);
+    let mut attempts = Attempts::new(limits, begun, LIMIT);
     let mut tried = Vec::new();
     loop {
-        match attempts.next(now, reach(tried.len())) {
+        match attempts.next(now, reach(tried.len(), now - begun)) {
             Step::Try(path, limit) => {
                 assert!(now + limit <= begun + LIMIT, "beyond the caller's time");
                 tried.push(path);
@@ -139,3 +149,28 @@
     assert!(time + 2 * RETRY_DELAY > LIMIT, "{time:?}");
     assert_eq!(outcome, lost());
 }
+
+/// Guards against a request that is given up without an attempt, because waiting
+/// for a suspected leader has used up its rounds.
+#[test]
+fn rounds_without_an_attempt_do_not_count() {
+    let limits = Limits {
+        alone: LIMIT,
+        rounds: 2,
+        ..LIMITS
+    };
+    let back = Duration::from_millis(300);
+    let reach = |_, passed: Duration| match passed < back {
+        true => reach(Some(10), Relay::Suspect),
+        false => reach(Some(10), Relay::Open),
+    };
+
+    let (tried, time, _) = play_within(limits, reach, |_| refused());
+
+    assert_eq!(tried, [Path::Leader; 2]);
+    assert!(time < LIMIT, "{time:?}");
+    let never = |_, _| self::reach(Some(10), Relay::Suspect);
+    let (tried, time, _) = play_within(limits, never, |_| refused());
+    assert_eq!(tried, []);
+    assert!(time <= LIMIT, "{time:?}");
+}
