Report an unknown outcome for a withdrawal after an attempt without an answer

A submission whose first attempt had no answer and whose second one found only the withdrawal was reported as certainly not stored. The withdrawal's lease may end before the store carries the first attempt out, and then the job is stored and runs.

A withdrawal after attempts that were all answered is reported as before. Trying on was ruled out: it would store a cancelled job once the withdrawal has expired.

withdrawal_after_an_attempt_without_an_answer_leaves_the_outcome_unknown failed before (Withdrawn) and passes now.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -9,6 +9,7 @@
 mod tests;
 
 use {
+    filbertbend_workload::relay::Outcome,
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -146,6 +147,16 @@
         Step::Pause(RETRY_DELAY)
     }
 
+    /// Returns what an outcome says after the attempts so far. A withdrawal may
+    /// expire before an attempt without an answer is carried out.
+    pub(crate) fn finish(self, outcome: Outcome) -> Result<Outcome, Failed> {
+        if self.uncertain && outcome == Outcome::Withdrawn {
+            let reason = "cancelled before, and an attempt had no answer".into();
+            return Err(Failed::Lost(reason));
+        }
+        Ok(outcome)
+    }
+
     /// Notes the failure of an attempt.
     pub(crate) fn failed(&mut self, path: Path, failed: Failed) {
         self.relay_failed |= path == Path::Leader;
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -54,8 +54,8 @@
     Accepted,
     /// The job is certainly not stored. Holds the reason.
     Refused(Arc<str>),
-    /// The job is certainly not stored, because it was cancelled before. Holds
-    /// the time after which its identifier may certainly be used again.
+    /// The job is certainly not stored, because it was cancelled before, and all
+    /// attempts were answered. Holds the time after which its identifier may certainly be used again.
     Withdrawn(Duration),
     /// The job may be stored, now or later. Holds the last error.
     Unknown(Arc<str>),
@@ -162,7 +162,7 @@
         loop {
             match attempts.next(Instant::now(), self.reach()) {
                 Step::Try(Path::Store, limit) => match self.call_store(call, limit).await {
-                    Ok(Some(outcome)) => return Ok(outcome),
+                    Ok(Some(outcome)) => return attempts.finish(outcome),
                     Ok(None) => {
                         let reason = "the job has changed".into();
                         attempts.failed(Path::Store, Failed::Refused(reason));
@@ -170,7 +170,7 @@
                     Err(failed) => attempts.failed(Path::Store, failed),
                 },
                 Step::Try(Path::Leader, limit) => match self.relay(call, limit).await {
-                    Ok(outcome) => return Ok(outcome),
+                    Ok(outcome) => return attempts.finish(outcome),
                     Err(failed) => attempts.failed(Path::Leader, failed),
                 },
                 Step::Pause(delay) => sleep(delay).await,
--- a/crates/dispatch/tests/cancellations.rs
+++ b/crates/dispatch/tests/cancellations.rs
@@ -50,6 +50,30 @@
     .await;
 }
 
+/// Guards against a job that runs although its caller was told that it never
+/// will: an attempt without an answer took effect after the withdrawal had
+/// expired.
+#[tokio::test]
+async fn withdrawal_after_an_attempt_without_an_answer_leaves_the_outcome_unknown() {
+    run(async {
+        let store = Memory::default();
+        let entry = entry(&store).await;
+        assert_eq!(entry.cancel(Job(1)).await, Cancellation::UnknownJob);
+        store.fail([Fault::Late]);
+
+        let submission = entry.submit(Job(1), &job(), LIMIT).await;
+
+        assert!(
+            matches!(submission, Submission::Unknown(_)),
+            "{submission:?}"
+        );
+        store.expire_leases();
+        store.deliver();
+        assert!(store.item(&key::job(Job(1))).is_some(), "not stored");
+    })
+    .await;
+}
+
 /// Guards against a job that is taken for unknown because its submission took
 /// effect between the reading and the writing of its cancellation.
 #[tokio::test]
