Read on while the planner has a query

A leader's process read the next message of a link only after the planner had answered the query before it, so relayed calls and probes waited for a busy planner although they don't concern it.

Each query is now answered in a task of its own, which ends with the link. A link has at most 512 such tasks, as many questions as an entry keeps open; a query beyond that is answered NotReady, and the link is read on when that answer is in its send queue. A set of tasks that are aborted with the link was ruled out: it must be reaped, and the closed queue tells them the same.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -7,10 +7,11 @@
 
 use {
     crate::{
+        budget::{Amount, Budget, Permit},
         claim::{self, Prior},
         evacuation_watch, key,
         key_watch::Watcher,
-        leader_link::{Answer, Body, LeaderLink},
+        leader_link::{self, Answer, Body, LeaderLink},
         listener::Listener,
         platform::Store,
         term::{Candidate, Driver, Ended, Input, Queued},
@@ -53,6 +54,12 @@
 const INBOX_LIMIT: usize = 4096;
 /// Capacity of the send queue of one link, in messages.
 const OUTBOX_LIMIT: usize = 512;
+/// The queries of one link that the planner has not answered. An entry keeps no
+/// more questions open.
+const OPEN_QUERY_LIMIT: Amount = Amount {
+    count: leader_link::QUESTION_LIMIT,
+    bytes: 0,
+};
 /// How long a question to the leader waits for its answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of one long poll for the leader's key.
@@ -355,6 +362,7 @@
         receiver: &mut Receiver,
         outbox: mpsc::Sender<Response>,
     ) -> Result<(), link::Error> {
+        let open_queries = Budget::new(OPEN_QUERY_LIMIT);
         while let Some(request) = receiver.receive::<Request>().await? {
             match request {
                 Request::Agent(node) => self.inbox.send(Input::SessionReopened(number, node)).await,
@@ -362,11 +370,12 @@
                     self.inbox.send(Input::Report(number, report)).await;
                 }
                 Request::Query(ticket, question) => {
-                    let (reply, answer) = oneshot::channel();
-                    self.inbox.send(Input::Ask(question, reply)).await;
-                    let answer = answer.await.unwrap_or(Reply::NotReady);
-                    // Fails only if the link is closed, which needs no answer.
-                    let _ = outbox.send(Response::Answer(ticket, answer)).await;
+                    if let Some(permit) = open_queries.admit(0) {
+                        self.serve_query(ticket, question, permit, &outbox);
+                    } else {
+                        let answer = Response::Answer(ticket, Reply::NotReady);
+                        let _ = outbox.send(answer).await;
+                    }
                 }
                 Request::Relay(ticket, call) => self.serve_relay(ticket, call, &outbox),
                 Request::Ping => {
@@ -377,6 +386,33 @@
         }
         Ok(())
     }
+
+    /// Passes a query on to the planner and answers it, while the link is read on:
+    /// calls of the store don't wait for a busy planner.
+    fn serve_query(
+        self: &Rc<Self>,
+        ticket: u64,
+        query: Query,
+        permit: Permit,
+        outbox: &mpsc::Sender<Response>,
+    ) {
+        let entry = self.clone();
+        let outbox = outbox.clone();
+        tokio::task::spawn_local(async move {
+            let _permit = permit;
+            let reply = async {
+                let (reply, answer) = oneshot::channel();
+                entry.inbox.send(Input::Ask(query, reply)).await;
+                answer.await.unwrap_or(Reply::NotReady)
+            };
+            let reply = tokio::select! {
+                reply = reply => reply,
+                () = outbox.closed() => return,
+            };
+            // Fails only if the link is closed, which needs no answer.
+            let _ = outbox.send(Response::Answer(ticket, reply)).await;
+        });
+    }
 }
 
 async fn send_all(
--- a/crates/dispatch/src/leader_link.rs
+++ b/crates/dispatch/src/leader_link.rs
@@ -33,7 +33,7 @@
 
 /// Maximum number of questions that wait to be sent, and of those that wait for
 /// an answer.
-const QUESTION_LIMIT: usize = 512;
+pub(crate) const QUESTION_LIMIT: usize = 512;
 /// A link on which a question waits and nothing is received for this long is
 /// closed. A connection can go silent for good while new ones work.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -10,16 +10,19 @@
         platform::{Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
     },
     filbertbend_state::unit::Millis,
-    filbertbend_transport::{link::Link, tls::Identity},
+    filbertbend_transport::{
+        link::{Link, Socket},
+        tls::Identity,
+    },
     filbertbend_workload::{
-        id::Job,
-        message::{Request, Response},
-        record::State,
+        id::{Job, Node},
+        message::{Query, Reply, Request, Response},
+        record::{Leader, State},
         relay::{Call, Outcome},
     },
     std::{
         cell::Cell,
-        future::{ready, Future},
+        future::{pending, ready, Future},
         net::{SocketAddr, UdpSocket},
         rc::Rc,
         time::Duration,
@@ -43,11 +46,15 @@
 /// How long a call without an answer lasts.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of queries that a leader keeps open on a link.
+const QUERY_LIMIT: u64 = 512;
+
 /// The calls of one process.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct Calls {
     commits: usize,
     lists: usize,
+    revocations: usize,
 }
 
 /// How the store treats the calls of one process.
@@ -59,6 +66,8 @@
     /// Resets the connection after a write has taken effect.
     ResetAfter,
     Silent,
+    /// Neither an answer nor an error arrives.
+    Stuck,
 }
 
 /// The store as one process sees it.
@@ -87,6 +96,7 @@
     async fn reach(&self) -> Result<(), Failure> {
         match self.mode.get() {
             Mode::Serve => Ok(()),
+            Mode::Stuck => pending().await,
             Mode::Refuse => Err(Failure::Refused("busy".into())),
             Mode::Reset | Mode::ResetAfter => Err(Failure::Lost("reset".into())),
             Mode::Silent => {
@@ -134,6 +144,7 @@
     }
 
     async fn revoke(&self, lease: Lease) -> Result<(), Failure> {
+        self.count(|calls| calls.revocations += 1);
         self.reach().await?;
         self.memory.revoke(lease).await
     }
@@ -423,3 +434,47 @@
     })
     .await;
 }
+
+/// Guards against calls that wait for the planner, which they don't concern.
+#[tokio::test]
+async fn unanswered_query_does_not_delay_a_call() {
+    run(async {
+        let memory = Memory::default();
+        let identity = link_identity::load_or_create(&memory).await;
+        let (leader, stopper) = lead(&memory, &identity).await;
+        let record = memory.item(key::LEADER).unwrap();
+        let record: Leader = postcard::from_bytes(&record.value).unwrap();
+        let socket = Socket::dialler(&identity).unwrap();
+        let link = socket.dial_within(record.address, WAIT).await.unwrap();
+        let (mut sender, mut receiver) = link.open().await.unwrap();
+        let opening = Request::Entry(Node("other".into()));
+        sender.send(&opening).await.unwrap();
+        // The planner answers nothing while its term waits for the store to end.
+        leader.mode.set(Mode::Stuck);
+        stopper.send(true).unwrap();
+        until("the term ends", || leader.calls.get().revocations > 0).await;
+
+        let query = Request::Query(1, Query::State(Job(1)));
+        sender.send(&query).await.unwrap();
+        let call = Request::Relay(2, Call::Probe);
+        sender.send(&call).await.unwrap();
+
+        let response = timeout(WAIT, receiver.receive::<Response>()).await;
+        assert!(
+            matches!(response, Ok(Ok(Some(Response::Relayed(2, _))))),
+            "{response:?}"
+        );
+        // Beyond the bound, a query is answered without the planner.
+        for ticket in 3..=QUERY_LIMIT + 2 {
+            let query = Request::Query(ticket, Query::State(Job(1)));
+            sender.send(&query).await.unwrap();
+        }
+        let response = timeout(WAIT, receiver.receive::<Response>()).await;
+        let last = QUERY_LIMIT + 2;
+        assert!(
+            matches!(response, Ok(Ok(Some(Response::Answer(ticket, Reply::NotReady)))) if ticket == last),
+            "{response:?}"
+        );
+    })
+    .await;
+}
