Take questions back from a peer that names no leader

A peer that no longer leads reads no question. If it named no successor, the questions stayed marked as sent, so a submission that nobody had read was reported as unknown (502).

They are taken back there too and dropped, which tells their askers that they were not sent.

question_to_a_peer_that_knows_no_leader_counts_as_not_sent failed before (Unknown) and passes now.

--- a/crates/dispatch/src/leader_link.rs
+++ b/crates/dispatch/src/leader_link.rs
@@ -219,8 +219,12 @@
             }
         };
         link.close();
-        let successor = result?;
-        Ok(successor.map(|successor| (successor, pending.take_back())))
+        let Some(NotLeader(successor)) = result? else {
+            return Ok(None);
+        };
+        // Without a successor they are dropped, and count as not sent.
+        let untaken = pending.take_back();
+        Ok(successor.map(|successor| (successor, untaken)))
     }
 }
 
@@ -244,18 +248,22 @@
     }
 }
 
-/// Passes answers on until the stream ends. Returns the address of the leader if
-/// the peer does not lead and names it.
+/// Tells that the peer does not lead and has read no question. Holds the address
+/// of the leader if the peer knows it.
+struct NotLeader(Option<SocketAddr>);
+
+/// Passes answers on until the stream ends. Returns whether it has ended because
+/// the peer does not lead.
 async fn receive_answers(
     pending: &Pending,
     receiver: &mut Receiver,
-) -> Result<Option<SocketAddr>, link::Error> {
+) -> Result<Option<NotLeader>, link::Error> {
     while let Some(response) = receiver.receive::<Response>().await? {
         pending.received_at.set(Instant::now());
         match response {
             Response::Answer(ticket, reply) => pending.answer(ticket, Answer::Reply(reply)),
             Response::Relayed(ticket, outcome) => pending.answer(ticket, Answer::Relayed(outcome)),
-            Response::NotLeader(successor) => return Ok(successor),
+            Response::NotLeader(successor) => return Ok(Some(NotLeader(successor))),
             Response::Pong | Response::Welcome { .. } | Response::Orders(_) => {}
         }
     }
--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -377,10 +377,10 @@
     .await;
 }
 
-/// Refuses a link and names another leader.
-async fn redirect(link: Link, leader: SocketAddr) {
+/// Refuses a link and names another leader, if given.
+async fn redirect(link: Link, leader: Option<SocketAddr>) {
     if let Some((mut sender, _receiver)) = open(&link).await {
-        let _ = sender.send(&Response::NotLeader(Some(leader))).await;
+        let _ = sender.send(&Response::NotLeader(leader)).await;
         sender.finish();
         sender.stopped().await;
     }
@@ -399,7 +399,7 @@
             answer(link, store.clone(), 0, count.clone())
         });
         let address = successor.address;
-        let former = FakeLeader::start(&identity, move |_, link| redirect(link, address));
+        let former = FakeLeader::start(&identity, move |_, link| redirect(link, Some(address)));
         let (entry, view) = beside(&memory, &identity, former.address).await;
         view.mode.set(Mode::Silent);
 
@@ -435,6 +435,28 @@
     .await;
 }
 
+/// Guards against "perhaps" for a request that nobody has read: the peer does
+/// not lead and does not know who does.
+#[tokio::test]
+async fn question_to_a_peer_that_knows_no_leader_counts_as_not_sent() {
+    run(async {
+        let memory = Memory::default();
+        let identity = link_identity::load_or_create(&memory).await;
+        let former = FakeLeader::start(&identity, |_, link| redirect(link, None));
+        let (entry, view) = beside(&memory, &identity, former.address).await;
+        view.mode.set(Mode::Refuse);
+
+        let submission = entry.submit(Job(1), &job(), LIMIT).await;
+
+        assert!(former.links() > 0);
+        assert!(
+            matches!(submission, Submission::Refused(_)),
+            "{submission:?}"
+        );
+    })
+    .await;
+}
+
 /// Guards against calls that wait for the planner, which they don't concern.
 #[tokio::test]
 async fn unanswered_query_does_not_delay_a_call() {
