Give a relayed cancellation the time of its three calls

The leader's 400 ms covered all calls of a relayed cancellation, up to three, so that with a slow store none ended and each was reported as unknown. A call that was started in the rest of that time and cut short also marked the leader's own store as away.

A leader now works 900 ms on cancellations and looks, and an entry waits 1 s for the answer; submissions and probes keep 400 and 500 ms. The leader starts no attempt with less than 50 ms left. A call that had less time than a leader works on it and no answer is not reported as a failure of the store. A longer limit for all calls was ruled out: submissions would wait longer for a leader that is gone.

That no attempt is started with less than 50 ms left has no test.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -19,9 +19,6 @@
 /// Minimum time left for which an attempt is made. The store answers within
 /// milliseconds. An attempt that is cut short leaves its outcome unknown.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
-/// How long the answer to a relayed call is waited for: longer than the leader
-/// waits for the store.
-pub(crate) const RELAY_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Through which process the store is called.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -71,6 +68,9 @@
     pub(crate) alone: Duration,
     /// How long one answer of the store is waited for before the leader is asked.
     pub(crate) patience: Duration,
+    /// How long the answer to a relayed call is waited for: longer than the leader
+    /// works on it.
+    pub(crate) relay_patience: Duration,
     /// Maximum number of rounds with an attempt, each with at most one on each
     /// path.
     pub(crate) rounds: u32,
@@ -131,7 +131,7 @@
         if let Some(path) = self.path(reach) {
             self.tried.push(path);
             let patience = match (path, reach.relay) {
-                (Path::Leader, _) => RELAY_PATIENCE,
+                (Path::Leader, _) => self.limits.relay_patience,
                 (Path::Store, Relay::Open) => self.limits.patience,
                 // Nobody else can be asked meanwhile.
                 (Path::Store, Relay::Suspect | Relay::Closed) => left,
--- a/crates/dispatch/src/attempts/tests.rs
+++ b/crates/dispatch/src/attempts/tests.rs
@@ -10,6 +10,7 @@
 const LIMITS: Limits = Limits {
     alone: Duration::from_millis(600),
     patience: Duration::from_millis(500),
+    relay_patience: Duration::from_millis(500),
     rounds: u32::MAX,
 };
 /// How long an attempt in these tests takes.
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -1,7 +1,11 @@
 //! Requests of callers: submissions, cancellations and questions.
 
 use {
-    super::{decode_leader, Entry, ASK_TIMEOUT},
+    super::{
+        decode_leader,
+        relay::{work_timeout, LONG_RELAY_PATIENCE, RELAY_PATIENCE},
+        Entry, ASK_TIMEOUT,
+    },
     crate::{
         attempts::{Attempts, Failed, Limits, Path, Step, MIN_ATTEMPT_TIME},
         journal::encode,
@@ -32,18 +36,21 @@
 const SUBMIT_LIMITS: Limits = Limits {
     alone: Duration::from_millis(600),
     patience: Duration::from_millis(500),
+    relay_patience: RELAY_PATIENCE,
     rounds: u32::MAX,
 };
 /// How a cancellation is tried, which takes up to three calls of the store.
 const CANCEL_LIMITS: Limits = Limits {
     alone: Duration::from_secs(2),
     patience: Duration::from_secs(1),
+    relay_patience: LONG_RELAY_PATIENCE,
     rounds: 6,
 };
 /// How a stored state is looked for, which takes up to two calls of the store.
 const LOOK_LIMITS: Limits = Limits {
     alone: Duration::from_secs(2),
     patience: Duration::from_secs(1),
+    relay_patience: LONG_RELAY_PATIENCE,
     rounds: 2,
 };
 
@@ -181,7 +188,8 @@
 
     /// Carries a call out against the store and notes whether it answers. Returns
     /// `None` if the call had no effect, because the job was stored or removed
-    /// meanwhile.
+    /// meanwhile. A call with less time than usual that gets no answer says nothing
+    /// about the store.
     pub(super) async fn call_store(
         &self,
         call: &Call,
@@ -196,10 +204,13 @@
                 Call::Probe => Ok(None),
             }
         };
-        let called = timeout(limit, called).await.unwrap_or_else(|_| {
-            let reason = "no answer in time".into();
-            Err(Failure::Lost(reason))
-        });
+        let Ok(called) = timeout(limit, called).await else {
+            if limit >= work_timeout(call) {
+                self.leader.report_failure();
+            }
+            let error = Failure::Lost("no answer in time".into());
+            return Err(Failed::Lost(error.to_string().into()));
+        };
         match called {
             Ok(outcome) => {
                 self.leader.report_answer();
--- a/crates/dispatch/src/entry/relay.rs
+++ b/crates/dispatch/src/entry/relay.rs
@@ -7,7 +7,7 @@
 use {
     super::{decode_leader, Entry},
     crate::{
-        attempts::{self, Failed, Reach, RELAY_PATIENCE},
+        attempts::{self, Failed, Reach, MIN_ATTEMPT_TIME},
         budget::{Amount, Budget, Permit},
         leader_link::{Answer, Body},
         platform::Store,
@@ -35,8 +35,15 @@
 /// Maximum size of one job, in bytes: a quarter of a frame, so that its message
 /// never breaks the link.
 const MESSAGE_LIMIT_BYTES: usize = 1 << 20;
-/// How long a leader works on one call, less than its entry waits.
+/// How long a leader works on a submission, less than its entry waits.
 const WORK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long the answer to a relayed submission or probe is waited for.
+pub(super) const RELAY_PATIENCE: Duration = Duration::from_millis(500);
+/// How long a leader works on a cancellation or a look, which take up to three
+/// and two calls of the store.
+const LONG_WORK_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long the answer to a relayed cancellation or look is waited for.
+pub(super) const LONG_RELAY_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a call that was not answered, in which the link may be replaced.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after the leader has refused a call, since it is busy or the store turns
@@ -56,6 +63,15 @@
 /// are read.
 const STALL_PAUSE: Duration = Duration::from_secs(2);
 
+/// Returns how long a leader works on a call. A store that serves its process
+/// answers sooner.
+pub(super) fn work_timeout(call: &Call) -> Duration {
+    match call {
+        Call::Submit(..) | Call::Probe => WORK_TIMEOUT,
+        Call::Cancel(_) | Call::Look(_) => LONG_WORK_TIMEOUT,
+    }
+}
+
 /// What an entry knows about passing calls on.
 #[derive(Debug)]
 pub(super) struct Relay {
@@ -260,9 +276,9 @@
                 Outcome::Refused
             };
         }
-        let deadline = Instant::now() + WORK_TIMEOUT;
-        loop {
-            let left = deadline.saturating_duration_since(Instant::now());
+        let mut left = work_timeout(call);
+        let deadline = Instant::now() + left;
+        while left >= MIN_ATTEMPT_TIME {
             match self.call_store(call, left).await {
                 Ok(Some(outcome)) => return outcome,
                 // The job has changed meanwhile.
@@ -270,6 +286,8 @@
                 Err(Failed::Refused(_)) => return Outcome::Refused,
                 Err(Failed::Lost(_)) => return Outcome::Unknown,
             }
+            left = deadline.saturating_duration_since(Instant::now());
         }
+        Outcome::Unknown
     }
 }
