--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -9,6 +9,7 @@
 mod tests;
 
 use {
+    filbertbend_workload::relay::Outcome,
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -18,9 +19,6 @@
 /// Minimum time left for which an attempt is made. The store answers within
 /// milliseconds. An attempt that is cut short leaves its outcome unknown.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
-/// How long the answer to a relayed call is waited for: longer than the leader
-/// waits for the store.
-pub(crate) const RELAY_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Through which process the store is called.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -70,7 +68,11 @@
     pub(crate) alone: Duration,
     /// How long one answer of the store is waited for before the leader is asked.
     pub(crate) patience: Duration,
-    /// Maximum number of rounds, each with at most one attempt on each path.
+    /// How long the answer to a relayed call is waited for: longer than the leader
+    /// works on it.
+    pub(crate) relay_patience: Duration,
+    /// Maximum number of rounds with an attempt, each with at most one on each
+    /// path.
     pub(crate) rounds: u32,
 }
 
@@ -129,14 +131,15 @@
         if let Some(path) = self.path(reach) {
             self.tried.push(path);
             let patience = match (path, reach.relay) {
-                (Path::Leader, _) => RELAY_PATIENCE,
+                (Path::Leader, _) => self.limits.relay_patience,
                 (Path::Store, Relay::Open) => self.limits.patience,
                 // Nobody else can be asked meanwhile.
                 (Path::Store, Relay::Suspect | Relay::Closed) => left,
             };
             return Step::Try(path, left.min(patience));
         }
-        self.round += 1;
+        // While nobody can be asked, only the time limit ends the request.
+        self.round += u32::from(!self.tried.is_empty());
         self.tried.clear();
         if self.round >= self.limits.rounds || left <= RETRY_DELAY + MIN_ATTEMPT_TIME {
             return Step::GiveUp;
@@ -144,6 +147,16 @@
         Step::Pause(RETRY_DELAY)
     }
 
+    /// Returns what an outcome says after the attempts so far. A withdrawal may
+    /// expire before an attempt without an answer is carried out.
+    pub(crate) fn finish(self, outcome: Outcome) -> Result<Outcome, Failed> {
+        if self.uncertain && outcome == Outcome::Withdrawn {
+            let reason = "cancelled before, and an attempt had no answer".into();
+            return Err(Failed::Lost(reason));
+        }
+        Ok(outcome)
+    }
+
     /// Notes the failure of an attempt.
     pub(crate) fn failed(&mut self, path: Path, failed: Failed) {
         self.relay_failed |= path == Path::Leader;
@@ -181,8 +194,8 @@
         }
     }
 
-    /// Returns whether a new request need not be tried at all: the store has been
-    /// away for longer than a request is tried.
+    /// Returns whether a request without an attempt need not be tried at all: the
+    /// store has been away for longer than a request is tried.
     fn is_hopeless(&self, reach: Reach) -> bool {
         let first = self.round == 0 && self.tried.is_empty();
         let away = reach.away.is_some_and(|away| away >= self.limits.alone);
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -1,7 +1,11 @@
 //! Requests of callers: submissions, cancellations and questions.
 
 use {
-    super::{decode_leader, Entry, ASK_TIMEOUT},
+    super::{
+        decode_leader,
+        relay::{work_timeout, LONG_RELAY_PATIENCE, RELAY_PATIENCE},
+        Entry, ASK_TIMEOUT,
+    },
     crate::{
         attempts::{Attempts, Failed, Limits, Path, Step, MIN_ATTEMPT_TIME},
         journal::encode,
@@ -32,18 +36,21 @@
 const SUBMIT_LIMITS: Limits = Limits {
     alone: Duration::from_millis(600),
     patience: Duration::from_millis(500),
+    relay_patience: RELAY_PATIENCE,
     rounds: u32::MAX,
 };
 /// How a cancellation is tried, which takes up to three calls of the store.
 const CANCEL_LIMITS: Limits = Limits {
     alone: Duration::from_secs(2),
     patience: Duration::from_secs(1),
+    relay_patience: LONG_RELAY_PATIENCE,
     rounds: 6,
 };
 /// How a stored state is looked for, which takes up to two calls of the store.
 const LOOK_LIMITS: Limits = Limits {
     alone: Duration::from_secs(2),
     patience: Duration::from_secs(1),
+    relay_patience: LONG_RELAY_PATIENCE,
     rounds: 2,
 };
 
@@ -54,8 +61,8 @@
     Accepted,
     /// The job is certainly not stored. Holds the reason.
     Refused(Arc<str>),
-    /// The job is certainly not stored, because it was cancelled before. Holds
-    /// the time after which its identifier may certainly be used again.
+    /// The job is certainly not stored, because it was cancelled before, and all
+    /// attempts were answered. Holds the time after which its identifier may certainly be used again.
     Withdrawn(Duration),
     /// The job may be stored, now or later. Holds the last error.
     Unknown(Arc<str>),
@@ -162,7 +169,7 @@
         loop {
             match attempts.next(Instant::now(), self.reach()) {
                 Step::Try(Path::Store, limit) => match self.call_store(call, limit).await {
-                    Ok(Some(outcome)) => return Ok(outcome),
+                    Ok(Some(outcome)) => return attempts.finish(outcome),
                     Ok(None) => {
                         let reason = "the job has changed".into();
                         attempts.failed(Path::Store, Failed::Refused(reason));
@@ -170,7 +177,7 @@
                     Err(failed) => attempts.failed(Path::Store, failed),
                 },
                 Step::Try(Path::Leader, limit) => match self.relay(call, limit).await {
-                    Ok(outcome) => return Ok(outcome),
+                    Ok(outcome) => return attempts.finish(outcome),
                     Err(failed) => attempts.failed(Path::Leader, failed),
                 },
                 Step::Pause(delay) => sleep(delay).await,
@@ -181,7 +188,8 @@
 
     /// Carries a call out against the store and notes whether it answers. Returns
     /// `None` if the call had no effect, because the job was stored or removed
-    /// meanwhile.
+    /// meanwhile. A call with less time than usual that gets no answer says nothing
+    /// about the store.
     pub(super) async fn call_store(
         &self,
         call: &Call,
@@ -196,10 +204,13 @@
                 Call::Probe => Ok(None),
             }
         };
-        let called = timeout(limit, called).await.unwrap_or_else(|_| {
-            let reason = "no answer in time".into();
-            Err(Failure::Lost(reason))
-        });
+        let Ok(called) = timeout(limit, called).await else {
+            if limit >= work_timeout(call) {
+                self.leader.report_failure();
+            }
+            let error = Failure::Lost("no answer in time".into());
+            return Err(Failed::Lost(error.to_string().into()));
+        };
         match called {
             Ok(outcome) => {
                 self.leader.report_answer();
