Let a new connection wait instead of closing a fresh one

At the connection limit a new connection took the place of the oldest one that wasn't being answered, even if that was milliseconds old and its header not read yet. In a plain flood of short legal requests, clients were cut without an answer.

A connection now gives way only after STALL_TIME without progress. Until one does or is closed, the accept loop waits for a permit, which it takes before the entry in the ledger; a stop ends the wait. Without descriptors left, the old rule remains as a fallback, so that the accept loop does not hang.

Ruled out: closing others after a longest wait, which would cut uploads that make progress and let in too few others to help.

--- a/crates/process/src/clients/ledger.rs
+++ b/crates/process/src/clients/ledger.rs
@@ -13,7 +13,7 @@
 /// Bytes of a body that count as progress. Fewer bytes at a time keep a
 /// connection as old as it is, so that it cannot be kept by single bytes.
 pub const PROGRESS_BYTES: usize = 4 << 10;
-/// How long a body must have made no progress before another may take its
+/// How long a connection must have made no progress before another may take its
 /// place. A network delivers a lost packet again within this time.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
 
@@ -31,21 +31,6 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Hash)]
 pub struct Id(u64);
 
-/// Whether a connection may be opened.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Opening {
-    /// It may. The connection in `evicted` must be closed.
-    Opened {
-        /// The new connection.
-        id: Id,
-        /// The connection whose place it takes.
-        evicted: Option<Id>,
-    },
-    /// It must be closed, because all others have requests that are being
-    /// answered.
-    Refused,
-}
-
 /// Whether bytes of a request may be kept in memory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reservation {
@@ -103,17 +88,9 @@
         }
     }
 
-    /// Opens a connection of `peer`. At the limit, it takes the place of
-    /// another that isn't being answered.
-    pub fn open(&mut self, now: Instant, peer: IpAddr) -> Opening {
-        let evicted = if self.connections.len() < self.limits.connections {
-            None
-        } else {
-            match self.evict() {
-                Some(id) => Some(id),
-                None => return Opening::Refused,
-            }
-        };
+    /// Opens a connection of `peer`. The caller has made sure that there is
+    /// room for it.
+    pub fn open(&mut self, now: Instant, peer: IpAddr) -> Id {
         let id = Id(self.next);
         self.next += 1;
         let connection = Connection {
@@ -125,18 +102,39 @@
         };
         self.connections.insert(id, connection);
         *self.peers.entry(peer).or_default() += 1;
-        Opening::Opened { id, evicted }
+        id
     }
 
-    /// Removes the connection that should be given up first: one of the peer
-    /// with the most connections, and of these, the one without progress for
-    /// longest. Returns `None` if all are being answered.
-    pub fn evict(&mut self) -> Option<Id> {
-        let open = |connection: &Connection| connection.phase != Phase::Answering;
+    /// Removes a connection without progress for [`STALL_TIME`] if there is no
+    /// room for another. The one that is returned must be closed. If there is
+    /// none, a new connection waits, because a younger one may not have had
+    /// the time to send its request.
+    pub fn make_room(&mut self, now: Instant) -> Option<Id> {
+        if self.connections.len() < self.limits.connections {
+            return None;
+        }
+        self.evict(now, STALL_TIME)
+    }
+
+    /// Removes a connection to free its descriptor, if possible one without
+    /// progress for [`STALL_TIME`]. Returns `None` if all are being answered.
+    pub fn shed(&mut self, now: Instant) -> Option<Id> {
+        self.evict(now, STALL_TIME)
+            .or_else(|| self.evict(now, Duration::ZERO))
+    }
+
+    /// Removes the connection that should be given up first of those without
+    /// progress for `idle`: one of the peer with the most connections, and of
+    /// these, the one without progress for longest.
+    fn evict(&mut self, now: Instant, idle: Duration) -> Option<Id> {
+        let may_go = |connection: &Connection| {
+            connection.phase != Phase::Answering
+                && now.saturating_duration_since(connection.progressed) >= idle
+        };
         let (id, _) = self
             .connections
             .iter()
-            .filter(|(_, connection)| open(connection))
+            .filter(|(_, connection)| may_go(connection))
             .min_by_key(|(_, connection)| {
                 let of_peer = self.peers.get(&connection.peer).copied().unwrap_or(0);
                 (std::cmp::Reverse(of_peer), connection.progressed)
--- a/crates/process/src/clients/mod.rs
+++ b/crates/process/src/clients/mod.rs
@@ -3,7 +3,7 @@
 
 mod ledger;
 
-pub use ledger::{Id, Ledger, Limits, Opening, Reservation, PROGRESS_BYTES, STALL_TIME};
+pub use ledger::{Id, Ledger, Limits, Reservation, PROGRESS_BYTES, STALL_TIME};
 
 use {
     metrics::counter,
@@ -14,12 +14,18 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
-    tokio::sync::{watch, OwnedSemaphorePermit, Semaphore},
+    tokio::{
+        sync::{watch, OwnedSemaphorePermit, Semaphore},
+        time::timeout,
+    },
 };
 
 /// Minimum interval between two log lines on refusals and evictions. The
 /// counters count each.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a connection that waits for room looks for one that has
+/// stalled. Short beside [`STALL_TIME`].
+const ROOM_CHECK: Duration = Duration::from_millis(20);
 
 /// The connections of one listener; clones share them.
 #[derive(Clone, Debug)]
@@ -37,7 +43,7 @@
     ledger: Ledger,
     evictions: HashMap<Id, watch::Sender<bool>>,
     logged: Option<Instant>,
-    /// Evictions and refusals since the last log line.
+    /// Evictions, refusals and delays since the last log line.
     unlogged: u64,
 }
 
@@ -80,18 +86,35 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Opens a connection, perhaps in the place of another, which is closed
-    /// first. Returns `None` if it must be closed at once.
-    pub async fn open(&self, peer: IpAddr) -> Option<(Arc<Client>, Eviction)> {
-        let (id, eviction) = self.lock().open(peer)?;
-        // Fails only if the semaphore is closed, which it never is.
-        let permit = self.permits.clone().acquire_owned().await.ok()?;
+    /// Opens a connection, perhaps in the place of one that has stalled, which
+    /// is closed first. Waits while there is no room; the wait may be dropped.
+    pub async fn open(&self, peer: IpAddr) -> (Arc<Client>, Eviction) {
+        let permit = self.permit().await;
+        let (id, eviction) = self.lock().open(peer);
         let client = Client {
             id,
             clients: self.clone(),
             _permit: permit,
         };
-        Some((Arc::new(client), eviction))
+        (Arc::new(client), eviction)
+    }
+
+    /// Waits for room for another connection.
+    async fn permit(&self) -> OwnedSemaphorePermit {
+        let mut delayed = false;
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.lock().make_room();
+            }
+            let acquired = self.permits.clone().acquire_owned();
+            // Fails only if the semaphore is closed, which it never is.
+            if let Ok(Ok(permit)) = timeout(ROOM_CHECK, acquired).await {
+                return permit;
+            }
+            if !std::mem::replace(&mut delayed, true) {
+                self.lock().note("connection_delayed");
+            }
+        }
     }
 
     /// Counts a request that was refused before it reached a handler.
@@ -102,7 +125,7 @@
     /// Closes one connection, because the process has run out of descriptors.
     pub fn shed(&self) {
         let mut shared = self.lock();
-        if let Some(evicted) = shared.ledger.evict() {
+        if let Some(evicted) = shared.ledger.shed(Instant::now()) {
             shared.evict(evicted, "connection_evicted");
         }
     }
@@ -123,17 +146,18 @@
 }
 
 impl Shared {
-    fn open(&mut self, peer: IpAddr) -> Option<(Id, Eviction)> {
-        let Opening::Opened { id, evicted } = self.ledger.open(Instant::now(), peer) else {
-            self.note("connection_refused");
-            return None;
-        };
-        if let Some(evicted) = evicted {
-            self.evict(evicted, "connection_evicted");
-        }
+    fn open(&mut self, peer: IpAddr) -> (Id, Eviction) {
+        let id = self.ledger.open(Instant::now(), peer);
         let (sender, eviction) = watch::channel(false);
         self.evictions.insert(id, sender);
-        Some((id, Eviction(eviction)))
+        (id, Eviction(eviction))
+    }
+
+    /// Closes a connection that has stalled, if there is no room for another.
+    fn make_room(&mut self) {
+        if let Some(evicted) = self.ledger.make_room(Instant::now()) {
+            self.evict(evicted, "connection_evicted");
+        }
     }
 
     fn evict(&mut self, id: Id, reason: &'static str) {
@@ -143,7 +167,7 @@
         self.note(reason);
     }
 
-    /// Counts a refusal or an eviction, and logs it unless one was logged just
+    /// Counts a refusal, an eviction or a delay, and logs it unless one was logged just
     /// before.
     fn note(&mut self, reason: &'static str) {
         let listener = self.listener;
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -169,7 +169,7 @@
         match self {
             Self::Permits(_) => permit.map(Place::permit),
             Self::Clients(clients) => {
-                let (client, eviction) = clients.open(peer.ip()).await?;
+                let (client, eviction) = clients.open(peer.ip()).await;
                 Some(Place::client(client, eviction))
             }
         }
