--- a/crates/process/src/clients/ledger.rs
+++ b/crates/process/src/clients/ledger.rs
@@ -22,8 +22,8 @@
 pub struct Limits {
     /// Maximum number of open connections.
     pub connections: usize,
-    /// Maximum size of all requests in memory, in bytes. A single request may
-    /// be larger.
+    /// Maximum size of all requests in memory, in bytes. The oldest of them may
+    /// exceed it.
     pub request_bytes: usize,
 }
 
@@ -58,6 +58,8 @@
 struct Connection {
     peer: IpAddr,
     phase: Phase,
+    /// When the header of the last request arrived.
+    begun: Instant,
     /// When the connection last made progress.
     progressed: Instant,
     /// Bytes received since then.
@@ -96,6 +98,7 @@
         let connection = Connection {
             peer,
             phase: Phase::Waiting,
+            begun: now,
             progressed: now,
             received: 0,
             reserved: 0,
@@ -148,20 +151,20 @@
     pub fn begin(&mut self, now: Instant, id: Id) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.phase = Phase::Receiving;
+            connection.begun = now;
             connection.progressed = now;
             connection.received = 0;
         }
     }
 
     /// Reserves memory for a request. If it is short, bodies that have stalled
-    /// lose theirs. A request without others in memory gets what it needs.
+    /// lose theirs. The oldest request in memory gets what it needs, so that
+    /// one is always completed and a request without others is never refused.
     pub fn reserve(&mut self, now: Instant, id: Id, bytes: usize) -> Reservation {
-        let own = match self.connections.get(&id) {
-            Some(connection) => connection.reserved,
-            None => return Reservation::Refused,
-        };
-        let fits =
-            |reserved: usize| reserved == own || reserved + bytes <= self.limits.request_bytes;
+        if !self.connections.contains_key(&id) {
+            return Reservation::Refused;
+        }
+        let fits = |reserved: usize| reserved + bytes <= self.limits.request_bytes;
         let mut reserved = self.reserved;
         let mut evicted = Vec::new();
         if !fits(reserved) {
@@ -172,7 +175,7 @@
                 reserved -= bytes;
                 evicted.push(stalled);
             }
-            if !fits(reserved) {
+            if !fits(reserved) && !self.is_oldest(id, &evicted) {
                 return Reservation::Refused;
             }
         }
@@ -186,6 +189,17 @@
         Reservation::Granted { evicted }
     }
 
+    /// Returns whether a request has been in memory for longest, or is the
+    /// first, if the connections in `evicted` are closed.
+    fn is_oldest(&self, id: Id, evicted: &[Id]) -> bool {
+        let oldest = self
+            .connections
+            .iter()
+            .filter(|(id, connection)| connection.reserved > 0 && !evicted.contains(id))
+            .min_by_key(|(id, connection)| (connection.begun, **id));
+        oldest.is_none_or(|(oldest, _)| *oldest == id)
+    }
+
     /// Returns the connections other than `except` whose bodies have stalled,
     /// the one without progress for longest first, with the bytes that each has
     /// reserved.
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -151,3 +151,26 @@
     assert_eq!(released, granted(&[]));
     assert_eq!(closed, granted(&[]));
 }
+
+/// Guards against large bodies that are all refused halfway, because each waits for
+/// the memory of the others, and against more than one over the limit.
+#[test]
+fn oldest_request_in_memory_gets_what_it_needs() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(1);
+    let mut ledger = Ledger::new(LIMITS);
+    let oldest = receiving(&mut ledger, now, 50);
+    let next = receiving(&mut ledger, later, 50);
+
+    let before = ledger.reserve(later, next, 50);
+    let over = ledger.reserve(later, oldest, 50);
+    ledger.finish(later, oldest);
+    ledger.begin(later, oldest);
+    let after = ledger.reserve(later, next, 51);
+    let second = ledger.reserve(later, oldest, 1);
+
+    assert_eq!(before, Reservation::Refused);
+    assert_eq!(over, granted(&[]));
+    assert_eq!(after, granted(&[]));
+    assert_eq!(second, Reservation::Refused);
+}
