Close a connection only for a lack of descriptors or memory

Each failed accept closed another connection, even if the failure was that of the new one, such as ECONNABORTED. Only EMFILE, ENFILE, ENOBUFS and ENOMEM do now.

rustix, already in use elsewhere, gives the codes.

only_a_lack_of_descriptors_closes_a_connection fails without the check and passes with it.

--- a/crates/process/src/clients/mod.rs
+++ b/crates/process/src/clients/mod.rs
@@ -7,9 +7,11 @@
 
 use {
     metrics::counter,
+    rustix::io::Errno,
     spdlog::prelude::*,
     std::{
         collections::HashMap,
+        io,
         net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
@@ -122,8 +124,13 @@
         self.lock().note(reason);
     }
 
-    /// Closes one connection, because the process has run out of descriptors.
-    pub fn shed(&self) {
+    /// Closes one connection if another could not be accepted because
+    /// descriptors or memory have run out.
+    pub fn shed(&self, error: &io::Error) {
+        let exhausted = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+        if !Errno::from_io_error(error).is_some_and(|error| exhausted.contains(&error)) {
+            return;
+        }
         let mut shared = self.lock();
         if let Some(evicted) = shared.ledger.shed(Instant::now()) {
             shared.evict(evicted, "connection_evicted");
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -157,7 +157,7 @@
             Err(error) => {
                 warn!("connection not accepted", kv: { error: });
                 if let Self::Clients(clients) = self {
-                    clients.shed();
+                    clients.shed(&error);
                 }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 None
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -2,7 +2,10 @@
 //! descriptors are short.
 
 use {
-    filbertbend_process::clients::{Id, Ledger, Limits, Reservation, PROGRESS_BYTES, STALL_TIME},
+    filbertbend_process::clients::{
+        Clients, Id, Ledger, Limits, Reservation, PROGRESS_BYTES, STALL_TIME,
+    },
+    rustix::io::Errno,
     std::{
         net::{IpAddr, Ipv4Addr},
         time::{Duration, Instant},
@@ -174,3 +177,18 @@
     assert_eq!(after, granted(&[]));
     assert_eq!(second, Reservation::Refused);
 }
+
+/// Guards against connections that are closed because others break before they are
+/// accepted.
+#[tokio::test]
+async fn only_a_lack_of_descriptors_closes_a_connection() {
+    let clients = Clients::new("test", LIMITS);
+    let (_client, eviction) = clients.open(peer(1)).await;
+
+    clients.shed(&Errno::CONNABORTED.into());
+    let aborted = eviction.is_due();
+    clients.shed(&Errno::MFILE.into());
+
+    assert!(!aborted);
+    assert!(eviction.is_due());
+}
