Keep connections of operators while they are answered

The operators' listener never noted requests, so the connection of the scraper that was open for longest gave way first, even during a request. Requests without a body are now noted as being answered. One with a body may never be whole, so its connection may still give way.

--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -2,10 +2,16 @@
 
 use {
     crate::{
-        clients::{self, Clients},
+        clients::{self, Client, Clients},
         linger::{evicted, Lingering, Place},
     },
-    axum::Router,
+    axum::{
+        body::HttpBody,
+        extract::{Request, State},
+        middleware::{from_fn_with_state, Next},
+        response::Response,
+        Router,
+    },
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto::Builder, graceful::GracefulShutdown},
@@ -83,8 +89,8 @@
             continue;
         };
         let mut eviction = place.eviction.clone();
+        let service = TowerToHyperService::new(noted(&router, &place));
         let stream = Lingering::new(stream, place);
-        let service = TowerToHyperService::new(router.clone());
         let connection = builder
             .serve_connection_with_upgrades(TokioIo::new(stream), service)
             .into_owned();
@@ -113,6 +119,26 @@
     tokio::time::sleep(SHUTDOWN_DELAY).await;
 }
 
+/// Returns the router of a connection. If its place may be given to another, its
+/// requests are noted, so that it stays while they are answered.
+fn noted(router: &Router, place: &Place) -> Router {
+    let router = router.clone();
+    match place.client.clone() {
+        Some(client) => router.layer(from_fn_with_state(client, note)),
+        None => router,
+    }
+}
+
+/// Notes a request while it is answered. One with a body may never be whole, so
+/// its connection may give way.
+async fn note(State(client): State<Arc<Client>>, request: Request, next: Next) -> Response {
+    let noted = client.begin();
+    if request.body().is_end_stream() {
+        noted.answer();
+    }
+    next.run(request).await
+}
+
 fn builder(limits: Limits) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/crates/process/src/linger.rs
+++ b/crates/process/src/linger.rs
@@ -26,7 +26,8 @@
 /// What a connection holds of its listener's limit, until it is dropped.
 pub(crate) struct Place {
     _permit: Option<OwnedSemaphorePermit>,
-    _client: Option<Arc<Client>>,
+    /// The connection, if its place may be given to another.
+    pub(crate) client: Option<Arc<Client>>,
     /// Tells when the place is given to another connection, if it may be.
     pub(crate) eviction: Option<Eviction>,
 }
@@ -36,7 +37,7 @@
     pub(crate) fn permit(permit: OwnedSemaphorePermit) -> Self {
         Self {
             _permit: Some(permit),
-            _client: None,
+            client: None,
             eviction: None,
         }
     }
@@ -45,7 +46,7 @@
     pub(crate) fn client(client: Arc<Client>, eviction: Eviction) -> Self {
         Self {
             _permit: None,
-            _client: Some(client),
+            client: Some(client),
             eviction: Some(eviction),
         }
     }
