Let idle connections from near the machine give way after 50 ms

With new connections waiting for STALL_TIME at the limit, 300 idle clients held up a scrape of the metrics (8 connections) until metrics_with_endless_heads took 19.2 s, and a readiness check (32 connections) until checks_with_endless_heads took 4.4 s. Clients of these listeners are on or near the machine, so there a connection now gives way after it has waited 50 ms for a header. Bodies and callers keep STALL_TIME.

Ruled out: the same for callers, whose packets may be lost and delivered again after some hundred milliseconds.

--- a/crates/process/src/clients/ledger.rs
+++ b/crates/process/src/clients/ledger.rs
@@ -16,6 +16,9 @@
 /// How long a connection must have made no progress before another may take its
 /// place. A network delivers a lost packet again within this time.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
+/// The same for a connection that waits for a header from a client on or near
+/// the machine, whose packets arrive within a few milliseconds.
+pub const NEAR_STALL_TIME: Duration = Duration::from_millis(50);
 
 /// The limits on all connections of one listener together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,6 +28,9 @@
     /// Maximum size of all requests in memory, in bytes. The oldest of them may
     /// exceed it.
     pub request_bytes: usize,
+    /// How long a connection may wait for a header before another may take its
+    /// place.
+    pub stall_time: Duration,
 }
 
 /// Identifies a connection.
@@ -108,31 +114,35 @@
         id
     }
 
-    /// Removes a connection without progress for [`STALL_TIME`] if there is no
-    /// room for another. The one that is returned must be closed. If there is
+    /// Removes a connection that has stalled if there is no room for another. The one that is returned must be closed. If there is
     /// none, a new connection waits, because a younger one may not have had
     /// the time to send its request.
     pub fn make_room(&mut self, now: Instant) -> Option<Id> {
         if self.connections.len() < self.limits.connections {
             return None;
         }
-        self.evict(now, STALL_TIME)
+        self.evict(now, self.limits.stall_time, STALL_TIME)
     }
 
-    /// Removes a connection to free its descriptor, if possible one without
-    /// progress for [`STALL_TIME`]. Returns `None` if all are being answered.
+    /// Removes a connection to free its descriptor, if possible one that has
+    /// stalled. Returns `None` if all are being answered.
     pub fn shed(&mut self, now: Instant) -> Option<Id> {
-        self.evict(now, STALL_TIME)
-            .or_else(|| self.evict(now, Duration::ZERO))
+        self.evict(now, self.limits.stall_time, STALL_TIME)
+            .or_else(|| self.evict(now, Duration::ZERO, Duration::ZERO))
     }
 
-    /// Removes the connection that should be given up first of those without
-    /// progress for `idle`: one of the peer with the most connections, and of
+    /// Removes the connection that should be given up first of those that have
+    /// waited for a header for `waiting`, or made no progress with a body for
+    /// `receiving`: one of the peer with the most connections, and of
     /// these, the one without progress for longest.
-    fn evict(&mut self, now: Instant, idle: Duration) -> Option<Id> {
+    fn evict(&mut self, now: Instant, waiting: Duration, receiving: Duration) -> Option<Id> {
         let may_go = |connection: &Connection| {
-            connection.phase != Phase::Answering
-                && now.saturating_duration_since(connection.progressed) >= idle
+            let idle = now.saturating_duration_since(connection.progressed);
+            match connection.phase {
+                Phase::Waiting => idle >= waiting,
+                Phase::Receiving => idle >= receiving,
+                Phase::Answering => false,
+            }
         };
         let (id, _) = self
             .connections
--- a/crates/process/src/clients/mod.rs
+++ b/crates/process/src/clients/mod.rs
@@ -3,7 +3,7 @@
 
 mod ledger;
 
-pub use ledger::{Id, Ledger, Limits, Reservation, PROGRESS_BYTES, STALL_TIME};
+pub use ledger::{Id, Ledger, Limits, Reservation, NEAR_STALL_TIME, PROGRESS_BYTES, STALL_TIME};
 
 use {
     metrics::counter,
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -162,6 +162,7 @@
                 let limits = clients::Limits {
                     connections: limits.connections,
                     request_bytes: 0,
+                    stall_time: clients::NEAR_STALL_TIME,
                 };
                 Self::Clients(Clients::new("operators", limits))
             }
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -3,7 +3,7 @@
 
 use {
     filbertbend_process::clients::{
-        Clients, Id, Ledger, Limits, Reservation, PROGRESS_BYTES, STALL_TIME,
+        Clients, Id, Ledger, Limits, Reservation, NEAR_STALL_TIME, PROGRESS_BYTES, STALL_TIME,
     },
     rustix::io::Errno,
     std::{
@@ -15,6 +15,7 @@
 const LIMITS: Limits = Limits {
     connections: 3,
     request_bytes: 100,
+    stall_time: STALL_TIME,
 };
 
 fn peer(last: u8) -> IpAddr {
@@ -77,6 +78,27 @@
     assert_eq!(later, Some(ids[1]));
 }
 
+/// Guards against readiness checks that wait behind many idle connections, and
+/// against a heartbeat that is given up while it arrives.
+#[test]
+fn near_connection_waits_for_a_header_only_shortly() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(Limits {
+        connections: 2,
+        stall_time: NEAR_STALL_TIME,
+        ..LIMITS
+    });
+    receiving(&mut ledger, now, 1);
+    let waiting = ledger.open(now, peer(1));
+
+    let young = ledger.make_room(now + NEAR_STALL_TIME / 2);
+    let evicted = ledger.make_room(now + NEAR_STALL_TIME);
+    ledger.open(now + NEAR_STALL_TIME, peer(2));
+    let arriving = ledger.make_room(now + NEAR_STALL_TIME);
+
+    assert_eq!((young, evicted, arriving), (None, Some(waiting), None));
+}
+
 /// Guards against a listener that has no descriptor left and frees none.
 #[test]
 fn connection_is_shed_although_none_has_stalled() {
