--- a/crates/process/src/clients/ledger.rs
+++ b/crates/process/src/clients/ledger.rs
@@ -13,39 +13,30 @@
 /// Bytes of a body that count as progress. Fewer bytes at a time keep a
 /// connection as old as it is, so that it cannot be kept by single bytes.
 pub const PROGRESS_BYTES: usize = 4 << 10;
-/// How long a body must have made no progress before another may take its
+/// How long a connection must have made no progress before another may take its
 /// place. A network delivers a lost packet again within this time.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
+/// The same for a connection that waits for a header from a client on or near
+/// the machine, whose packets arrive within a few milliseconds.
+pub const NEAR_STALL_TIME: Duration = Duration::from_millis(50);
 
 /// The limits on all connections of one listener together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
     /// Maximum number of open connections.
     pub connections: usize,
-    /// Maximum size of all requests in memory, in bytes. A single request may
-    /// be larger.
+    /// Maximum size of all requests in memory, in bytes. The oldest of them may
+    /// exceed it.
     pub request_bytes: usize,
+    /// How long a connection may wait for a header before another may take its
+    /// place.
+    pub stall_time: Duration,
 }
 
 /// Identifies a connection.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Hash)]
 pub struct Id(u64);
 
-/// Whether a connection may be opened.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Opening {
-    /// It may. The connection in `evicted` must be closed.
-    Opened {
-        /// The new connection.
-        id: Id,
-        /// The connection whose place it takes.
-        evicted: Option<Id>,
-    },
-    /// It must be closed, because all others have requests that are being
-    /// answered.
-    Refused,
-}
-
 /// Whether bytes of a request may be kept in memory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reservation {
@@ -73,6 +64,8 @@
 struct Connection {
     peer: IpAddr,
     phase: Phase,
+    /// When the header of the last request arrived.
+    begun: Instant,
     /// When the connection last made progress.
     progressed: Instant,
     /// Bytes received since then.
@@ -103,40 +96,58 @@
         }
     }
 
-    /// Opens a connection of `peer`. At the limit, it takes the place of
-    /// another that isn't being answered.
-    pub fn open(&mut self, now: Instant, peer: IpAddr) -> Opening {
-        let evicted = if self.connections.len() < self.limits.connections {
-            None
-        } else {
-            match self.evict() {
-                Some(id) => Some(id),
-                None => return Opening::Refused,
-            }
-        };
+    /// Opens a connection of `peer`. The caller has made sure that there is
+    /// room for it.
+    pub fn open(&mut self, now: Instant, peer: IpAddr) -> Id {
         let id = Id(self.next);
         self.next += 1;
         let connection = Connection {
             peer,
             phase: Phase::Waiting,
+            begun: now,
             progressed: now,
             received: 0,
             reserved: 0,
         };
         self.connections.insert(id, connection);
         *self.peers.entry(peer).or_default() += 1;
-        Opening::Opened { id, evicted }
+        id
+    }
+
+    /// Removes a connection that has stalled if there is no room for another. The one that is returned must be closed. If there is
+    /// none, a new connection waits, because a younger one may not have had
+    /// the time to send its request.
+    pub fn make_room(&mut self, now: Instant) -> Option<Id> {
+        if self.connections.len() < self.limits.connections {
+            return None;
+        }
+        self.evict(now, self.limits.stall_time, STALL_TIME)
     }
 
-    /// Removes the connection that should be given up first: one of the peer
-    /// with the most connections, and of these, the one without progress for
-    /// longest. Returns `None` if all are being answered.
-    pub fn evict(&mut self) -> Option<Id> {
-        let open = |connection: &Connection| connection.phase != Phase::Answering;
+    /// Removes a connection to free its descriptor, if possible one that has
+    /// stalled. Returns `None` if all are being answered.
+    pub fn shed(&mut self, now: Instant) -> Option<Id> {
+        self.evict(now, self.limits.stall_time, STALL_TIME)
+            .or_else(|| self.evict(now, Duration::ZERO, Duration::ZERO))
+    }
+
+    /// Removes the connection that should be given up first of those that have
+    /// waited for a header for `waiting`, or made no progress with a body for
+    /// `receiving`: one of the peer with the most connections, and of
+    /// these, the one without progress for longest.
+    fn evict(&mut self, now: Instant, waiting: Duration, receiving: Duration) -> Option<Id> {
+        let may_go = |connection: &Connection| {
+            let idle = now.saturating_duration_since(connection.progressed);
+            match connection.phase {
+                Phase::Waiting => idle >= waiting,
+                Phase::Receiving => idle >= receiving,
+                Phase::Answering => false,
+            }
+        };
         let (id, _) = self
             .connections
             .iter()
-            .filter(|(_, connection)| open(connection))
+            .filter(|(_, connection)| may_go(connection))
             .min_by_key(|(_, connection)| {
                 let of_peer = self.peers.get(&connection.peer).copied().unwrap_or(0);
                 (std::cmp::Reverse(of_peer), connection.progressed)
@@ -150,20 +161,20 @@
     pub fn begin(&mut self, now: Instant, id: Id) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.phase = Phase::Receiving;
+            connection.begun = now;
             connection.progressed = now;
             connection.received = 0;
         }
     }
 
     /// Reserves memory for a request. If it is short, bodies that have stalled
-    /// lose theirs. A request without others in memory gets what it needs.
+    /// lose theirs. The oldest request in memory gets what it needs, so that
+    /// one is always completed and a request without others is never refused.
     pub fn reserve(&mut self, now: Instant, id: Id, bytes: usize) -> Reservation {
-        let own = match self.connections.get(&id) {
-            Some(connection) => connection.reserved,
-            None => return Reservation::Refused,
-        };
-        let fits =
-            |reserved: usize| reserved == own || reserved + bytes <= self.limits.request_bytes;
+        if !self.connections.contains_key(&id) {
+            return Reservation::Refused;
+        }
+        let fits = |reserved: usize| reserved + bytes <= self.limits.request_bytes;
         let mut reserved = self.reserved;
         let mut evicted = Vec::new();
         if !fits(reserved) {
@@ -174,7 +185,7 @@
                 reserved -= bytes;
                 evicted.push(stalled);
             }
-            if !fits(reserved) {
+            if !fits(reserved) && !self.is_oldest(id, &evicted) {
                 return Reservation::Refused;
             }
         }
@@ -188,6 +199,17 @@
         Reservation::Granted { evicted }
     }
 
+    /// Returns whether a request has been in memory for longest, or is the
+    /// first, if the connections in `evicted` are closed.
+    fn is_oldest(&self, id: Id, evicted: &[Id]) -> bool {
+        let oldest = self
+            .connections
+            .iter()
+            .filter(|(id, connection)| connection.reserved > 0 && !evicted.contains(id))
+            .min_by_key(|(id, connection)| (connection.begun, **id));
+        oldest.is_none_or(|(oldest, _)| *oldest == id)
+    }
+
     /// Returns the connections other than `except` whose bodies have stalled,
     /// the one without progress for longest first, with the bytes that each has
     /// reserved.
