--- a/crates/dispatch/tests/relay.rs
+++ b/crates/dispatch/tests/relay.rs
@@ -10,16 +10,19 @@
         platform::{Changes, Commit, Failure, Item, Lease, Revision, Store, Transaction},
     },
     filbertbend_state::unit::Millis,
-    filbertbend_transport::{link::Link, tls::Identity},
+    filbertbend_transport::{
+        link::{Link, Socket},
+        tls::Identity,
+    },
     filbertbend_workload::{
-        id::Job,
-        message::{Request, Response},
-        record::State,
+        id::{Job, Node},
+        message::{Query, Reply, Request, Response},
+        record::{Leader, State},
         relay::{Call, Outcome},
     },
     std::{
         cell::Cell,
-        future::Future,
+        future::{pending, ready, Future},
         net::{SocketAddr, UdpSocket},
         rc::Rc,
         time::Duration,
@@ -27,12 +30,12 @@
     support::{
         job,
         leader::{loopback, open, publish, FakeLeader},
-        options, Memory,
+        options, Fault, Memory,
     },
     tokio::{
         sync::watch,
         task::LocalSet,
-        time::{sleep, timeout, Instant},
+        time::{pause, sleep, timeout, Instant},
     },
 };
 
@@ -42,6 +45,20 @@
 const WAIT: Duration = Duration::from_secs(8);
 /// How long a call without an answer lasts.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long each call of a slow store lasts. The three calls of a cancellation
+/// last longer than a leader works on a submission.
+const SLOW: Duration = Duration::from_millis(220);
+
+/// Maximum number of queries that a leader keeps open on a link.
+const QUERY_LIMIT: u64 = 512;
+
+/// The calls of one process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Calls {
+    commits: usize,
+    lists: usize,
+    revocations: usize,
+}
 
 /// How the store treats the calls of one process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,6 +69,10 @@
     /// Resets the connection after a write has taken effect.
     ResetAfter,
     Silent,
+    /// Answers each read, write and grant after [`SLOW`].
+    Slow,
+    /// Neither an answer nor an error arrives.
+    Stuck,
 }
 
 /// The store as one process sees it.
@@ -59,6 +80,7 @@
 struct View {
     memory: Memory,
     mode: Rc<Cell<Mode>>,
+    calls: Rc<Cell<Calls>>,
 }
 
 impl View {
@@ -66,12 +88,24 @@
         Self {
             memory: memory.clone(),
             mode: Rc::new(Cell::new(Mode::Serve)),
+            calls: Rc::default(),
         }
     }
 
+    fn count(&self, count: impl FnOnce(&mut Calls)) {
+        let mut calls = self.calls.get();
+        count(&mut calls);
+        self.calls.set(calls);
+    }
+
     async fn reach(&self) -> Result<(), Failure> {
         match self.mode.get() {
             Mode::Serve => Ok(()),
+            Mode::Slow => {
+                sleep(SLOW).await;
+                Ok(())
+            }
+            Mode::Stuck => pending().await,
             Mode::Refuse => Err(Failure::Refused("busy".into())),
             Mode::Reset | Mode::ResetAfter => Err(Failure::Lost("reset".into())),
             Mode::Silent => {
@@ -89,6 +123,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Failure> {
+        self.count(|calls| calls.lists += 1);
         self.reach().await?;
         self.memory.list(prefix).await
     }
@@ -99,6 +134,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, Failure> {
+        self.count(|calls| calls.commits += 1);
         if self.mode.get() == Mode::ResetAfter {
             self.memory.commit(transaction).await?;
         }
@@ -117,6 +153,7 @@
     }
 
     async fn revoke(&self, lease: Lease) -> Result<(), Failure> {
+        self.count(|calls| calls.revocations += 1);
         self.reach().await?;
         self.memory.revoke(lease).await
     }
@@ -219,11 +256,11 @@
         view.mode.set(Mode::Silent);
         entry.submit(Job(1), &job(), LIMIT).await;
 
-        let begun = Instant::now();
+        let calls = view.calls.get();
         let submission = entry.submit(Job(2), &job(), LIMIT).await;
 
         assert_eq!(submission, Submission::Accepted);
-        assert!(begun.elapsed() < Duration::from_millis(300));
+        assert_eq!(view.calls.get().commits, calls.commits);
     })
     .await;
 }
@@ -244,11 +281,21 @@
             entry.submit(Job(2), &job(), LIMIT).await;
         }
 
-        let begun = Instant::now();
-        let refused = entry.submit(Job(3), &job(), LIMIT).await;
+        // Nothing that the entry knows expires before it answers.
+        pause();
+        let calls = view.calls.get();
+        let third = job();
+        let refused = tokio::select! {
+            biased;
+            submission = entry.submit(Job(3), &third, LIMIT) => Some(submission),
+            () = ready(()) => None,
+        };
 
-        assert!(matches!(refused, Submission::Refused(_)), "{refused:?}");
-        assert!(begun.elapsed() < Duration::from_millis(300));
+        assert!(
+            matches!(refused, Some(Submission::Refused(_))),
+            "{refused:?}"
+        );
+        assert_eq!(view.calls.get(), calls);
         for id in 1..=3 {
             assert!(!is_stored(&memory, id), "{id}");
         }
@@ -339,10 +386,10 @@
     .await;
 }
 
-/// Refuses a link and names another leader.
-async fn redirect(link: Link, leader: SocketAddr) {
+/// Refuses a link and names another leader, if given.
+async fn redirect(link: Link, leader: Option<SocketAddr>) {
     if let Some((mut sender, _receiver)) = open(&link).await {
-        let _ = sender.send(&Response::NotLeader(Some(leader))).await;
+        let _ = sender.send(&Response::NotLeader(leader)).await;
         sender.finish();
         sender.stopped().await;
     }
@@ -361,7 +408,7 @@
             answer(link, store.clone(), 0, count.clone())
         });
         let address = successor.address;
-        let former = FakeLeader::start(&identity, move |_, link| redirect(link, address));
+        let former = FakeLeader::start(&identity, move |_, link| redirect(link, Some(address)));
         let (entry, view) = beside(&memory, &identity, former.address).await;
         view.mode.set(Mode::Silent);
 
@@ -396,3 +443,111 @@
     })
     .await;
 }
+
+/// Guards against "perhaps" for a request that nobody has read: the peer does
+/// not lead and does not know who does.
+#[tokio::test]
+async fn question_to_a_peer_that_knows_no_leader_counts_as_not_sent() {
+    run(async {
+        let memory = Memory::default();
+        let identity = link_identity::load_or_create(&memory).await;
+        let former = FakeLeader::start(&identity, |_, link| redirect(link, None));
+        let (entry, view) = beside(&memory, &identity, former.address).await;
+        view.mode.set(Mode::Refuse);
+
+        let submission = entry.submit(Job(1), &job(), LIMIT).await;
+
+        assert!(former.links() > 0);
+        assert!(
+            matches!(submission, Submission::Refused(_)),
+            "{submission:?}"
+        );
+    })
+    .await;
+}
+
+/// Guards against calls that wait for the planner, which they don't concern.
+#[tokio::test]
+async fn unanswered_query_does_not_delay_a_call() {
+    run(async {
+        let memory = Memory::default();
+        let identity = link_identity::load_or_create(&memory).await;
+        let (leader, stopper) = lead(&memory, &identity).await;
+        let record = memory.item(key::LEADER).unwrap();
+        let record: Leader = postcard::from_bytes(&record.value).unwrap();
+        let socket = Socket::dialler(&identity).unwrap();
+        let link = socket.dial_within(record.address, WAIT).await.unwrap();
+        let (mut sender, mut receiver) = link.open().await.unwrap();
+        let opening = Request::Entry(Node("other".into()));
+        sender.send(&opening).await.unwrap();
+        // The planner answers nothing while its term waits for the store to end.
+        leader.mode.set(Mode::Stuck);
+        stopper.send(true).unwrap();
+        until("the term ends", || leader.calls.get().revocations > 0).await;
+
+        let query = Request::Query(1, Query::State(Job(1)));
+        sender.send(&query).await.unwrap();
+        let call = Request::Relay(2, Call::Probe);
+        sender.send(&call).await.unwrap();
+
+        let response = timeout(WAIT, receiver.receive::<Response>()).await;
+        assert!(
+            matches!(response, Ok(Ok(Some(Response::Relayed(2, _))))),
+            "{response:?}"
+        );
+        // Beyond the bound, a query is answered without the planner.
+        for ticket in 3..=QUERY_LIMIT + 2 {
+            let query = Request::Query(ticket, Query::State(Job(1)));
+            sender.send(&query).await.unwrap();
+        }
+        let response = timeout(WAIT, receiver.receive::<Response>()).await;
+        let last = QUERY_LIMIT + 2;
+        assert!(
+            matches!(response, Ok(Ok(Some(Response::Answer(ticket, Reply::NotReady)))) if ticket == last),
+            "{response:?}"
+        );
+    })
+    .await;
+}
+
+/// Guards against a cancellation that the leader never completes, because its
+/// calls together last longer than a submission may.
+#[tokio::test]
+async fn leader_completes_a_cancellation_with_a_slow_store() {
+    run(async {
+        let memory = Memory::default();
+        let (entry, view, leader, _stopper) = pair(&memory).await;
+        view.mode.set(Mode::Refuse);
+        leader.mode.set(Mode::Slow);
+
+        let cancellation = entry.cancel(Job(1)).await;
+
+        assert_eq!(cancellation, Cancellation::UnknownJob);
+    })
+    .await;
+}
+
+/// Guards against a store that counts as away because a caller had little time
+/// left.
+#[tokio::test]
+async fn attempt_that_was_cut_short_says_nothing_about_the_store() {
+    run(async {
+        for (limit_ms, reported) in [(150, false), (600, true)] {
+            let memory = Memory::default();
+            let identity = link_identity::load_or_create(&memory).await;
+            let view = View::of(&memory);
+            let entry = follow(&view, &identity);
+            until("the key is read", || view.calls.get().lists > 0).await;
+            memory.fail([Fault::Silence; 20]);
+            let limit = Duration::from_millis(limit_ms);
+
+            let submission = entry.submit(Job(1), &job(), limit).await;
+
+            assert!(matches!(submission, Submission::Unknown(_)), "{limit:?}");
+            // A report of a failure makes the entry list its keys at once.
+            sleep(Duration::from_millis(50)).await;
+            assert_eq!(view.calls.get().lists > 1, reported, "{limit:?}");
+        }
+    })
+    .await;
+}
