--- a/crates/process/src/clients/ledger.rs
+++ b/crates/process/src/clients/ledger.rs
@@ -114,9 +114,9 @@
         id
     }
 
-    /// Removes a connection that has stalled if there is no room for another. The one that is returned must be closed. If there is
-    /// none, a new connection waits, because a younger one may not have had
-    /// the time to send its request.
+    /// Removes a connection that has stalled if there is no room for another, and
+    /// returns it to be closed. If there is none, a new connection waits, because a
+    /// younger one may not have had the time to send its request.
     pub fn make_room(&mut self, now: Instant) -> Option<Id> {
         if self.connections.len() < self.limits.connections {
             return None;
