--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -62,7 +62,8 @@
     /// The job is certainly not stored. Holds the reason.
     Refused(Arc<str>),
     /// The job is certainly not stored, because it was cancelled before, and all
-    /// attempts were answered. Holds the time after which its identifier may certainly be used again.
+    /// attempts were answered. Holds the time after which its identifier may
+    /// certainly be used again.
     Withdrawn(Duration),
     /// The job may be stored, now or later. Holds the last error.
     Unknown(Arc<str>),
--- a/crates/process/src/clients/mod.rs
+++ b/crates/process/src/clients/mod.rs
@@ -174,8 +174,8 @@
         self.note(reason);
     }
 
-    /// Counts a refusal, an eviction or a delay, and logs it unless one was logged just
-    /// before.
+    /// Counts a refusal, an eviction or a delay, and logs it unless one was logged
+    /// just before.
     fn note(&mut self, reason: &'static str) {
         let listener = self.listener;
         counter!("filbertbend_clients_limited_total", "listener" => listener, "reason" => reason)
