--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -17,8 +17,8 @@
         tls::Identity,
     },
     filbertbend_workload::{
-        agent::{Action, Agent, Answer, Call, Event},
-        id::Node,
+        agent::{Action, Agent, Answer, Call, Deadline, Event},
+        id::{Incarnation, Node},
         message::{Crash, Request, Response},
         record::Leader,
         worker::Profile,
@@ -179,7 +179,7 @@
         tokio::task::spawn_local(async move {
             let sent = clock::monotonic();
             let answer = worker.call(&addressee, &call).await;
-            log_answer(&call, &answer, sent);
+            log_answer(&addressee, &call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
             // Fails only when the process ends.
             let _ = inbox.send(Input::Event(Box::new(event))).await;
@@ -196,7 +196,12 @@
     }
 }
 
-fn log_answer(call: &Call, found: &Answer, sent: Instant) {
+/// Describes the deadline of a call for the log.
+fn describe(deadline: Option<&Deadline>) -> String {
+    deadline.map_or_else(|| "none".to_owned(), Deadline::to_string)
+}
+
+fn log_answer(addressee: &Incarnation, call: &Call, found: &Answer, sent: Instant) {
     let ms = clock::monotonic().since(sent).0;
     let answer = match found {
         Answer::Snapshot(_) | Answer::Done => "done".to_owned(),
@@ -205,10 +210,17 @@
         Answer::Lost => "lost".to_owned(),
     };
     match call {
-        Call::Poll { .. } => {
+        Call::Poll { deadline, .. } => {
+            let deadline = describe(deadline.as_ref());
+            let answered_by = match found {
+                Answer::Snapshot(snapshot) => snapshot.started_ms,
+                _ => None,
+            };
             if answer != "done" {
                 counter!("filbertbend_looks_failed_total").increment(1);
-                info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), ms });
+                info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), deadline: = deadline.as_str(), ms });
+            } else if answered_by.is_some_and(|born| born != addressee.started_ms) {
+                info!("worker's tasks listed by another life", kv: { life: = addressee, born:? = answered_by, deadline: = deadline.as_str(), ms });
             }
         }
         Call::Identify { incarnation, .. } => {
@@ -218,8 +230,12 @@
             };
             info!("worker asked whether it is another life", kv: { life: = incarnation, answer: = answer.as_str(), born:?, ms });
         }
-        Call::Start { start, fence, .. } => {
-            info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, answer: = answer.as_str(), ms });
+        Call::Start {
+            start,
+            fence,
+            deadline,
+        } => {
+            info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, deadline: = deadline, answer: = answer.as_str(), ms });
         }
         Call::Stop { task, run, fence } => {
             info!("stop answered", kv: { job: = task.job, task:, run = run.0, fence = fence.0, answer: = answer.as_str(), ms });
--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -8,8 +8,39 @@
         worker::{End, Running},
     },
     filbertbend_state::unit::Millis,
+    std::fmt,
 };
 
+/// The end of a lease on the clock of one incarnation of the worker, with the
+/// reading of that clock that it was computed from. Every incarnation begins its
+/// clock anew, so the time has no meaning for any other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Deadline {
+    /// The incarnation whose clock it is.
+    pub incarnation: Incarnation,
+    /// The end of the lease, in milliseconds of that clock.
+    pub until_ms: u64,
+    /// The clock when it was last read, in milliseconds.
+    pub read_ms: u64,
+    /// How long ago the clock was read.
+    pub age: Millis,
+}
+
+impl fmt::Display for Deadline {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            incarnation,
+            until_ms,
+            read_ms,
+            age,
+        } = self;
+        write!(
+            f,
+            "{until_ms} ms, from {read_ms} ms of {incarnation}, read {age} ago"
+        )
+    }
+}
+
 /// A call to the worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
@@ -18,8 +49,8 @@
     Poll {
         /// The fence of the session.
         fence: Fence,
-        /// The end of the lease on the worker's clock, in milliseconds.
-        deadline: Option<u64>,
+        /// The end of the lease.
+        deadline: Option<Deadline>,
         /// The last end that is durable.
         acknowledged: Sequence,
         /// The maximum time to wait for an end.
@@ -37,8 +68,8 @@
     Start {
         /// The fence of the session.
         fence: Fence,
-        /// The end of the lease on the worker's clock, in milliseconds.
-        deadline: u64,
+        /// The end of the lease.
+        deadline: Deadline,
         /// The start to carry out.
         start: Start,
     },
--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -2,7 +2,7 @@
 //! what a new leader is told about it.
 
 use {
-    super::{Action, Agent},
+    super::{Action, Agent, Deadline},
     crate::{leadership::LEASE_RENEW_INTERVAL, message::KnownLease},
     filbertbend_state::{time::Instant, unit::Millis},
 };
@@ -46,10 +46,15 @@
     }
 
     /// Returns the end of the unexpired lease on the worker's clock.
-    pub(super) fn deadline(&self, now: Instant) -> Option<u64> {
+    pub(super) fn deadline(&self, now: Instant) -> Option<Deadline> {
         let until = self.lease_until.filter(|until| *until > now)?;
         let (read, clock) = self.clock?;
-        Some(clock.saturating_add(until.since(read).0))
+        Some(Deadline {
+            incarnation: self.profile.as_ref()?.incarnation.clone(),
+            until_ms: clock.saturating_add(until.since(read).0),
+            read_ms: clock,
+            age: now.since(read),
+        })
     }
 
     /// Returns whether enough of the lease is left to send a start.
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -36,7 +36,7 @@
     },
 };
 
-pub use call::{Answer, Call, Refusal, Snapshot};
+pub use call::{Answer, Call, Deadline, Refusal, Snapshot};
 
 /// How long a poll waits for an end; service measurements cover half a second.
 const POLL_WAIT: Millis = Millis(500);
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -1,7 +1,7 @@
 //! Orders to the worker that wait until others have been answered.
 
 use {
-    super::{Action, Agent, Call, Order},
+    super::{Action, Agent, Call, Deadline, Order},
     crate::{
         id::{Fence, Run, Task},
         message::{Start, StartStatus},
@@ -101,9 +101,9 @@
         }
     }
 
-    /// Returns the fence and the end of the lease on the worker's clock for a
-    /// start, or why it must not be sent.
-    fn permit(&self, now: Instant, start: &Start) -> Result<(Fence, u64), StartStatus> {
+    /// Returns the fence and the end of the lease for a start, or why it must not
+    /// be sent.
+    fn permit(&self, now: Instant, start: &Start) -> Result<(Fence, Deadline), StartStatus> {
         let draining = self.profile.as_ref().is_none_or(|profile| profile.draining);
         let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
             return Err(StartStatus::Withdrawn);
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -273,7 +273,7 @@
                 ..
             } => {
                 if let Some(deadline) = deadline {
-                    self.extend(now, *deadline);
+                    self.extend(now, deadline.until_ms);
                 }
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 truth.acknowledged(self, *acknowledged);
@@ -284,7 +284,7 @@
             }
             Call::Start {
                 deadline, start, ..
-            } => self.start(now, *deadline, start, truth),
+            } => self.start(now, deadline.until_ms, start, truth),
             Call::Stop { task, run, .. } => {
                 let ended = self.ended.entry(*task).or_default();
                 *ended = (*ended).max(*run);
--- a/crates/workload/tests/support/machine.rs
+++ b/crates/workload/tests/support/machine.rs
@@ -123,17 +123,19 @@
                 acknowledged,
                 ..
             } => {
-                self.deadline = self.deadline.max(deadline.unwrap_or(0));
+                self.deadline = self
+                    .deadline
+                    .max(deadline.as_ref().map_or(0, |deadline| deadline.until_ms));
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 self.snapshot(now)
             }
             Call::Start {
                 deadline, start, ..
             } => {
-                if let Some(refusal) = self.refusal(now, *deadline, start) {
+                if let Some(refusal) = self.refusal(now, deadline.until_ms, start) {
                     return Answer::Refused(refusal);
                 }
-                self.deadline = self.deadline.max(*deadline);
+                self.deadline = self.deadline.max(deadline.until_ms);
                 let room = start.role.room;
                 let execution = Execution { room, until, exit };
                 self.running
@@ -190,7 +192,8 @@
             return None;
         };
         let known = self.running.contains_key(&(start.task, start.run));
-        let accepted = *fence >= self.fence && self.refusal(now, *deadline, start).is_none();
+        let accepted =
+            *fence >= self.fence && self.refusal(now, deadline.until_ms, start).is_none();
         (accepted && !known).then_some(start)
     }
 
