Reproduce a lease by a former clock that outlasts the granted one

Callers saw tasks run twice: on a worker that had started again under its id and was cut off soon after, and elsewhere.

The interleavings drew restarts, cuts and changes of leader independently, ended runs after 5 s, let the first heartbeat arrive at once and let calls to an ended process time out. An agent therefore mostly learned of a restart before it polled the new process. The new sessions restart a worker within a second, close its connections, delay its first heartbeat by up to a second, let runs last for up to 15 s, and cut the side off 0.5 to 3 s later; half of them replace the leader, too.

All sessions settle. The test takes 4 s in a debug build.

--- a/crates/workload/tests/interleavings/cluster.rs
+++ b/crates/workload/tests/interleavings/cluster.rs
@@ -78,6 +78,8 @@
     blind_until: u64,
     /// Until when calls to the worker are lost.
     silent_until: u64,
+    /// Until when the worker sends no heartbeat.
+    quiet_until: u64,
 }
 
 struct Pending {
@@ -95,6 +97,16 @@
     pub(crate) lost: u32,
 }
 
+/// What the restart of a worker under its name does to calls and heartbeats.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Restarts {
+    /// Whether the end of the process ends its connections, and so the calls that
+    /// it has not answered. Otherwise they time out.
+    pub(crate) closes: bool,
+    /// The maximum delay of the first heartbeat.
+    pub(crate) notice: u64,
+}
+
 pub(crate) struct Cluster {
     pub(crate) now: u64,
     rng: ChaCha8Rng,
@@ -111,6 +123,9 @@
     stored: BTreeMap<Job, Progress>,
     pub(crate) truth: Truth,
     pub(crate) disorder: Disorder,
+    pub(crate) restarts: Restarts,
+    /// The longest duration of a run.
+    pub(crate) run_limit: u64,
 }
 
 impl Cluster {
@@ -130,6 +145,8 @@
             stored: BTreeMap::new(),
             truth: Truth::default(),
             disorder: Disorder::default(),
+            restarts: Restarts::default(),
+            run_limit: 5000,
         };
         cluster.lead();
         for number in 0..workers {
@@ -145,6 +162,7 @@
                 cut_until: 0,
                 blind_until: 0,
                 silent_until: 0,
+                quiet_until: 0,
             });
             cluster.at(0, Happening::Heartbeat(number));
             cluster.at(1, Happening::AgentTick(number));
@@ -245,10 +263,22 @@
         if self.workers[side].up {
             self.workers[side].crash(&mut self.truth);
             self.waiting[side].clear();
+            if self.restarts.closes {
+                self.close_calls(side);
+            }
             self.at(delay, Happening::Restart(side));
         }
     }
 
+    /// Ends the calls that a worker has not answered.
+    fn close_calls(&mut self, side: usize) {
+        let open = |call: &Pending| call.side == side && call.open;
+        let ids = self.calls.iter().filter(|(_, call)| open(call));
+        for id in ids.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.at(1, Happening::Answer(id, Answer::Lost));
+        }
+    }
+
     /// Closes a link. What is under way is lost.
     fn break_link(&mut self, link: usize) {
         let found = &mut self.links[link];
@@ -404,7 +434,7 @@
             true => Exit::Failed,
             false => Exit::Done,
         };
-        let span = self.pick(200, 5000);
+        let span = self.pick(200, self.run_limit);
         let started_ms = self.workers[side].started_ms();
         self.at(span, Happening::Finish(side, started_ms, task, run, exit));
     }
@@ -453,7 +483,7 @@
     }
 
     fn heartbeat(&mut self, side: usize) {
-        if self.workers[side].up {
+        if self.workers[side].up && self.sides[side].quiet_until <= self.now {
             let late = self.chance(self.disorder.late);
             let delay = if late { self.pick(5, 2500) } else { 2 };
             let profile: Profile = self.workers[side].profile.clone();
@@ -522,6 +552,10 @@
             Happening::Expire(side) => self.workers[side].expire(self.now, &mut self.truth),
             Happening::Restart(side) => {
                 self.workers[side].restart(self.now);
+                if self.restarts.notice > 0 {
+                    let notice = self.pick(0, self.restarts.notice);
+                    self.sides[side].quiet_until = self.now + notice;
+                }
                 self.heartbeat(side);
             }
             Happening::Submit(id, job) => {
--- a/crates/workload/tests/interleavings/main.rs
+++ b/crates/workload/tests/interleavings/main.rs
@@ -3,6 +3,7 @@
 //! leader is paused, slow or replaced.
 
 mod cluster;
+mod restarts;
 #[path = "../support/mod.rs"]
 mod support;
 mod worker;
