Pass leases on by a call of their own, and keep off workers with a foreign one

Each poll carried the deadline, and a poll is under way nearly all the time. So whenever a worker ended, a deadline by its clock was without an answer, and the platform's pages say that such a call may be carried out seconds later, then by the next incarnation.

Polls carry no deadline any more. A call of its own extends the lease once per grant and is answered at once, so that one is seldom without an answer. If one was in the last 15 s, or the first list of the next incarnation shows runs or ends (of starts that were sent to the former one), the agent says so: it stops such runs, and the leader places nothing there until the longest lease has passed. A later leader would not know of that lease. A list whose clock is behind the last reading is one of another incarnation too, whatever its start time.

--- a/crates/bench/benches/leader/simulation.rs
+++ b/crates/bench/benches/leader/simulation.rs
@@ -100,6 +100,7 @@
                 inventory: Some(Inventory {
                     incarnation: profile(number).incarnation,
                     restarted: None,
+                    foreign_lease: None,
                     crash: None,
                     running: Vec::new(),
                 }),
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -17,7 +17,7 @@
         tls::Identity,
     },
     filbertbend_workload::{
-        agent::{Action, Agent, Answer, Call, Deadline, Event},
+        agent::{Action, Agent, Answer, Call, Event},
         id::{Incarnation, Node},
         message::{Crash, Request, Response},
         record::Leader,
@@ -169,6 +169,9 @@
         let known = self.agent.profile().map(|profile| &profile.incarnation);
         let addressee = match &call {
             Call::Identify { incarnation, .. } => Some(incarnation),
+            Call::Extend { deadline, .. } | Call::Start { deadline, .. } => {
+                Some(&deadline.incarnation)
+            }
             _ => known,
         };
         let Some(addressee) = addressee.cloned() else {
@@ -196,9 +199,12 @@
     }
 }
 
-/// Describes the deadline of a call for the log.
-fn describe(deadline: Option<&Deadline>) -> String {
-    deadline.map_or_else(|| "none".to_owned(), Deadline::to_string)
+/// Returns when the incarnation that answered began.
+fn born(found: &Answer) -> Option<u64> {
+    match found {
+        Answer::Snapshot(snapshot) => snapshot.started_ms,
+        _ => None,
+    }
 }
 
 fn log_answer(addressee: &Incarnation, call: &Call, found: &Answer, sent: Instant) {
@@ -209,25 +215,24 @@
         Answer::Unreachable => "unreachable".to_owned(),
         Answer::Lost => "lost".to_owned(),
     };
+    let is_other = |found| born(found).is_some_and(|born| born != addressee.started_ms);
     match call {
-        Call::Poll { deadline, .. } => {
-            let deadline = describe(deadline.as_ref());
-            let answered_by = match found {
-                Answer::Snapshot(snapshot) => snapshot.started_ms,
-                _ => None,
-            };
+        Call::Poll { .. } => {
             if answer != "done" {
                 counter!("filbertbend_looks_failed_total").increment(1);
-                info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), deadline: = deadline.as_str(), ms });
-            } else if answered_by.is_some_and(|born| born != addressee.started_ms) {
-                info!("worker's tasks listed by another life", kv: { life: = addressee, born:? = answered_by, deadline: = deadline.as_str(), ms });
+                info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), ms });
+            } else if is_other(found) {
+                info!("worker's tasks listed by another life", kv: { life: = addressee, born:? = born(found), ms });
+            }
+        }
+        Call::Extend { deadline, fence } => {
+            if answer != "done" || is_other(found) {
+                counter!("filbertbend_lease_extensions_failed_total").increment(1);
+                info!("lease not passed on to the worker", kv: { life: = addressee, fence = fence.0, deadline: = deadline, answer: = answer.as_str(), born:? = born(found), ms });
             }
         }
         Call::Identify { incarnation, .. } => {
-            let born = match found {
-                Answer::Snapshot(snapshot) => snapshot.started_ms,
-                _ => None,
-            };
+            let born = born(found);
             info!("worker asked whether it is another life", kv: { life: = incarnation, answer: = answer.as_str(), born:?, ms });
         }
         Call::Start {
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -81,8 +81,9 @@
             incarnation,
             fence,
             adopted,
+            withheld,
         } => {
-            info!("worker joined", kv: { node:, life: = incarnation, fence = fence.0, adopted = *adopted });
+            info!("worker joined", kv: { node:, life: = incarnation, fence = fence.0, adopted = *adopted, withheld_ms = withheld.0 });
         }
         Decision::Crashed {
             node,
--- a/crates/dispatch/src/term/tests.rs
+++ b/crates/dispatch/src/term/tests.rs
@@ -177,6 +177,7 @@
         inventory: Some(Inventory {
             incarnation,
             restarted: None,
+            foreign_lease: None,
             running: Vec::new(),
             crash: None,
         }),
--- a/crates/dispatch/tests/evacuations.rs
+++ b/crates/dispatch/tests/evacuations.rs
@@ -225,6 +225,7 @@
         inventory: Some(Inventory {
             incarnation,
             restarted: None,
+            foreign_lease: None,
             running: Vec::new(),
             crash: None,
         }),
--- a/crates/workload/src/agent/call.rs
+++ b/crates/workload/src/agent/call.rs
@@ -44,18 +44,25 @@
 /// A call to the worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
-    /// Extends the lease, lets the worker discard ends up to `acknowledged`,
-    /// and returns a snapshot once there is an end or `wait` has passed.
+    /// Lets the worker discard ends up to `acknowledged`, and returns a snapshot
+    /// once there is an end or `wait` has passed.
     Poll {
         /// The fence of the session.
         fence: Fence,
-        /// The end of the lease.
-        deadline: Option<Deadline>,
         /// The last end that is durable.
         acknowledged: Sequence,
         /// The maximum time to wait for an end.
         wait: Millis,
     },
+    /// Extends the lease; answered by a snapshot at once. A poll does not do so,
+    /// because one is nearly always under way when a worker ends, and a deadline
+    /// may then take effect in the next incarnation.
+    Extend {
+        /// The fence of the session.
+        fence: Fence,
+        /// The end of the lease.
+        deadline: Deadline,
+    },
     /// Asks whether an incarnation is running, without any other effect than
     /// that the worker sees the fence; answered by a snapshot.
     Identify {
--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -2,7 +2,7 @@
 //! what a new leader is told about it.
 
 use {
-    super::{Action, Agent, Deadline},
+    super::{Action, Agent, Answer, Call, Deadline, Snapshot, RETRY_DELAY},
     crate::{leadership::LEASE_RENEW_INTERVAL, message::KnownLease},
     filbertbend_state::{time::Instant, unit::Millis},
 };
@@ -11,6 +11,44 @@
 const STALE_AFTER: Millis = Millis(900);
 /// The remaining lease that is required to send a start.
 const LEASE_MARGIN: Millis = Millis(300);
+/// How long a call without an answer may still be carried out. The platform's
+/// description says seconds.
+const STRAY_LIMIT: Millis = Millis(15_000);
+
+/// The calls that pass the granted lease on to the worker.
+#[derive(Debug, Default)]
+pub(super) struct Extension {
+    /// When the call that is in progress was made, and the lease that it passes on.
+    in_progress: Option<(Instant, Instant)>,
+    /// The lease that the worker has confirmed.
+    confirmed: Option<Instant>,
+    retry_at: Instant,
+    /// When the last call without an answer was made. It may be carried out late,
+    /// by whichever incarnation is running then.
+    stray: Option<Instant>,
+}
+
+impl Extension {
+    fn strayed(&mut self, sent: Instant) {
+        self.stray = self.stray.max(Some(sent));
+    }
+
+    pub(super) fn end_session(&mut self) {
+        if let Some((sent, _)) = self.in_progress.take() {
+            self.strayed(sent);
+        }
+    }
+
+    pub(super) fn forget_incarnation(&mut self) {
+        self.end_session();
+        self.confirmed = None;
+    }
+
+    /// Returns whether a call without an answer may yet be carried out.
+    pub(super) fn may_stray(&self, now: Instant) -> bool {
+        self.stray.is_some_and(|sent| now < sent + STRAY_LIMIT)
+    }
+}
 
 impl Agent {
     /// Requests a lease while the worker answers. If the worker is gone for
@@ -45,6 +83,58 @@
         }
     }
 
+    /// Passes the granted lease on if the worker has not confirmed it yet.
+    pub(super) fn extend(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let granted = self.lease_until.max(self.extension.confirmed);
+        let is_idle = self.extension.in_progress.is_none() && now >= self.extension.retry_at;
+        if !is_idle || granted == self.extension.confirmed {
+            return;
+        }
+        let Some(session) = self.session.as_ref().filter(|session| session.inventoried) else {
+            return;
+        };
+        let (Some(until), Some(deadline)) = (granted, self.deadline(now)) else {
+            return;
+        };
+        self.extension.in_progress = Some((now, until));
+        actions.push(Action::Call(Call::Extend {
+            fence: session.fence,
+            deadline,
+        }));
+    }
+
+    pub(super) fn extended(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let in_progress = self.extension.in_progress.take();
+        match answer {
+            Answer::Snapshot(snapshot) if self.is_other_incarnation(sent, &snapshot) => {
+                self.extension.strayed(sent);
+                self.lose_session(now, true, actions);
+            }
+            Answer::Snapshot(snapshot) => {
+                self.extension.confirmed = in_progress.map(|(_, until)| until);
+                self.read_clock(now, &snapshot);
+            }
+            Answer::Lost => {
+                self.extension.strayed(sent);
+                self.extension.retry_at = now + RETRY_DELAY;
+            }
+            Answer::Done | Answer::Refused(_) | Answer::Unreachable => {
+                self.extension.retry_at = now + RETRY_DELAY;
+            }
+        }
+    }
+
+    /// Reading the clock as late as possible makes a lease expire early.
+    pub(super) fn read_clock(&mut self, now: Instant, snapshot: &Snapshot) {
+        self.clock = Some((now, snapshot.clock));
+    }
+
     /// Returns the end of the unexpired lease on the worker's clock.
     pub(super) fn deadline(&self, now: Instant) -> Option<Deadline> {
         let until = self.lease_until.filter(|until| *until > now)?;
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -27,6 +27,7 @@
         unit::{Cores, Millis},
     },
     identity::Candidate,
+    lease::Extension,
     presence::Presence,
     queue::{Queue, Waiting},
     session::Session,
@@ -134,6 +135,10 @@
     /// When the last snapshot of the worker arrived.
     polled: Option<Instant>,
     lease_until: Option<Instant>,
+    extension: Extension,
+    /// Whether the present incarnation may have accepted a deadline by the clock
+    /// of a former one.
+    foreign_lease: bool,
     /// The end of the last lease that was granted for any incarnation.
     granted_until: Instant,
     /// When the agent began.
@@ -198,6 +203,7 @@
             Event::Tick => {}
         }
         self.renew(now, actions);
+        self.extend(now, actions);
         self.poll(now, actions);
         self.identify(now, actions);
         self.repeat_stops(now);
@@ -219,6 +225,7 @@
         self.last_ping = None;
         self.issued.clear();
         self.queue.clear();
+        self.extension.end_session();
         self.presence.end_session();
     }
 
@@ -250,6 +257,8 @@
         self.clock = None;
         self.polled = None;
         self.lease_until = None;
+        self.extension.forget_incarnation();
+        self.foreign_lease = false;
         self.roles.clear();
         self.checkpoints.clear();
         self.running.clear();
@@ -277,7 +286,6 @@
     }
 
     fn poll(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let deadline = self.deadline(now);
         if self.profile.is_none() {
             return;
         }
@@ -296,7 +304,6 @@
         };
         actions.push(Action::Call(Call::Poll {
             fence: session.fence,
-            deadline,
             acknowledged: session.acknowledgement(),
             wait,
         }));
@@ -379,6 +386,7 @@
                 return self.identified(now, incarnation, &answer, actions);
             }
             Call::Poll { fence, .. }
+            | Call::Extend { fence, .. }
             | Call::Start { fence, .. }
             | Call::Stop { fence, .. }
             | Call::Throttle { fence, .. } => *fence,
@@ -398,6 +406,7 @@
         match call {
             Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
+            Call::Extend { .. } => self.extended(now, sent, answer, actions),
             Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
             Call::Throttle { change, .. } => {
@@ -478,11 +487,10 @@
             // The worker answers at once while unacknowledged ends exist.
             session.poll_at = now + PENDING_DELAY;
         }
-        if self.is_other_incarnation(&snapshot) {
+        if self.is_other_incarnation(sent, &snapshot) {
             return self.lose_session(now, true, actions);
         }
-        // Reading the clock as late as possible makes a lease expire early.
-        self.clock = Some((now, snapshot.clock));
+        self.read_clock(now, &snapshot);
         self.polled = Some(now);
         // The worker has accepted the fence of this session, so starts of earlier
         // ones have no effect any more.
@@ -498,9 +506,16 @@
         self.ends = snapshot.ends;
     }
 
-    fn is_other_incarnation(&self, snapshot: &Snapshot) -> bool {
+    /// Returns whether a snapshot that was requested at `sent` is one of another
+    /// incarnation. Two have the same start time if the wall clock was set back,
+    /// but the worker's own clock then begins anew.
+    fn is_other_incarnation(&self, sent: Instant, snapshot: &Snapshot) -> bool {
         let started_ms = self.profile.as_ref().map(|own| own.incarnation.started_ms);
-        snapshot.started_ms.is_some() && started_ms.is_some() && snapshot.started_ms != started_ms
+        let differs = snapshot.started_ms.is_some()
+            && started_ms.is_some()
+            && snapshot.started_ms != started_ms;
+        let is_behind = |(read, clock): (Instant, u64)| sent >= read && snapshot.clock < clock;
+        differs || self.clock.is_some_and(is_behind)
     }
 
     /// Resolves uncertain orders; only snapshots requested afterwards count. A run
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -50,7 +50,22 @@
         session.reported = last.map_or(reported, |last| last.max(reported));
     }
 
+    /// Examines the first list of an incarnation under the former name. Nothing
+    /// was ordered from it yet, so what it lists was started by orders to the
+    /// former one, and has a lease by the clock of that one.
+    fn examine_first_list(&mut self, now: Instant, snapshot: &Snapshot) {
+        if !self.restarted || self.first_listed.is_some() {
+            return;
+        }
+        let has_strays = !snapshot.running.is_empty() || !snapshot.ends.is_empty();
+        self.foreign_lease = has_strays || self.extension.may_stray(now);
+        for row in &snapshot.running {
+            self.stop(row.task, row.run);
+        }
+    }
+
     pub(super) fn report_inventory(&mut self, now: Instant, snapshot: &Snapshot) {
+        self.examine_first_list(now, snapshot);
         let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
             return;
         };
@@ -64,6 +79,7 @@
         self.report.inventory = Some(Inventory {
             incarnation: profile.incarnation.clone(),
             restarted: self.restarted.then(|| now.since(first)),
+            foreign_lease: self.foreign_lease.then(|| now.since(first)),
             running: snapshot.running.clone(),
             crash: self.crash.clone(),
         });
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -159,6 +159,10 @@
     /// How long ago the first inventory of the incarnation was made, if it began
     /// under the name of the one that the agent knew before.
     pub restarted: Option<Millis>,
+    /// How long ago the first inventory of the incarnation was made, if it may have
+    /// accepted a deadline by the clock of a former one, and so hold a longer lease
+    /// than was granted.
+    pub foreign_lease: Option<Millis>,
     /// The running tasks.
     pub running: Vec<Running>,
     /// How the worker's former incarnation ended, if it crashed while the agent
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -114,6 +114,9 @@
         fence: Fence,
         /// How many runs of former leaders were adopted.
         adopted: usize,
+        /// For how long it gets no tasks, because it may hold a lease by the clock
+        /// of a former incarnation.
+        withheld: Millis,
     },
     /// What the planner waits for, repeated once a second.
     Waiting(Backlog),
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -397,6 +397,7 @@
             return;
         };
         worker.confirm_inventory(inventory, self.now, &self.settings);
+        let withheld = worker.withheld_until.since(self.now);
         let fence = worker.fence;
         let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
         let mut adopted = 0;
@@ -441,6 +442,7 @@
             incarnation: inventory.incarnation.clone(),
             fence,
             adopted,
+            withheld,
         }));
     }
 
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -75,6 +75,9 @@
     /// Until when a lease may last that the worker has accepted by the clock of
     /// its former incarnation.
     foreign_lease_until: Instant,
+    /// Until when the worker gets no tasks, because it is likely to hold such a
+    /// lease. A later leader does not know of it, and would count the granted one.
+    pub(super) withheld_until: Instant,
     /// Until when such a lease may last, if the worker turns out to have
     /// restarted.
     suspected_until: Instant,
@@ -140,6 +143,7 @@
             incarnation: None,
             last_incarnation: None,
             foreign_lease_until: Instant::default(),
+            withheld_until: Instant::default(),
             suspected_until: Instant::default(),
             early: None,
             reservations: BTreeMap::new(),
@@ -231,6 +235,12 @@
             let until = now + settings.longest_lease_bound() - age;
             self.foreign_lease_until = self.foreign_lease_until.max(until);
         }
+        // An agent that has just started does not know a former incarnation.
+        let unseen = changed && inventory.restarted.is_none() && !inventory.running.is_empty();
+        if let Some(age) = inventory.foreign_lease.or(unseen.then_some(Millis::ZERO)) {
+            let until = now + settings.longest_lease_bound() - age;
+            self.withheld_until = self.withheld_until.max(until);
+        }
         self.incarnation = Some(incarnation.clone());
         self.suspected_until = Instant::default();
         self.early = None;
@@ -323,6 +333,7 @@
             && now < self.last_report + silence_limit
             && self.profile_reported
             && self.incarnation.is_some()
+            && now >= self.withheld_until
             && self.unreachable_until.is_none_or(|until| now >= until)
             && self.lease_until.is_some_and(|until| now < until)
             && self.profile.as_ref().is_some_and(|profile| {
--- a/crates/workload/tests/agent/harness.rs
+++ b/crates/workload/tests/agent/harness.rs
@@ -90,7 +90,9 @@
 pub(crate) struct Harness {
     pub(crate) agent: Agent,
     pub(crate) now: Instant,
+    /// The calls but for those that extend the lease.
     pub(crate) calls: Vec<Call>,
+    pub(crate) extensions: Vec<Call>,
     pub(crate) reports: Vec<Report>,
     pub(crate) hellos: usize,
 }
@@ -102,6 +104,7 @@
             agent: Agent::default(),
             now: Instant(10_000),
             calls: Vec::new(),
+            extensions: Vec::new(),
             reports: Vec::new(),
             hellos: 0,
         }
@@ -116,6 +119,7 @@
         harness.poll(snapshot(1, Vec::new()));
         harness.step(Event::Tick);
         harness.grant();
+        harness.extend(snapshot(1, Vec::new()));
         harness
     }
 
@@ -124,6 +128,7 @@
         self.agent.step(self.now, event, &mut actions);
         for action in actions {
             match action {
+                Action::Call(call @ Call::Extend { .. }) => self.extensions.push(call),
                 Action::Call(call) => self.calls.push(call),
                 Action::Send(report) => self.reports.push(*report),
                 Action::Hello => self.hellos += 1,
@@ -151,6 +156,12 @@
         self.step(Event::Answered { call, sent, answer });
     }
 
+    /// Answers the pending extension of the lease.
+    pub(crate) fn extend(&mut self, answer: Answer) {
+        let call = self.extensions.pop().expect("the lease is passed on");
+        self.answer(call, answer);
+    }
+
     pub(crate) fn grant(&mut self) {
         let request = self
             .reports
--- a/crates/workload/tests/agent/restarts.rs
+++ b/crates/workload/tests/agent/restarts.rs
@@ -83,11 +83,9 @@
     harness.step(Event::Welcome(Epoch(1), Fence(9), Some(profile(1))));
     harness.pass(Millis(100));
 
-    let poll = harness.pending_poll();
-    assert!(
-        matches!(poll, Call::Poll { deadline: None, .. }),
-        "{poll:?}"
-    );
+    harness.poll(snapshot(2, Vec::new()));
+    harness.pass(Millis(100));
+    assert!(harness.extensions.is_empty(), "{:?}", harness.extensions);
 }
 
 /// Guards against a task that is started again after it has completed: its end
@@ -163,3 +161,65 @@
     let expected = [None, Some(Millis(0)), Some(Millis(3001))];
     assert_eq!(ages.collect::<Vec<_>>(), expected);
 }
+
+/// Returns what the last inventory says of a lease by a former clock.
+fn foreign_lease(harness: &Harness) -> Option<Millis> {
+    let mut reports = harness.reports.iter().rev();
+    let inventory = reports.find_map(|report| report.inventory.as_ref());
+    inventory.expect("the worker is listed").foreign_lease
+}
+
+/// Lets the worker restart under its name and show `list` first.
+fn restart(harness: &mut Harness, list: Answer) {
+    harness.step(Event::Heartbeat(profile(2)));
+    let question = harness.take(|call| matches!(call, Call::Identify { .. }));
+    harness.answer(question.expect("the worker is asked"), list.clone());
+    harness.calls.clear();
+    harness.step(Event::Welcome(Epoch(1), Fence(8), None));
+    harness.poll(list);
+}
+
+/// Guards against a worker that gets no tasks for 10 s after each restart.
+#[test]
+fn restart_without_stray_calls_is_no_sign_of_a_foreign_lease() {
+    let mut harness = Harness::new();
+
+    restart(&mut harness, snapshot(2, Vec::new()));
+
+    assert_eq!(foreign_lease(&harness), None);
+}
+
+/// Guards against a task that runs twice: the lease was passed on without an
+/// answer, and the next incarnation carries the call out.
+#[test]
+fn lease_extension_without_an_answer_is_a_sign_of_a_foreign_lease() {
+    for span in [0, 14_000, 16_000] {
+        let mut harness = Harness::new();
+        harness.pass(Millis(900));
+        harness.poll(snapshot(1, Vec::new()));
+        harness.pass(Millis(200));
+        harness.grant();
+        harness.extend(Answer::Lost);
+        for _ in 0..span / 1000 {
+            harness.now = harness.now + Millis(1000);
+            harness.step(Event::Tick);
+        }
+
+        restart(&mut harness, snapshot(2, Vec::new()));
+
+        assert_eq!(foreign_lease(&harness).is_some(), span < 15_000, "{span}");
+    }
+}
+
+/// Guards against a task that runs twice: a start that was sent to the former
+/// incarnation runs on the next one, with a lease that the leader does not count.
+#[test]
+fn runs_that_a_restarted_worker_lists_first_are_stopped() {
+    let mut harness = Harness::new();
+
+    restart(&mut harness, snapshot(2, vec![row()]));
+
+    assert_eq!(foreign_lease(&harness), Some(Millis::ZERO));
+    let stop = harness.take(|call| matches!(call, Call::Stop { .. }));
+    assert!(stop.is_some(), "{:?}", harness.calls);
+}
--- a/crates/workload/tests/capacity.rs
+++ b/crates/workload/tests/capacity.rs
@@ -263,6 +263,7 @@
         }),
         inventory: Some(Inventory {
             restarted: None,
+            foreign_lease: None,
             crash: None,
             incarnation: incarnation(0),
             running: vec![running(unknown, Run(1))],
@@ -308,6 +309,7 @@
     let report = Report {
         inventory: Some(Inventory {
             restarted: None,
+            foreign_lease: None,
             crash: None,
             incarnation: incarnation(0),
             running: Vec::new(),
--- a/crates/workload/tests/crashes.rs
+++ b/crates/workload/tests/crashes.rs
@@ -93,6 +93,7 @@
             }),
             inventory: Some(Inventory {
                 restarted: None,
+                foreign_lease: None,
                 incarnation,
                 running: Vec::new(),
                 crash,
--- a/crates/workload/tests/evacuations.rs
+++ b/crates/workload/tests/evacuations.rs
@@ -32,6 +32,7 @@
         inventory: Some(Inventory {
             incarnation: incarnation(number),
             restarted: None,
+            foreign_lease: None,
             running,
             crash: None,
         }),
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -257,6 +257,7 @@
         self.expire(now, truth);
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
+        | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -266,15 +267,13 @@
         self.fence = *fence;
         match call {
             Call::Identify { .. } => self.snapshot(now),
+            Call::Extend { deadline, .. } => {
+                self.extend(now, deadline.until_ms);
+                self.snapshot(now)
+            }
             Call::Poll {
-                deadline,
-                acknowledged,
-                wait,
-                ..
+                acknowledged, wait, ..
             } => {
-                if let Some(deadline) = deadline {
-                    self.extend(now, deadline.until_ms);
-                }
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 truth.acknowledged(self, *acknowledged);
                 if *wait > Millis::ZERO && self.ends.is_empty() {
--- a/crates/workload/tests/malformed.rs
+++ b/crates/workload/tests/malformed.rs
@@ -91,6 +91,7 @@
                 inventory: Some(Inventory {
                     incarnation: incarnation(0),
                     restarted: None,
+                    foreign_lease: None,
                     running: vec![running(task, Run(3)), running(known.task, known.run)],
                     crash: None,
                 }),
--- a/crates/workload/tests/planner.rs
+++ b/crates/workload/tests/planner.rs
@@ -452,6 +452,7 @@
     let list = Inventory {
         incarnation: incarnation(0),
         restarted: None,
+        foreign_lease: None,
         running: Vec::new(),
         crash: None,
     };
@@ -489,6 +490,7 @@
         inventory: Some(Inventory {
             incarnation: restarted,
             restarted: None,
+            foreign_lease: None,
             crash: None,
             running: Vec::new(),
         }),
@@ -551,6 +553,7 @@
         inventory: Some(Inventory {
             incarnation: incarnation(0),
             restarted: Some(Millis(1000)),
+            foreign_lease: None,
             crash: None,
             running: Vec::new(),
         }),
--- a/crates/workload/tests/support/agent.rs
+++ b/crates/workload/tests/support/agent.rs
@@ -234,6 +234,7 @@
         }
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
+        | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -242,12 +243,14 @@
         }
         self.seen = *fence;
         match call {
-            Call::Identify { .. } | Call::Poll { .. } => Answer::Snapshot(Snapshot {
-                started_ms: Some(worker.started_ms),
-                clock: self.now.0,
-                running: self.running.clone(),
-                ends: Vec::new(),
-            }),
+            Call::Identify { .. } | Call::Poll { .. } | Call::Extend { .. } => {
+                Answer::Snapshot(Snapshot {
+                    started_ms: Some(worker.started_ms),
+                    clock: self.now.0,
+                    running: self.running.clone(),
+                    ends: Vec::new(),
+                })
+            }
             _ => Answer::Done,
         }
     }
--- a/crates/workload/tests/support/machine.rs
+++ b/crates/workload/tests/support/machine.rs
@@ -109,6 +109,7 @@
     pub(crate) fn call(&mut self, now: Instant, call: &Call, until: Instant, exit: Exit) -> Answer {
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
+        | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -118,14 +119,11 @@
         self.fence = *fence;
         match call {
             Call::Identify { .. } => self.snapshot(now),
-            Call::Poll {
-                deadline,
-                acknowledged,
-                ..
-            } => {
-                self.deadline = self
-                    .deadline
-                    .max(deadline.as_ref().map_or(0, |deadline| deadline.until_ms));
+            Call::Extend { deadline, .. } => {
+                self.deadline = self.deadline.max(deadline.until_ms);
+                self.snapshot(now)
+            }
+            Call::Poll { acknowledged, .. } => {
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 self.snapshot(now)
             }
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -234,6 +234,7 @@
             inventory: Some(Inventory {
                 incarnation: incarnation(number),
                 restarted: None,
+                foreign_lease: None,
                 running,
                 crash: None,
             }),
