Carry out calls in the simulation that were sent to a former life

The model dropped every call that had been sent before the worker's restart, which hid a class of fault: a worker that is back under its old id takes calls that were meant for its former life, at once or, if a call is under way late, seconds later. The model now counts a worker's lives, remembers for each call when the incarnation began that it is meant for, and lets such calls take effect on the life that is up when they arrive, if their fence allows. Late ones are not answered, as their connection has ended. A switch lets the client refuse calls that another life would accept; it is off, as today's client accepts them. Agents can be frozen, and a worker's wall clock can go back.

Two tests play such sessions: restarts quicker than a poll, two within a second, and agents that are killed, frozen, silent or cut off meanwhile. One leaves out starts that are late, since no order of ours rules those out: a stop rules a start out for one life, and the next one has seen no fence.

--- a/crates/workload/tests/interleavings/cluster.rs
+++ b/crates/workload/tests/interleavings/cluster.rs
@@ -1,16 +1,18 @@
 //! Planners of successive terms, agents and model workers, joined by links and
 //! calls that are late, lost or silent in one direction.
 
+mod calls;
 mod leader;
 
 use {
     crate::{
         support::profile,
-        worker::{Truth, Worker},
+        worker::{Truth, Wall, Worker},
     },
+    calls::Pending,
     filbertbend_state::time::Instant,
     filbertbend_workload::{
-        agent::{Action as Effect, Agent, Answer, Call, Event as Input},
+        agent::{Action as Effect, Agent, Answer, Event as Input},
         id::{Job, Run, Task},
         job,
         message::{Query, Reply, Report, Response},
@@ -24,10 +26,11 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-const CALL_TIMEOUT: u64 = 700;
 const LEADER_TIMEOUT: u64 = 1600;
 const WELCOME_TIMEOUT: u64 = 3000;
 
+pub(crate) use calls::Restarts;
+
 /// A message to a leader.
 pub(crate) enum Message {
     Hello,
@@ -50,9 +53,11 @@
     Wait(usize),
     Timeout(u64),
     Heartbeat(usize),
+    Thaw(usize),
+    /// The end of a run on a life of a worker.
     Finish(usize, u64, Task, Run, Exit),
     Expire(usize),
-    Restart(usize),
+    Restart(usize, Wall),
     Submit(Job, Arc<job::Job>),
 }
 
@@ -80,14 +85,10 @@
     silent_until: u64,
     /// Until when the worker sends no heartbeat.
     quiet_until: u64,
-}
-
-struct Pending {
-    side: usize,
-    generation: u64,
-    call: Call,
-    sent: u64,
-    open: bool,
+    /// Until when the agent does nothing.
+    frozen_until: u64,
+    /// What has happened to the agent since.
+    backlog: Vec<Input>,
 }
 
 /// How often calls and messages are late or lost, in percent.
@@ -97,16 +98,6 @@
     pub(crate) lost: u32,
 }
 
-/// What the restart of a worker under its name does to calls and heartbeats.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Restarts {
-    /// Whether the end of the process ends its connections, and so the calls that
-    /// it has not answered. Otherwise they time out.
-    pub(crate) closes: bool,
-    /// The maximum delay of the first heartbeat.
-    pub(crate) notice: u64,
-}
-
 pub(crate) struct Cluster {
     pub(crate) now: u64,
     rng: ChaCha8Rng,
@@ -153,7 +144,7 @@
             let mut worker = Worker::new(number, profile(number as u64));
             worker.speed = cluster.pick(980, 1000);
             let age = cluster.pick(1, 90_000);
-            worker.restart(cluster.now - age);
+            worker.restart(cluster.now - age, Wall::Right);
             cluster.workers.push(worker);
             cluster.sides.push(Side {
                 agent: Agent::default(),
@@ -163,6 +154,8 @@
                 blind_until: 0,
                 silent_until: 0,
                 quiet_until: 0,
+                frozen_until: 0,
+                backlog: Vec::new(),
             });
             cluster.at(0, Happening::Heartbeat(number));
             cluster.at(1, Happening::AgentTick(number));
@@ -218,6 +211,11 @@
         self.open().is_empty() && !self.workers.iter().any(Worker::has_ends)
     }
 
+    /// Returns whether nothing runs.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.workers.iter().all(Worker::is_idle)
+    }
+
     pub(crate) fn cut(&mut self, side: usize, span: u64) {
         self.sides[side].cut_until = self.now + span;
         if let Some(link) = self.sides[side].link {
@@ -252,6 +250,8 @@
         self.drop_link(side);
         let found = &mut self.sides[side];
         found.agent = Agent::default();
+        found.frozen_until = 0;
+        found.backlog.clear();
         found.generation += 1;
         found.link = None;
         let generation = found.generation;
@@ -260,22 +260,32 @@
     }
 
     pub(crate) fn restart_worker(&mut self, side: usize, delay: u64) {
+        self.restart_worker_at(side, delay, Wall::Right);
+    }
+
+    pub(crate) fn restart_worker_at(&mut self, side: usize, delay: u64, wall: Wall) {
         if self.workers[side].up {
             self.workers[side].crash(&mut self.truth);
             self.waiting[side].clear();
             if self.restarts.closes {
                 self.close_calls(side);
             }
-            self.at(delay, Happening::Restart(side));
+            self.at(delay, Happening::Restart(side, wall));
         }
     }
 
-    /// Ends the calls that a worker has not answered.
-    fn close_calls(&mut self, side: usize) {
-        let open = |call: &Pending| call.side == side && call.open;
-        let ids = self.calls.iter().filter(|(_, call)| open(call));
-        for id in ids.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.at(1, Happening::Answer(id, Answer::Lost));
+    /// Stops an agent, to which everything happens after `span`.
+    pub(crate) fn freeze_agent(&mut self, side: usize, span: u64) {
+        let frozen_until = &mut self.sides[side].frozen_until;
+        *frozen_until = (*frozen_until).max(self.now + span);
+        self.at(span, Happening::Thaw(side));
+    }
+
+    fn thaw(&mut self, side: usize) {
+        if self.sides[side].frozen_until <= self.now {
+            for input in std::mem::take(&mut self.sides[side].backlog) {
+                self.agent(side, input);
+            }
         }
     }
 
@@ -343,6 +353,10 @@
     }
 
     fn agent(&mut self, side: usize, input: Input) {
+        let found = &mut self.sides[side];
+        if found.frozen_until > self.now || !found.backlog.is_empty() {
+            return found.backlog.push(input);
+        }
         let mut effects = Vec::new();
         let now = Instant(self.now);
         self.sides[side].agent.step(now, input, &mut effects);
@@ -357,114 +371,11 @@
         }
     }
 
-    fn call(&mut self, side: usize, call: Call) {
-        let wait = match &call {
-            Call::Poll { wait, .. } => wait.0,
-            _ => 0,
-        };
-        self.order += 1;
-        let id = self.order;
-        self.calls.insert(
-            id,
-            Pending {
-                side,
-                generation: self.sides[side].generation,
-                call,
-                sent: self.now,
-                open: true,
-            },
-        );
-        let late = self.chance(self.disorder.late);
-        let delay = if late {
-            self.pick(5, 12_000)
-        } else {
-            self.pick(1, 3)
-        };
-        let silent = self.sides[side].silent_until > self.now;
-        if !silent && !self.chance(self.disorder.lost) {
-            self.at(delay, Happening::Arrive(id));
-        }
-        self.at(CALL_TIMEOUT + wait, Happening::Timeout(id));
-    }
-
-    fn arrive(&mut self, id: u64) {
-        let Some(found) = self.calls.get(&id) else {
-            return;
-        };
-        let (side, sent, call) = (found.side, found.sent, found.call.clone());
-        let worker = &mut self.workers[side];
-        // Nothing in a call tells a later incarnation of the same name that it
-        // was sent before the restart.
-        if !worker.up || sent < worker.started_ms() {
-            return self.at(1, Happening::Answer(id, Answer::Lost));
-        }
-        let answer = worker.call(self.now, &call, &mut self.truth);
-        let (started_ms, remaining) = (worker.started_ms(), worker.remaining(self.now));
-        self.at(remaining, Happening::Expire(side));
-        match (&call, &answer) {
-            (Call::Poll { wait, .. }, Answer::Done) => {
-                self.waiting[side].push(id);
-                return self.at(wait.0, Happening::Wait(side));
-            }
-            (Call::Start { start, .. }, Answer::Done) => self.started(side, start.task, start.run),
-            (Call::Stop { task, run, .. }, Answer::Done) => {
-                let delay = self.pick(0, 200);
-                let stopped = Happening::Finish(side, started_ms, *task, *run, Exit::Stopped);
-                self.at(delay, stopped);
-            }
-            _ => {}
-        }
-        self.answer(id, answer);
-    }
-
-    fn answer(&mut self, id: u64, answer: Answer) {
-        if !self.chance(self.disorder.lost) {
-            let delay = self.pick(1, 3);
-            self.at(delay, Happening::Answer(id, answer));
-        }
-    }
-
-    fn started(&mut self, side: usize, task: Task, run: Run) {
-        let others = (0..self.workers.len()).filter(|other| *other != side);
-        for other in others.filter(|other| self.workers[*other].is_running(task)) {
-            let found = format!("{task} runs on {other} and, as run {run}, on {side}");
-            self.truth.violations.push(found);
-        }
-        let exit = match self.chance(10) {
-            true => Exit::Failed,
-            false => Exit::Done,
-        };
-        let span = self.pick(200, self.run_limit);
-        let started_ms = self.workers[side].started_ms();
-        self.at(span, Happening::Finish(side, started_ms, task, run, exit));
-    }
-
-    /// Answers the polls that wait for an end.
-    fn wake(&mut self, side: usize) {
-        for id in std::mem::take(&mut self.waiting[side]) {
-            let answer = self.workers[side].snapshot(self.now);
-            self.answer(id, answer);
-        }
-    }
-
-    /// Delivers the result of a call unless it has timed out.
-    fn answered(&mut self, id: u64, answer: Answer) {
-        let Some(found) = self.calls.get_mut(&id).filter(|found| found.open) else {
-            return;
-        };
-        found.open = false;
-        let (side, generation) = (found.side, found.generation);
-        let input = Input::Answered {
-            call: found.call.clone(),
-            sent: Instant(found.sent),
-            answer,
-        };
-        if self.sides[side].generation == generation {
-            self.agent(side, input);
-        }
-    }
-
     fn agent_tick(&mut self, side: usize) {
+        let frozen = self.sides[side].frozen_until.saturating_sub(self.now);
+        if frozen > 0 {
+            return self.at(frozen, Happening::AgentTick(side));
+        }
         if let Some(link) = self.sides[side].link {
             let found = &self.links[link];
             let limit = if found.welcomed {
@@ -541,8 +452,9 @@
             Happening::Wait(side) => self.wake(side),
             Happening::Timeout(id) => self.answered(id, Answer::Lost),
             Happening::Heartbeat(side) => self.heartbeat(side),
-            Happening::Finish(side, started_ms, task, run, exit) => {
-                if self.workers[side].started_ms() == started_ms {
+            Happening::Thaw(side) => self.thaw(side),
+            Happening::Finish(side, life, task, run, exit) => {
+                if self.workers[side].life == life {
                     self.workers[side].finish(task, run, exit, &mut self.truth);
                     if self.workers[side].has_ends() {
                         self.wake(side);
@@ -550,8 +462,8 @@
                 }
             }
             Happening::Expire(side) => self.workers[side].expire(self.now, &mut self.truth),
-            Happening::Restart(side) => {
-                self.workers[side].restart(self.now);
+            Happening::Restart(side, wall) => {
+                self.workers[side].restart(self.now, wall);
                 if self.restarts.notice > 0 {
                     let notice = self.pick(0, self.restarts.notice);
                     self.sides[side].quiet_until = self.now + notice;
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug)]
 struct Completion {
     worker: usize,
-    started_ms: u64,
+    life: u64,
     sequence: Sequence,
     task: Task,
     /// Whether the worker's lease has expired before the end was acknowledged.
@@ -42,6 +42,8 @@
     crashes: BTreeMap<Task, usize>,
     pub(crate) starts: usize,
     pub(crate) expiries: usize,
+    /// How many calls were carried out by another life than they were meant for.
+    pub(crate) crossings: usize,
     /// How many runs were given up because their lease had passed.
     pub(crate) abandoned: usize,
     pub(crate) violations: Vec<String>,
@@ -96,13 +98,26 @@
 
 impl Completion {
     fn is_on(&self, worker: &Worker) -> bool {
-        self.worker == worker.number && self.started_ms == worker.started_ms()
+        self.worker == worker.number && self.life == worker.life
     }
 }
 
+/// What the wall clock of a worker shows when it starts.
+#[derive(Clone, Copy)]
+pub(crate) enum Wall {
+    /// The time.
+    Right,
+    /// A time before the start of the former life.
+    Back(u64),
+}
+
 /// One worker, which may restart under the same name.
 pub(crate) struct Worker {
     number: usize,
+    /// The number of its starts.
+    pub(crate) life: u64,
+    /// When the present life began.
+    pub(crate) began: u64,
     pub(crate) profile: Profile,
     pub(crate) up: bool,
     /// The speed of its clock in thousandths.
@@ -122,6 +137,8 @@
     pub(crate) fn new(number: usize, profile: Profile) -> Self {
         Self {
             number,
+            life: 0,
+            began: 0,
             profile,
             up: true,
             speed: 1000,
@@ -140,13 +157,17 @@
     }
 
     pub(crate) fn clock(&self, now: u64) -> u64 {
-        now.saturating_sub(self.started_ms()) * self.speed / 1000
+        now.saturating_sub(self.began) * self.speed / 1000
     }
 
     pub(crate) fn is_running(&self, task: Task) -> bool {
         self.up && self.running.contains_key(&task)
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     pub(crate) fn has_ends(&self) -> bool {
         !self.ends.is_empty()
     }
@@ -173,14 +194,21 @@
         }
         *self = Self {
             up: false,
+            life: self.life,
             speed: self.speed,
             ..Self::new(self.number, self.profile.clone())
         };
     }
 
-    pub(crate) fn restart(&mut self, now: u64) {
+    pub(crate) fn restart(&mut self, now: u64, wall: Wall) {
         self.up = true;
-        self.profile.incarnation.started_ms = now;
+        self.life += 1;
+        self.began = now;
+        let started_ms = &mut self.profile.incarnation.started_ms;
+        *started_ms = match wall {
+            Wall::Right => now,
+            Wall::Back(span) => *started_ms - span,
+        };
     }
 
     /// Kills all runs if the lease has expired.
@@ -203,7 +231,7 @@
         if exit == Exit::Done {
             truth.completions.push(Completion {
                 worker: self.number,
-                started_ms: self.started_ms(),
+                life: self.life,
                 sequence,
                 task,
                 expired: false,
