Reproduce a restart that shows the start time of the former life

The wall clock of a worker may go back, so that the start time of its next life is the former one. Nobody notices such a restart: the tasks that it interrupted are neither listed nor reported as lost, and their jobs never end. Only the worker's own clock tells, which begins anew.

--- a/crates/workload/tests/interleavings/restarts.rs
+++ b/crates/workload/tests/interleavings/restarts.rs
@@ -15,6 +15,8 @@
 const SEEDS: Range<u64> = 0..200;
 /// The seeds of the sessions in which former lives leave calls behind.
 const LATE_SEEDS: Range<u64> = 0..200;
+/// The seeds of the sessions in which lives have the same start time.
+const EQUAL_SEEDS: Range<u64> = 0..100;
 /// Whether the client of the worker refuses calls that would reach another life
 /// than they are meant for.
 const CLIENT_REFUSES: bool = false;
@@ -144,6 +146,45 @@
     assert!(expiries > 100, "only {expiries} leases expired");
 }
 
+/// Lets workers restart whose wall clocks show the start of their former lives.
+fn play_equal_starts(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(seed, WORKERS);
+    cluster.run_limit = RUN_LIMIT;
+    cluster.restarts = Restarts {
+        closes: true,
+        notice: 1000,
+        crossing: true,
+        late_starts: true,
+        refused: CLIENT_REFUSES,
+    };
+    for id in 1..=6 {
+        let delay = cluster.pick(200, 6000);
+        let tasks = cluster.pick(1, 3) as u16;
+        cluster.submit(delay, id, job(vec![step(tasks)]));
+    }
+    for _ in 0..2 {
+        let before = cluster.pick(500, 4000);
+        cluster.run(before);
+        let side = cluster.pick(0, WORKERS as u64 - 1) as usize;
+        let down = cluster.pick(1, 1000);
+        cluster.restart_worker_at(side, down, Wall::Same);
+    }
+    settle(&mut cluster);
+    cluster
+}
+
+/// Guards against tasks that are forgotten: only its clock tells that the worker
+/// has restarted.
+#[test]
+fn restart_at_the_same_wall_time_is_noticed() {
+    for seed in EQUAL_SEEDS {
+        let cluster = play_equal_starts(seed);
+        let violations = &cluster.truth.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        assert!(cluster.is_settled(), "seed {seed}: {:?}", cluster.open());
+    }
+}
+
 /// Plays the sessions with calls to former lives.
 fn check_late_calls(late_starts: bool) {
     let (mut starts, mut expiries, mut crossings) = (0, 0, 0);
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -109,6 +109,8 @@
     Right,
     /// A time before the start of the former life.
     Back(u64),
+    /// The start of the former life.
+    Same,
 }
 
 /// One worker, which may restart under the same name.
@@ -208,6 +210,7 @@
         *started_ms = match wall {
             Wall::Right => now,
             Wall::Back(span) => *started_ms - span,
+            Wall::Same => *started_ms,
         };
     }
 
