Let the simulated client's first call show the fence to a worker

The client binds a new connection by a call that has only the fence, so a life that refuses nothing has at least seen it, and a higher one is answered as such; a question about an incarnation is answered by whichever life is up. Without the refusal all is as before.

--- a/crates/workload/tests/interleavings/cluster/calls.rs
+++ b/crates/workload/tests/interleavings/cluster/calls.rs
@@ -64,6 +64,13 @@
         };
         self.order += 1;
         let id = self.order;
+        let silent = self.sides[side].silent_until > self.now;
+        if !silent && !self.chance(self.disorder.lost) {
+            match self.refusal(side, addressee, &call) {
+                Some(refusal) => self.at(1, Happening::Answer(id, refusal)),
+                None => self.at(delay, Happening::Arrive(id)),
+            }
+        }
         self.calls.insert(
             id,
             Pending {
@@ -76,29 +83,27 @@
                 open: true,
             },
         );
-        let silent = self.sides[side].silent_until > self.now;
-        if !silent && !self.chance(self.disorder.lost) {
-            match self.refusal(side, addressee) {
-                Some(refusal) => self.at(1, Happening::Answer(id, refusal)),
-                None => self.at(delay, Happening::Arrive(id)),
-            }
-        }
         self.at(CALL_TIMEOUT + wait, Happening::Timeout(id));
     }
 
     /// Returns how the client answers a call that it doesn't send, since another
     /// life than the addressee accepts its connection, or none does.
-    fn refusal(&self, side: usize, addressee: Option<u64>) -> Option<Answer> {
-        let worker = &self.workers[side];
-        if !self.restarts.refused {
-            None
-        } else if !worker.up {
-            Some(Answer::Unreachable)
-        } else if addressee != Some(worker.started_ms()) {
-            Some(Answer::Refused(Refusal::Restarted))
-        } else {
-            None
+    fn refusal(&mut self, side: usize, addressee: Option<u64>, call: &Call) -> Option<Answer> {
+        let worker = &mut self.workers[side];
+        if !self.restarts.refused || matches!(call, Call::Identify { .. }) {
+            return None;
+        }
+        if !worker.up {
+            return Some(Answer::Unreachable);
+        }
+        if addressee == Some(worker.started_ms()) {
+            return None;
         }
+        // A new connection shows which life answers by a call with the fence.
+        Some(Answer::Refused(match worker.accepts(call) {
+            true => Refusal::Restarted,
+            false => Refusal::Fence,
+        }))
     }
 
     pub(super) fn arrive(&mut self, id: u64) {
--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -282,19 +282,25 @@
         })
     }
 
-    /// Carries out a call. A poll is answered with [`Answer::Done`] if it may
-    /// have to wait.
-    pub(crate) fn call(&mut self, now: u64, call: &Call, truth: &mut Truth) -> Answer {
-        self.expire(now, truth);
+    /// Returns whether the fence of a call is the highest so far, and keeps it.
+    pub(crate) fn accepts(&mut self, call: &Call) -> bool {
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
-        if *fence < self.fence {
+        let is_highest = *fence >= self.fence;
+        self.fence = self.fence.max(*fence);
+        is_highest
+    }
+
+    /// Carries out a call. A poll is answered with [`Answer::Done`] if it may
+    /// have to wait.
+    pub(crate) fn call(&mut self, now: u64, call: &Call, truth: &mut Truth) -> Answer {
+        self.expire(now, truth);
+        if !self.accepts(call) {
             return Answer::Refused(Refusal::Fence);
         }
-        self.fence = *fence;
         match call {
             Call::Identify { .. } => self.snapshot(now),
             Call::Poll {
