--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -286,6 +286,7 @@
     pub(crate) fn accepts(&mut self, call: &Call) -> bool {
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
+        | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -303,15 +304,13 @@
         }
         match call {
             Call::Identify { .. } => self.snapshot(now),
+            Call::Extend { deadline, .. } => {
+                self.extend(now, deadline.until_ms);
+                self.snapshot(now)
+            }
             Call::Poll {
-                deadline,
-                acknowledged,
-                wait,
-                ..
+                acknowledged, wait, ..
             } => {
-                if let Some(deadline) = deadline {
-                    self.extend(now, deadline.until_ms);
-                }
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 truth.acknowledged(self, *acknowledged);
                 if *wait > Millis::ZERO && self.ends.is_empty() {
