Count only runs that were started as kept by a lease in the simulation

A run that the leader gives up was taken for one that its worker still keeps if the worker's present life had it among its ended runs. A stop puts a run there that never began, and rules it out. All other runs that it lists as running or ended were started there, so the check is as strict for them.

--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -129,6 +129,8 @@
     pub(crate) lease_until: u64,
     holds_lease: bool,
     running: BTreeMap<Task, Run>,
+    /// The highest run of each task that was started.
+    started: BTreeMap<Task, Run>,
     /// The highest run of each task that was stopped or has ended.
     ended: BTreeMap<Task, Run>,
     ends: Vec<End>,
@@ -148,6 +150,7 @@
             lease_until: 0,
             holds_lease: false,
             running: BTreeMap::new(),
+            started: BTreeMap::new(),
             ended: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
@@ -180,8 +183,8 @@
 
     /// Returns whether a run has been started here under the present lease.
     pub(crate) fn may_run(&self, now: u64, task: Task, run: Run) -> bool {
-        let known = self.running.get(&task).max(self.ended.get(&task));
-        self.is_leased(now) && known.is_some_and(|known| *known >= run)
+        let started = self.started.get(&task);
+        self.is_leased(now) && started.is_some_and(|started| *started >= run)
     }
 
     /// Returns in how many milliseconds the lease expires.
@@ -348,6 +351,7 @@
                 .violations
                 .push(format!("{task} runs as {other} and {run}"));
         }
+        self.started.insert(task, run);
         truth.started(task);
         Answer::Done
     }
