--- a/crates/workload/tests/interleavings/worker.rs
+++ b/crates/workload/tests/interleavings/worker.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug)]
 struct Completion {
     worker: usize,
-    started_ms: u64,
+    life: u64,
     sequence: Sequence,
     task: Task,
     /// Whether the worker's lease has expired before the end was acknowledged.
@@ -42,6 +42,8 @@
     crashes: BTreeMap<Task, usize>,
     pub(crate) starts: usize,
     pub(crate) expiries: usize,
+    /// How many calls were carried out by another life than they were meant for.
+    pub(crate) crossings: usize,
     /// How many runs were given up because their lease had passed.
     pub(crate) abandoned: usize,
     pub(crate) violations: Vec<String>,
@@ -96,13 +98,28 @@
 
 impl Completion {
     fn is_on(&self, worker: &Worker) -> bool {
-        self.worker == worker.number && self.started_ms == worker.started_ms()
+        self.worker == worker.number && self.life == worker.life
     }
 }
 
+/// What the wall clock of a worker shows when it starts.
+#[derive(Clone, Copy)]
+pub(crate) enum Wall {
+    /// The time.
+    Right,
+    /// A time before the start of the former life.
+    Back(u64),
+    /// The start of the former life.
+    Same,
+}
+
 /// One worker, which may restart under the same name.
 pub(crate) struct Worker {
     number: usize,
+    /// The number of its starts.
+    pub(crate) life: u64,
+    /// When the present life began.
+    pub(crate) began: u64,
     pub(crate) profile: Profile,
     pub(crate) up: bool,
     /// The speed of its clock in thousandths.
@@ -112,6 +129,8 @@
     pub(crate) lease_until: u64,
     holds_lease: bool,
     running: BTreeMap<Task, Run>,
+    /// The highest run of each task that was started.
+    started: BTreeMap<Task, Run>,
     /// The highest run of each task that was stopped or has ended.
     ended: BTreeMap<Task, Run>,
     ends: Vec<End>,
@@ -122,6 +141,8 @@
     pub(crate) fn new(number: usize, profile: Profile) -> Self {
         Self {
             number,
+            life: 0,
+            began: 0,
             profile,
             up: true,
             speed: 1000,
@@ -129,6 +150,7 @@
             lease_until: 0,
             holds_lease: false,
             running: BTreeMap::new(),
+            started: BTreeMap::new(),
             ended: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
@@ -140,13 +162,17 @@
     }
 
     pub(crate) fn clock(&self, now: u64) -> u64 {
-        now.saturating_sub(self.started_ms()) * self.speed / 1000
+        now.saturating_sub(self.began) * self.speed / 1000
     }
 
     pub(crate) fn is_running(&self, task: Task) -> bool {
         self.up && self.running.contains_key(&task)
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     pub(crate) fn has_ends(&self) -> bool {
         !self.ends.is_empty()
     }
@@ -157,8 +183,8 @@
 
     /// Returns whether a run has been started here under the present lease.
     pub(crate) fn may_run(&self, now: u64, task: Task, run: Run) -> bool {
-        let known = self.running.get(&task).max(self.ended.get(&task));
-        self.is_leased(now) && known.is_some_and(|known| *known >= run)
+        let started = self.started.get(&task);
+        self.is_leased(now) && started.is_some_and(|started| *started >= run)
     }
 
     /// Returns in how many milliseconds the lease expires.
@@ -173,14 +199,22 @@
         }
         *self = Self {
             up: false,
+            life: self.life,
             speed: self.speed,
             ..Self::new(self.number, self.profile.clone())
         };
     }
 
-    pub(crate) fn restart(&mut self, now: u64) {
+    pub(crate) fn restart(&mut self, now: u64, wall: Wall) {
         self.up = true;
-        self.profile.incarnation.started_ms = now;
+        self.life += 1;
+        self.began = now;
+        let started_ms = &mut self.profile.incarnation.started_ms;
+        *started_ms = match wall {
+            Wall::Right => now,
+            Wall::Back(span) => *started_ms - span,
+            Wall::Same => *started_ms,
+        };
     }
 
     /// Kills all runs if the lease has expired.
@@ -203,7 +237,7 @@
         if exit == Exit::Done {
             truth.completions.push(Completion {
                 worker: self.number,
-                started_ms: self.started_ms(),
+                life: self.life,
                 sequence,
                 task,
                 expired: false,
@@ -251,20 +285,26 @@
         })
     }
 
-    /// Carries out a call. A poll is answered with [`Answer::Done`] if it may
-    /// have to wait.
-    pub(crate) fn call(&mut self, now: u64, call: &Call, truth: &mut Truth) -> Answer {
-        self.expire(now, truth);
+    /// Returns whether the fence of a call is the highest so far, and keeps it.
+    pub(crate) fn accepts(&mut self, call: &Call) -> bool {
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
         | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
-        if *fence < self.fence {
+        let is_highest = *fence >= self.fence;
+        self.fence = self.fence.max(*fence);
+        is_highest
+    }
+
+    /// Carries out a call. A poll is answered with [`Answer::Done`] if it may
+    /// have to wait.
+    pub(crate) fn call(&mut self, now: u64, call: &Call, truth: &mut Truth) -> Answer {
+        self.expire(now, truth);
+        if !self.accepts(call) {
             return Answer::Refused(Refusal::Fence);
         }
-        self.fence = *fence;
         match call {
             Call::Identify { .. } => self.snapshot(now),
             Call::Extend { deadline, .. } => {
@@ -311,6 +351,7 @@
                 .violations
                 .push(format!("{task} runs as {other} and {run}"));
         }
+        self.started.insert(task, run);
         truth.started(task);
         Answer::Done
     }
