Conclude from a restart only what the agent has seen

The request must have been sent later. - An agent that had just started and first heard a delayed or foreign heartbeat took the runs of its worker for strays and would have stopped them. A former incarnation has to have been listed; where it was not, the leader compares the incarnations that it knows. - Strays were stopped in one session only. - A start that was refused because of the restart was blamed for the crash. - A start without an answer is a sign of a foreign lease, too: the deadline is also taken from one that is refused.

A worker that goes silent nearly always left an extension without an answer, since grants arrive for 0.9 s after its last answer.

--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -15,7 +15,12 @@
 /// description says seconds.
 const STRAY_LIMIT: Millis = Millis(15_000);
 
-/// The calls that pass the granted lease on to the worker.
+/// How long after a snapshot the lease is passed on. The longer it takes, the more
+/// often the worker has ended meanwhile and the call stays without an answer.
+const FRESH_LIMIT: Millis = Millis(20);
+
+/// The calls that pass the granted lease on to the worker, and signs of deadlines
+/// that may take effect late.
 #[derive(Debug, Default)]
 pub(super) struct Extension {
     /// When the call that is in progress was made, and the lease that it passes on.
@@ -23,13 +28,13 @@
     /// The lease that the worker has confirmed.
     confirmed: Option<Instant>,
     retry_at: Instant,
-    /// When the last call without an answer was made. It may be carried out late,
-    /// by whichever incarnation is running then.
+    /// When the last call with a deadline was made that has no answer. It may be
+    /// carried out late, by whichever incarnation is running then.
     stray: Option<Instant>,
 }
 
 impl Extension {
-    fn strayed(&mut self, sent: Instant) {
+    pub(super) fn strayed(&mut self, sent: Instant) {
         self.stray = self.stray.max(Some(sent));
     }
 
@@ -83,11 +88,13 @@
         }
     }
 
-    /// Passes the granted lease on if the worker has not confirmed it yet.
+    /// Passes the granted lease on if the worker has not confirmed it yet, just
+    /// after the worker has answered a poll.
     pub(super) fn extend(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let granted = self.lease_until.max(self.extension.confirmed);
         let is_idle = self.extension.in_progress.is_none() && now >= self.extension.retry_at;
-        if !is_idle || granted == self.extension.confirmed {
+        let is_fresh = self.polled.is_some_and(|polled| now < polled + FRESH_LIMIT);
+        if !is_idle || !is_fresh || granted == self.extension.confirmed {
             return;
         }
         let Some(session) = self.session.as_ref().filter(|session| session.inventoried) else {
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -32,7 +32,7 @@
     queue::{Queue, Waiting},
     session::Session,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
 };
@@ -113,6 +113,12 @@
     former: Option<Arc<str>>,
     /// Whether the present incarnation has begun under the former name.
     restarted: bool,
+    /// Whether the former incarnation was listed. If not, the present one may be
+    /// the one that the agent's former process gave orders to.
+    former_listed: bool,
+    /// The runs that were started by orders to the former incarnation, and are to be
+    /// stopped.
+    strays: BTreeSet<(Task, Run)>,
     /// When the first inventory of the incarnation was made.
     first_listed: Option<Instant>,
     /// Other incarnations that sent a heartbeat, oldest first.
@@ -217,6 +223,9 @@
 
     fn end_session(&mut self) {
         if let Some(session) = self.session.take() {
+            if let Some(sent) = session.start_in_progress() {
+                self.extension.strayed(sent);
+            }
             self.unconfirmed_start = self.unconfirmed_start.max(session.unconfirmed_start());
         }
         self.report = Report::default();
@@ -251,6 +260,7 @@
     fn forget_incarnation(&mut self, actions: &mut Vec<Action>) {
         if let Some(profile) = self.profile.take() {
             self.former = Some(profile.incarnation.worker.clone());
+            self.former_listed = self.first_listed.is_some();
             self.record_crash(profile, actions);
         }
         self.first_listed = None;
@@ -259,6 +269,7 @@
         self.lease_until = None;
         self.extension.forget_incarnation();
         self.foreign_lease = false;
+        self.strays.clear();
         self.roles.clear();
         self.checkpoints.clear();
         self.running.clear();
@@ -398,6 +409,9 @@
         if !current {
             return;
         }
+        if let (Call::Start { start, .. }, Answer::Refused(_)) = (&call, &answer) {
+            self.presence.ended(start.task, start.run);
+        }
         if let Answer::Refused(Refusal::Fence | Refusal::Restarted) = answer {
             // There is a later session or a later incarnation.
             return self.lose_session(now, answer == Answer::Refused(Refusal::Restarted), actions);
@@ -407,7 +421,9 @@
             Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Extend { .. } => self.extended(now, sent, answer, actions),
-            Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
+            Call::Start { start, .. } => {
+                self.start_answered(now, sent, start.task, start.run, answer);
+            }
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
             Call::Throttle { change, .. } => {
                 if matches!(answer, Answer::Lost | Answer::Unreachable) {
@@ -428,10 +444,20 @@
         self.renew_session(actions);
     }
 
-    fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
+    fn start_answered(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        task: Task,
+        run: Run,
+        answer: Answer,
+    ) {
         if let Some(session) = &mut self.session {
             session.start_answered(now);
         }
+        if answer == Answer::Lost {
+            self.extension.strayed(sent);
+        }
         if self.issued.get(&(task, run)) != Some(&Order::Starting) {
             // A stop was ordered meanwhile; its outcome decides.
             return;
@@ -514,7 +540,8 @@
         let differs = snapshot.started_ms.is_some()
             && started_ms.is_some()
             && snapshot.started_ms != started_ms;
-        let is_behind = |(read, clock): (Instant, u64)| sent >= read && snapshot.clock < clock;
+        // Within a millisecond, answers may overtake one another.
+        let is_behind = |(read, clock): (Instant, u64)| sent > read && snapshot.clock < clock;
         differs || self.clock.is_some_and(is_behind)
     }
 
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -50,34 +50,45 @@
         session.reported = last.map_or(reported, |last| last.max(reported));
     }
 
-    /// Examines the first list of an incarnation under the former name. Nothing
-    /// was ordered from it yet, so what it lists was started by orders to the
-    /// former one, and has a lease by the clock of that one.
+    /// Examines the first list of an incarnation that the agent has seen begin.
+    /// Nothing was ordered from it yet, so what it lists was started by orders to
+    /// the former one, and has a lease by the clock of that one.
     fn examine_first_list(&mut self, now: Instant, snapshot: &Snapshot) {
-        if !self.restarted || self.first_listed.is_some() {
+        if !self.restarted || !self.former_listed || self.first_listed.is_some() {
             return;
         }
         let has_strays = !snapshot.running.is_empty() || !snapshot.ends.is_empty();
         self.foreign_lease = has_strays || self.extension.may_stray(now);
+        let strays = snapshot.running.iter().map(|row| (row.task, row.run));
+        self.strays = strays.collect();
+    }
+
+    /// Stops the strays, in each session anew, as stops of an earlier one may not
+    /// have been carried out.
+    fn stop_strays(&mut self, snapshot: &Snapshot) {
         for row in &snapshot.running {
-            self.stop(row.task, row.run);
+            if self.strays.contains(&(row.task, row.run)) {
+                self.stop(row.task, row.run);
+            }
         }
     }
 
     pub(super) fn report_inventory(&mut self, now: Instant, snapshot: &Snapshot) {
-        self.examine_first_list(now, snapshot);
-        let (Some(session), Some(profile)) = (&mut self.session, &self.profile) else {
+        let incarnation = self.profile.as_ref().map(|own| own.incarnation.clone());
+        let (Some(session), Some(incarnation)) = (&mut self.session, incarnation) else {
             return;
         };
         if session.inventoried || !snapshot.lists_all_ends() {
             return;
         }
         session.inventoried = true;
+        self.examine_first_list(now, snapshot);
+        self.stop_strays(snapshot);
         let first = *self.first_listed.get_or_insert(now);
         self.throttle.reset_reported();
         self.report.weights = self.throttle.changed_weights();
         self.report.inventory = Some(Inventory {
-            incarnation: profile.incarnation.clone(),
+            incarnation,
             restarted: self.restarted.then(|| now.since(first)),
             foreign_lease: self.foreign_lease.then(|| now.since(first)),
             running: snapshot.running.clone(),
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -217,8 +217,8 @@
 
     /// Records that an inventory has arrived in this session.
     ///
-    /// A worker that has restarted under its name has accepted the calls of the
-    /// session with its former incarnation. Their deadlines lie far in the
+    /// A worker that has restarted under its name may have carried out calls late
+    /// that were made to its former incarnation. Their deadlines lie far in the
     /// future of its new clock, so it may hold the longest lease there is.
     pub(super) fn confirm_inventory(
         &mut self,
@@ -235,8 +235,8 @@
             let until = now + settings.longest_lease_bound() - age;
             self.foreign_lease_until = self.foreign_lease_until.max(until);
         }
-        // An agent that has just started does not know a former incarnation.
-        let unseen = changed && inventory.restarted.is_none() && !inventory.running.is_empty();
+        // An agent that has just started has not listed the former incarnation.
+        let unseen = changed && !inventory.running.is_empty();
         if let Some(age) = inventory.foreign_lease.or(unseen.then_some(Millis::ZERO)) {
             let until = now + settings.longest_lease_bound() - age;
             self.withheld_until = self.withheld_until.max(until);
--- a/crates/workload/tests/agent/main.rs
+++ b/crates/workload/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! The agent beside a worker: sessions, leases, and orders without an answer.
 
+mod conclusions;
 mod crashes;
 mod harness;
 mod restarts;
--- a/crates/workload/tests/agent/restarts.rs
+++ b/crates/workload/tests/agent/restarts.rs
@@ -199,6 +199,7 @@
         harness.poll(snapshot(1, Vec::new()));
         harness.pass(Millis(200));
         harness.grant();
+        harness.poll(snapshot(1, Vec::new()));
         harness.extend(Answer::Lost);
         for _ in 0..span / 1000 {
             harness.now = harness.now + Millis(1000);
