Test that a throttling lost with its session is repeated

Cause: the agent's throttle::Controller outlives a session and holds the shares that it has ordered, not those that the worker has confirmed. Agent::end_session clears the queue of orders, and Agent::answered drops the answer to a call of an ended session before it reaches Controller::failed. So a throttling that waited, was lost or was refused for its fence when the link broke counts as carried out in the next session, and is sent again only when the computed share changes by 8 points or to 0 or 100. A task that was to stand still (0) works on at its full share, as long as the service beside it is over its target, and is reported as starved meanwhile.

--- a/crates/workload/tests/agent/takeovers.rs
+++ b/crates/workload/tests/agent/takeovers.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::harness::{ends, profile, row, snapshot, start, Harness, FENCE},
-    filbertbend_state::unit::Millis,
+    filbertbend_state::unit::{Cores, Millis},
     filbertbend_workload::{
         agent::{Answer, Call, Event},
-        id::{Epoch, Fence},
-        message::KnownLease,
+        id::{Epoch, Fence, Run, Task},
+        message::{KnownLease, Orders, Role},
+        worker::Running,
     },
 };
 
@@ -156,3 +157,57 @@
     harness.poll(ends(1..=4));
     assert_eq!(reported(&harness), [1, 2, 3, 4]);
 }
+
+/// Returns the rows of a service far over its target and of a best-effort task
+/// beside it, and their roles.
+fn interference() -> (Vec<Running>, Vec<(Task, Run, Role)>) {
+    let mut best_effort = row();
+    best_effort.task.index = 1;
+    best_effort.measurement = 8000;
+    let service = Running {
+        percent: 100,
+        measurement: 5000,
+        ..row()
+    };
+    let service_role = Role {
+        image: Some("service".into()),
+        latency_target: Some(Millis(50)),
+        ..Role::default()
+    };
+    let best_effort_role = Role {
+        image: Some("batch".into()),
+        best_effort: true,
+        cores: Cores(8000),
+        ..Role::default()
+    };
+    let roles = vec![
+        (service.task, service.run, service_role),
+        (best_effort.task, best_effort.run, best_effort_role),
+    ];
+    (vec![service, best_effort], roles)
+}
+
+/// Guards against a service that stays over its target: a throttling that was lost
+/// with its session counts as carried out in the next one.
+#[test]
+fn throttling_that_was_lost_with_its_session_is_not_repeated() {
+    let is_throttling = |call: &Call| matches!(call, Call::Throttle { .. });
+    let (running, roles) = interference();
+    let mut harness = Harness::new();
+    harness.step(Event::Orders(Orders {
+        roles,
+        ..Orders::default()
+    }));
+    harness.poll(snapshot(1, running.clone()));
+    let lost = harness.take(is_throttling).expect("it is throttled");
+
+    change_leader(&mut harness);
+    harness.answer(lost, Answer::Lost);
+    for _ in 0..10 {
+        harness.pass(Millis(500));
+        harness.poll(snapshot(1, running.clone()));
+    }
+
+    let repeated = harness.take(is_throttling);
+    assert!(repeated.is_some(), "the task works at its full share");
+}
