Test that a term survives the answer to a write of a former one

It fails each time: "nobody leads, although the key names Some(Leader { epoch: Epoch(3), node: "entry-1" .. })", after 10 s of simulated time.

What happens: a leader's write is slow (0.9 s, less than the time limit of a call), its key has lapsed meanwhile, another entry leads for a moment and is stopped, and the first entry claims the next term. The slow write then conflicts with the newer term.

Cause: Driver spawns write_orders and never aborts it, unlike the watch and the renewal. It passes its result to the Inbox of the entry, which holds the sender of whichever term is in progress. The new term takes the verdict on the former one for its own and ends, and the key that it leaves behind names this entry until its lease is over: 2 s without a leader on the platform. Batches are numbered from 1 in each term, so an answer of success would mark a batch of the new term as durable that is not: starts would be sent and ends acknowledged before they are stored. That takes a vacancy without another writer of the term and was not shown.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -46,6 +46,8 @@
     Late,
     /// Late writes take effect just before this one.
     Overtaken,
+    /// The write takes effect and is answered just before its caller gives up.
+    Slow,
     /// The connection goes silent: neither answer nor error arrives.
     Silence,
     /// The write takes effect, but neither answer nor error arrives.
@@ -96,6 +98,8 @@
 
 /// How long a call waits for its answer, beside the time that it asks for.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a slow write takes.
+const SLOW_CALL: Duration = Duration::from_millis(900);
 
 /// The in-memory store. Clones share their state.
 #[derive(Clone, Default)]
@@ -309,6 +313,10 @@
                 self.deliver();
                 Ok(self.apply(transaction))
             }
+            Some(Fault::Slow) => {
+                tokio::time::sleep(SLOW_CALL).await;
+                Ok(self.apply(transaction))
+            }
             Some(Fault::Silence) => std::future::pending().await,
             Some(Fault::SilentEffect) => {
                 self.apply(transaction);
--- a/crates/dispatch/tests/vacancies.rs
+++ b/crates/dispatch/tests/vacancies.rs
@@ -9,9 +9,9 @@
         key, link_identity,
     },
     filbertbend_state::unit::{Cores, Millis},
-    filbertbend_workload::{catalog::Catalog, leadership::KEY_TTL, record::Leader},
+    filbertbend_workload::{catalog::Catalog, id::Job, leadership::KEY_TTL, record::Leader},
     std::{future::Future, rc::Rc, sync::Arc, time::Duration},
-    support::{options, Memory},
+    support::{job, options, Fault, Memory},
     tokio::{
         sync::watch,
         task::LocalSet,
@@ -176,3 +176,51 @@
     })
     .await;
 }
+
+/// Stores a job and its cancellation, whose progress the leader writes.
+fn cancelled_job(store: &Memory, id: Job) {
+    store.put(&key::job(id), postcard::to_stdvec(&job()).unwrap());
+    store.put(&key::cancellation(id), Vec::new());
+}
+
+async fn wait_until(is_true: impl Fn() -> bool) -> bool {
+    let wait = async {
+        while !is_true() {
+            sleep(POLL).await;
+        }
+    };
+    timeout(LIMIT, wait).await.is_ok()
+}
+
+/// Guards against a term that ends because of the answer to a write of a former
+/// term of the same process.
+#[tokio::test(start_paused = true)]
+async fn answer_to_a_write_of_a_former_term_ends_the_next_one() {
+    run(async {
+        let store = Memory::default();
+        let _first = start(&store, "entry-1", STRONG).await;
+        wait_for_leader(&store).await;
+        let second = start(&store, "entry-2", STRONG).await;
+        sleep(Duration::from_secs(1)).await;
+        let writes = store.writes();
+
+        store.fail([Fault::Slow]);
+        cancelled_job(&store, Job(1));
+        assert!(wait_until(|| store.writes() > writes).await);
+        store.expire_leases();
+        assert_eq!(&*wait_for_leader(&store).await.node, "entry-2");
+        second.stopper.send(true).unwrap();
+        let leads = || leader(&store).is_some_and(|leader| *leader.node == *"entry-1");
+        assert!(wait_until(leads).await);
+        let term = leader(&store);
+        sleep(Duration::from_secs(1)).await;
+
+        cancelled_job(&store, Job(2));
+        let progress = key::progress(Job(2));
+        assert!(
+            wait_until(|| store.item(&progress).is_some()).await,
+            "nobody leads, although the key names {term:?}"
+        );
+    })
+    .await;
+}
