Test that the product's agent notices a restart of its worker

Cause: the agent reads the worker's events after a position that it keeps until a call fails, and nothing in an answer tells which process of the worker it comes from. If the worker restarts between two reads (the answer to the first has arrived, and the agent is slow or frozen), the next one goes to the new process. That has had fewer events, returns none and its own, lower position, and the agent goes on from there. The events up to it are lost, and the running tasks are not read, so the executor goes on renewing leases of tasks that ended with the former process, and their owner never places them again. No promise of docs/promises.md names this, but the job never completes.

--- a/crates/agent/src/serve/worker.rs
+++ b/crates/agent/src/serve/worker.rs
@@ -1,5 +1,8 @@
 //! HTTP client of the agent's worker.
 
+#[cfg(test)]
+mod tests;
+
 use {
     super::control::{Handle, Input},
     bytes::Bytes,
