--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -18,7 +18,7 @@
     },
     filbertbend_workload::{
         agent::{Action, Agent, Answer, Call, Event},
-        id::Node,
+        id::{Incarnation, Node},
         message::{Crash, Request, Response},
         record::Leader,
         worker::Profile,
@@ -169,6 +169,9 @@
         let known = self.agent.profile().map(|profile| &profile.incarnation);
         let addressee = match &call {
             Call::Identify { incarnation, .. } => Some(incarnation),
+            Call::Extend { deadline, .. } | Call::Start { deadline, .. } => {
+                Some(&deadline.incarnation)
+            }
             _ => known,
         };
         let Some(addressee) = addressee.cloned() else {
@@ -179,7 +182,7 @@
         tokio::task::spawn_local(async move {
             let sent = clock::monotonic();
             let answer = worker.call(&addressee, &call).await;
-            log_answer(&call, &answer, sent);
+            log_answer(&addressee, &call, &answer, sent);
             let event = Event::Answered { call, sent, answer };
             // Fails only when the process ends.
             let _ = inbox.send(Input::Event(Box::new(event))).await;
@@ -196,7 +199,15 @@
     }
 }
 
-fn log_answer(call: &Call, found: &Answer, sent: Instant) {
+/// Returns when the incarnation that answered began.
+fn born(found: &Answer) -> Option<u64> {
+    match found {
+        Answer::Snapshot(snapshot) => snapshot.started_ms,
+        _ => None,
+    }
+}
+
+fn log_answer(addressee: &Incarnation, call: &Call, found: &Answer, sent: Instant) {
     let ms = clock::monotonic().since(sent).0;
     let answer = match found {
         Answer::Snapshot(_) | Answer::Done => "done".to_owned(),
@@ -204,22 +215,32 @@
         Answer::Unreachable => "unreachable".to_owned(),
         Answer::Lost => "lost".to_owned(),
     };
+    let is_other = |found| born(found).is_some_and(|born| born != addressee.started_ms);
     match call {
         Call::Poll { .. } => {
             if answer != "done" {
                 counter!("filbertbend_looks_failed_total").increment(1);
                 info!("listing the worker's tasks failed", kv: { answer: = answer.as_str(), ms });
+            } else if is_other(found) {
+                info!("worker's tasks listed by another life", kv: { life: = addressee, born:? = born(found), ms });
+            }
+        }
+        Call::Extend { deadline, fence } => {
+            if answer != "done" || is_other(found) {
+                counter!("filbertbend_lease_extensions_failed_total").increment(1);
+                info!("lease not passed on to the worker", kv: { life: = addressee, fence = fence.0, deadline: = deadline, answer: = answer.as_str(), born:? = born(found), ms });
             }
         }
         Call::Identify { incarnation, .. } => {
-            let born = match found {
-                Answer::Snapshot(snapshot) => snapshot.started_ms,
-                _ => None,
-            };
+            let born = born(found);
             info!("worker asked whether it is another life", kv: { life: = incarnation, answer: = answer.as_str(), born:?, ms });
         }
-        Call::Start { start, fence, .. } => {
-            info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, answer: = answer.as_str(), ms });
+        Call::Start {
+            start,
+            fence,
+            deadline,
+        } => {
+            info!("start answered", kv: { job: = start.task.job, task: = start.task, run = start.run.0, fence = fence.0, deadline: = deadline, answer: = answer.as_str(), ms });
         }
         Call::Stop { task, run, fence } => {
             info!("stop answered", kv: { job: = task.job, task:, run = run.0, fence = fence.0, answer: = answer.as_str(), ms });
--- a/crates/workload/tests/support/machine.rs
+++ b/crates/workload/tests/support/machine.rs
@@ -109,6 +109,7 @@
     pub(crate) fn call(&mut self, now: Instant, call: &Call, until: Instant, exit: Exit) -> Answer {
         let (Call::Identify { fence, .. }
         | Call::Poll { fence, .. }
+        | Call::Extend { fence, .. }
         | Call::Start { fence, .. }
         | Call::Stop { fence, .. }
         | Call::Throttle { fence, .. }) = call;
@@ -118,22 +119,21 @@
         self.fence = *fence;
         match call {
             Call::Identify { .. } => self.snapshot(now),
-            Call::Poll {
-                deadline,
-                acknowledged,
-                ..
-            } => {
-                self.deadline = self.deadline.max(deadline.unwrap_or(0));
+            Call::Extend { deadline, .. } => {
+                self.deadline = self.deadline.max(deadline.until_ms);
+                self.snapshot(now)
+            }
+            Call::Poll { acknowledged, .. } => {
                 self.ends.retain(|end| end.sequence > *acknowledged);
                 self.snapshot(now)
             }
             Call::Start {
                 deadline, start, ..
             } => {
-                if let Some(refusal) = self.refusal(now, *deadline, start) {
+                if let Some(refusal) = self.refusal(now, deadline.until_ms, start) {
                     return Answer::Refused(refusal);
                 }
-                self.deadline = self.deadline.max(*deadline);
+                self.deadline = self.deadline.max(deadline.until_ms);
                 let room = start.role.room;
                 let execution = Execution { room, until, exit };
                 self.running
@@ -190,7 +190,8 @@
             return None;
         };
         let known = self.running.contains_key(&(start.task, start.run));
-        let accepted = *fence >= self.fence && self.refusal(now, *deadline, start).is_none();
+        let accepted =
+            *fence >= self.fence && self.refusal(now, deadline.until_ms, start).is_none();
         (accepted && !known).then_some(start)
     }
 
