--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -40,6 +40,7 @@
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
+        task::AbortHandle,
         time::{interval, sleep, timeout, MissedTickBehavior},
     },
 };
@@ -115,6 +116,9 @@
     planner: Planner,
     leadership: leadership::Leadership,
     journal: mpsc::UnboundedSender<Order>,
+    /// The task that writes the journal. It must not outlive the term, because
+    /// the inbox passes its answers to whichever term is in progress.
+    writer: AbortHandle,
     outboxes: HashMap<Link, mpsc::Sender<Response>>,
     inbox: Rc<Inbox>,
     /// When the last call was made that the store answered after an outage.
@@ -156,7 +160,8 @@
         let recovered = watch::Sender::new(tokio::time::Instant::now());
         let writer = Journal::new(store.clone(), claim.term, claim.revision, now)
             .with_recovery(recovered.subscribe());
-        tokio::task::spawn_local(write_orders(writer, orders, inbox.clone()));
+        let writer =
+            tokio::task::spawn_local(write_orders(writer, orders, inbox.clone())).abort_handle();
         info!("leading", kv: { epoch = epoch.0, node: = &*candidate.node });
         counter!("filbertbend_terms_total").increment(1);
         Self {
@@ -168,6 +173,7 @@
             planner,
             leadership,
             journal,
+            writer,
             outboxes: HashMap::new(),
             inbox,
             recovered,
@@ -246,6 +252,7 @@
                 warn!("lease of the leader's key not revoked", kv: { error: });
             }
         }
+        self.writer.abort();
         ended
     }
 
