Read the running tasks again if the worker has had fewer events

What callers could see: a job that never completes. Its task ended with a process of the worker that restarted between two reads of its events, and the agent goes on renewing the task's lease, so the owner never places it again.

Cause: the agent reads events after a position that it keeps until a call fails, and an answer does not tell which process of the worker it comes from. The HTTP client repeats a request whose kept connection was closed, so the restart shows as no failure. The new process has had fewer events and answers with none and its own position, from which the agent went on; the running tasks were not read.

A position below the one asked for now counts as a restart: a failed call, after which the running tasks are read.

Not covered: a new process that has had at least as many events by the time it answers, which is up to 5 s after the call if it has none to return. That takes the process's identity in the answer. Ruled out: connections that are not kept, since the position outlives them, too.

--- a/crates/agent/src/serve/worker.rs
+++ b/crates/agent/src/serve/worker.rs
@@ -48,6 +48,9 @@
     Body(String),
     #[error("worker did not answer in time")]
     Timeout,
+    /// The worker has had fewer events than were read.
+    #[error("worker has restarted")]
+    Restarted,
 }
 
 /// A queue of calls to the worker, which are made one after another.
@@ -170,6 +173,9 @@
         let page: Page = self
             .get(format!("/v1/events?after={position}&wait_ms={wait_ms}"))
             .await?;
+        if page.next < position {
+            return Err(Error::Restarted);
+        }
         for event in page.events {
             if let worker::Event::Usage(usage) = &event {
                 control.send(Input::Usage(usage.clone())).await;
