--- a/crates/agent/src/serve/worker/tests.rs
+++ b/crates/agent/src/serve/worker/tests.rs
@@ -92,7 +92,7 @@
 /// worker restarts between two reads of its events, and those of the new process
 /// count as read.
 #[tokio::test]
-async fn worker_that_restarts_between_two_reads_is_not_noticed() {
+async fn worker_that_restarts_between_two_reads_is_listed_again() {
     let (worker, address) = Worker::start(6).await;
     let (inbox, _inputs) = mpsc::channel(64);
     let _commands = Client::new(address).start(Handle::new(inbox));
--- a/crates/dispatch/tests/vacancies.rs
+++ b/crates/dispatch/tests/vacancies.rs
@@ -195,7 +195,7 @@
 /// Guards against a term that ends because of the answer to a write of a former
 /// term of the same process.
 #[tokio::test(start_paused = true)]
-async fn answer_to_a_write_of_a_former_term_ends_the_next_one() {
+async fn answer_to_a_write_of_a_former_term_does_not_end_the_next_one() {
     run(async {
         let store = Memory::default();
         let _first = start(&store, "entry-1", STRONG).await;
