Settle calls with a deadline by their own answers

The worker got no tasks for 10 s. The calls in progress are now kept in a ledger of their own, across sessions. refused_extension_is_no_sign_of_a_foreign_lease failed before.

--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -11,47 +11,27 @@
 const STALE_AFTER: Millis = Millis(900);
 /// The remaining lease that is required to send a start.
 const LEASE_MARGIN: Millis = Millis(300);
-/// How long a call without an answer may still be carried out. The platform's
-/// description says seconds.
-const STRAY_LIMIT: Millis = Millis(15_000);
-
 /// How long after a snapshot the lease is passed on. The longer it takes, the more
 /// often the worker has ended meanwhile and the call stays without an answer.
 const FRESH_LIMIT: Millis = Millis(20);
 
-/// The calls that pass the granted lease on to the worker, and signs of deadlines
-/// that may take effect late.
+/// The calls that pass the granted lease on to the worker.
 #[derive(Debug, Default)]
 pub(super) struct Extension {
-    /// When the call that is in progress was made, and the lease that it passes on.
-    in_progress: Option<(Instant, Instant)>,
+    /// The lease that the call in progress passes on.
+    in_progress: Option<Instant>,
     /// The lease that the worker has confirmed.
     confirmed: Option<Instant>,
     retry_at: Instant,
-    /// When the last call with a deadline was made that has no answer. It may be
-    /// carried out late, by whichever incarnation is running then.
-    stray: Option<Instant>,
 }
 
 impl Extension {
-    pub(super) fn strayed(&mut self, sent: Instant) {
-        self.stray = self.stray.max(Some(sent));
-    }
-
     pub(super) fn end_session(&mut self) {
-        if let Some((sent, _)) = self.in_progress.take() {
-            self.strayed(sent);
-        }
+        self.in_progress = None;
     }
 
     pub(super) fn forget_incarnation(&mut self) {
-        self.end_session();
-        self.confirmed = None;
-    }
-
-    /// Returns whether a call without an answer may yet be carried out.
-    pub(super) fn may_stray(&self, now: Instant) -> bool {
-        self.stray.is_some_and(|sent| now < sent + STRAY_LIMIT)
+        *self = Self::default();
     }
 }
 
@@ -103,11 +83,13 @@
         let (Some(until), Some(deadline)) = (granted, self.deadline(now)) else {
             return;
         };
-        self.extension.in_progress = Some((now, until));
-        actions.push(Action::Call(Call::Extend {
+        self.extension.in_progress = Some(until);
+        let call = Call::Extend {
             fence: session.fence,
             deadline,
-        }));
+        };
+        self.unanswered.sent(now, &call);
+        actions.push(Action::Call(call));
     }
 
     pub(super) fn extended(
@@ -120,18 +102,14 @@
         let in_progress = self.extension.in_progress.take();
         match answer {
             Answer::Snapshot(snapshot) if self.is_other_incarnation(sent, &snapshot) => {
-                self.extension.strayed(sent);
+                self.is_misled = true;
                 self.lose_session(now, true, actions);
             }
             Answer::Snapshot(snapshot) => {
-                self.extension.confirmed = in_progress.map(|(_, until)| until);
+                self.extension.confirmed = in_progress;
                 self.read_clock(now, &snapshot);
             }
-            Answer::Lost => {
-                self.extension.strayed(sent);
-                self.extension.retry_at = now + RETRY_DELAY;
-            }
-            Answer::Done | Answer::Refused(_) | Answer::Unreachable => {
+            Answer::Done | Answer::Refused(_) | Answer::Unreachable | Answer::Lost => {
                 self.extension.retry_at = now + RETRY_DELAY;
             }
         }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -14,6 +14,7 @@
 mod report;
 mod room;
 mod session;
+mod unanswered;
 
 use {
     crate::{
@@ -142,6 +143,9 @@
     polled: Option<Instant>,
     lease_until: Option<Instant>,
     extension: Extension,
+    unanswered: unanswered::Ledger,
+    /// Whether another incarnation than the one that was meant has accepted a lease.
+    is_misled: bool,
     /// Whether the present incarnation may have accepted a deadline by the clock
     /// of a former one.
     foreign_lease: bool,
@@ -223,9 +227,6 @@
 
     fn end_session(&mut self) {
         if let Some(session) = self.session.take() {
-            if let Some(sent) = session.start_in_progress() {
-                self.extension.strayed(sent);
-            }
             self.unconfirmed_start = self.unconfirmed_start.max(session.unconfirmed_start());
         }
         self.report = Report::default();
@@ -390,6 +391,7 @@
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
+        self.unanswered.answered(&call, &answer);
         if call.is_order() {
             self.queue.answered();
         }
@@ -422,9 +424,7 @@
             Call::Identify { .. } => {}
             Call::Poll { .. } => self.polled(now, sent, answer, actions),
             Call::Extend { .. } => self.extended(now, sent, answer, actions),
-            Call::Start { start, .. } => {
-                self.start_answered(now, sent, start.task, start.run, answer);
-            }
+            Call::Start { start, .. } => self.start_answered(now, start.task, start.run, answer),
             Call::Stop { task, run, .. } => self.stop_answered(now, task, run, &answer),
             Call::Throttle { change, .. } => {
                 self.throttle.answered(&change, answer == Answer::Done);
@@ -443,20 +443,10 @@
         self.renew_session(actions);
     }
 
-    fn start_answered(
-        &mut self,
-        now: Instant,
-        sent: Instant,
-        task: Task,
-        run: Run,
-        answer: Answer,
-    ) {
+    fn start_answered(&mut self, now: Instant, task: Task, run: Run, answer: Answer) {
         if let Some(session) = &mut self.session {
             session.start_answered(now);
         }
-        if answer == Answer::Lost {
-            self.extension.strayed(sent);
-        }
         if self.issued.get(&(task, run)) != Some(&Order::Starting) {
             // A stop was ordered meanwhile; its outcome decides.
             return;
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -87,11 +87,13 @@
                     self.issued.insert(key, Order::Starting);
                     self.presence.ordered(now, start.task, start.run);
                     self.roles.insert(key, start.role.clone());
-                    actions.push(Action::Call(Call::Start {
+                    let call = Call::Start {
                         fence,
                         deadline,
                         start,
-                    }));
+                    };
+                    self.unanswered.sent(now, &call);
+                    actions.push(Action::Call(call));
                 }
                 Err(status) => {
                     self.queue.answered();
--- a/crates/workload/src/agent/report.rs
+++ b/crates/workload/src/agent/report.rs
@@ -58,7 +58,8 @@
             return;
         }
         let has_strays = !snapshot.running.is_empty() || !snapshot.ends.is_empty();
-        self.foreign_lease = has_strays || self.extension.may_stray(now);
+        let is_misled = std::mem::take(&mut self.is_misled);
+        self.foreign_lease = has_strays || is_misled || self.unanswered.may_be_late(now);
         let strays = snapshot.running.iter().map(|row| (row.task, row.run));
         self.strays = strays.collect();
     }
--- a/crates/workload/src/agent/session.rs
+++ b/crates/workload/src/agent/session.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Returns when a start was last sent or answered, if one is in progress.
-    pub(super) fn start_in_progress(&self) -> Option<Instant> {
-        self.last_start.filter(|_| self.starting > 0)
-    }
-
     /// Returns when the last start was sent or answered, unless a later snapshot
     /// has shown that the worker has not restarted before.
     pub(super) fn unconfirmed_start(&self) -> Option<Instant> {
--- a/crates/workload/tests/agent/conclusions.rs
+++ b/crates/workload/tests/agent/conclusions.rs
@@ -178,3 +178,23 @@
 
     assert!(foreign_lease(&harness.reports).is_some());
 }
+
+/// Guards against a worker that gets no tasks for 10 s after a restart: an
+/// extension that was refused, and not sent, counts as one without an answer.
+#[test]
+fn refused_extension_is_no_sign_of_a_foreign_lease() {
+    let mut harness = Harness::new();
+    harness.pass(Millis(500));
+    harness.poll(list(1, 50_500));
+    harness.pass(Millis(600));
+    harness.grant();
+    harness.poll(list(1, 51_100));
+
+    harness.extend(Answer::Refused(Refusal::Restarted));
+    harness.step(Event::Heartbeat(profile(2)));
+    harness.calls.clear();
+    harness.step(Event::Welcome(Epoch(1), Fence(8), None));
+    harness.poll(snapshot(2, Vec::new()));
+
+    assert_eq!(foreign_lease(&harness.reports), None);
+}
