--- a/crates/workload/tests/interleavings/cluster/calls.rs
+++ b/crates/workload/tests/interleavings/cluster/calls.rs
@@ -38,10 +38,8 @@
     pub(crate) closes: bool,
     /// The maximum delay of the first heartbeat.
     pub(crate) notice: u64,
-    /// Whether a worker carries out calls that were sent before its start.
-    /// Otherwise they are lost.
-    pub(crate) crossing: bool,
-    /// Whether starts are among those that it carries out late.
+    /// Whether a worker carries out starts late that were sent before it began, as
+    /// it does with other calls.
     pub(crate) late_starts: bool,
 }
 
@@ -118,7 +116,7 @@
             // The connection ends with the life that accepted it.
             false => !CLIENT_REFUSES,
         };
-        if !worker.up || restarted && !(self.restarts.crossing && may_cross) {
+        if !worker.up || restarted && !may_cross {
             return self.at(1, Happening::Answer(id, Answer::Lost));
         }
         let is_other = found.addressee != Some(worker.started_ms());
--- a/crates/workload/tests/interleavings/restarts.rs
+++ b/crates/workload/tests/interleavings/restarts.rs
@@ -89,7 +89,6 @@
     cluster.restarts = Restarts {
         closes: true,
         notice: 1000,
-        crossing: true,
         late_starts,
     };
     for id in 1..=12 {
@@ -148,7 +147,6 @@
     cluster.restarts = Restarts {
         closes: true,
         notice: 1000,
-        crossing: true,
         late_starts: true,
     };
     for id in 1..=6 {
