Test agents whose workers have restarted while they looked elsewhere

One test each on an agent with scripted answers: a restart quicker than a poll, two restarts between two polls, a lease that was passed on without an answer of the life it was meant for, an agent that has restarted and knows no former life, a frozen agent, and lives whose start time is older than, or equal to, the former one.

--- a/crates/workload/tests/agent/main.rs
+++ b/crates/workload/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! The agent beside a worker: sessions, leases, and orders without an answer.
 
 mod crashes;
+mod former_lives;
 mod harness;
 mod restarts;
 mod takeovers;
--- a/crates/workload/tests/agent/restarts.rs
+++ b/crates/workload/tests/agent/restarts.rs
@@ -163,7 +163,7 @@
 }
 
 /// Returns what the last inventory says of a lease by a former clock.
-fn foreign_lease(harness: &Harness) -> Option<Millis> {
+pub(crate) fn foreign_lease(harness: &Harness) -> Option<Millis> {
     let mut reports = harness.reports.iter().rev();
     let inventory = reports.find_map(|report| report.inventory.as_ref());
     inventory.expect("the worker is listed").foreign_lease
