--- a/crates/workload/tests/agent/main.rs
+++ b/crates/workload/tests/agent/main.rs
@@ -2,6 +2,7 @@
 
 mod conclusions;
 mod crashes;
+mod former_lives;
 mod harness;
 mod restarts;
 mod takeovers;
