--- a/crates/workload/src/agent/identity.rs
+++ b/crates/workload/src/agent/identity.rs
@@ -5,7 +5,7 @@
 //! a call that is meant for the candidate.
 
 use {
-    super::{Action, Agent, Answer, Call, Refusal, RETRY_DELAY},
+    super::{Action, Agent, Answer, Call, Refusal, Snapshot, RETRY_DELAY},
     crate::{id::Incarnation, worker::Profile},
     filbertbend_state::{time::Instant, unit::Millis},
 };
@@ -112,4 +112,17 @@
             }
         }
     }
+
+    /// Returns whether a snapshot that was requested at `sent` is one of another
+    /// incarnation. Two have the same start time if the wall clock was set back,
+    /// but the worker's own clock then begins anew.
+    pub(super) fn is_other_incarnation(&self, sent: Instant, snapshot: &Snapshot) -> bool {
+        let started_ms = self.profile.as_ref().map(|own| own.incarnation.started_ms);
+        let differs = snapshot.started_ms.is_some()
+            && started_ms.is_some()
+            && snapshot.started_ms != started_ms;
+        // Within a millisecond, answers may overtake one another.
+        let is_behind = |(read, clock): (Instant, u64)| sent > read && snapshot.clock < clock;
+        differs || self.clock.is_some_and(is_behind)
+    }
 }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -521,19 +521,6 @@
         self.ends = snapshot.ends;
     }
 
-    /// Returns whether a snapshot that was requested at `sent` is one of another
-    /// incarnation. Two have the same start time if the wall clock was set back,
-    /// but the worker's own clock then begins anew.
-    fn is_other_incarnation(&self, sent: Instant, snapshot: &Snapshot) -> bool {
-        let started_ms = self.profile.as_ref().map(|own| own.incarnation.started_ms);
-        let differs = snapshot.started_ms.is_some()
-            && started_ms.is_some()
-            && snapshot.started_ms != started_ms;
-        // Within a millisecond, answers may overtake one another.
-        let is_behind = |(read, clock): (Instant, u64)| sent > read && snapshot.clock < clock;
-        differs || self.clock.is_some_and(is_behind)
-    }
-
     /// Resolves uncertain orders; only snapshots requested afterwards count. A run
     /// that is not running has not been withdrawn if its end may yet be listed.
     fn resolve(&mut self, sent: Instant, snapshot: &Snapshot) {
