Keep the share of a task whose start is answered after it was throttled

A list may show a run, and the agent throttle it, before the answer to its start is read. The answer then counted as a full share: the release was never sent, the task stood still for good and was not reported as starved.

--- a/crates/workload/src/throttle.rs
+++ b/crates/workload/src/throttle.rs
@@ -129,7 +129,8 @@
             unanswered: 0,
             uncertain: false,
         };
-        self.shares.insert((task, run), share);
+        // A list may have shown the run before.
+        self.shares.entry((task, run)).or_insert(share);
     }
 
     /// Records the answer to a change. One that may not have been carried out is
--- a/crates/workload/tests/agent/takeovers.rs
+++ b/crates/workload/tests/agent/takeovers.rs
@@ -6,7 +6,7 @@
     filbertbend_workload::{
         agent::{Answer, Call, Event, Refusal},
         id::{Epoch, Fence, Run, Task},
-        message::{KnownLease, Orders, Role},
+        message::{KnownLease, Orders, Role, Start},
         worker::Running,
     },
 };
@@ -251,3 +251,33 @@
     let repeated = harness.take(is_throttling);
     assert!(repeated.is_some(), "the task works at its full share");
 }
+
+/// Guards against a task that stays throttled for good: it was throttled before its
+/// start was answered, and the answer counts as its full share.
+#[test]
+fn task_throttled_before_its_start_is_answered_is_released_later() {
+    let (running, roles) = interference();
+    let mut harness = Harness::new();
+    let (task, run, role) = roles[1].clone();
+    let best_effort = Start {
+        task,
+        run,
+        role,
+        ..start()
+    };
+    let call = harness.order_start(best_effort).expect("it is sent");
+    harness.step(Event::Orders(Orders {
+        roles,
+        ..Orders::default()
+    }));
+    harness.poll(snapshot(1, running.clone()));
+    let throttling = harness.take(is_throttling).expect("it is throttled");
+    harness.answer(throttling, Answer::Done);
+
+    harness.answer(call, Answer::Done);
+    harness.pass(Millis(500));
+    harness.poll(snapshot(1, vec![running[1].clone()]));
+
+    let release = harness.take(is_throttling);
+    assert!(release.is_some(), "the task stands still");
+}
