--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -99,14 +99,14 @@
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
-        let in_progress = self.extension.in_progress.take();
+        let passed_on = self.extension.in_progress.take();
         match answer {
             Answer::Snapshot(snapshot) if self.is_other_incarnation(sent, &snapshot) => {
                 self.is_misled = true;
                 self.lose_session(now, true, actions);
             }
             Answer::Snapshot(snapshot) => {
-                self.extension.confirmed = in_progress;
+                self.extension.confirmed = passed_on;
                 self.read_clock(now, &snapshot);
             }
             Answer::Done | Answer::Refused(_) | Answer::Unreachable | Answer::Lost => {
