--- a/crates/workload/src/agent/lease.rs
+++ b/crates/workload/src/agent/lease.rs
@@ -14,6 +14,9 @@
 /// How long after a snapshot the lease is passed on. The longer it takes, the more
 /// often the worker has ended meanwhile and the call stays without an answer.
 const FRESH_LIMIT: Millis = Millis(20);
+/// What is left of the confirmed lease when it is passed on at any time. Several
+/// attempts fit into it if calls go unanswered.
+const URGENT_LIMIT: Millis = Millis(2500);
 
 /// The calls that pass the granted lease on to the worker.
 #[derive(Debug, Default)]
@@ -68,13 +71,17 @@
         }
     }
 
-    /// Passes the granted lease on if the worker has not confirmed it yet, just
-    /// after the worker has answered a poll.
+    /// Passes the granted lease on if the worker has not confirmed it yet: just
+    /// after the worker has answered a poll, or at once if the lease runs out.
     pub(super) fn extend(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let granted = self.lease_until.max(self.extension.confirmed);
         let is_idle = self.extension.in_progress.is_none() && now >= self.extension.retry_at;
         let is_fresh = self.polled.is_some_and(|polled| now < polled + FRESH_LIMIT);
-        if !is_idle || !is_fresh || granted == self.extension.confirmed {
+        let is_urgent = self
+            .extension
+            .confirmed
+            .is_none_or(|until| until <= now + URGENT_LIMIT);
+        if !is_idle || !(is_fresh || is_urgent) || granted == self.extension.confirmed {
             return;
         }
         let Some(session) = self.session.as_ref().filter(|session| session.inventoried) else {
--- a/crates/workload/tests/agent/restarts.rs
+++ b/crates/workload/tests/agent/restarts.rs
@@ -204,6 +204,10 @@
         for _ in 0..span / 1000 {
             harness.now = harness.now + Millis(1000);
             harness.step(Event::Tick);
+            // The lease runs out, so it is passed on again.
+            while let Some(call) = harness.extensions.pop() {
+                harness.answer(call, Answer::Unreachable);
+            }
         }
 
         restart(&mut harness, snapshot(2, Vec::new()));
