--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -30,6 +30,8 @@
         "gang-grey" => gang_grey,
         "withdrawal" => withdrawal,
         "hopeless-gang" => hopeless_gang,
+        "late-start" => late_start,
+        "many-steps" => many_steps,
         "soak" => return crate::soak::run(),
         _ => {
             eprintln!("no such case: {name}");
@@ -386,3 +388,111 @@
     }
     longest
 }
+
+/// A runner leaves a start unanswered, and its next life, under the same id, carries it
+/// out late. Meanwhile the task has been started elsewhere.
+fn late_start(own: &mut Deployment, trouble: bool) {
+    let id = "00000000000000c1";
+    let job = Job {
+        steps: vec![Step {
+            count: 1,
+            cpu: 1000,
+            work_ms: 12_000,
+            ..Step::default()
+        }],
+        attempts: 2,
+        ..Job::default()
+    };
+    let names: Vec<String> = (1..=10).map(|number| format!("side-{number}")).collect();
+    if trouble {
+        for name in &names {
+            own.world.set_late(name, true);
+        }
+    }
+    own.submit("front-1", "urgent", id, &job);
+    let mut holder = None;
+    if trouble {
+        let begun = Instant::now();
+        while holder.is_none() && begun.elapsed() < seconds(3.0) {
+            pause(0.005);
+            holder = names.iter().find(|name| own.world.has_held(name)).cloned();
+        }
+        // The one order is all that gets no answer.
+        for name in &names {
+            own.world.set_late(name, false);
+        }
+    }
+    let is_running = |own: &Deployment| {
+        let runs = own.world.runs_of(id);
+        runs.iter().any(|(_, run)| run.ended.is_none())
+    };
+    own.until(seconds(5.0), is_running);
+    pause(2.0);
+    if let Some(holder) = holder {
+        own.world.crash(&holder);
+        pause(1.0);
+        own.world.up_again(&holder);
+        own.world.release_late(&holder);
+    }
+    pause(6.0);
+    own.await_state(
+        "front-2",
+        "urgent",
+        id,
+        &["complete", "failed"],
+        seconds(20.0),
+    );
+}
+
+/// One job of many small steps is handed in, then ordinary ones.
+fn many_steps(own: &mut Deployment, trouble: bool) {
+    let job = |steps: usize| Job {
+        steps: vec![
+            Step {
+                count: 1,
+                cpu: 100,
+                work_ms: 100,
+                ..Step::default()
+            };
+            steps
+        ],
+        attempts: 2,
+        ..Job::default()
+    };
+    let large = job(if trouble { 4_000 } else { 4 });
+    own.world.note(&format!(
+        "the body of the large job has {} bytes",
+        large.body().len()
+    ));
+    own.submit("front-1", "batch", "0000000000000600", &large);
+    let plains: Vec<String> = (0..3)
+        .map(|index| format!("00000000000007{index:02}"))
+        .collect();
+    let accepted: Vec<&String> = plains
+        .iter()
+        .filter(|id| own.submit("front-1", "urgent", id, &job(1)))
+        .collect();
+    // `finish_s` after the last job was handed in.
+    pause(14.0);
+    own.world.note("the jobs are looked at");
+    let mut watched: Vec<(&str, u64)> = accepted.iter().map(|id| (id.as_str(), 1)).collect();
+    watched.push(("0000000000000600", large.steps.len() as u64));
+    let longest = longest_idle(own, &watched);
+    for (index, ((id, _), longest)) in watched.iter().zip(longest).enumerate() {
+        let queue = if index < accepted.len() {
+            "urgent"
+        } else {
+            "batch"
+        };
+        let states = ["front-1", "front-2"].map(|entry| own.state(entry, queue, id));
+        if longest >= 3.0 {
+            own.world.break_rule(format!(
+                "LOST {id}: accepted, its states are {states:?}, nothing of it has run for {longest:.1} s"
+            ));
+        }
+    }
+    for name in ["front-1", "front-2"] {
+        own.world
+            .note(&format!("{name} peak {} MB", own.peak_memory_mb(name)));
+    }
+}
--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -320,11 +320,14 @@
     /// Submits a job; repeats it as clients do until it is accepted.
     pub fn submit(&self, entry: &str, queue: &str, id: &str, job: &Job) -> bool {
         self.world.add_job(id, job.clone());
+        let mut entry = entry.to_owned();
         for _ in 0..5 {
-            match self.call(entry, "POST", &format!("/{queue}/{id}"), &job.body()) {
+            match self.call(&entry, "POST", &format!("/{queue}/{id}"), &job.body()) {
                 Some((200..=299, _)) => return true,
                 _ => thread::sleep(Duration::from_millis(500)),
             }
+            // Retries reach other nodes.
+            entry = self.other_entry(&entry);
         }
         false
     }
@@ -358,6 +361,15 @@
         }
     }
 
+    /// The peak memory of a process, in MB.
+    pub fn peak_memory_mb(&self, name: &str) -> u64 {
+        let id = self.processes[name].child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1024
+    }
+
     pub fn log_of(&self, name: &str) -> String {
         fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
     }
--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -318,6 +318,11 @@
         self.note(&format!("{machine} late {late}"));
     }
 
+    /// Whether a runner has left a start unanswered.
+    pub fn has_held(&self, machine: &str) -> bool {
+        !self.lock().runners[machine].held.is_empty()
+    }
+
     /// Carries out the starts that got no answer.
     pub fn release_late(&self, machine: &str) {
         let held = {
