--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        deployment::Deployment,
+        deployment::{limit_time, Deployment},
         store::Mode,
         world::{Job, Past, Step},
     },
@@ -51,6 +51,7 @@
     let sides: Vec<(&str, u64, &[&str])> = (0..10)
         .map(|index| (names[index].as_str(), 16_000, &labels[index][..]))
         .collect();
+    limit_time(seconds(105.0));
     let mut deployment = Deployment::new(&["front-1", "front-2"], &sides, 2, print);
     deployment.start_all();
     deployment
