--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -163,6 +163,8 @@
     record: String,
     broken: Vec<String>,
     stopped: bool,
+    /// The most cores that were in use at a time since it was last asked for.
+    peak_used: u64,
     last_tick: Option<Instant>,
 }
 
@@ -184,6 +186,15 @@
         (now.duration_since(self.origin).as_millis() as f64 * self.speed) as u64
     }
 
+    /// The cores of what runs, also of what is being stopped.
+    fn used(&self, jobs: &BTreeMap<String, Job>) -> u64 {
+        let cpu = |task: &Task| {
+            let step = jobs.get(&task.0)?.steps.get(task.2 as usize)?;
+            Some(step.cpu)
+        };
+        self.running.keys().filter_map(cpu).sum()
+    }
+
     fn extend(&mut self, now: Instant, deadline: u64) {
         let limit = self.clock(now) + HOLD_MAX_MS;
         self.lease_until = self.lease_until.max(deadline.min(limit));
@@ -318,6 +329,19 @@
         self.note(&format!("{machine} late {late}"));
     }
 
+    /// Returns whether under half of the capacity has been in use since the last call,
+    /// and the tasks of this size that fit besides what runs.
+    pub fn room(&self, cpu: u64) -> (bool, u64) {
+        let mut state = self.lock();
+        let used = cores_in_use(&state);
+        let peak = std::mem::replace(&mut state.peak_used, used).max(used);
+        let up = || state.runners.values().filter(|runner| runner.up);
+        let capacity: u64 = up().map(|runner| runner.capacity).sum();
+        let free = |runner: &Runner| runner.capacity.saturating_sub(runner.used(&state.jobs));
+        let fitting = up().map(|runner| free(runner) / cpu).sum();
+        (peak * 2 < capacity, fitting)
+    }
+
     /// Whether a runner has left a start unanswered.
     pub fn has_held(&self, machine: &str) -> bool {
         !self.lock().runners[machine].held.is_empty()
@@ -732,6 +756,7 @@
             fail_at: grey.then(|| now + Duration::from_millis(30)),
         };
         runner.running.insert(task.clone(), running);
+        state.peak_used = state.peak_used.max(cores_in_use(state));
         self.write(
             state,
             &format!(
@@ -1042,6 +1067,11 @@
     }
 }
 
+fn cores_in_use(state: &State) -> u64 {
+    let up = state.runners.values().filter(|runner| runner.up);
+    up.map(|runner| runner.used(&state.jobs)).sum()
+}
+
 fn checkpoint_key(task: &Task, gang: bool) -> (String, u64, u64, u64) {
     let index = if gang { u64::MAX } else { task.3 };
     (task.0.clone(), task.1, task.2, index)
