Log why a start is not sent to a worker, and what took the room

A refused start left one line, `run abandoned` with `refused`, by the leader. The agent wrote nothing, so a start refused for want of room could not be told from one refused for its lease, and what had the room was not to be seen.

The agent now writes `start not sent to the worker` with the cause and its inputs: for want of room the worker's room, what the start requires, what the runs of known size use, and a run of unknown size, if there is one. The leader adds the status that the agent reported, and whether it was stopping the run.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -17,7 +17,7 @@
         tls::Identity,
     },
     filbertbend_workload::{
-        agent::{Action, Agent, Answer, Call, Event},
+        agent::{Action, Agent, Answer, Call, Cause, Event, Occupancy, Rejection, Unknown},
         id::{Incarnation, Node},
         message::{Crash, Request, Response},
         record::Leader,
@@ -147,6 +147,7 @@
                 Action::Send(report) => self.send(Request::Report(report)),
                 Action::Call(call) => self.call(call),
                 Action::Crashed(crash) => log_crash(&crash),
+                Action::Rejected(rejection) => log_rejection(&rejection),
             }
         }
     }
@@ -199,6 +200,34 @@
     }
 }
 
+/// Logs a start that was not passed on to the worker, with what takes the room if
+/// there was none.
+fn log_rejection(rejection: &Rejection) {
+    let Rejection { task, run, cause } = rejection;
+    counter!("filbertbend_starts_rejected_total", "cause" => cause.to_string()).increment(1);
+    match cause {
+        Cause::NoRoom(occupancy) => {
+            let Occupancy {
+                whole,
+                required,
+                used,
+                runs,
+                unknown,
+            } = occupancy;
+            let unknown = unknown
+                .as_ref()
+                .map_or("none".to_owned(), Unknown::to_string);
+            info!("start not sent to the worker", kv: { job: = task.job, task:, run = run.0, cause:, whole:, required:, used:, runs = *runs, unknown: });
+        }
+        Cause::LeaseEnding { left } => {
+            info!("start not sent to the worker", kv: { job: = task.job, task:, run = run.0, cause:, left_ms = left.0 });
+        }
+        Cause::Unprepared | Cause::Draining | Cause::ProfileUnconfirmed => {
+            info!("start not sent to the worker", kv: { job: = task.job, task:, run = run.0, cause: });
+        }
+    }
+}
+
 /// Returns when the incarnation that answered began.
 fn born(found: &Answer) -> Option<u64> {
     match found {
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -50,6 +50,18 @@
             let estimate = timing.map(|timing| timing.estimate.0);
             info!("run ended", kv: { job: = task.job, task:, run = run.0, node:, how: = exit, failures = *failures, took_ms:? = took, expected_ms:? = expected, estimate_ms:? = estimate });
         }
+        Decision::Refused {
+            task,
+            run,
+            node,
+            status,
+            stopping,
+        } => {
+            counter!("filbertbend_lost_total", "reason" => "refused").increment(1);
+            counter!("filbertbend_starts_refused_total", "status" => status.to_string())
+                .increment(1);
+            info!("run abandoned", kv: { job: = task.job, task:, run = run.0, node:, reason: = "refused", status:, stopping = *stopping });
+        }
         Decision::Lost {
             task,
             run,
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod presence;
 mod queue;
+mod rejection;
 mod report;
 mod room;
 mod session;
@@ -38,7 +39,11 @@
     },
 };
 
-pub use call::{Answer, Call, Deadline, Refusal, Snapshot};
+pub use {
+    call::{Answer, Call, Deadline, Refusal, Snapshot},
+    rejection::{Cause, Rejection},
+    room::{Occupancy, Unknown},
+};
 
 /// How long a poll waits for an end; service measurements cover half a second.
 const POLL_WAIT: Millis = Millis(500);
@@ -88,6 +93,8 @@
     Call(Call),
     /// Logs that the worker has crashed.
     Crashed(Crash),
+    /// Logs that a start was not passed on to the worker.
+    Rejected(Rejection),
 }
 
 /// The state of an order that the worker's list may not show yet.
@@ -106,6 +113,12 @@
     Stopped(Instant),
 }
 
+impl Order {
+    fn is_stop(&self) -> bool {
+        matches!(self, Self::Stopping { .. } | Self::Stopped(_))
+    }
+}
+
 /// The state machine of an agent.
 #[derive(Debug, Default)]
 pub struct Agent {
--- a/crates/workload/src/agent/queue.rs
+++ b/crates/workload/src/agent/queue.rs
@@ -1,10 +1,13 @@
 //! Orders to the worker that wait until others have been answered.
 
 use {
-    super::{Action, Agent, Call, Deadline, Order},
+    super::{
+        rejection::{Cause, Rejection},
+        Action, Agent, Call, Deadline, Order,
+    },
     crate::{
         id::{Fence, Run, Task},
-        message::{Start, StartStatus},
+        message::Start,
     },
     filbertbend_state::time::Instant,
     std::collections::VecDeque,
@@ -95,9 +98,11 @@
                     self.unanswered.sent(now, &call);
                     actions.push(Action::Call(call));
                 }
-                Err(status) => {
+                Err(cause) => {
+                    let Start { task, run, .. } = start;
                     self.queue.answered();
-                    self.outcome(start.task, start.run, status);
+                    self.outcome(task, run, cause.status());
+                    actions.push(Action::Rejected(Rejection { task, run, cause }));
                 }
             }
         }
@@ -105,16 +110,25 @@
 
     /// Returns the fence and the end of the lease for a start, or why it must not
     /// be sent.
-    fn permit(&self, now: Instant, start: &Start) -> Result<(Fence, Deadline), StartStatus> {
-        let draining = self.profile.as_ref().is_none_or(|profile| profile.draining);
-        let (Some(session), Some(deadline)) = (&self.session, self.deadline(now)) else {
-            return Err(StartStatus::Withdrawn);
+    fn permit(&self, now: Instant, start: &Start) -> Result<(Fence, Deadline), Cause> {
+        let (Some(session), Some(profile), Some(deadline)) =
+            (&self.session, &self.profile, self.deadline(now))
+        else {
+            return Err(Cause::Unprepared);
         };
-        if !self.is_leased(now) || draining || !self.heard {
-            return Err(StartStatus::Withdrawn);
+        if !self.is_leased(now) {
+            let left = self.lease_until.unwrap_or_default().since(now);
+            return Err(Cause::LeaseEnding { left });
+        }
+        if profile.draining {
+            return Err(Cause::Draining);
+        }
+        if !self.heard {
+            return Err(Cause::ProfileUnconfirmed);
         }
-        if !self.has_room(start) {
-            return Err(StartStatus::NoRoom);
+        let occupancy = self.occupancy(profile, start);
+        if !occupancy.has_room() {
+            return Err(Cause::NoRoom(occupancy));
         }
         Ok((session.fence, deadline))
     }
--- a/crates/workload/src/agent/room.rs
+++ b/crates/workload/src/agent/room.rs
@@ -2,26 +2,92 @@
 //! worker may have shrunk since.
 
 use {
-    super::Agent, crate::message::Start, filbertbend_state::room::Room, std::collections::BTreeSet,
+    super::{Agent, Order},
+    crate::{
+        id::{Run, Task},
+        message::Start,
+        worker::Profile,
+    },
+    filbertbend_state::room::Room,
+    std::{collections::BTreeSet, fmt},
 };
 
+/// What takes room on a worker beside a start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Occupancy {
+    /// The resources of the worker, by its newest profile.
+    pub whole: Room,
+    /// What the start requires.
+    pub required: Room,
+    /// What the runs of known size use.
+    pub used: Room,
+    /// The number of runs.
+    pub runs: usize,
+    /// A run of unknown size, beside which nothing fits.
+    pub unknown: Option<Unknown>,
+}
+
+/// A run of unknown size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unknown {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+    /// Whether the worker has listed it.
+    pub listed: bool,
+    /// Whether it was ordered to stop.
+    pub stopping: bool,
+}
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let listed = if self.listed { "listed" } else { "not listed" };
+        let stopping = if self.stopping { ", stopping" } else { "" };
+        write!(f, "{} run {}, {listed}{stopping}", self.task, self.run.0)
+    }
+}
+
+impl Occupancy {
+    /// Returns whether the start fits.
+    pub(super) fn has_room(&self) -> bool {
+        self.unknown.is_none() && self.whole.fits(&(self.used + self.required))
+    }
+}
+
 impl Agent {
-    /// Returns whether a start fits together with everything that runs, is
-    /// being stopped or may still start, by the newest profile. Nothing fits
-    /// beside a run of unknown size.
-    pub(super) fn has_room(&self, start: &Start) -> bool {
-        let Some(profile) = &self.profile else {
-            return false;
-        };
-        let listed = self.running.iter().map(|row| (row.task, row.run));
+    /// Returns what takes room beside a start: everything that runs, is being
+    /// stopped or may still start.
+    pub(super) fn occupancy(&self, profile: &Profile, start: &Start) -> Occupancy {
+        let listed: BTreeSet<_> = self.running.iter().map(|row| (row.task, row.run)).collect();
+        let issued = self.issued.keys().copied();
         let others: BTreeSet<_> = listed
-            .chain(self.issued.keys().copied())
+            .iter()
+            .copied()
+            .chain(issued)
             .filter(|key| *key != (start.task, start.run))
             .collect();
-        let used = others.iter().try_fold(start.role.room, |used, key| {
-            let role = self.roles.get(key)?;
-            Some::<Room>(used + role.room)
-        });
-        used.is_some_and(|used| profile.room.fits(&used))
+        let mut occupancy = Occupancy {
+            whole: profile.room,
+            required: start.role.room,
+            used: Room::NONE,
+            runs: others.len(),
+            unknown: None,
+        };
+        for key in others {
+            match self.roles.get(&key) {
+                Some(role) => occupancy.used += role.room,
+                None => {
+                    let order = self.issued.get(&key);
+                    occupancy.unknown = Some(Unknown {
+                        task: key.0,
+                        run: key.1,
+                        listed: listed.contains(&key),
+                        stopping: order.is_some_and(Order::is_stop),
+                    });
+                }
+            }
+        }
+        occupancy
     }
 }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -206,7 +206,8 @@
 }
 
 /// Whether a start took effect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum StartStatus {
     /// The run has started, and may have ended by now.
     Started,
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         id::{Fence, Incarnation, Job, Node, Run, Task},
-        message::KnownLease,
+        message::{KnownLease, StartStatus},
         record::State,
         run_time::Timing,
         urgency::{Outlook, Standing},
@@ -55,6 +55,19 @@
         /// How long it took, if that is known of a whole task that completed.
         timing: Option<Timing>,
     },
+    /// A start was not carried out, so its run was removed.
+    Refused {
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The node of the worker's agent.
+        node: Node,
+        /// What the agent reported.
+        status: StartStatus,
+        /// Whether the leader had ordered the run to stop.
+        stopping: bool,
+    },
     /// A run was removed although the worker reported no end.
     Lost {
         /// The task.
@@ -241,8 +254,6 @@
     WorkerRestarted,
     /// The worker's lease has expired.
     LeasePassed,
-    /// The worker refused the start.
-    Refused,
     /// The worker's room has shrunk, so that the start no longer fits.
     WorkerShrunk,
     /// Another member of the gang was withdrawn or refused.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -180,6 +180,8 @@
         if !self.fleet.release(node, task, run) {
             return;
         }
+        let execution = self.registry.execution_mut(task, run);
+        let stopping = execution.is_none_or(|execution| execution.stopping);
         self.remove_execution(task, run, actions);
         if let Some(entry) = self.registry.task_mut(task) {
             entry.avoid = Some(node.clone());
@@ -197,12 +199,12 @@
         if status == StartStatus::Invalid {
             self.fail(node, task, run, actions);
         }
-        actions.push(Action::Decided(Decision::Lost {
+        actions.push(Action::Decided(Decision::Refused {
             task,
             run,
             node: node.clone(),
-            reason: Reason::Refused,
-            silent: Millis::ZERO,
+            status,
+            stopping,
         }));
         self.stop_gang(task, run, actions);
     }
--- a/crates/workload/tests/agent/harness.rs
+++ b/crates/workload/tests/agent/harness.rs
@@ -132,7 +132,7 @@
                 Action::Call(call) => self.calls.push(call),
                 Action::Send(report) => self.reports.push(*report),
                 Action::Hello => self.hellos += 1,
-                Action::Ping | Action::Crashed(_) => {}
+                Action::Ping | Action::Crashed(_) | Action::Rejected(_) => {}
             }
         }
     }
--- a/crates/workload/tests/interleavings/cluster.rs
+++ b/crates/workload/tests/interleavings/cluster.rs
@@ -366,7 +366,7 @@
                 Effect::Send(report) => self.message(side, Message::Report(report)),
                 Effect::Ping => self.message(side, Message::Ping),
                 Effect::Call(call) => self.call(side, call),
-                Effect::Crashed(_) => {}
+                Effect::Crashed(_) | Effect::Rejected(_) => {}
             }
         }
     }
--- a/crates/workload/tests/support/agent.rs
+++ b/crates/workload/tests/support/agent.rs
@@ -157,7 +157,7 @@
                 Action::Hello => self.welcome(),
                 Action::Send(report) => self.report(&report),
                 Action::Call(call) => self.call(call),
-                Action::Ping | Action::Crashed(_) => {}
+                Action::Ping | Action::Crashed(_) | Action::Rejected(_) => {}
             }
         }
     }
