Stops of runs that are over take no room on a worker

Cause: the agent notes each stop as an order in progress, also the stop of a run that has ended or was refused. It has no role of such a run, and the room check took every order without a role for a run of unknown size, beside which nothing starts, until the stop was confirmed and a complete list lacked the run. Each refusal made the leader stop the rest of a gang, also the members that other agents had refused for the same reason, which renewed the state.

A run now takes room if the worker lists it, or if a start of it was sent in this session and is not known to have no effect. A start that was sent has a role until then, and the fence rules out the starts of earlier sessions, so an order without a role takes no room. Only listed runs may be of unknown size. The role of a start that the worker refuses is dropped; it had been kept.

Ruled out: runs of the gang that go on (none listed, 0 cores used), a leader that reserves too much (it placed the starts), missing leases or profiles (the cause is no_room in each line). Not done: answering such a stop without a call, since the call also rules out a start that is carried out late.

--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -482,6 +482,7 @@
             self.throttle.started(task, run);
         } else {
             self.issued.remove(&(task, run));
+            self.roles.remove(&(task, run));
         }
         self.outcome(task, run, status);
     }
--- a/crates/workload/src/agent/room.rs
+++ b/crates/workload/src/agent/room.rs
@@ -27,24 +27,21 @@
     pub unknown: Option<Unknown>,
 }
 
-/// A run of unknown size.
+/// A run of unknown size, which the worker lists.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Unknown {
     /// The task.
     pub task: Task,
     /// The run.
     pub run: Run,
-    /// Whether the worker has listed it.
-    pub listed: bool,
     /// Whether it was ordered to stop.
     pub stopping: bool,
 }
 
 impl fmt::Display for Unknown {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let listed = if self.listed { "listed" } else { "not listed" };
         let stopping = if self.stopping { ", stopping" } else { "" };
-        write!(f, "{} run {}, {listed}{stopping}", self.task, self.run.0)
+        write!(f, "{} run {}{stopping}", self.task, self.run.0)
     }
 }
 
@@ -58,13 +55,18 @@
 impl Agent {
     /// Returns what takes room beside a start: everything that runs, is being
     /// stopped or may still start.
+    ///
+    /// What the worker does not list takes room only if its role is known. The
+    /// role of a start that was sent is kept until the start is known to have
+    /// no effect, and the fence of the session rules starts of earlier ones
+    /// out. A stop without a role thus concerns a run that has ended or was
+    /// never begun.
     pub(super) fn occupancy(&self, profile: &Profile, start: &Start) -> Occupancy {
-        let listed: BTreeSet<_> = self.running.iter().map(|row| (row.task, row.run)).collect();
+        let listed = self.running.iter().map(|row| (row.task, row.run));
         let issued = self.issued.keys().copied();
+        let ordered = issued.filter(|key| self.roles.contains_key(key));
         let others: BTreeSet<_> = listed
-            .iter()
-            .copied()
-            .chain(issued)
+            .chain(ordered)
             .filter(|key| *key != (start.task, start.run))
             .collect();
         let mut occupancy = Occupancy {
@@ -82,7 +84,6 @@
                     occupancy.unknown = Some(Unknown {
                         task: key.0,
                         run: key.1,
-                        listed: listed.contains(&key),
                         stopping: order.is_some_and(Order::is_stop),
                     });
                 }
--- a/crates/workload/tests/agent/main.rs
+++ b/crates/workload/tests/agent/main.rs
@@ -5,6 +5,7 @@
 mod former_lives;
 mod harness;
 mod restarts;
+mod stops;
 mod takeovers;
 
 use {
