Pause the starts that a worker refuses, also those of gangs

Cause: the leader answers a refusal by freeing the reservation, stopping the gang's other members and making the task startable. The next pass still takes the worker for one with room, so the start is repeated as often as passes and the store allow. A task avoids one worker only, so where several refuse the members of a gang move between these, and it never starts although others have room.

The leader now keeps the last refusal of each worker: no start that requires as much, or none at all if it was not for room, for 100 ms, doubled with each further refusal up to 1 s. Another profile or inventory ends it. The agent reports `unready` for what it does not send because of lease, drain or profile; `withdrawn` now only means that a stop has ruled a start out, which is no refusal: starts without an answer end so, after their time-out.

Not done: pauses of tasks or gangs, which bound the attempts but not the moves between workers.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -56,11 +56,12 @@
             node,
             status,
             stopping,
+            pause,
         } => {
             counter!("filbertbend_lost_total", "reason" => "refused").increment(1);
             counter!("filbertbend_starts_refused_total", "status" => status.to_string())
                 .increment(1);
-            info!("run abandoned", kv: { job: = task.job, task:, run = run.0, node:, reason: = "refused", status:, stopping = *stopping });
+            info!("run abandoned", kv: { job: = task.job, task:, run = run.0, node:, reason: = "refused", status:, stopping = *stopping, pause_ms = pause.0 });
         }
         Decision::Lost {
             task,
--- a/crates/state/src/room.rs
+++ b/crates/state/src/room.rs
@@ -36,6 +36,16 @@
             && size.accelerators <= self.accelerators
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cores: self.cores.min(other.cores),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Subtracts `size` in every resource, or returns `None` if it does not fit.
     #[must_use]
     pub fn checked_sub(self, size: Self) -> Option<Self> {
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -475,7 +475,10 @@
             Answer::Refused(Refusal::Superseded) => StartStatus::Superseded,
             Answer::Refused(Refusal::Unhealthy) => StartStatus::Unhealthy,
             Answer::Refused(Refusal::Invalid) => StartStatus::Invalid,
-            Answer::Refused(_) => StartStatus::Withdrawn,
+            // The other refusals have ended the session.
+            Answer::Refused(Refusal::LeaseExpired | Refusal::Fence | Refusal::Restarted) => {
+                StartStatus::Unready
+            }
         };
         if status == StartStatus::Started {
             self.issued.insert((task, run), Order::Started(now));
--- a/crates/workload/src/agent/rejection.rs
+++ b/crates/workload/src/agent/rejection.rs
@@ -48,7 +48,7 @@
             Self::Unprepared
             | Self::LeaseEnding { .. }
             | Self::Draining
-            | Self::ProfileUnconfirmed => StartStatus::Withdrawn,
+            | Self::ProfileUnconfirmed => StartStatus::Unready,
         }
     }
 }
--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -219,10 +219,13 @@
     Unhealthy,
     /// The worker's process is gone, so that the start cannot be sent.
     Unreachable,
-    /// The start came too late or was withdrawn by a stop.
+    /// A stop has ruled the start out.
     Withdrawn,
     /// The worker cannot parse the start.
     Invalid,
+    /// The worker may start nothing at present: its lease is over or ending, it is
+    /// draining, or its profile is not known to be up to date.
+    Unready,
 }
 
 /// Orders of the leader to an agent.
--- a/crates/workload/src/planner/decision.rs
+++ b/crates/workload/src/planner/decision.rs
@@ -67,6 +67,8 @@
         status: StartStatus,
         /// Whether the leader had ordered the run to stop.
         stopping: bool,
+        /// For how long the worker gets no such starts.
+        pause: Millis,
     },
     /// A run was removed although the worker reported no end.
     Lost {
--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -9,6 +9,7 @@
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much, where it becomes free first according to
 //!   `drain`.
+//! - `refusal` keeps starts from workers that refuse them.
 //! - `stop` stops runs and withdraws starts, `evacuation` in the data centres that
 //!   operators have evacuated.
 //! - `pass` holds what a placement pass has found out about the workers.
@@ -42,6 +43,7 @@
 mod persist;
 mod place;
 mod preempt;
+mod refusal;
 mod registry;
 mod report;
 mod session;
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -507,6 +507,7 @@
         let separate = !requirements.isolated || !worker.has_suspect(self.now);
         below_limit
             && healthy
+            && !worker.refuses(self.now, &need)
             && separate
             && !worker.hold.as_ref().is_some_and(is_kept)
             && self.is_eligible(requirements, worker)
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        policy, registry::Execution, worker::Reservation, Action, Decision, Instant, Planner,
-        Reason,
+        policy, refusal, registry::Execution, worker::Reservation, Action, Decision, Instant,
+        Planner, Reason,
     },
     crate::{
         id::{Link, Node, Run, Task},
@@ -177,11 +177,15 @@
             }
             return;
         }
+        let execution = self.registry.execution_mut(task, run);
+        let stopping = execution.is_none_or(|execution| execution.stopping);
+        let worker = self.fleet.get_mut(node);
+        let pause = worker
+            .filter(|_| refusal::is_refusal(status, stopping))
+            .and_then(|worker| worker.record_refusal(self.now, (task, run), status));
         if !self.fleet.release(node, task, run) {
             return;
         }
-        let execution = self.registry.execution_mut(task, run);
-        let stopping = execution.is_none_or(|execution| execution.stopping);
         self.remove_execution(task, run, actions);
         if let Some(entry) = self.registry.task_mut(task) {
             entry.avoid = Some(node.clone());
@@ -205,6 +209,7 @@
             node: node.clone(),
             status,
             stopping,
+            pause: pause.unwrap_or_default(),
         }));
         self.stop_gang(task, run, actions);
     }
--- a/crates/workload/src/planner/worker.rs
+++ b/crates/workload/src/planner/worker.rs
@@ -1,7 +1,7 @@
 //! A worker, the session with its agent, and the reservations on it.
 
 use {
-    super::{headroom::Headroom, hold::Hold, settings, Settings},
+    super::{headroom::Headroom, hold::Hold, refusal::Refusal, settings, Settings},
     crate::{
         id::{Fence, Incarnation, Job, Link, Run, Sequence, Task},
         interference::{Model, Service, Weight},
@@ -101,6 +101,9 @@
     pub(super) hold: Option<Hold>,
     /// Until when the worker gets no tasks because a start could not be sent.
     unreachable_until: Option<Instant>,
+    /// The last refusal of a start, unless the worker has reported another profile
+    /// or inventory since.
+    pub(super) refusal: Option<Refusal>,
     /// What the services leave to best-effort tasks; `None` after a change.
     headroom: Option<Headroom>,
     pub(super) orders: Orders,
@@ -157,6 +160,7 @@
             health: Health::default(),
             hold: None,
             unreachable_until: None,
+            refusal: None,
             headroom: None,
             orders: Orders::default(),
             pending_starts: Vec::new(),
@@ -211,6 +215,7 @@
                 self.used += reservation.room;
             }
         }
+        self.refusal = None;
         self.profile = Some(profile);
         self.profile_reported = true;
     }
@@ -245,6 +250,7 @@
         self.suspected_until = Instant::default();
         self.early = None;
         self.unreachable_until = None;
+        self.refusal = None;
         self.last_incarnation = Some(incarnation.clone());
         let granted_until = now + settings.lease_bound();
         self.lease_until = Some(granted_until.max(self.foreign_lease_until));
