--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's planner: assigns tasks to workers and tracks the state of jobs.
 //!
-//! - `registry` holds jobs with their occurrences, steps and tasks.
+//! - `registry` holds jobs with their occurrences, steps and tasks, and `recovery`
+//!   translates between these and the stored progress.
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `session` opens the sessions with agents and gives up lost runs.
@@ -43,6 +44,7 @@
 mod persist;
 mod place;
 mod preempt;
+mod recovery;
 mod refusal;
 mod registry;
 mod report;
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -5,7 +5,7 @@
     crate::{
         id::{Fence, Job, Node, Run, Task},
         job::{self, Step},
-        record::{Occurrence as StoredOccurrence, Progress, State, Unfinished},
+        record::State,
         run_time::Siblings,
         urgency::Standing,
     },
@@ -16,10 +16,6 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// The largest number of failures that is restored for a task. Those of the
-/// largest gang can still be added up.
-const RESTORED_FAILURE_LIMIT: u32 = u32::MAX / 2 / job::TASK_LIMIT as u32;
-
 /// A run of a task that has not certainly ended.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Execution {
@@ -159,11 +155,11 @@
     /// All occurrences below this one have completed.
     pub(super) completed: u32,
     /// The first occurrence that is not due yet.
-    next: u32,
+    pub(super) next: u32,
 }
 
 impl Occurrence {
-    fn new(job: &job::Job) -> Self {
+    pub(super) fn new(job: &job::Job) -> Self {
         let steps = job
             .steps
             .iter()
@@ -223,77 +219,6 @@
         }
     }
 
-    /// Restores the progress that a former leader persisted.
-    pub(super) fn restore(&mut self, now: Instant, progress: &Progress) {
-        self.state = progress.state;
-        self.visible = progress.state;
-        self.completed = progress.completed;
-        self.next = progress.completed;
-        self.ended = progress.ended;
-        self.ended_at = progress.state.is_final().then_some(now);
-        if progress.state.is_final() {
-            return;
-        }
-        for stored in &progress.occurrences {
-            let exists = (self.completed..self.job.occurrences()).contains(&stored.number);
-            if !exists || !self.may_open() {
-                continue;
-            }
-            let mut occurrence = Occurrence::new(&self.job);
-            for (step, bits) in occurrence.steps.iter_mut().zip(&stored.done) {
-                for (index, task) in step.tasks.iter_mut().enumerate() {
-                    let word = bits.get(index / 64).copied().unwrap_or(0);
-                    task.done = word >> (index % 64) & 1 == 1;
-                }
-                step.remaining = step.tasks.iter().filter(|task| !task.done).count();
-            }
-            for recorded in &stored.unfinished {
-                let step = occurrence.steps.get_mut(usize::from(recorded.step));
-                let task = step.and_then(|step| step.tasks.get_mut(usize::from(recorded.index)));
-                if let Some(task) = task {
-                    task.failures = recorded.failures.min(RESTORED_FAILURE_LIMIT);
-                    task.failed_run = recorded.failed_run;
-                    task.blame = recorded.blame;
-                    task.blamed_run = recorded.blamed_run;
-                    task.run = recorded.failed_run.max(recorded.blamed_run);
-                    task.checkpoint.clone_from(&recorded.checkpoint);
-                    for (node, run) in &recorded.runs {
-                        task.run = task.run.max(*run);
-                        task.executions.push(Execution {
-                            node: node.clone(),
-                            run: *run,
-                            since: now,
-                            accepted: None,
-                            resumed: task.checkpoint.is_some(),
-                            started: true,
-                            stopping: false,
-                        });
-                    }
-                }
-            }
-            self.next = self.next.max(stored.number + 1);
-            self.occurrences.insert(stored.number, occurrence);
-        }
-    }
-
-    /// Returns the progress to persist.
-    pub(super) fn progress(&self) -> Progress {
-        let occurrences = if self.state.is_final() {
-            Vec::new()
-        } else {
-            self.occurrences
-                .iter()
-                .map(|(number, occurrence)| stored_occurrence(*number, occurrence))
-                .collect()
-        };
-        Progress {
-            state: self.state,
-            ended: self.ended,
-            occurrences,
-            completed: self.completed,
-        }
-    }
-
     /// Opens due occurrences and the steps whose predecessors have completed,
     /// and removes completed occurrences.
     pub(super) fn open_due(&mut self, now: Instant, wall: Wall) {
@@ -329,7 +254,7 @@
     /// Returns whether another due occurrence may be opened. Occurrences may
     /// overlap, but those of one job have at most [`job::TASK_LIMIT`] tasks at a
     /// time, so that a schedule without pauses does not exhaust the leader.
-    fn may_open(&self) -> bool {
+    pub(super) fn may_open(&self) -> bool {
         let tasks = self.job.tasks() * (self.occurrences.len() + 1);
         self.occurrences.is_empty() || tasks <= job::TASK_LIMIT
     }
@@ -456,44 +381,6 @@
     }
 }
 
-fn stored_occurrence(number: u32, occurrence: &Occurrence) -> StoredOccurrence {
-    let mut unfinished = Vec::new();
-    let mut done = Vec::new();
-    for (step, entry) in occurrence.steps.iter().enumerate() {
-        let mut bits = vec![0_u64; entry.tasks.len().div_ceil(64)];
-        for (index, task) in entry.tasks.iter().enumerate() {
-            if task.done {
-                bits[index / 64] |= 1 << (index % 64);
-            } else if task.failures > 0
-                || task.blame > 0
-                || task.checkpoint.is_some()
-                || !task.executions.is_empty()
-            {
-                unfinished.push(Unfinished {
-                    step: step as u16,
-                    index: index as u16,
-                    failures: task.failures,
-                    failed_run: task.failed_run,
-                    blame: task.blame,
-                    blamed_run: task.blamed_run,
-                    checkpoint: task.checkpoint.clone(),
-                    runs: task
-                        .executions
-                        .iter()
-                        .map(|execution| (execution.node.clone(), execution.run))
-                        .collect(),
-                });
-            }
-        }
-        done.push(bits);
-    }
-    StoredOccurrence {
-        number,
-        done,
-        unfinished,
-    }
-}
-
 /// All jobs that the leader knows.
 #[derive(Debug, Default)]
 pub(super) struct Registry {
