Show jobs as running whatever reports that a task has started

Callers saw jobs that run shown as queued after a change of leader, and counted as pending, until one of their tasks ended: for good if the tasks last.

Cause: a new leader restores the stored state, which is queued if nothing was stored since the placement. Where a worker then lists the run, the planner recorded it as started and left the state of the job, unlike for runs that it adopts and for starts that are answered. An end that a worker lists before the agent has read the answer to its start left the state, too.

The state now follows all three: the answer, the list and the end. A run that was only ordered still shows nothing, so its job stays queued until its worker reports.

--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -264,6 +264,15 @@
         self.completed >= self.job.occurrences()
     }
 
+    /// Records that a task has started, which its worker reports with the start, in
+    /// its list of runs or with an end.
+    pub(super) fn begin(&mut self) {
+        if self.state == State::Queued {
+            self.state = State::Running;
+            self.visible = State::Running;
+        }
+    }
+
     /// Moves the job to a final state.
     pub(super) fn finish(&mut self, state: State, now: Instant, wall: Wall) {
         self.state = state;
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -170,10 +170,7 @@
                 execution.started = true;
             }
             if let Some(entry) = self.registry.get_mut(task.job) {
-                if entry.state == State::Queued {
-                    entry.state = State::Running;
-                    entry.visible = State::Running;
-                }
+                entry.begin();
             }
             return;
         }
@@ -267,6 +264,7 @@
             self.remove_execution(task, run, actions);
             return false;
         }
+        entry.begin();
         let Some(step) = entry.step(task.step) else {
             return false;
         };
@@ -456,10 +454,10 @@
     /// Confirms a known run, and repeats its stop if one is due: a stop of an
     /// earlier session may not have reached the agent.
     fn confirm(&mut self, node: &Node, row: &Running, actions: &mut Vec<Action>) {
-        let is_final = self
-            .registry
-            .get(row.task.job)
-            .is_none_or(|entry| entry.state.is_final());
+        let is_final = self.registry.get_mut(row.task.job).is_none_or(|entry| {
+            entry.begin();
+            entry.state.is_final()
+        });
         let stopping = match self.registry.execution_mut(row.task, row.run) {
             Some(execution) => {
                 execution.started = true;
@@ -519,10 +517,7 @@
             });
         }
         if let Some(entry) = self.registry.get_mut(row.task.job) {
-            if entry.state == State::Queued {
-                entry.state = State::Running;
-                entry.visible = State::Running;
-            }
+            entry.begin();
         }
         self.refresh(row.task.job, actions);
         true
