Store that a job runs if nothing else changes within 2 s

An entry that cannot reach the leader reads states from the store, and so does a new leader before workers have reported. Callers got `queued` from both for jobs that ran: the state was stored only with the next change of the job, which is the end of a task, and never comes if the tasks last.

The state now waits 2 s for another change of the job to be written with, and is then stored by itself, without urgency. Storing it at once was not tried: most tasks end within seconds, and each job would cost one further write.

Evidence: job_that_goes_on_running_is_stored_as_running failed before (nothing was stored); job_that_ends_soon_is_stored_no_more_often held and holds.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -505,6 +505,7 @@
             self.headroom_invalidated = self.now;
             self.fleet.invalidate_headroom();
         }
+        self.store_begun();
         self.fleet.send_weights(&self.model.changed_weights());
         let is_behind = self.now < self.conclude_not_before;
         for (node, expiry) in self.fleet.expired_leases(self.now, is_behind) {
@@ -547,38 +548,6 @@
             self.open(link, node, actions);
         }
     }
-
-    /// Starts the next batch if one is due and sends the pending orders.
-    fn flush(&mut self, actions: &mut Vec<Action>) {
-        if let Some(batch) = self.persist.next(self.now, &self.registry) {
-            actions.push(Action::Persist(batch));
-        }
-        let registry = &self.registry;
-        let durability_changed = std::mem::take(&mut self.durability_changed);
-        let orders = self.fleet.take_orders(durability_changed, |id, version| {
-            registry
-                .get(id)
-                .is_none_or(|entry| entry.durable_version >= version)
-        });
-        for (link, orders) in orders {
-            actions.push(Action::Send(link, Response::Orders(orders)));
-        }
-    }
-
-    fn persisted(&mut self, number: u64) {
-        let Some(in_flight) = self.persist.complete(number) else {
-            return;
-        };
-        self.durability_changed = true;
-        for (id, version) in &in_flight.jobs {
-            if let Some(entry) = self.registry.get_mut(*id) {
-                entry.durable_version = (*version).max(entry.durable_version);
-                if entry.durable_version == entry.version {
-                    entry.visible = entry.state;
-                }
-            }
-        }
-    }
 }
 
 /// Returns the policy of a job: that of its queue, or the one it was accepted
--- a/crates/workload/src/planner/persist.rs
+++ b/crates/workload/src/planner/persist.rs
@@ -1,8 +1,8 @@
 //! Batching of the changes that are written to the store.
 
 use {
-    super::registry::Registry,
-    crate::{id::Job, record::Progress},
+    super::{registry::Registry, Action, Planner},
+    crate::{id::Job, message::Response, record::Progress},
     filbertbend_state::{time::Instant, unit::Millis},
     std::collections::{BTreeSet, VecDeque},
 };
@@ -16,6 +16,10 @@
 /// Workers keep listing the ends meanwhile.
 const BATCH_DELAY: Millis = Millis(150);
 
+/// How long the state of a job that has begun waits for another change of the job
+/// to be written with. Most tasks end sooner.
+const STATE_DELAY: Millis = Millis(2000);
+
 /// A change of stored data.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Write {
@@ -51,6 +55,8 @@
     urgent: bool,
     dirty_since: Option<Instant>,
     removed: VecDeque<Job>,
+    /// The jobs that have begun, with when and at which version.
+    deferred: VecDeque<(Instant, Job, u64)>,
     in_flight: Option<InFlight>,
     number: u64,
 }
@@ -65,6 +71,21 @@
         self.dirty_since.get_or_insert(now);
     }
 
+    /// Leaves the state of a job that has begun to its next change, or to
+    /// [`Queue::take_deferred`] if there is none soon.
+    pub(super) fn defer(&mut self, now: Instant, job: Job, version: u64) {
+        self.deferred.push_back((now, job, version));
+    }
+
+    /// Takes the jobs whose state has waited for long, with the versions at which
+    /// they began.
+    pub(super) fn take_deferred(&mut self, now: Instant) -> Vec<(Job, u64)> {
+        let is_due = |(since, ..): &&(Instant, Job, u64)| now >= *since + STATE_DELAY;
+        let due = self.deferred.iter().take_while(is_due).count();
+        let taken = self.deferred.drain(..due);
+        taken.map(|(_, job, version)| (job, version)).collect()
+    }
+
     /// Makes the next batch due at once.
     pub(super) fn flush_now(&mut self) {
         self.urgent = true;
@@ -147,3 +168,60 @@
         Some(in_flight)
     }
 }
+
+impl Planner {
+    /// Records that a task of a job has started, which its worker reports with the
+    /// start, in its list of runs or with an end.
+    pub(super) fn begin(&mut self, id: Job) {
+        let Some(entry) = self.registry.get_mut(id) else {
+            return;
+        };
+        if entry.begin() {
+            self.persist.defer(self.now, id, entry.version);
+        }
+    }
+
+    /// Stores the state of jobs that began a while ago. Later changes have stored it
+    /// as well.
+    pub(super) fn store_begun(&mut self) {
+        for (id, version) in self.persist.take_deferred(self.now) {
+            let entry = self.registry.get_mut(id);
+            if let Some(entry) = entry.filter(|entry| entry.version == version) {
+                entry.version += 1;
+                self.persist.mark_dirty(self.now, id, false);
+            }
+        }
+    }
+
+    /// Starts the next batch if one is due and sends the pending orders.
+    pub(super) fn flush(&mut self, actions: &mut Vec<Action>) {
+        if let Some(batch) = self.persist.next(self.now, &self.registry) {
+            actions.push(Action::Persist(batch));
+        }
+        let registry = &self.registry;
+        let durability_changed = std::mem::take(&mut self.durability_changed);
+        let orders = self.fleet.take_orders(durability_changed, |id, version| {
+            registry
+                .get(id)
+                .is_none_or(|entry| entry.durable_version >= version)
+        });
+        for (link, orders) in orders {
+            actions.push(Action::Send(link, Response::Orders(orders)));
+        }
+    }
+
+    pub(super) fn persisted(&mut self, number: u64) {
+        let Some(in_flight) = self.persist.complete(number) else {
+            return;
+        };
+        self.durability_changed = true;
+        for (id, version) in &in_flight.jobs {
+            if let Some(entry) = self.registry.get_mut(*id) {
+                entry.durable_version = (*version).max(entry.durable_version);
+                if entry.durable_version == entry.version {
+                    entry.visible = entry.state;
+                }
+            }
+        }
+    }
+}
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -264,13 +264,14 @@
         self.completed >= self.job.occurrences()
     }
 
-    /// Records that a task has started, which its worker reports with the start, in
-    /// its list of runs or with an end.
-    pub(super) fn begin(&mut self) {
-        if self.state == State::Queued {
+    /// Records that a task has started; returns whether it is the first one.
+    pub(super) fn begin(&mut self) -> bool {
+        let is_first = self.state == State::Queued;
+        if is_first {
             self.state = State::Running;
             self.visible = State::Running;
         }
+        is_first
     }
 
     /// Moves the job to a final state.
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -169,9 +169,7 @@
                 }
                 execution.started = true;
             }
-            if let Some(entry) = self.registry.get_mut(task.job) {
-                entry.begin();
-            }
+            self.begin(task.job);
             return;
         }
         let execution = self.registry.execution_mut(task, run);
@@ -257,6 +255,7 @@
         checkpoint: Option<Arc<str>>,
         actions: &mut Vec<Action>,
     ) -> bool {
+        self.begin(task.job);
         let Some(entry) = self.registry.get_mut(task.job) else {
             return false;
         };
@@ -264,7 +263,6 @@
             self.remove_execution(task, run, actions);
             return false;
         }
-        entry.begin();
         let Some(step) = entry.step(task.step) else {
             return false;
         };
@@ -454,10 +452,11 @@
     /// Confirms a known run, and repeats its stop if one is due: a stop of an
     /// earlier session may not have reached the agent.
     fn confirm(&mut self, node: &Node, row: &Running, actions: &mut Vec<Action>) {
-        let is_final = self.registry.get_mut(row.task.job).is_none_or(|entry| {
-            entry.begin();
-            entry.state.is_final()
-        });
+        self.begin(row.task.job);
+        let is_final = self
+            .registry
+            .get(row.task.job)
+            .is_none_or(|entry| entry.state.is_final());
         let stopping = match self.registry.execution_mut(row.task, row.run) {
             Some(execution) => {
                 execution.started = true;
@@ -516,9 +515,7 @@
                 stopping: false,
             });
         }
-        if let Some(entry) = self.registry.get_mut(row.task.job) {
-            entry.begin();
-        }
+        self.begin(row.task.job);
         self.refresh(row.task.job, actions);
         true
     }
--- a/crates/workload/tests/job_states.rs
+++ b/crates/workload/tests/job_states.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::{Job, Run},
         message::{Query, Reply},
@@ -11,7 +12,7 @@
         worker::{Exit, Running},
     },
     std::sync::Arc,
-    support::{catalog, job, placed, running, service, step, task, Harness, QUEUE},
+    support::{catalog, job, placed, progress, running, service, step, task, Harness, QUEUE},
 };
 
 fn state(harness: &Harness) -> Reply {
@@ -70,3 +71,36 @@
     assert_eq!(state(&harness), Reply::State(Some(State::Running)));
     assert_eq!(pending(&harness), Reply::Pending(0));
 }
+
+/// Guards against jobs that an entry without a leader, or a new leader, takes for
+/// queued although their tasks have run for long.
+#[test]
+fn job_that_goes_on_running_is_stored_as_running() {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, job(vec![service()]));
+    let start = harness.starts(0).remove(0);
+    harness.started(0, &start);
+
+    harness.pass(Millis(3000), &[0]);
+    let batches = harness.commit();
+
+    let stored = progress(&batches, 1).expect("the state is stored");
+    assert_eq!(stored.state, State::Running);
+}
+
+/// Guards against a further write for each job: those that end soon are written
+/// anyway.
+#[test]
+fn job_that_ends_soon_is_stored_no_more_often() {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, job(vec![step(1)]));
+    let start = harness.starts(0).remove(0);
+    harness.started(0, &start);
+    harness.pass(Millis(500), &[0]);
+    assert_eq!(harness.commit().len(), 0);
+
+    harness.end(0, 1, &start, Exit::Done);
+    harness.pass(Millis(2000), &[0]);
+
+    assert_eq!(harness.commit().len(), 1);
+}
