--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -5,7 +5,7 @@
 //! - `fleet` holds the workers, and `worker` the reservations on each.
 //! - `report` processes the reports of agents.
 //! - `session` opens the sessions with agents and gives up lost runs.
-//! - `place` selects workers for tasks.
+//! - `place` selects workers for tasks, `ranking` for several like ones at once.
 //! - `order` decides which steps come first when there is too little room.
 //! - `preempt` makes room for urgent tasks, `gang` for whole gangs, and `hold`
 //!   keeps it for tasks that need much, where it becomes free first according to
@@ -44,6 +44,7 @@
 mod persist;
 mod place;
 mod preempt;
+mod ranking;
 mod recovery;
 mod refusal;
 mod registry;
--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -15,11 +15,7 @@
         message::{Role, Start},
     },
     filbertbend_state::unit::Millis,
-    std::{
-        cmp::Ordering,
-        collections::{BTreeMap, BinaryHeap},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// The fraction of its cores that a best-effort task must find idle to be
@@ -78,7 +74,7 @@
 
     /// Returns whether the requirements differ between the tasks of a step, or
     /// depend on where the others run.
-    fn is_individual(&self) -> bool {
+    pub(super) fn is_individual(&self) -> bool {
         let placement = &self.step.placement;
         self.any_place
             || self.isolated
@@ -88,37 +84,6 @@
     }
 }
 
-/// The feasible workers for a task, the one with the highest score first.
-type Ranking = BinaryHeap<Candidate>;
-
-/// A worker with its score for a task. Equal scores are ordered by name, so
-/// that the choice does not depend on the order of examination.
-struct Candidate {
-    score: f64,
-    node: Node,
-}
-
-impl Ord for Candidate {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_score = self.score.total_cmp(&other.score);
-        by_score.then_with(|| self.node.cmp(&other.node))
-    }
-}
-
-impl PartialOrd for Candidate {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Candidate {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Candidate {}
-
 impl Planner {
     /// Runs a placement pass over the ready steps, most urgent first.
     pub(super) fn place(&mut self, actions: &mut Vec<Action>) {
@@ -205,47 +170,8 @@
         self.ready.remove(&rank);
     }
 
-    /// Returns the feasible worker with the highest score for one of several
-    /// like tasks of a step. Their scores are computed once, and again only for
-    /// workers that got a task since.
-    fn search_next(
-        &self,
-        requirements: &Requirements<'_>,
-        ranking: &mut Option<Ranking>,
-        pass: &mut Pass,
-    ) -> Option<Node> {
-        if requirements.is_individual() {
-            return self.search(requirements, pass);
-        }
-        let ranking = ranking.get_or_insert_with(|| {
-            let mut ranking = Ranking::default();
-            self.searches.set(self.searches.get() + 1);
-            for (node, _) in self.fleet.iter() {
-                self.rank(requirements, node, &mut ranking);
-            }
-            ranking
-        });
-        while let Some(best) = ranking.pop() {
-            let score = self.examine(requirements, &best.node);
-            if score.is_some_and(|score| score.total_cmp(&best.score).is_eq()) {
-                return Some(best.node);
-            }
-            // The worker was ranked again when it changed.
-        }
-        None
-    }
-
-    /// Adds a worker to a ranking if it is feasible.
-    fn rank(&self, requirements: &Requirements<'_>, node: &Node, ranking: &mut Ranking) {
-        if let Some(score) = self.examine(requirements, node) {
-            ranking.push(Candidate {
-                score,
-                node: node.clone(),
-            });
-        }
-    }
-
-    fn examine(&self, requirements: &Requirements<'_>, node: &Node) -> Option<f64> {
+    /// Returns the score of a worker for a task, see [`Planner::score`].
+    pub(super) fn examine(&self, requirements: &Requirements<'_>, node: &Node) -> Option<f64> {
         self.count_examined(1);
         self.score(requirements, node, self.fleet.get(node)?)
     }
@@ -389,7 +315,7 @@
 
     /// Returns the feasible worker with the highest score. The worker to avoid
     /// is only used if there is no other.
-    fn search(&self, requirements: &Requirements<'_>, pass: &mut Pass) -> Option<Node> {
+    pub(super) fn search(&self, requirements: &Requirements<'_>, pass: &mut Pass) -> Option<Node> {
         let step = requirements.step;
         let need = step.reserved();
         let is_acceptable = |offer: &Offer| {
