Start a task again on the worker whose start was ruled out

Cause: a stop rules a start out in one life of a worker only, and the leader took it for over wherever the task went; it even avoided that worker. A crash ends what runs on the worker, so a new run there cannot overlap with the late one. Besides, the runs that an inventory lacks were removed after its rows had been read, so the late run counted as superfluous beside the run that it had taken the place of, and the task was started while it was being stopped.

A ruled out start is now repeated on the same worker for 15 s if that is suitable, and elsewhere if it is ruled out there again. The runs that an inventory lacks are removed first.

Ruled out: deadlines that are over in the next life (its clock begins anew), a call that names the life (the header names the worker), waiting (12 s).

--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -54,6 +54,9 @@
     /// one, otherwise that of the data.
     rack: Option<Arc<str>>,
     pub(super) avoid: Option<&'a Node>,
+    /// The worker that is taken if it is suitable, because it may carry a former start
+    /// of the task out once it has restarted. A run there has ended by then.
+    preferred: Option<&'a Node>,
     /// How long the task has been startable.
     pub(super) waited: Millis,
     /// Whether any worker with enough resources is accepted: nothing of the job
@@ -79,6 +82,7 @@
         self.any_place
             || self.isolated
             || self.avoid.is_some()
+            || self.preferred.is_some()
             || placement.same_rack
             || placement.most_per_worker.is_some()
     }
@@ -291,6 +295,7 @@
             siblings,
             rack,
             avoid: found.avoid.as_ref(),
+            preferred: found.late_start(self.now),
             waited,
             any_place,
             isolated: found.is_isolated(self.now),
@@ -316,6 +321,10 @@
     /// Returns the feasible worker with the highest score. The worker to avoid
     /// is only used if there is no other.
     pub(super) fn search(&self, requirements: &Requirements<'_>, pass: &mut Pass) -> Option<Node> {
+        let preferred = requirements.preferred;
+        if preferred.is_some_and(|node| self.examine(requirements, node).is_some()) {
+            return preferred.cloned();
+        }
         let step = requirements.step;
         let need = step.reserved();
         let is_acceptable = |offer: &Offer| {
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -81,9 +81,18 @@
     pub(super) was_running: bool,
     /// The node on which the task last failed or was refused or starved.
     pub(super) avoid: Option<Node>,
+    /// The node on which a start that was ruled out may be carried out after all, by
+    /// the worker's next incarnation, and until when.
+    pub(super) late_start: Option<(Node, Instant)>,
 }
 
 impl TaskEntry {
+    /// Returns the node on which a start of the task may yet be carried out late.
+    pub(super) fn late_start(&self, now: Instant) -> Option<&Node> {
+        let (node, until) = self.late_start.as_ref()?;
+        (now < *until).then_some(node)
+    }
+
     /// Returns whether a run of the task may be started.
     pub(super) fn is_startable(&self) -> bool {
         !self.done && self.executions.is_empty()
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -21,6 +21,10 @@
 /// reported before the worker is gone.
 const EVACUATION_TIME: Millis = Millis(1200);
 
+/// How long a start that was ruled out in one incarnation of a worker may still be
+/// carried out by the next one. The platform's description says seconds.
+const LATE_START_LIMIT: Millis = Millis(15_000);
+
 impl Planner {
     pub(super) fn report(
         &mut self,
@@ -183,7 +187,12 @@
         }
         self.remove_execution(task, run, actions);
         if let Some(entry) = self.registry.task_mut(task) {
-            entry.avoid = Some(node.clone());
+            if status == StartStatus::Withdrawn && entry.late_start(self.now).is_none() {
+                entry.late_start = Some((node.clone(), self.now + LATE_START_LIMIT));
+            } else {
+                entry.late_start = None;
+                entry.avoid = Some(node.clone());
+            }
         }
         if let Some(worker) = self
             .fleet
@@ -403,10 +412,22 @@
         let withheld = worker.withheld_until.since(self.now);
         let fence = worker.fence;
         let known: BTreeSet<(Task, Run)> = worker.reservations.keys().copied().collect();
+        let rows = inventory.running.iter();
+        let listed: BTreeSet<(Task, Run)> = rows.map(|row| (row.task, row.run)).collect();
+        for (task, run) in known.difference(&listed) {
+            self.fleet.release(node, *task, *run);
+            self.remove_execution(*task, *run, actions);
+            actions.push(Action::Decided(Decision::Lost {
+                task: *task,
+                run: *run,
+                node: node.clone(),
+                reason: Reason::Missing,
+                silent: Millis::ZERO,
+            }));
+        }
+        // A run in the place of one that is gone is waited for like any other.
         let mut adopted = 0;
-        let mut listed = BTreeSet::new();
         for row in &inventory.running {
-            listed.insert((row.task, row.run));
             if known.contains(&(row.task, row.run)) {
                 self.confirm(node, row, actions);
             } else {
@@ -421,17 +442,6 @@
                 worker.send_role(row.task, row.run, role);
             }
         }
-        for (task, run) in known.difference(&listed) {
-            self.fleet.release(node, *task, *run);
-            self.remove_execution(*task, *run, actions);
-            actions.push(Action::Decided(Decision::Lost {
-                task: *task,
-                run: *run,
-                node: node.clone(),
-                reason: Reason::Missing,
-                silent: Millis::ZERO,
-            }));
-        }
         if let Some(crash) = &inventory.crash {
             actions.push(Action::Decided(Decision::Crashed {
                 node: node.clone(),
