Fence a restarted worker also while its agent has no session

Cause: an agent without a session asks nothing when another life of its worker sends heartbeats, so the new life sees no fence before the next session.

The agent now asks which life is running without a session, too, with the last session's fence plus 1. That is at most the fence of the next session, and above that of any start which may still come.

--- a/crates/workload/src/agent/identity.rs
+++ b/crates/workload/src/agent/identity.rs
@@ -6,7 +6,10 @@
 
 use {
     super::{Action, Agent, Answer, Call, Refusal, Snapshot, RETRY_DELAY},
-    crate::{id::Incarnation, worker::Profile},
+    crate::{
+        id::{Fence, Incarnation},
+        worker::Profile,
+    },
     filbertbend_state::{time::Instant, unit::Millis},
 };
 
@@ -61,15 +64,19 @@
         });
     }
 
-    /// Asks the worker about the candidates, with the fence of the session.
+    /// Asks the worker about the candidates, with the fence of the session. Without
+    /// one, the next fence rules out the starts of the last session, which the
+    /// worker may have got late. Fences rise from one session to the next.
     pub(super) fn identify(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(session) = &self.session else {
-            return;
+        let fence = match (&self.session, self.last_fence) {
+            (Some(session), _) => session.fence,
+            (None, Some(last)) => Fence(last.0 + 1),
+            (None, None) => return,
         };
         for candidate in &mut self.candidates {
             if candidate.ask_at.take_if(|at| now >= *at).is_some() {
                 actions.push(Action::Call(Call::Identify {
-                    fence: session.fence,
+                    fence,
                     incarnation: candidate.profile.incarnation.clone(),
                 }));
             }
--- a/crates/workload/src/agent/mod.rs
+++ b/crates/workload/src/agent/mod.rs
@@ -148,6 +148,8 @@
     /// The newest term that has opened a session.
     epoch: Epoch,
     session: Option<Session>,
+    /// The fence of the last session.
+    last_fence: Option<Fence>,
     /// The earliest time of the next session's first poll.
     poll_not_before: Instant,
     /// The worker's clock, with the agent's clock when the answer arrived.
@@ -306,6 +308,7 @@
                 profile.filter(|profile| self.refuted.as_ref() != Some(&profile.incarnation));
             self.heard = false;
         }
+        self.last_fence = Some(fence);
         self.session = Some(Session::new(fence, now.max(self.poll_not_before)));
         self.profile_reported = false;
         self.report.lease = Some(self.known_lease(now));
--- a/crates/workload/tests/agent/former_lives.rs
+++ b/crates/workload/tests/agent/former_lives.rs
@@ -291,3 +291,27 @@
 
     assert_eq!(harness.hellos, hellos);
 }
+
+/// Guards against a task that runs twice: a worker that has restarted carries a start
+/// of the last session out while its agent has none.
+#[test]
+fn restarted_worker_is_fenced_although_its_agent_has_no_session() {
+    let mut harness = Harness::new();
+    harness.step(Event::Disconnected);
+
+    harness.step(Event::Heartbeat(profile(2)));
+    let question = harness.take(|call| matches!(call, Call::Identify { .. }));
+    let question = question.expect("the worker is asked");
+    assert!(matches!(question, Call::Identify { fence, .. } if fence == NEXT_FENCE));
+    harness.answer(question, list(2, 100, Vec::new()));
+
+    harness.step(Event::Connected);
+    harness.welcome(NEXT_FENCE, None);
+    harness.poll(list(2, 200, Vec::new()));
+    let inventories = harness
+        .reports
+        .iter()
+        .filter_map(|report| report.inventory.as_ref());
+    let found: Vec<_> = inventories.map(|found| &found.incarnation).collect();
+    assert_eq!(found, [&profile(2).incarnation]);
+}
