Derive the outlook of a job once in each placement pass

Cause: a pass derived the outlook of a job, which goes over all of its steps, for each of its ready steps, and looked only afterwards whether it had it.

Ruled out: memory and the store.

--- a/crates/workload/src/planner/mod.rs
+++ b/crates/workload/src/planner/mod.rs
@@ -193,6 +193,8 @@
     searches: Cell<u64>,
     /// How often a worker was examined during placement.
     examined: Cell<u64>,
+    /// How often the run time of a step was estimated for the order of jobs.
+    estimates: Cell<u64>,
     /// The number of placement passes.
     passes: u64,
     /// The requirements that no worker met in the last pass.
@@ -252,6 +254,7 @@
             backlog_reported: now,
             searches: Cell::new(0),
             examined: Cell::new(0),
+            estimates: Cell::new(0),
             passes: 0,
             rejections: Vec::new(),
             turns: BTreeMap::new(),
@@ -371,6 +374,11 @@
         self.examined.get()
     }
 
+    /// Returns how often the run time of a step was estimated for the order of jobs.
+    pub fn estimates(&self) -> u64 {
+        self.estimates.get()
+    }
+
     /// Returns the number of placement passes.
     pub fn passes(&self) -> u64 {
         self.passes
--- a/crates/workload/src/planner/order.rs
+++ b/crates/workload/src/planner/order.rs
@@ -12,7 +12,10 @@
         urgency::{self, Outlook, Standing, Urgency, Work},
     },
     filbertbend_state::unit::Millis,
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// The most deferred jobs that are logged after one pass; the others follow.
@@ -54,10 +57,11 @@
         if !self.catalog.queues.values().any(has_objective) {
             return outlooks;
         }
+        let mut examined = BTreeSet::new();
         for rank in &self.ready {
             let id = (rank.job, rank.occurrence);
-            if let Some(outlook) = self.outlook(*rank).filter(|_| !outlooks.contains_key(&id)) {
-                outlooks.insert(id, outlook);
+            if examined.insert(id) {
+                outlooks.extend(self.outlook(*rank).map(|outlook| (id, outlook)));
             }
         }
         outlooks
@@ -75,6 +79,8 @@
             Some(schedule) => schedule.due(rank.occurrence),
             None => job.accepted,
         };
+        self.estimates
+            .set(self.estimates.get() + job.steps.len() as u64);
         let pairs = || job.steps.iter().zip(steps);
         let expected: Vec<Millis> = pairs()
             .map(|(step, state)| {
--- a/crates/workload/tests/overload.rs
+++ b/crates/workload/tests/overload.rs
@@ -235,3 +235,25 @@
     let [forward, backward] = first_starts;
     assert_eq!(forward, backward);
 }
+
+/// Guards against a leader that does nothing else any more: the time of each pass
+/// grew with the square of the steps that a job has ready.
+#[test]
+fn steps_of_a_job_are_estimated_once_a_pass() {
+    const STEPS: u64 = 500;
+    let mut harness = Harness::with_workers(WORKERS);
+    harness.step(Event::Configured(catalog(true)));
+    let (passes, estimates) = (harness.planner.passes(), harness.planner.estimates());
+
+    harness.submit(1, job((0..STEPS).map(|_| step(1)).collect()));
+    harness.pass(Millis(1000), &[0, 1, 2, 3]);
+
+    let passes = harness.planner.passes() - passes;
+    let estimates = harness.planner.estimates() - estimates;
+    assert!(passes > 0);
+    // The count of waiting jobs, once a second, estimates them as well.
+    assert!(
+        estimates <= STEPS * (passes + 2),
+        "{estimates} in {passes} passes"
+    );
+}
