Send the starts for a worker in messages that a link accepts

Cause: all starts for an agent went into one message, each with a copy of the instructions. A link refuses frames of over 4 MiB and ends the session, the next inventory lacks the starts, and the same message is built again.

Orders are now split: starts beyond 1 MiB follow in further messages, leases go with the first one and stops with the last one.

--- a/crates/workload/src/message.rs
+++ b/crates/workload/src/message.rs
@@ -248,11 +248,37 @@
     pub probe: Option<u64>,
 }
 
+/// The size of the starts in one message, in bytes, from which the others follow in
+/// further messages. A start has at most some kilobytes, and a link refuses frames of
+/// over 4 MiB.
+const STARTS_LIMIT_BYTES: usize = 1 << 20;
+
 impl Orders {
     /// Returns whether there are no orders.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
+
+    /// Splits orders into messages that a link accepts, to be sent in this order.
+    pub fn split(mut self) -> Vec<Self> {
+        let mut parts = Vec::new();
+        let mut size = 0;
+        for start in std::mem::take(&mut self.starts) {
+            size += start.size();
+            self.starts.push(start);
+            if size >= STARTS_LIMIT_BYTES {
+                size = 0;
+                // A stop may concern any of the starts, so stops come last.
+                let stops = std::mem::take(&mut self.stops);
+                parts.push(std::mem::take(&mut self));
+                self.stops = stops;
+            }
+        }
+        if !self.is_empty() {
+            parts.push(self);
+        }
+        parts
+    }
 }
 
 /// The order to start a task.
@@ -270,6 +296,15 @@
     pub role: Role,
 }
 
+impl Start {
+    /// Returns an upper bound of the encoded size, in bytes.
+    fn size(&self) -> usize {
+        const FIXED_BYTES: usize = 128;
+        let texts = [&self.checkpoint, &self.role.image].into_iter().flatten();
+        FIXED_BYTES + self.spec.len() + texts.map(|text| text.len()).sum::<usize>()
+    }
+}
+
 /// What an agent knows about a task beyond its instructions: its part in the
 /// interference between tasks on a worker, and its size.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
--- a/crates/workload/src/planner/persist.rs
+++ b/crates/workload/src/planner/persist.rs
@@ -206,7 +206,8 @@
                 .is_none_or(|entry| entry.durable_version >= version)
         });
         for (link, orders) in orders {
-            actions.push(Action::Send(link, Response::Orders(orders)));
+            let parts = orders.split().into_iter();
+            actions.extend(parts.map(|part| Action::Send(link, Response::Orders(part))));
         }
     }
 
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -152,6 +152,8 @@
     pub(crate) fences: BTreeMap<Link, Fence>,
     pub(crate) decisions: Vec<Decision>,
     pub(crate) batches: Vec<Batch>,
+    /// The size of the largest message, in bytes.
+    pub(crate) largest_message: usize,
     reading: Option<Reading>,
 }
 
@@ -168,6 +170,7 @@
             fences: BTreeMap::new(),
             decisions: Vec::new(),
             batches: Vec::new(),
+            largest_message: 0,
             reading: None,
         }
     }
@@ -189,6 +192,10 @@
         self.planner
             .step(self.now, wall, self.until, event, &mut actions);
         for action in actions {
+            if let Action::Send(_, response) = &action {
+                let encoded = postcard::to_allocvec(response).expect("a message is encoded");
+                self.largest_message = self.largest_message.max(encoded.len());
+            }
             match action {
                 Action::Send(link, Response::Orders(orders)) => self.keep(link, orders),
                 Action::Send(link, Response::Welcome { fence, .. }) => {
