Count the members of a gang against the limit on each worker

Cause: the workers of all members are chosen before any starts, and the limit was checked against recorded runs only.

Members that have been chosen count now; a gang that does not fit so waits.

--- a/crates/workload/src/planner/place.rs
+++ b/crates/workload/src/planner/place.rs
@@ -68,13 +68,23 @@
     pub(super) isolated: bool,
 }
 
-impl Requirements<'_> {
+impl<'a> Requirements<'a> {
     /// Returns the number of tasks of the same step on a worker, if the step
     /// constrains it.
     pub(super) fn siblings_on(&self, node: &Node) -> usize {
         self.siblings.get(node).copied().unwrap_or(0)
     }
 
+    /// Counts tasks of the step that are about to be started, if it constrains their
+    /// number on a worker.
+    fn add_siblings(&mut self, nodes: impl Iterator<Item = &'a Node>) {
+        if self.step.placement.most_per_worker.is_some() {
+            for node in nodes {
+                *self.siblings.entry(node).or_insert(0) += 1;
+            }
+        }
+    }
+
     /// Returns whether the requirements differ between the tasks of a step, or
     /// depend on where the others run.
     pub(super) fn is_individual(&self) -> bool {
@@ -212,9 +222,10 @@
         let run = self.next_run(last);
         let mut chosen: Vec<(Task, Node)> = Vec::new();
         for task in &tasks {
-            let found = self
-                .requirements(*task, pass)
-                .and_then(|requirements| self.search(&requirements, pass));
+            let found = self.requirements(*task, pass).and_then(|mut requirements| {
+                requirements.add_siblings(chosen.iter().map(|(_, node)| node));
+                self.search(&requirements, pass)
+            });
             let Some(node) = found else {
                 break;
             };
