Count one failed run of a gang as one attempt

Cause: each failed member counted, and the sum was compared with the attempts.

An end counts only if no member's failure of that run or of a later one has been counted. What is stored suffices for that, also after a change of leader.

Evidence: run_of_a_gang_in_which_several_members_fail_is_one_attempt failed before (Failed after the first run).

--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -340,19 +340,21 @@
     }
 
     /// Counts a failure of a task, once for each run, and fails the job if no
-    /// attempts are left.
+    /// attempts are left. The members of a gang share their runs, so one that fails
+    /// in a run counts for all.
     fn fail(&mut self, node: &Node, task: Task, run: Run, actions: &mut Vec<Action>) {
         let Some(entry) = self.registry.get_mut(task.job) else {
             return;
         };
         let attempts = policy(&self.catalog, &entry.job).attempts;
         let gang = entry.step(task.step).is_some_and(|step| step.mode.gang);
-        let Some(found) = entry.task_mut(task) else {
+        let counted = entry.members(task, gang).into_iter().any(|member| {
+            let found = entry.task(member);
+            found.is_some_and(|found| run <= found.failed_run)
+        });
+        let Some(found) = entry.task_mut(task).filter(|_| !counted) else {
             return;
         };
-        if run <= found.failed_run {
-            return;
-        }
         found.failures += 1;
         found.failed_run = run;
         found.avoid = Some(node.clone());
--- a/crates/workload/tests/gangs.rs
+++ b/crates/workload/tests/gangs.rs
@@ -3,7 +3,13 @@
 mod support;
 
 use {
-    filbertbend_workload::job,
+    filbertbend_workload::{
+        id::Job,
+        job,
+        message::{Query, Reply},
+        record::State,
+        worker::Exit,
+    },
     std::{collections::BTreeSet, sync::Arc},
     support::{job, room, single, step, Harness, QUEUE},
 };
@@ -46,3 +52,29 @@
 
     assert_eq!(harness.all_starts().len(), 2);
 }
+
+/// Guards against a gang that is given up after its first run: each member that failed
+/// in it counted as an attempt.
+#[test]
+fn run_of_a_gang_in_which_several_members_fail_is_one_attempt() {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, pair(None));
+    let mut sequence = 0;
+    let mut fail_all = |harness: &mut Harness| {
+        for (worker, start) in harness.all_starts() {
+            sequence += 1;
+            harness.end(worker, sequence, &start, Exit::Failed);
+        }
+        harness.commit();
+        harness.commit();
+        harness.planner.answer(&Query::State(Job(1)))
+    };
+
+    let states = [fail_all(&mut harness), fail_all(&mut harness)];
+
+    let states = states.map(|reply| match reply {
+        Reply::State(state) => state,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(states, [Some(State::Running), Some(State::Failed)]);
+}
