Prefer the worker of a late start only until the task fails there

Found by reading the diff: a task whose start was ruled out was started again on that worker for 15 s also after it had failed there, so a worker that fails what it starts could use all attempts of a job up.

Whatever makes a task avoid a worker now ends the preference.

--- a/crates/workload/src/planner/refusal.rs
+++ b/crates/workload/src/planner/refusal.rs
@@ -16,8 +16,8 @@
 /// The longest pause. A job that has nothing running is to be placed more than once
 /// within the platform's 3 s.
 const LONGEST_PAUSE: Millis = Millis(1000);
-/// How long after a pause another refusal counts as a further one.
-const MEMORY: Millis = Millis(2000);
+/// How long after a pause without another refusal the next one counts as the first.
+const RESET_DELAY: Millis = Millis(2000);
 
 /// A refusal, after which the worker gets no such starts for a while.
 #[derive(Clone, Copy, Debug)]
@@ -46,7 +46,7 @@
                 ..self
             };
         }
-        let pause = if now < self.until + MEMORY {
+        let pause = if now < self.until + RESET_DELAY {
             LONGEST_PAUSE.min(Millis(self.pause.0 * 2))
         } else {
             FIRST_PAUSE
--- a/crates/workload/src/planner/registry.rs
+++ b/crates/workload/src/planner/registry.rs
@@ -93,6 +93,13 @@
         (now < *until).then_some(node)
     }
 
+    /// Prefers other nodes for the next run, also to one with a late start: there the
+    /// task would mostly fail again.
+    pub(super) fn avoid(&mut self, node: &Node) {
+        self.avoid = Some(node.clone());
+        self.late_start = None;
+    }
+
     /// Returns whether a run of the task may be started.
     pub(super) fn is_startable(&self) -> bool {
         !self.done && self.executions.is_empty()
--- a/crates/workload/src/planner/report.rs
+++ b/crates/workload/src/planner/report.rs
@@ -190,8 +190,7 @@
             if status == StartStatus::Withdrawn && entry.late_start(self.now).is_none() {
                 entry.late_start = Some((node.clone(), self.now + LATE_START_LIMIT));
             } else {
-                entry.late_start = None;
-                entry.avoid = Some(node.clone());
+                entry.avoid(node);
             }
         }
         if let Some(worker) = self
@@ -357,7 +356,7 @@
         };
         found.failures += 1;
         found.failed_run = run;
-        found.avoid = Some(node.clone());
+        found.avoid(node);
         let failures: u32 = entry
             .members(task, gang)
             .into_iter()
@@ -569,7 +568,7 @@
         if stopping {
             return;
         }
-        entry.avoid = Some(node.clone());
+        entry.avoid(node);
         self.fleet.update_headroom(&self.model);
         if self.select_worker(task).is_some_and(|found| found != *node) {
             self.stop(task, run, node, Reason::Interference, actions);
--- a/crates/workload/tests/late_starts.rs
+++ b/crates/workload/tests/late_starts.rs
@@ -88,6 +88,19 @@
     assert!(third.is_some_and(|(next, _)| next != worker));
 }
 
+/// Guards against a job that is given up although only one worker fails its task.
+#[test]
+fn task_that_fails_after_its_start_was_ruled_out_is_repeated_elsewhere() {
+    let (mut harness, worker, start) = started();
+    let (_, second) = rule_out(&mut harness, worker, &start).expect("a start");
+
+    harness.end(worker, 1, &second, Exit::Failed);
+    harness.commit();
+
+    let next = harness.all_starts().pop();
+    assert!(next.is_some_and(|(next, _)| next != worker));
+}
+
 /// Guards against a task that waits for a worker which gets no tasks.
 #[test]
 fn start_that_was_ruled_out_is_repeated_elsewhere_if_the_worker_drains() {
