--- a/crates/workload/tests/late_starts.rs
+++ b/crates/workload/tests/late_starts.rs
@@ -5,7 +5,7 @@
 use {
     filbertbend_workload::{
         id::{Incarnation, Link},
-        message::{Inventory, Outcome, Report, Start, StartStatus},
+        message::{Inventory, Report, Start, StartStatus},
         planner::Event,
         worker::{Exit, Profile, Running},
     },
@@ -25,16 +25,7 @@
 
 /// Reports that a stop has ruled a start out, and returns the next start.
 fn rule_out(harness: &mut Harness, worker: u64, start: &Start) -> Option<(u64, Start)> {
-    let outcome = Outcome {
-        task: start.task,
-        run: start.run,
-        status: StartStatus::Withdrawn,
-    };
-    let report = Report {
-        outcomes: vec![outcome],
-        ..Report::default()
-    };
-    harness.report(worker, report);
+    harness.outcome(worker, start, StartStatus::Withdrawn);
     harness.commit();
     harness.all_starts().pop()
 }
--- a/crates/workload/tests/refusals.rs
+++ b/crates/workload/tests/refusals.rs
@@ -3,11 +3,12 @@
 mod support;
 
 use {
-    filbertbend_state::{room::Room, unit::Millis},
+    filbertbend_state::unit::Millis,
     filbertbend_workload::{
         id::{Run, Task},
         job,
-        message::{Outcome, Report, Start, StartStatus},
+        message::{Start, StartStatus},
+        planner::Event,
         worker::Exit,
     },
     std::{
@@ -66,16 +67,7 @@
         for (worker, start) in self.harness.all_starts() {
             let status = self.refusing.get(&worker);
             let status = status.copied().unwrap_or(StartStatus::Started);
-            let outcome = Outcome {
-                task: start.task,
-                run: start.run,
-                status,
-            };
-            let report = Report {
-                outcomes: vec![outcome],
-                ..Report::default()
-            };
-            self.harness.report(worker, report);
+            self.harness.outcome(worker, &start, status);
             if status == StartStatus::Started {
                 self.running.insert((start.task, start.run), worker);
             }
@@ -123,13 +115,12 @@
     single(QUEUE, room(cores, 1))
 }
 
-/// Guards against gangs that are placed and stopped tens of times a second while one
-/// of their workers refuses, whatever the reason.
-#[test]
-fn refused_gang_is_not_placed_and_stopped_without_end() {
+/// Checks that a job is placed a few times while a worker refuses it, whatever the
+/// reason.
+fn assert_few_attempts(workers: u64, job: &Arc<job::Job>) {
     for status in REFUSALS {
-        let mut world = World::new(2, [(0, status)]);
-        world.harness.submit(1, gang());
+        let mut world = World::new(workers, [(0, status)]);
+        world.harness.submit(1, job.clone());
 
         world.pass(START_LIMIT);
 
@@ -141,22 +132,18 @@
     }
 }
 
+/// Guards against gangs that are placed and stopped tens of times a second while one
+/// of their workers refuses.
+#[test]
+fn refused_gang_is_not_placed_and_stopped_without_end() {
+    assert_few_attempts(2, &gang());
+}
+
 /// Guards against a task that is started tens of times a second on the only worker
 /// that it may run on, which refuses.
 #[test]
 fn refused_task_is_not_started_without_end() {
-    for status in REFUSALS {
-        let mut world = World::new(1, [(0, status)]);
-        world.harness.submit(1, task_of(2));
-
-        world.pass(START_LIMIT);
-
-        let attempts = world.attempts(1);
-        assert!(
-            (2..=ATTEMPT_LIMIT).contains(&attempts),
-            "{status}: {attempts}"
-        );
-    }
+    assert_few_attempts(1, &task_of(2));
 }
 
 /// Guards against a gang that never starts: its members move from one worker that
@@ -228,24 +215,10 @@
     let mut world = World::new(1, []);
     world.harness.submit(1, task_of(8));
     let (_, start) = world.harness.all_starts().pop().expect("a start");
-    let cancelled = filbertbend_workload::planner::Event::Cancelled(start.task.job);
-    world.harness.step(cancelled);
-    let withdrawn = Outcome {
-        task: start.task,
-        run: start.run,
-        status: StartStatus::Withdrawn,
-    };
-    world.harness.report(
-        0,
-        Report {
-            outcomes: vec![withdrawn],
-            ..Report::default()
-        },
-    );
-
-    world
-        .harness
-        .submit(2, single(QUEUE, Room { ..room(8, 1) }));
+    world.harness.step(Event::Cancelled(start.task.job));
+    world.harness.outcome(0, &start, StartStatus::Withdrawn);
+
+    world.harness.submit(2, task_of(8));
     world.answer();
 
     assert_eq!(world.running(2), 1);
--- a/crates/workload/tests/support/mod.rs
+++ b/crates/workload/tests/support/mod.rs
@@ -375,10 +375,15 @@
     }
 
     pub(crate) fn started(&mut self, number: u64, start: &Start) {
+        self.outcome(number, start, StartStatus::Started);
+    }
+
+    /// Reports the outcome of a start.
+    pub(crate) fn outcome(&mut self, number: u64, start: &Start, status: StartStatus) {
         let outcome = Outcome {
             task: start.task,
             run: start.run,
-            status: StartStatus::Started,
+            status,
         };
         let report = Report {
             outcomes: vec![outcome],
