review: a task runs twice after a late start and a restart

Claim: a start that was ruled out is accepted by the runner's next life before its first heartbeat, while the task runs elsewhere (TWICE).

--- /dev/null
+++ b/review/world-3/src/main.rs
@@ -0,0 +1,265 @@
+//! Plays one case against the project's programs: `world-3 CASE FOLDER`.
+//!
+//! `TROUBLE=0` plays it without the disruption. Exits with 1 if the rule was
+//! broken, 0 if it held, and 2 if the case could not run.
+
+mod deployment;
+mod http;
+mod json;
+mod record;
+mod runner;
+mod store;
+
+use deployment::Deployment;
+use record::Record;
+use std::{
+    env, fs, panic,
+    path::{Path, PathBuf},
+    process, thread,
+    time::{Duration, Instant},
+};
+use store::Mood;
+
+/// Whether the rule was broken, or why the case could not run.
+type Verdict = Result<bool, &'static str>;
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: world-3 CASE FOLDER");
+        process::exit(2);
+    };
+    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(&PathBuf::from(folder).join("record.txt"));
+    let scratch = env::temp_dir().join(format!("world-3-{}", process::id()));
+    if fs::create_dir_all(&scratch).is_err() {
+        process::exit(2);
+    }
+    let play = || match case.as_str() {
+        "crashes" => crashes(&scratch, record.clone(), has_trouble),
+        "cancelled" => cancelled(&scratch, record.clone(), has_trouble),
+        "late-start" => late_start(&scratch, record.clone(), has_trouble),
+        _ => Err("unknown case"),
+    };
+    let played = panic::catch_unwind(panic::AssertUnwindSafe(play));
+    let verdict = played.unwrap_or(Err("the case could not be set up"));
+    if env::var("KEEP_LOGS").is_err() {
+        let _ = fs::remove_dir_all(&scratch);
+    } else {
+        eprintln!("logs in {}", scratch.display());
+    }
+    let (text, code) = match verdict {
+        Ok(true) => ("the rule was broken", 1),
+        Ok(false) => ("the rule held", 0),
+        Err(reason) => (reason, 2),
+    };
+    record.line(format!("verdict: {text}"));
+    println!("{text}");
+    process::exit(code);
+}
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+/// A runner crashes again and again while a job that only it may run has begun
+/// there, and is sound afterwards.
+fn crashes(folder: &Path, record: Record, has_trouble: bool) -> Verdict {
+    let common = ["a", "r1-1"];
+    let labels = [
+        ["b", "r1-1"],
+        common,
+        common,
+        common,
+        common,
+        common,
+        common,
+        common,
+    ];
+    let world = Deployment::start(folder, record, 2, &labels);
+    let body = r#"{"spec":"ms=3000","steps":[{"count":1,"cpu":2000,"mem_mb":256,"est_ms":3000,"required_label":"b"}]}"#;
+    if !world.submit(JOB, body, Duration::from_secs(20)) {
+        return Err("the job was not accepted");
+    }
+    let runner = &world.runners[0];
+    for crash in 0..if has_trouble { CRASHES } else { 0 } {
+        let starts = |world: &Deployment| {
+            world
+                .events(JOB)
+                .iter()
+                .filter(|event| event.what == "start")
+                .count()
+        };
+        if !world.wait(Duration::from_secs(8), |world| starts(world) > crash) {
+            break;
+        }
+        thread::sleep(UP_AFTER_START);
+        runner.crash();
+        thread::sleep(DOWN);
+        runner.start();
+    }
+    // The runner is sound from here on, and the job takes 3 s.
+    let is_over = |world: &Deployment| {
+        world
+            .state(JOB)
+            .is_some_and(|state| state != "running" && state != "queued")
+    };
+    let until = Instant::now() + Duration::from_secs(20);
+    while !is_over(&world) && Instant::now() < until {
+        thread::sleep(Duration::from_millis(500));
+    }
+    let state = world.state(JOB).ok_or("no entry answered")?;
+    let events = world.events(JOB);
+    let count = |what: &str| events.iter().filter(|event| event.what == what).count();
+    world.record.line(format!(
+        "the job is shown as {state}; runs of its task: {} started, {} cut off by crashes, {} failed, {} done; attempts: 3",
+        count("start"), count("crash"), count("failed"), count("done")
+    ));
+    Ok(state == "failed" && count("failed") < 3)
+}
+
+/// How often the runner crashes.
+const CRASHES: usize = 5;
+/// How long a task has run when its runner crashes.
+const UP_AFTER_START: Duration = Duration::from_millis(600);
+/// How long the runner is down.
+const DOWN: Duration = Duration::from_millis(1000);
+
+/// A job that lasts is cancelled while the store's answer to its submission is
+/// lost, and the write is carried out after the store has turned the entry away
+/// that acknowledged the cancellation.
+fn cancelled(folder: &Path, record: Record, has_trouble: bool) -> Verdict {
+    let labels = [["a", "r1-1"]; 4];
+    let world = Deployment::start(folder, record, 3, &labels);
+    let first = r#"{"spec":"ms=500","steps":[{"count":1,"cpu":1000,"mem_mb":256,"est_ms":500}]}"#;
+    if !world.submit("00000000000000aa", first, Duration::from_secs(20)) {
+        return Err("the first job was not accepted");
+    }
+    thread::sleep(Duration::from_secs(4));
+    let late = Mood {
+        late: has_trouble.then_some(LATE),
+        ..Mood::default()
+    };
+    for address in &world.store_addresses {
+        world.store.set_mood(*address, late);
+    }
+    let body = r#"{"spec":"","steps":[{"count":1,"cpu":1000,"mem_mb":256,"est_ms":0,"long_running":true}]}"#;
+    let submitted = world.call(0, "POST", JOB, body);
+    for address in &world.store_addresses {
+        world.store.set_mood(*address, Mood::default());
+    }
+    // The client gives the job up. The outcome of its submission is unknown.
+    let entry = world.entries.len() - 1;
+    let Some((200..=299 | 410, _)) = world.call(entry, "DELETE", JOB, "") else {
+        return Err("the cancellation was not acknowledged");
+    };
+    let acknowledged = world.record.time();
+    if has_trouble {
+        let address = world.store_addresses[entry];
+        world.record.line(format!(
+            "store: turns entry {entry} away, and takes its keys away"
+        ));
+        world.store.set_mood(
+            address,
+            Mood {
+                busy: true,
+                late: None,
+            },
+        );
+        world.store.revoke(address);
+        thread::sleep(AWAY);
+        world.store.set_mood(address, Mood::default());
+        world
+            .record
+            .line(format!("store: serves entry {entry} again"));
+    }
+    thread::sleep(Duration::from_secs(20));
+    let state = world.state(JOB).unwrap_or_default();
+    let now = world.record.time();
+    let mut running = None;
+    for event in world.events(JOB) {
+        running = (event.what == "start").then_some(event.at);
+    }
+    world.record.line(format!(
+        "submission: {:?}; cancelled at {acknowledged:.3}; job shown as {state}; {}",
+        submitted.map(|(status, _)| status),
+        running.map_or("nothing runs".into(), |at| format!(
+            "its task started at {at:.3} and runs at {now:.3}"
+        ))
+    ));
+    Ok(running.is_some())
+}
+
+/// After which time the store carries out a write without an answer.
+const LATE: Duration = Duration::from_secs(6);
+/// How long the store turns one entry away.
+const AWAY: Duration = Duration::from_secs(2);
+
+/// A start gets no answer, is ruled out, and its task runs elsewhere. The runner
+/// crashes, starts again under its id, and carries the start out.
+fn late_start(folder: &Path, record: Record, has_trouble: bool) -> Verdict {
+    let common = ["a", "r1-1"];
+    let able = ["b", "r1-1"];
+    let labels = [able, able, common, common, common, common, common, common];
+    let world = Deployment::start(folder, record, 2, &labels);
+    let submit = |id: &str, ms: u64, cpu: u64| {
+        let body = format!(
+            r#"{{"spec":"ms={ms}","steps":[{{"count":1,"cpu":{cpu},"mem_mb":256,"est_ms":{ms},"required_label":"b"}}]}}"#
+        );
+        world.submit(id, &body, Duration::from_secs(20))
+    };
+    let runs_on = |id: &str| world.events(id).last().map(|event| event.runner.clone());
+    // One runner is busy with `FULL`, the other has room beside `SMALL` for the
+    // task, but not for `NEXT`, which came before and takes the whole runner then.
+    const FULL: &str = "00000000000000a1";
+    const SMALL: &str = "00000000000000a2";
+    const NEXT: &str = "00000000000000a3";
+    let is_set = submit(FULL, 6000, 16_000)
+        && world.wait(Duration::from_secs(10), |_| runs_on(FULL).is_some())
+        && submit(SMALL, 1500, 2000)
+        && world.wait(Duration::from_secs(10), |_| runs_on(SMALL).is_some())
+        && submit(NEXT, 5900, 16_000);
+    let Some(runner) = world
+        .runners
+        .iter()
+        .find(|runner| Some(&runner.place.name) == runs_on(SMALL).as_ref())
+    else {
+        return Err("the small job did not start");
+    };
+    if !is_set {
+        return Err("the first jobs were not accepted");
+    }
+    let began = Instant::now();
+    if has_trouble {
+        runner.leave_unanswered(JOB, began + LATE_START);
+    }
+    if !submit(JOB, 25_000, 4000) {
+        return Err("the job was not accepted");
+    }
+    if has_trouble {
+        thread::sleep(CRASH.saturating_sub(began.elapsed()));
+        runner.crash();
+        thread::sleep(START_AGAIN.saturating_sub(began.elapsed()));
+        runner.start_again(FIRST_HEARTBEAT);
+    }
+    thread::sleep(Duration::from_secs(22).saturating_sub(began.elapsed()));
+    let mut running: Vec<(String, u64)> = Vec::new();
+    let mut most = 0;
+    for event in world.events(JOB) {
+        running.retain(|run| *run != (event.runner.clone(), event.run));
+        if event.what == "start" {
+            running.push((event.runner.clone(), event.run));
+        }
+        most = most.max(running.len());
+    }
+    world
+        .record
+        .line(format!("most runs of the task at one time: {most}"));
+    Ok(most > 1)
+}
+
+/// When a start without an answer is carried out.
+const LATE_START: Duration = Duration::from_millis(11_600);
+/// When the runner crashes, and when it starts again.
+const CRASH: Duration = Duration::from_millis(8000);
+const START_AGAIN: Duration = Duration::from_millis(11_000);
+/// When the first heartbeat follows: within the interval of heartbeats.
+const FIRST_HEARTBEAT: Duration = Duration::from_millis(1300);
