review: a task runs twice after two late starts and a restart

Claim: after two starts without an answer the task goes elsewhere at once, and the runner's next life accepts the late start before its first heartbeat (TWICE). Takes the place of the first form of the case, which needed a full pool.

--- a/review/world-3/src/main.rs
+++ b/review/world-3/src/main.rs
@@ -12,10 +12,13 @@
 
 use deployment::Deployment;
 use record::Record;
+use runner::Unanswered;
 use std::{
     env, fs, panic,
     path::{Path, PathBuf},
-    process, thread,
+    process,
+    sync::{atomic::AtomicUsize, Arc},
+    thread,
     time::{Duration, Instant},
 };
 use store::Mood;
@@ -193,54 +196,42 @@
 /// How long the store turns one entry away.
 const AWAY: Duration = Duration::from_secs(2);
 
-/// A start gets no answer, is ruled out, and its task runs elsewhere. The runner
-/// crashes, starts again under its id, and carries the start out.
+/// Two starts of a task get no answer and are ruled out, and the task runs
+/// elsewhere. The runner that got them crashes, starts again under its id, and
+/// carries the starts out.
 fn late_start(folder: &Path, record: Record, has_trouble: bool) -> Verdict {
-    let common = ["a", "r1-1"];
-    let able = ["b", "r1-1"];
-    let labels = [able, able, common, common, common, common, common, common];
-    let world = Deployment::start(folder, record, 2, &labels);
-    let submit = |id: &str, ms: u64, cpu: u64| {
-        let body = format!(
-            r#"{{"spec":"ms={ms}","steps":[{{"count":1,"cpu":{cpu},"mem_mb":256,"est_ms":{ms},"required_label":"b"}}]}}"#
-        );
-        world.submit(id, &body, Duration::from_secs(20))
-    };
-    let runs_on = |id: &str| world.events(id).last().map(|event| event.runner.clone());
-    // One runner is busy with `FULL`, the other has room beside `SMALL` for the
-    // task, but not for `NEXT`, which came before and takes the whole runner then.
-    const FULL: &str = "00000000000000a1";
-    const SMALL: &str = "00000000000000a2";
-    const NEXT: &str = "00000000000000a3";
-    let is_set = submit(FULL, 6000, 16_000)
-        && world.wait(Duration::from_secs(10), |_| runs_on(FULL).is_some())
-        && submit(SMALL, 1500, 2000)
-        && world.wait(Duration::from_secs(10), |_| runs_on(SMALL).is_some())
-        && submit(NEXT, 5900, 16_000);
-    let Some(runner) = world
-        .runners
-        .iter()
-        .find(|runner| Some(&runner.place.name) == runs_on(SMALL).as_ref())
-    else {
-        return Err("the small job did not start");
-    };
-    if !is_set {
-        return Err("the first jobs were not accepted");
+    let world = Deployment::start(folder, record, 2, &[["a", "r1-1"]; 8]);
+    let first = r#"{"spec":"ms=500","steps":[{"count":1,"cpu":1000,"mem_mb":256,"est_ms":500}]}"#;
+    if !world.submit("00000000000000aa", first, Duration::from_secs(20)) {
+        return Err("the first job was not accepted");
     }
+    thread::sleep(Duration::from_secs(2));
     let began = Instant::now();
     if has_trouble {
-        runner.leave_unanswered(JOB, began + LATE_START);
+        let starts = Unanswered {
+            job: JOB,
+            left: Arc::new(AtomicUsize::new(UNANSWERED)),
+            carried_out: began + LATE_START,
+        };
+        for runner in &world.runners {
+            runner.leave_unanswered(starts.clone());
+        }
     }
-    if !submit(JOB, 25_000, 4000) {
+    let body =
+        r#"{"spec":"ms=15000","steps":[{"count":1,"cpu":4000,"mem_mb":256,"est_ms":15000}]}"#;
+    if !world.submit(JOB, body, Duration::from_secs(20)) {
         return Err("the job was not accepted");
     }
     if has_trouble {
         thread::sleep(CRASH.saturating_sub(began.elapsed()));
+        let Some(runner) = world.runners.iter().find(|runner| runner.has_unanswered()) else {
+            return Err("no start was left unanswered");
+        };
         runner.crash();
         thread::sleep(START_AGAIN.saturating_sub(began.elapsed()));
         runner.start_again(FIRST_HEARTBEAT);
     }
-    thread::sleep(Duration::from_secs(22).saturating_sub(began.elapsed()));
+    thread::sleep(Duration::from_secs(14).saturating_sub(began.elapsed()));
     let mut running: Vec<(String, u64)> = Vec::new();
     let mut most = 0;
     for event in world.events(JOB) {
@@ -253,13 +244,17 @@
     world
         .record
         .line(format!("most runs of the task at one time: {most}"));
+    if most == 0 {
+        return Err("the task did not start");
+    }
     Ok(most > 1)
 }
 
-/// When a start without an answer is carried out.
-const LATE_START: Duration = Duration::from_millis(11_600);
+/// How many starts get no answer, and when they are carried out.
+const UNANSWERED: usize = 2;
+const LATE_START: Duration = Duration::from_millis(9100);
 /// When the runner crashes, and when it starts again.
-const CRASH: Duration = Duration::from_millis(8000);
-const START_AGAIN: Duration = Duration::from_millis(11_000);
+const CRASH: Duration = Duration::from_millis(5500);
+const START_AGAIN: Duration = Duration::from_millis(8500);
 /// When the first heartbeat follows: within the interval of heartbeats.
 const FIRST_HEARTBEAT: Duration = Duration::from_millis(1300);
--- a/review/world-3/src/runner.rs
+++ b/review/world-3/src/runner.rs
@@ -8,7 +8,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Condvar, Mutex,
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -62,13 +65,24 @@
     sequence: u64,
 }
 
+/// Starts that get no answer.
+#[derive(Clone)]
+pub struct Unanswered {
+    /// The job that they are of.
+    pub job: &'static str,
+    /// How many there are, over all runners that share this.
+    pub left: Arc<AtomicUsize>,
+    /// When they are carried out.
+    pub carried_out: Instant,
+}
+
 #[derive(Default)]
 struct State {
     life: Option<Life>,
     server: Option<Server>,
     lives: u64,
-    /// The job whose next start gets no answer, and when it is carried out.
-    late: Option<(String, Instant)>,
+    unanswered: Option<Unanswered>,
+    has_unanswered: bool,
 }
 
 #[derive(Clone)]
@@ -143,9 +157,8 @@
         self.history.lock().unwrap().push(event);
     }
 
-    /// Leaves the next start of a job unanswered and carries it out at this time.
-    pub fn leave_unanswered(&self, job: &str, carried_out: Instant) {
-        self.state.0.lock().unwrap().late = Some((job.to_owned(), carried_out));
+    pub fn leave_unanswered(&self, starts: Unanswered) {
+        self.state.0.lock().unwrap().unanswered = Some(starts);
     }
 
     /// Starts the next life, under a new id.
@@ -265,33 +278,44 @@
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let task = body.text("task").unwrap_or("");
         let is_start = request.path == "/api/run-start";
-        let late = {
-            let mut state = self.state.0.lock().unwrap();
-            state
-                .late
-                .take_if(|(job, _)| is_start && task.starts_with(job.as_str()))
-        };
-        if let Some((_, carried_out)) = late {
-            let (runner, request, task) = (self.clone(), request.clone(), task.to_owned());
-            let name = self.place.name.clone();
-            self.record
-                .line(format!("{name}: the start of {task} gets no answer"));
-            thread::spawn(move || {
-                thread::sleep(carried_out.saturating_duration_since(Instant::now()));
-                let shown = match runner.carry_out(&request) {
-                    Reply::Answer(status, body) => format!("{status} {body}"),
-                    Reply::Close => "the runner is down".into(),
-                };
-                runner
-                    .record
-                    .line(format!("{name}: that start is carried out late: {shown}"));
-            });
+        let starts = self.state.0.lock().unwrap().unanswered.clone();
+        let starts = starts.filter(|starts| is_start && task.starts_with(starts.job));
+        let take = |left: usize| left.checked_sub(1);
+        let order = Ordering::SeqCst;
+        if let Some(starts) =
+            starts.filter(|known| known.left.fetch_update(order, order, take).is_ok())
+        {
+            self.carry_out_late(request, starts.carried_out);
             thread::sleep(Duration::from_secs(3));
             return Reply::Close;
         }
         self.carry_out(request)
     }
 
+    /// Whether a start here was left unanswered.
+    pub fn has_unanswered(&self) -> bool {
+        self.state.0.lock().unwrap().has_unanswered
+    }
+
+    fn carry_out_late(&self, request: &Request, at: Instant) {
+        self.state.0.lock().unwrap().has_unanswered = true;
+        let (runner, request) = (self.clone(), request.clone());
+        let text = String::from_utf8_lossy(&request.body).into_owned();
+        let name = self.place.name.clone();
+        self.record
+            .line(format!("{name}: no answer to the start {text}"));
+        thread::spawn(move || {
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            let shown = match runner.carry_out(&request) {
+                Reply::Answer(status, body) => format!("{status} {body}"),
+                Reply::Close => "the runner is down".into(),
+            };
+            runner
+                .record
+                .line(format!("{name}: late, the start {text}: {shown}"));
+        });
+    }
+
     fn carry_out(&self, request: &Request) -> Reply {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut state = self.state.0.lock().unwrap();
