--- a/review/world-3/src/store.rs
+++ b/review/world-3/src/store.rs
@@ -5,6 +5,7 @@
     http::{Reply, Request, Server},
     json::{quote, Json},
     record::Record,
+    JOB,
 };
 use std::{
     collections::BTreeMap,
@@ -34,8 +35,8 @@
 pub struct Mood {
     /// Answers 503 to every call.
     pub busy: bool,
-    /// Gives no answer to writes of jobs, and carries them out after this time, if
-    /// their condition still holds.
+    /// Gives no answer to the write that stores [`JOB`], and carries it out after
+    /// this time, if its condition still holds.
     pub late: Option<Duration>,
 }
 
@@ -46,6 +47,9 @@
     log: Vec<(u64, String, Option<Item>)>,
     leases: BTreeMap<u64, Lease>,
     moods: BTreeMap<SocketAddr, Mood>,
+    writes: u32,
+    unanswered: u32,
+    leader: Option<SocketAddr>,
 }
 
 #[derive(Clone)]
@@ -84,8 +88,35 @@
     }
 
     /// Takes the keys away that are bound to leases of one process.
+    /// The leases go on, so that no request shows it.
     pub fn revoke(&self, process: SocketAddr) {
-        self.end_leases(|lease| lease.owner == process);
+        let mut state = self.state.0.lock().unwrap();
+        let leases = state.leases.iter();
+        let owned: Vec<u64> = leases
+            .filter(|(_, lease)| lease.owner == process)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in owned {
+            state.remove_bound(id);
+        }
+        self.state.1.notify_all();
+    }
+
+    /// Returns which process last wrote the leader's key.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.state.0.lock().unwrap().leader
+    }
+
+    /// Begins to count writes.
+    pub fn count_writes(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.writes, state.unanswered) = (0, 0);
+    }
+
+    /// Returns the writes since then, and how many of them got no answer.
+    pub fn writes(&self) -> (u32, u32) {
+        let state = self.state.0.lock().unwrap();
+        (state.writes, state.unanswered)
     }
 
     /// Writes a key as the operator.
@@ -231,9 +262,18 @@
     fn transact(&self, process: SocketAddr, mood: Mood, body: &Json) -> Reply {
         let sets_job = body.list("set_keys").iter().any(|set| {
             set.text("key")
-                .is_some_and(|key| key.starts_with("fb/in/job/"))
+                .is_some_and(|key| key.starts_with("fb/in/job/") && key.ends_with(JOB))
         });
+        let sets_leader = body
+            .list("set_keys")
+            .iter()
+            .any(|set| set.text("key") == Some("fb/leader"));
+        if sets_leader {
+            self.state.0.lock().unwrap().leader = Some(process);
+        }
+        self.state.0.lock().unwrap().writes += 1;
         if let Some(delay) = mood.late.filter(|_| sets_job) {
+            self.state.0.lock().unwrap().unanswered += 1;
             let (store, body) = (self.clone(), body.clone());
             self.record
                 .line(format!("store: a write through {process} gets no answer"));
@@ -316,6 +356,10 @@
 
     fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
+        self.remove_bound(id);
+    }
+
+    fn remove_bound(&mut self, id: u64) {
         let bound = self.items.iter().filter(|(_, item)| item.lease == id);
         let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
         if !keys.is_empty() {
